--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -91,12 +91,25 @@
         return sum(u for _, u in self.sent) + units <= self.part * grown
 
 
+class Heard:
+    """The present queueing of all nodes heard of lately: an unheard one counts as their middle (design: average).
+    Where a gateway sees a node once in several seconds, a load that strikes all of them shows only so."""
+
+    def __init__(self) -> None:
+        self.waits: dict[Store, tuple[int, float]] = {}
+
+    def middle(self, now: int) -> float:
+        """The lower middle, so that one sick node does not speak for the others; nothing with fewer than two."""
+        fresh = sorted(wait for at, wait in self.waits.values() if at >= now - FRESH)
+        return fresh[(len(fresh) - 1) // 2] if len(fresh) > 1 else 0.0
+
+
 class Node:
     """One store as this gateway's scheduler sees it."""
 
     def __init__(self, store: Store, desk: Desk, rate: float, least: float, usual: float, tightest: int,
-                 young: Young | None) -> None:
-        self.store, self.desk, self.young = store, desk, young
+                 young: Young | None, others: Heard) -> None:
+        self.store, self.desk, self.young, self.others = store, desk, young, others
         self.rate, self.least, self.usual, self.tightest = rate, least, usual, tightest
         self.lines: dict[Volume, Line] = {}
         self.first = 0  # where the next round of slices starts
@@ -125,7 +138,8 @@
         silence = self.desk.now - max(self.heard, next(iter(self.sent.values()))) if self.sent else 0
         latest = list(self.lags)[-LATEST:]
         waits = [max(lag - units * unit, 0.0) for at, lag, units in latest if at >= since]
-        return max(sum(waits) / len(waits) if waits else 0.0, silence - self.usual * unit)
+        present = sum(waits) / len(waits) if waits else self.others.middle(self.desk.now)
+        return max(present, silence - self.usual * unit)
 
     def lag(self, units: float) -> float:
         return self.queueing() + units * self.unit_time()
@@ -275,6 +289,7 @@
             self.ends.append(outcome.how is How.DELIVERED)
         if outcome.how in (How.DELIVERED, How.TIMED_OUT):
             self.lags.append((now, outcome.lag, task.units))
+            self.others.waits[self.store] = (now, self.queueing())
             self.troubles = 0
             if (gap := self.gap()) < 0:
                 self.fall(min(FALL * -gap, 0.5), min(outcome.lag, self.tightest) // 2)
@@ -350,13 +365,14 @@
         self.least, self.usual = max(facts.sizes.largest, 1.0), max(facts.sizes.usual, 1.0)
         self.nodes: dict[Store, Node] = {}
         self.by_shard: dict[int, Node] = {}
+        self.heard = Heard()
         self.ranked: list[Node] = []
+        self.rank_due = 0
         self.keys: dict[int, KeyLine] = {}
         self.extras = Extras(facts.budget) if facts.budget else None
         self.asks = 0
         if facts.listing.must_ask:
             desk.watch()
-        desk.alarm(desk.now + RANKING, self.rank)
 
     # The list of stores
 
@@ -367,13 +383,13 @@
             if store not in self.nodes and store.state is not State.GONE:
                 young = Young(self.facts.cold, self.facts.gateways) if self.facts.cold else None
                 self.nodes[store] = Node(store, self.desk, self.average_rate(), self.least, self.usual,
-                                         self.tightest, young)
+                                         self.tightest, young, self.heard)
         self.by_shard = {}
         for node in self.nodes.values():
             best = self.by_shard.get(node.store.shard)
             if node.store.state is State.READY and (best is None or node.store.started >= best.store.started):
                 self.by_shard[node.store.shard] = node
-        self.rank_now()
+        self.rank()
         for node in list(self.nodes.values()):
             if self.by_shard.get(node.store.shard) is node:
                 node.round()
@@ -395,11 +411,9 @@
     # New objects
 
     def rank(self) -> None:
-        self.rank_now()
-        self.desk.alarm(self.desk.now + RANKING, self.rank)
-
-    def rank_now(self) -> None:
-        """Order the nodes for new objects by the time a task would spend there, failures counted in."""
+        """Order the nodes for new objects by the time a task would spend there, failures counted in.
+        Renewed in step with time, but only while new objects come: most gateways see few of them."""
+        self.rank_due = self.desk.now + RANKING
         def dwell(node: Node) -> float:
             return node.lag(self.usual) + node.held_tokens / node.rate + node.failing() * self.tightest
         ready = [node for node in self.by_shard.values() if node.usable()]
@@ -408,6 +422,8 @@
     def node_for(self, task: Task) -> Node | None:
         if task.shard is not None:
             return self.by_shard.get(task.shard)
+        if self.desk.now >= self.rank_due:
+            self.rank()
         for node in self.ranked:
             if node.usable() and node.held_tokens + node.tokens_out + cost_of(task) <= node.bound() / 2:
                 return node
