The rate falls from what was used; an idle node lends one task; floor shared by gateways

Cause: with one task a second or less at a node the rate never bound, so nothing held 50 to 200 gateways back.

--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -108,15 +108,17 @@
     """One store as this gateway's scheduler sees it."""
 
     def __init__(self, store: Store, desk: Desk, rate: float, least: float, usual: float, tightest: int,
-                 young: Young | None, others: Heard) -> None:
+                 young: Young | None, others: Heard, gateways: int) -> None:
         self.store, self.desk, self.young, self.others = store, desk, young, others
         self.rate, self.least, self.usual, self.tightest = rate, least, usual, tightest
+        self.floor = usual / SECOND / max(gateways, 1)  # all gateways together: one usual task a second
         self.lines: dict[Volume, Line] = {}
         self.first = 0  # where the next round of slices starts
         self.bucket = 0.0
         self.accrued = self.reset_at = desk.now
         self.out, self.tokens_out = 0, 0.0
         self.sent: dict[Task, int] = {}  # hand-offs out, in order, with their times
+        self.grants: deque[tuple[int, float]] = deque(maxlen=SAMPLES)  # the last hand-offs: when, tokens
         self.heard = desk.now
         self.held, self.held_tokens = 0, 0.0
         self.lags: deque[tuple[int, int, float]] = deque(maxlen=SAMPLES)  # when, lag, units
@@ -213,7 +215,7 @@
                 short = cost - line.tokens
                 if short > self.bucket:
                     self.starved = True
-                    if self.out or self.gap() < 0:  # an idle node lends: its supply would be lost
+                    if self.out or line.tokens < 0:  # an idle node lends one task: its supply would be lost
                         break
                 if not self.fits(line.held[0], cost):
                     self.first = (self.first + step) % len(ring)
@@ -228,7 +230,7 @@
         span, self.accrued = now - self.accrued, now
         if self.starved and (gap := self.gap()) > 0:
             # By time and not by outcomes: where few tasks come by, a rate once low would stay low.
-            self.rate = max(self.rate, self.usual / self.tightest) * (1 + gap * min(span, ROUND) / RISE)
+            self.rate *= 1 + gap * min(span, ROUND) / RISE
             self.rate = min(self.rate, MOST_OUT * self.usual / (self.tightest * AIM_PART))
         self.starved = False
         if now >= self.reset_at:
@@ -242,11 +244,11 @@
                 if surplus > 0:
                     line.balance -= surplus * DONATED
                     self.bucket += surplus * DONATED
-            if line.held or now - line.touched < RESET:
+            if line.held or line.tokens < 0 or now - line.touched < RESET:
                 active += 1
         free = max(self.rate - reserved, self.rate * FLOOR) * span
         for line in self.lines.values():
-            if line.held:
+            if line.held or line.tokens < 0:
                 line.tokens += free / active
             elif now - line.touched < RESET:
                 self.bucket += line.tokens + free / active
@@ -257,6 +259,7 @@
         self.held, self.held_tokens = self.held - 1, self.held_tokens - cost
         self.out, self.tokens_out = self.out + 1, self.tokens_out + cost
         self.sent[task] = self.desk.now
+        self.grants.append((self.desk.now, cost))
         if self.young:
             self.young.sent.append((self.desk.now, task.units))
         self.desk.wake(task, Signal.TURN)
@@ -271,9 +274,12 @@
         self.round()
 
     def fall(self, part: float, rest: int) -> None:
-        """Lower the rate, at most once in the time that the last step needs to show."""
+        """Lower the rate, at most once in the time that the last step needs to show. It falls from what was used:
+        a gateway that sends little must feel it too, for all of them together are the node's load."""
         if self.desk.now >= self.fell:
-            self.rate = max(self.rate * (1 - part), self.usual / SECOND)
+            since = self.desk.now - SECOND
+            used = sum(cost for at, cost in self.grants if at >= since) / SECOND
+            self.rate = max(min(self.rate, used) * (1 - part), self.floor)
             self.fell = self.desk.now + rest
 
     def learn(self, task: Task, outcome: Outcome) -> None:
@@ -383,7 +389,7 @@
             if store not in self.nodes and store.state is not State.GONE:
                 young = Young(self.facts.cold, self.facts.gateways) if self.facts.cold else None
                 self.nodes[store] = Node(store, self.desk, self.average_rate(), self.least, self.usual,
-                                         self.tightest, young, self.heard)
+                                         self.tightest, young, self.heard, self.facts.gateways)
         self.by_shard = {}
         for node in self.nodes.values():
             best = self.by_shard.get(node.store.shard)
