--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -191,7 +191,7 @@
         self.accrue()
         if self.held and self.usable():
             for line in self.lines.values():
-                while line.earns and line.held and line.balance > -DEFICIT:
+                while line.earns and line.held and line.balance > -min(DEFICIT, line.earns * RESET):
                     cost = cost_of(line.held[0])
                     if not self.fits(line.held[0], cost):
                         break
