--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -9,27 +9,11 @@
 
 import random
 from collections import deque
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 
 from tansykeel.interface import (
-    BreakOff,
-    BudgetRule,
-    ColdRule,
-    Desk,
-    Facts,
-    HandOff,
-    How,
-    Nack,
-    Outcome,
-    Repeat,
-    Scope,
-    Signal,
-    State,
-    Store,
-    Task,
-    Volume,
-    Wait,
-    Want,
+    BreakOff, BudgetRule, ColdRule, Desk, Facts, HandOff, How, Nack, Outcome, Repeat, Scope, Signal, State, Store,
+    Task, Volume, Wait, Want,
 )
 
 SECOND = 10_000
@@ -70,25 +54,41 @@
 
 
 class Young:
-    """Keeps what goes to a store that has just started within this gateway's part of what it surely bears."""
+    """Keeps what all gateways send to a store that has just started within what it surely bears.
 
-    def __init__(self, rule: ColdRule, gateways: int) -> None:
-        self.rule = rule
-        self.part = rule.always_safe / max(gateways, 1)
+    Half of that is dealt evenly. Half goes by past use: a store that was warm did all that was sent then, and
+    starts with a known share of that power, so each gateway may send that share of what it sent itself. Where this
+    comes to less than a task, one goes when it is paid for, and the first payment starts at a time of its own."""
+
+    def __init__(self, rule: ColdRule, gateways: int, usual: float, uniform: Callable[[float, float], float]) -> None:
+        self.rule, self.usual, self.uniform = rule, usual, uniform
+        self.even = rule.always_safe / max(gateways, 1)
         self.sent: deque[tuple[int, float]] = deque()
         self.suspected = 0  # last time that the store could not be reached: it may have started since
+        self.since = self.at = 0
+        self.past = self.credit = 0.0
 
-    def room(self, store: Store, now: int, units: float) -> bool:
+    def room(self, store: Store, now: int, units: float, pace: float) -> bool:
         while self.sent and self.sent[0][0] <= now - self.rule.span:
             self.sent.popleft()
         started = max(store.started, self.suspected)
         age = now - started
         if started <= 0 or age >= self.rule.warm_after + self.rule.span:
             return True
+        if started != self.since:
+            self.since, self.at, self.past = started, now, pace * self.rule.span
+            self.credit = -self.uniform(0, self.usual)
         # The power at the start of the window bounds the whole window, for power never sinks on the way up.
         since = max(age - self.rule.span, 0) / max(self.rule.warm_after, 1)
         grown = 1 + since * (1 / self.rule.share - 1) if self.rule.share > 0 else 1.0
-        return sum(u for _, u in self.sent) + units <= self.part * grown
+        part = (self.even + self.rule.multiple * self.rule.share * self.past) / 2 * grown
+        self.credit, self.at = min(self.credit + part * (now - self.at) / self.rule.span, 0.0), now
+        sent = sum(u for _, u in self.sent)
+        return sent + units <= part or (not sent and self.credit >= 0)
+
+    def take(self, now: int, units: float) -> None:
+        self.sent.append((now, units))
+        self.credit -= units
 
 
 class Heard:
@@ -108,10 +108,11 @@
     """One store as this gateway's scheduler sees it."""
 
     def __init__(self, store: Store, desk: Desk, rate: float, least: float, usual: float, tightest: int,
-                 young: Young | None, others: Heard, gateways: int) -> None:
+                 young: Young | None, others: Heard, gateways: int, before: Node | None) -> None:
         self.store, self.desk, self.young, self.others = store, desk, young, others
         self.rate, self.least, self.usual, self.tightest = rate, least, usual, tightest
         self.floor = usual / SECOND / max(gateways, 1)  # all gateways together: one usual task a second
+        self.born, self.before = desk.now, before  # the node that held the shard until now
         self.lines: dict[Volume, Line] = {}
         self.first = 0  # where the next round of slices starts
         self.bucket = 0.0
@@ -159,6 +160,13 @@
         least = self.least if self.gap() >= 0 and not self.troubles else 0.0
         return max(self.rate * self.tightest * AIM_PART, least)
 
+    def pace(self) -> float:
+        """Units a tenth that this gateway had done here, or at the store that held the shard before."""
+        if not self.lags:
+            return self.before.pace() if self.before else 0.0
+        since = self.lags[0][0] if len(self.lags) == SAMPLES else self.born
+        return sum(units for _, _, units in self.lags) / max(self.desk.now - since, SECOND)
+
     def usable(self) -> bool:
         return self.store.state is State.READY and self.desk.now >= self.resting
 
@@ -168,7 +176,7 @@
         if self.out and self.tokens_out + cost > self.bound():
             self.starved = True
             return False
-        return self.young is None or self.young.room(self.store, self.desk.now, task.units)
+        return self.young is None or self.young.room(self.store, self.desk.now, task.units, self.pace())
 
     def hold(self, line: Line, task: Task) -> None:
         line.touched = self.desk.now
@@ -261,7 +269,7 @@
         self.sent[task] = self.desk.now
         self.grants.append((self.desk.now, cost))
         if self.young:
-            self.young.sent.append((self.desk.now, task.units))
+            self.young.take(self.desk.now, task.units)
         self.desk.wake(task, Signal.TURN)
 
     def take_back(self, task: Task) -> None:
@@ -387,9 +395,11 @@
             self.asks = 0
         for store in stores:
             if store not in self.nodes and store.state is not State.GONE:
-                young = Young(self.facts.cold, self.facts.gateways) if self.facts.cold else None
+                cold, gateways = self.facts.cold, self.facts.gateways
+                young = Young(cold, gateways, self.usual, self.uniform) if cold else None
+                before = next((n for n in reversed(self.nodes.values()) if n.store.shard == store.shard), None)
                 self.nodes[store] = Node(store, self.desk, self.average_rate(), self.least, self.usual,
-                                         self.tightest, young, self.heard, self.facts.gateways)
+                                         self.tightest, young, self.heard, gateways, before)
         self.by_shard = {}
         for node in self.nodes.values():
             best = self.by_shard.get(node.store.shard)
