--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -151,6 +151,10 @@
         """How far the lag of a usual task stays under its target, as a part of it."""
         return 1 - self.lag(self.usual) / (self.tightest * AIM_PART)
 
+    def free(self) -> bool:
+        """Whether a fresh sample of this very node shows a lag under its target."""
+        return bool(self.lags) and self.lags[-1][0] >= self.desk.now - FRESH and self.gap() > 0
+
     def failing(self) -> float:
         return self.ends.count(False) / len(self.ends) if self.ends else 0.0
 
@@ -223,7 +227,7 @@
                 short = cost - line.tokens
                 if short > self.bucket:
                     self.starved = True
-                    if self.out or line.tokens < 0:  # an idle node lends one task: its supply would be lost
+                    if self.out or (line.tokens < 0 and not self.free()):  # an idle node lends: its supply is lost
                         break
                 if not self.fits(line.held[0], cost):
                     self.first = (self.first + step) % len(ring)
