--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -111,7 +111,7 @@
                  young: Young | None, others: Heard, gateways: int, before: Node | None) -> None:
         self.store, self.desk, self.young, self.others = store, desk, young, others
         self.rate, self.least, self.usual, self.tightest = rate, least, usual, tightest
-        self.floor = usual / SECOND / max(gateways, 1)  # all gateways together: one usual task a second
+        self.floor = 4 * usual / tightest / max(gateways, 1)  # all together: a usual task in a tightest soft limit
         self.born, self.before = desk.now, before  # the node that held the shard until now
         self.lines: dict[Volume, Line] = {}
         self.first = 0  # where the next round of slices starts
@@ -227,7 +227,7 @@
                 short = cost - line.tokens
                 if short > self.bucket:
                     self.starved = True
-                    if self.out or (line.tokens < 0 and not self.free()):  # an idle node lends: its supply is lost
+                    if self.out or self.gap() < 1 - 1 / AIM_PART or (line.tokens < 0 and not self.free()):  # an idle node lends: its supply is lost
                         break
                 if not self.fits(line.held[0], cost):
                     self.first = (self.first + step) % len(ring)
@@ -291,7 +291,7 @@
         if self.desk.now >= self.fell:
             since = self.desk.now - SECOND
             used = sum(cost for at, cost in self.grants if at >= since) / SECOND
-            self.rate = max(min(self.rate, used) * (1 - part), self.floor)
+            self.rate = max(min(self.rate, 4 * used) * (1 - part), self.floor)
             self.fell = self.desk.now + rest
 
     def learn(self, task: Task, outcome: Outcome) -> None:
@@ -310,7 +310,7 @@
             self.others.waits[self.store] = (now, self.queueing())
             self.troubles = 0
             if (gap := self.gap()) < 0:
-                self.fall(min(FALL * -gap, 0.5), min(outcome.lag, self.tightest) // 2)
+                self.fall(min(FALL * -gap, 0.9), min(outcome.lag, self.tightest) // 2)
         elif outcome.how is How.FULL:
             self.troubles += 1
             self.fall(FALL, ROUND)
