--- a/tansykeel/benchlink/host.py
+++ b/tansykeel/benchlink/host.py
@@ -146,6 +146,7 @@
         budget=budget,
         key_rest=_ceil(rules.get("KeyQuiet") or 0),
         report_fields=tuple((raw.get("Report") or {}).get("Fields") or ()),
+        tells_elsewhere=bool(specifics.get("TellsElsewhere")),
     )
 
 
--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -42,7 +42,7 @@
 
     def __init__(self, reserve: float) -> None:
         self.held: deque[Task] = deque()
-        self.reserve = reserve  # read tokens a tenth, over all of this gateway's nodes
+        self.reserve = reserve  # read tokens a tenth, over all gateways and nodes
         self.earns = 0.0  # this node's part of it
         self.balance = 0.0
         self.tokens = 0.0
@@ -368,6 +368,13 @@
     def __init__(self, allowance: Allowance | None) -> None:
         self.allowance = allowance
         self.sent: deque[tuple[Line, float]] = deque(maxlen=32)  # the last hand-offs: where, how much
+        self.told: deque[tuple[float, float]] = deque(maxlen=32)  # of the last answers: units here, elsewhere
+
+    def part(self, hosts: float, usual: float) -> float:
+        """This gateway's part of the volume's use, as answers tell it; an even part weighs in as a usual task does.
+        Use is uneven and its lead moves: an even split starves the busy gateway and leaves supply with idle ones."""
+        here, elsewhere = sum(u for u, _ in self.told), sum(u for _, u in self.told)
+        return (here + usual / hosts) / (here + elsewhere + usual)
 
     def wait_for(self, task: Task, now: int) -> int:
         return 0 if task.hand_offs or not self.allowance else self.allowance.wait_for(task.units, now)
@@ -493,6 +500,8 @@
                 outcome = yield HandOff(node.store)
                 assert isinstance(outcome, Outcome)
                 node.learn(task, outcome)
+                if outcome.how is How.DELIVERED and self.facts.tells_elsewhere:
+                    state.told.append((task.units, outcome.elsewhere))
                 if not outcome.never_ran:
                     task.may_have_run.append((node.store, sent))
                     if outcome.how in (How.TIMED_OUT, How.RESET, How.CANCELLED) and task.key in self.keys:
@@ -512,8 +521,8 @@
     def line_of(self, node: Node, volume: Volume) -> Line:
         line = node.lines.get(volume)
         if line is None:
-            line = node.lines[volume] = Line(volume.plan.reserve / SECOND / self.hosts_of(volume))
-            line.earns = line.reserve / max(len(self.by_shard), 1)
+            line = node.lines[volume] = Line(volume.plan.reserve / SECOND)
+            line.earns = line.reserve / self.hosts_of(volume) / max(len(self.by_shard), 1)
         return line
 
     def state_of(self, volume: Volume) -> VolumeState:
@@ -530,7 +539,7 @@
             self.extras.extras.append(self.desk.now)
         task.hand_offs += 1
         state.sent.append((line, task.units))
-        total = sum(units for _, units in state.sent)
+        total = sum(units for _, units in state.sent) / state.part(self.hosts_of(task.volume), self.usual)
         for other in {id(sent): sent for sent, _ in state.sent}.values():
             other.earns = other.reserve * sum(units for sent, units in state.sent if sent is other) / total
 
--- a/tansykeel/interface.py
+++ b/tansykeel/interface.py
@@ -120,6 +120,7 @@
     budget: BudgetRule | None
     key_rest: int
     report_fields: tuple[str, ...]
+    tells_elsewhere: bool = False
 
 
 @dataclass(eq=False, slots=True)
