--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable, Generator
 
 from tansykeel.interface import (
-    BreakOff, BudgetRule, ColdRule, Desk, Facts, HandOff, How, Nack, Outcome, Repeat, Scope, Signal, State, Store,
-    Task, Volume, Wait, Want,
+    BreakOff, BudgetRule, ColdRule, Desk, Facts, HandOff, How, Nack, Outcome, Repeat, Scope, Signal, State,
+    Store, Task, Volume, Wait, Want,
 )
 
 SECOND = 10_000
@@ -27,8 +27,11 @@
 MARGIN = 1.5  # times the usual lag that a held task must have left to its soft limit
 MOST_MARGIN = 0.75  # part of the soft limit that this may take at most
 MOST_OUT = 24  # hand-offs out at a node (design: 32)
+LEAST_RATE = 4  # the least rates of all gateways together, in usual tasks within a tightest soft limit
+USE = 4  # times what was used lately that a falling rate starts from at most
+DEEPEST = 0.9  # part of the rate that one fall takes at most
 RISE = 2_000  # the rate about doubles in this time while tasks are held and the lag is far under its target
-FALL = 0.2  # part that it loses with the lag at twice its target, at most half
+FALL = 0.2  # part that it loses with the lag at twice its target
 FRESH = SECOND  # samples that tell of the present
 LATEST = 4  # of these, the last few tell of the present queue
 SAMPLES = 24  # outcomes that a node's figures are worked out from
@@ -43,9 +46,7 @@
     def __init__(self, reserve: float) -> None:
         self.held: deque[Task] = deque()
         self.reserve = reserve  # read tokens a tenth, over all gateways and nodes
-        self.earns = 0.0  # this node's part of it
-        self.balance = 0.0
-        self.tokens = 0.0
+        self.earns = self.balance = self.tokens = 0.0  # earns: this gateway's and node's part of the reserve
         self.touched = 0
 
 
@@ -56,17 +57,17 @@
 class Young:
     """Keeps what all gateways send to a store that has just started within what it surely bears.
 
-    Half of that is dealt evenly. Half goes by past use: a store that was warm did all that was sent then, and
-    starts with a known share of that power, so each gateway may send that share of what it sent itself. Where this
-    comes to less than a task, one goes when it is paid for, and the first payment starts at a time of its own."""
+    Half of that is dealt evenly. Half goes by past use: warm, the store did all that was sent then; it starts
+    with a known share of that power, so each gateway may send that share of what it sent itself. Where this
+    comes to less than a task, one goes when it is paid for; the first payment starts at a time of its own."""
 
-    def __init__(self, rule: ColdRule, gateways: int, usual: float, uniform: Callable[[float, float], float]) -> None:
+    def __init__(self, rule: ColdRule, gateways: int, usual: float,
+                 uniform: Callable[[float, float], float]) -> None:
         self.rule, self.usual, self.uniform = rule, usual, uniform
         self.even = rule.always_safe / max(gateways, 1)
         self.sent: deque[tuple[int, float]] = deque()
         self.suspected = 0  # last time that the store could not be reached: it may have started since
-        self.since = self.at = 0
-        self.past = self.credit = 0.0
+        self.since, self.at, self.past, self.credit = 0, 0, 0.0, 0.0
 
     def room(self, store: Store, now: int, units: float, pace: float) -> bool:
         while self.sent and self.sent[0][0] <= now - self.rule.span:
@@ -86,47 +87,34 @@
         sent = sum(u for _, u in self.sent)
         return sent + units <= part or (not sent and self.credit >= 0)
 
-    def take(self, now: int, units: float) -> None:
-        self.sent.append((now, units))
-        self.credit -= units
 
-
-class Heard:
-    """The present queueing of all nodes heard of lately: an unheard one counts as their middle (design: average).
-    Where a gateway sees a node once in several seconds, a load that strikes all of them shows only so."""
-
-    def __init__(self) -> None:
-        self.waits: dict[Store, tuple[int, float]] = {}
-
-    def middle(self, now: int) -> float:
-        """The lower middle, so that one sick node does not speak for the others; nothing with fewer than two."""
-        fresh = sorted(wait for at, wait in self.waits.values() if at >= now - FRESH)
-        return fresh[(len(fresh) - 1) // 2] if len(fresh) > 1 else 0.0
+def middle(waits: dict[Store, tuple[int, float]], now: int) -> float:
+    """The lower middle of the nodes' fresh queueing, so that one sick node does not speak for the others."""
+    fresh = sorted(wait for at, wait in waits.values() if at >= now - FRESH)
+    return fresh[(len(fresh) - 1) // 2] if len(fresh) > 1 else 0.0
 
 
 class Node:
     """One store as this gateway's scheduler sees it."""
 
     def __init__(self, store: Store, desk: Desk, rate: float, least: float, usual: float, tightest: int,
-                 young: Young | None, others: Heard, gateways: int, before: Node | None) -> None:
-        self.store, self.desk, self.young, self.others = store, desk, young, others
+                 young: Young | None, waits: dict[Store, tuple[int, float]], gateways: int,
+                 before: Node | None) -> None:
+        self.store, self.desk, self.young, self.waits = store, desk, young, waits
         self.rate, self.least, self.usual, self.tightest = rate, least, usual, tightest
-        self.floor = 4 * usual / tightest / max(gateways, 1)  # all together: a usual task in a tightest soft limit
-        self.born, self.before = desk.now, before  # the node that held the shard until now
+        self.floor = LEAST_RATE * usual / tightest / max(gateways, 1)
+        self.before = before  # the node that held the shard until now
         self.lines: dict[Volume, Line] = {}
-        self.first = 0  # where the next round of slices starts
-        self.bucket = 0.0
-        self.accrued = self.reset_at = desk.now
+        self.first, self.bucket = 0, 0.0  # first: where the next round of slices starts
+        self.born = self.heard = self.accrued = self.reset_at = desk.now
         self.out, self.tokens_out = 0, 0.0
         self.sent: dict[Task, int] = {}  # hand-offs out, in order, with their times
         self.grants: deque[tuple[int, float]] = deque(maxlen=SAMPLES)  # the last hand-offs: when, tokens
-        self.heard = desk.now
         self.held, self.held_tokens = 0, 0.0
         self.lags: deque[tuple[int, int, float]] = deque(maxlen=SAMPLES)  # when, lag, units
         self.ends: deque[bool] = deque(maxlen=SAMPLES)  # whether each outcome was a good one
         self.resting = self.fell = self.troubles = 0
-        self.round_set = False
-        self.starved = False  # whether the last round held something for want of tokens or of the bound
+        self.round_set = self.starved = False  # starved: tokens or bound held something back
 
     def unit_time(self) -> float:
         """Tenths that a unit takes here when nothing waits: the quickest quarter of the last outcomes."""
@@ -134,14 +122,15 @@
         return times[len(times) // 4] if times else 0.0
 
     def queueing(self) -> float:
-        """Time that the last hand-offs spent waiting. Old samples must not be taken for the present:
-        a node judged too slow gets no tasks, so only time can show that it is well again."""
+        """Time that the last hand-offs spent waiting. Old samples must not be taken for the present: a node
+        judged too slow gets no tasks. Without fresh ones it counts as the middle of the others (design: average):
+        where a gateway sees a node once in several seconds, a load on all of them shows only so."""
         since, unit = self.desk.now - FRESH, self.unit_time()
         # Silence while work is out tells of a node that stands still before any time-out does.
         silence = self.desk.now - max(self.heard, next(iter(self.sent.values()))) if self.sent else 0
         latest = list(self.lags)[-LATEST:]
         waits = [max(lag - units * unit, 0.0) for at, lag, units in latest if at >= since]
-        present = sum(waits) / len(waits) if waits else self.others.middle(self.desk.now)
+        present = sum(waits) / len(waits) if waits else middle(self.waits, self.desk.now)
         return max(present, silence - self.usual * unit)
 
     def lag(self, units: float) -> float:
@@ -155,9 +144,6 @@
         """Whether a fresh sample of this very node shows a lag under its target."""
         return bool(self.lags) and self.lags[-1][0] >= self.desk.now - FRESH and self.gap() > 0
 
-    def failing(self) -> float:
-        return self.ends.count(False) / len(self.ends) if self.ends else 0.0
-
     def bound(self) -> float:
         """Tokens that may be out. The least of one largest task does not hold while the node has too much:
         many gateways with that much each would keep its queue full of work that comes too late."""
@@ -184,19 +170,14 @@
 
     def hold(self, line: Line, task: Task) -> None:
         line.touched = self.desk.now
-        if task.hand_offs:
-            line.held.appendleft(task)
-        else:
-            line.held.append(task)
-        self.held += 1
-        self.held_tokens += cost_of(task)
+        (line.held.appendleft if task.hand_offs else line.held.append)(task)
+        self.held, self.held_tokens = self.held + 1, self.held_tokens + cost_of(task)
         self.round()
 
     def drop(self, line: Line, task: Task) -> None:
         if task in line.held:
             line.held.remove(task)
-            self.held -= 1
-            self.held_tokens -= cost_of(task)
+            self.held, self.held_tokens = self.held - 1, self.held_tokens - cost_of(task)
 
     def round(self) -> None:
         """One scheduling round: reserved volumes first, then the others by equal slices and the bucket."""
@@ -227,7 +208,9 @@
                 short = cost - line.tokens
                 if short > self.bucket:
                     self.starved = True
-                    if self.out or self.gap() < 1 - 1 / AIM_PART or (line.tokens < 0 and not self.free()):  # an idle node lends: its supply is lost
+                    # An idle node lends, its supply would be lost; not where the work would come too late,
+                    # and to a line in debt only on a fresh sample: many gateways may be as blind as this one.
+                    if self.out or self.gap() < 1 - 1 / AIM_PART or (line.tokens < 0 and not self.free()):
                         break
                 if not self.fits(line.held[0], cost):
                     self.first = (self.first + step) % len(ring)
@@ -247,24 +230,19 @@
         self.starved = False
         if now >= self.reset_at:
             self.bucket, self.reset_at = 0.0, now + RESET
-        active, reserved = 0, 0.0
+        active, reserved = [], 0.0
         for line in self.lines.values():
-            if line.earns:
-                reserved += line.earns
-                line.balance += line.earns * span
-                surplus = line.balance - 3 * ROUND * line.earns
-                if surplus > 0:
-                    line.balance -= surplus * DONATED
-                    self.bucket += surplus * DONATED
+            reserved += line.earns
+            line.balance += line.earns * span
+            surplus = max(line.balance - 3 * ROUND * line.earns, 0.0) * DONATED
+            line.balance, self.bucket = line.balance - surplus, self.bucket + surplus
             if line.held or line.tokens < 0 or now - line.touched < RESET:
-                active += 1
+                active.append(line)
         free = max(self.rate - reserved, self.rate * FLOOR) * span
-        for line in self.lines.values():
-            if line.held or line.tokens < 0:
-                line.tokens += free / active
-            elif now - line.touched < RESET:
-                self.bucket += line.tokens + free / active
-                line.tokens = 0.0
+        for line in active:
+            line.tokens += free / len(active)
+            if not line.held and line.tokens > 0:
+                self.bucket, line.tokens = self.bucket + line.tokens, 0.0
 
     def grant(self, line: Line, cost: float) -> None:
         task = line.held.popleft()
@@ -273,7 +251,8 @@
         self.sent[task] = self.desk.now
         self.grants.append((self.desk.now, cost))
         if self.young:
-            self.young.take(self.desk.now, task.units)
+            self.young.sent.append((self.desk.now, task.units))
+            self.young.credit -= task.units
         self.desk.wake(task, Signal.TURN)
 
     def take_back(self, task: Task) -> None:
@@ -281,17 +260,15 @@
         self.release(cost_of(task))
 
     def release(self, cost: float) -> None:
-        self.out -= 1
-        self.tokens_out -= cost
+        self.out, self.tokens_out = self.out - 1, self.tokens_out - cost
         self.round()
 
     def fall(self, part: float, rest: int) -> None:
-        """Lower the rate, at most once in the time that the last step needs to show. It falls from what was used:
+        """Lower the rate, at most once in the time that a step needs to show, and from a few times its use:
         a gateway that sends little must feel it too, for all of them together are the node's load."""
         if self.desk.now >= self.fell:
-            since = self.desk.now - SECOND
-            used = sum(cost for at, cost in self.grants if at >= since) / SECOND
-            self.rate = max(min(self.rate, 4 * used) * (1 - part), self.floor)
+            used = sum(cost for at, cost in self.grants if at >= self.desk.now - SECOND) / SECOND
+            self.rate = max(min(self.rate, USE * used) * (1 - part), self.floor)
             self.fell = self.desk.now + rest
 
     def learn(self, task: Task, outcome: Outcome) -> None:
@@ -307,10 +284,10 @@
             self.ends.append(outcome.how is How.DELIVERED)
         if outcome.how in (How.DELIVERED, How.TIMED_OUT):
             self.lags.append((now, outcome.lag, task.units))
-            self.others.waits[self.store] = (now, self.queueing())
+            self.waits[self.store] = (now, self.queueing())
             self.troubles = 0
             if (gap := self.gap()) < 0:
-                self.fall(min(FALL * -gap, 0.9), min(outcome.lag, self.tightest) // 2)
+                self.fall(min(FALL * -gap, DEEPEST), min(outcome.lag, self.tightest) // 2)
         elif outcome.how is How.FULL:
             self.troubles += 1
             self.fall(FALL, ROUND)
@@ -350,34 +327,27 @@
         return len(self.extras) + 1 <= self.rule.free + self.rule.share * len(self.taken)
 
 
-class Allowance:
-    """This gateway's part of a volume's limit. Starts empty: an earlier instance may have spent it all."""
-
-    def __init__(self, rate: float, depth: float, now: int) -> None:
-        self.rate, self.depth, self.units, self.at = rate, depth, 0.0, now
-
-    def wait_for(self, units: float, now: int) -> int:
-        """Tenths until that many units are there, 0 if they are."""
-        self.units, self.at = min(self.units + self.rate * (now - self.at), self.depth), now
-        return 0 if self.units >= units else int((units - self.units) / self.rate) + 1
-
-
 class VolumeState:
-    """What this gateway keeps of a volume over all its nodes."""
+    """What this gateway keeps of a volume over all its nodes, and its part of the volume's limit.
+    That starts empty: an earlier instance may have spent it all."""
 
-    def __init__(self, allowance: Allowance | None) -> None:
-        self.allowance = allowance
+    def __init__(self, limit: float, depth: float, now: int) -> None:
+        self.limit, self.depth, self.units, self.at = limit, depth, 0.0, now
         self.sent: deque[tuple[Line, float]] = deque(maxlen=32)  # the last hand-offs: where, how much
         self.told: deque[tuple[float, float]] = deque(maxlen=32)  # of the last answers: units here, elsewhere
 
     def part(self, hosts: float, usual: float) -> float:
-        """This gateway's part of the volume's use, as answers tell it; an even part weighs in as a usual task does.
-        Use is uneven and its lead moves: an even split starves the busy gateway and leaves supply with idle ones."""
-        here, elsewhere = sum(u for u, _ in self.told), sum(u for _, u in self.told)
-        return (here + usual / hosts) / (here + elsewhere + usual)
+        """This gateway's part of the volume's use, as answers tell it; the even part weighs in as a usual
+        task. An even split starves the busy gateway, and idle ones keep the supply; the lead moves."""
+        here = sum(units for units, _ in self.told)
+        return (here + usual / hosts) / (here + sum(units for _, units in self.told) + usual)
 
     def wait_for(self, task: Task, now: int) -> int:
-        return 0 if task.hand_offs or not self.allowance else self.allowance.wait_for(task.units, now)
+        """Tenths until the limit has the units of a first hand-off, 0 if it has them or there is none."""
+        if task.hand_offs or not self.limit:
+            return 0
+        self.units, self.at = min(self.units + self.limit * (now - self.at), self.depth), now
+        return 0 if self.units >= task.units else int((task.units - self.units) / self.limit) + 1
 
 
 class Scheduler:
@@ -390,7 +360,7 @@
         self.least, self.usual = max(facts.sizes.largest, 1.0), max(facts.sizes.usual, 1.0)
         self.nodes: dict[Store, Node] = {}
         self.by_shard: dict[int, Node] = {}
-        self.heard = Heard()
+        self.waits: dict[Store, tuple[int, float]] = {}  # when each node was last heard of, its queueing then
         self.ranked: list[Node] = []
         self.rank_due = 0
         self.keys: dict[int, KeyLine] = {}
@@ -408,9 +378,9 @@
             if store not in self.nodes and store.state is not State.GONE:
                 cold, gateways = self.facts.cold, self.facts.gateways
                 young = Young(cold, gateways, self.usual, self.uniform) if cold else None
-                before = next((n for n in reversed(self.nodes.values()) if n.store.shard == store.shard), None)
+                before = next((n for n in [*self.nodes.values()][::-1] if n.store.shard == store.shard), None)
                 self.nodes[store] = Node(store, self.desk, self.average_rate(), self.least, self.usual,
-                                         self.tightest, young, self.heard, gateways, before)
+                                         self.tightest, young, self.waits, gateways, before)
         self.by_shard = {}
         for node in self.nodes.values():
             best = self.by_shard.get(node.store.shard)
@@ -431,18 +401,18 @@
         self.desk.alarm(self.desk.now + wait, self.desk.watch)
 
     def average_rate(self) -> float:
-        """What a node not heard of counts as; before any was heard, the rate that fills the least bound."""
+        """What a new node counts as; before any was heard, the rate that fills the least bound."""
         heard = [n.rate for n in self.nodes.values() if n.lags and self.desk.now - n.lags[-1][0] < STALE]
         return sum(heard) / len(heard) if heard else self.least / (self.tightest * AIM_PART)
 
-    # New objects
-
     def rank(self) -> None:
         """Order the nodes for new objects by the time a task would spend there, failures counted in.
         Renewed in step with time, but only while new objects come: most gateways see few of them."""
         self.rank_due = self.desk.now + RANKING
+
         def dwell(node: Node) -> float:
-            return node.lag(self.usual) + node.held_tokens / node.rate + node.failing() * self.tightest
+            failing = node.ends.count(False) / max(len(node.ends), 1)
+            return node.lag(self.usual) + node.held_tokens / node.rate + failing * self.tightest
         ready = [node for node in self.by_shard.values() if node.usable()]
         self.ranked = sorted(ready, key=lambda node: (dwell(node), self.uniform(0, 1)))
 
@@ -456,8 +426,6 @@
                 return node
         return min(self.ranked, key=lambda n: (n.held_tokens + n.tokens_out) / n.rate, default=None)
 
-    # The path of a task
-
     def serve(self, task: Task) -> Generator[Want, Signal | Outcome | None, None]:
         """The ordinary path: find the node, wait for the turn, hand off, judge the outcome."""
         now = self.desk.now
@@ -475,11 +443,10 @@
                     break
                 line = self.line_of(node, task.volume)
                 latest = aim - int(min(node.lag(task.units) * MARGIN, (aim - now) * MOST_MARGIN))
-                if self.desk.now >= latest:
+                wait = state.wait_for(task, self.desk.now)
+                if self.desk.now + wait >= latest:
                     break
-                if wait := state.wait_for(task, self.desk.now):
-                    if self.desk.now + wait >= latest:
-                        break
+                if wait:
                     yield Wait(self.desk.now + wait)
                     continue
                 node.hold(line, task)
@@ -489,12 +456,10 @@
                     if signal is Signal.MOVED:
                         continue
                     break
-                if not self.may_hand_off(task) or not self.in_group(task, node.store):
-                    node.take_back(task)  # what was legal when the task was held may not be so any more
-                    break
-                if state.wait_for(task, self.desk.now):
-                    node.take_back(task)  # charged before its turn, a held line could leave in one burst
-                    continue
+                legal = self.may_hand_off(task) and self.in_group(task, node.store)
+                if not legal or state.wait_for(task, self.desk.now):
+                    node.take_back(task)  # not legal any more, or the limit has too little left at the turn:
+                    continue  # charged before, a held line could leave in one burst
                 self.spend(task, line, state)
                 sent = self.desk.now
                 outcome = yield HandOff(node.store)
@@ -528,14 +493,13 @@
     def state_of(self, volume: Volume) -> VolumeState:
         if volume.state is None:
             plan, hosts = volume.plan, self.hosts_of(volume)
-            limit = Allowance(plan.limit / SECOND / hosts, plan.limit_depth / hosts, self.desk.now)
-            volume.state = VolumeState(limit if plan.limit else None)
+            volume.state = VolumeState(plan.limit / SECOND / hosts, plan.limit_depth / hosts, self.desk.now)
         return volume.state
 
     def spend(self, task: Task, line: Line, state: VolumeState) -> None:
-        if state.allowance and not task.hand_offs:
-            state.allowance.units -= task.units
-        if task.hand_offs and self.extras:
+        if not task.hand_offs:
+            state.units -= task.units
+        elif self.extras:
             self.extras.extras.append(self.desk.now)
         task.hand_offs += 1
         state.sent.append((line, task.units))
@@ -546,7 +510,7 @@
     # Guards of the rules
 
     def may_hand_off(self, task: Task) -> bool:
-        """Whether a (further) hand-off is legal now, wherever it would go."""
+        """Whether a (further) hand-off is legal now, wherever it goes."""
         if task.hand_offs >= self.facts.allowed.hand_offs or self.desk.now >= task.cut_off:
             return False
         if task.hand_offs and self.extras and not self.extras.room(self.desk.now):
@@ -557,32 +521,26 @@
         """Whether a stamped task that may have run may go to this store: same group, within its memory."""
         if not task.may_have_run or task.category.repeat is Repeat.HARMLESS:
             return True
-        first, sent = task.may_have_run[0]
-        if self.desk.now >= sent + task.category.window:
-            return False
-        scope = task.category.scope
-        if scope is Scope.ALL:
-            return True
-        return store.zone == first.zone if scope is Scope.ZONE else store.shard == first.shard
+        (first, sent), scope = task.may_have_run[0], task.category.scope
+        near = store.zone == first.zone if scope is Scope.ZONE else store.shard == first.shard
+        return (scope is Scope.ALL or near) and self.desk.now < sent + task.category.window
 
     def final(self, task: Task) -> Want:
         """The answer of a task given up on: a nack wherever its promise holds."""
-        harmless = task.category.repeat is Repeat.HARMLESS
-        dropped = task.category.repeat is Repeat.STAMPED and task.category.scope is Scope.ALL
-        if not task.may_have_run or harmless or dropped:
-            allowed = self.facts.allowed
-            return Nack(min(self.tightest, allowed.longest_come_back) if allowed.come_back else 0)
-        return BreakOff()
+        repeat, allowed = task.category.repeat, self.facts.allowed
+        sure = repeat is Repeat.HARMLESS or (repeat is Repeat.STAMPED and task.category.scope is Scope.ALL)
+        if task.may_have_run and not sure:
+            return BreakOff()
+        return Nack(min(self.tightest, allowed.longest_come_back) if allowed.come_back else 0)
 
     def turn_on_key(self, task: Task, aim: int) -> Generator[Want, Signal | Outcome | None, bool]:
         """Wait until the task is first on its key and the key has rested; False if that comes too late."""
         line = self.keys.setdefault(task.key, KeyLine())
         line.tasks.append(task)
         while line.tasks[0] is not task or self.desk.now < line.rests_until:
-            until = min(line.rests_until, aim) if line.tasks[0] is task else aim
             if self.desk.now >= aim:
                 return False
-            yield Wait(max(until, self.desk.now + 1))
+            yield Wait(min(line.rests_until, aim) if line.tasks[0] is task else aim)
         return True
 
     def leave_key(self, task: Task) -> None:
