--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -141,8 +141,8 @@
         return 1 - self.lag(self.usual) / (self.tightest * AIM_PART)
 
     def free(self) -> bool:
-        """Whether a fresh sample of this very node shows a lag under its target."""
-        return bool(self.lags) and self.lags[-1][0] >= self.desk.now - FRESH and self.gap() > 0
+        """Whether a fresh sample, of this node or another, shows a lag under its target."""
+        return any(at >= self.desk.now - FRESH for at, _ in self.waits.values()) and self.gap() > 0
 
     def bound(self) -> float:
         """Tokens that may be out. The least of one largest task does not hold while the node has too much:
