--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -123,8 +123,8 @@
 
     def queueing(self) -> float:
         """Time that the last hand-offs spent waiting. Old samples must not be taken for the present: a node
-        judged too slow gets no tasks. Without fresh ones it counts as the middle of the others (design: average):
-        where a gateway sees a node once in several seconds, a load on all of them shows only so."""
+        judged too slow gets no tasks. Without fresh ones it counts as the middle of the others (design:
+        average): where a gateway sees a node once in several seconds, a load on all shows only so."""
         since, unit = self.desk.now - FRESH, self.unit_time()
         # Silence while work is out tells of a node that stands still before any time-out does.
         silence = self.desk.now - max(self.heard, next(iter(self.sent.values()))) if self.sent else 0
@@ -414,7 +414,8 @@
             failing = node.ends.count(False) / max(len(node.ends), 1)
             return node.lag(self.usual) + node.held_tokens / node.rate + failing * self.tightest
         ready = [node for node in self.by_shard.values() if node.usable()]
-        self.ranked = sorted(ready, key=lambda node: (dwell(node), self.uniform(0, 1)))
+        # By chance in part: many gateways that rank by the same figures would all choose the same few nodes.
+        self.ranked = sorted(ready, key=lambda node: dwell(node) * self.uniform(0.5, 1.5))
 
     def node_for(self, task: Task) -> Node | None:
         if task.shard is not None:
