--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -414,8 +414,7 @@
             failing = node.ends.count(False) / max(len(node.ends), 1)
             return node.lag(self.usual) + node.held_tokens / node.rate + failing * self.tightest
         ready = [node for node in self.by_shard.values() if node.usable()]
-        # By chance in part: many gateways that rank by the same figures would all choose the same few nodes.
-        self.ranked = sorted(ready, key=lambda node: dwell(node) * self.uniform(0.5, 1.5))
+        self.ranked = sorted(ready, key=lambda node: (dwell(node), self.uniform(0, 1)))
 
     def node_for(self, task: Task) -> Node | None:
         if task.shard is not None:
