--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -90,7 +90,7 @@
 
 def middle(waits: dict[Store, tuple[int, float]], now: int) -> float:
     """The lower middle of the nodes' fresh queueing, so that one sick node does not speak for the others."""
-    fresh = sorted(wait for at, wait in waits.values() if at >= now - FRESH)
+    fresh = sorted(wait * (at - now + FRESH) / FRESH for at, wait in waits.values() if at >= now - FRESH)
     return fresh[(len(fresh) - 1) // 2] if len(fresh) > 1 else 0.0
 
 
@@ -129,7 +129,8 @@
         # Silence while work is out tells of a node that stands still before any time-out does.
         silence = self.desk.now - max(self.heard, next(iter(self.sent.values()))) if self.sent else 0
         latest = list(self.lags)[-LATEST:]
-        waits = [max(lag - units * unit, 0.0) for at, lag, units in latest if at >= since]
+        # A queue drains: what a sample tells fades over the time that it counts.
+        waits = [max(lag - units * unit, 0.0) * (at - since) / FRESH for at, lag, units in latest if at >= since]
         present = sum(waits) / len(waits) if waits else middle(self.waits, self.desk.now)
         return max(present, silence - self.usual * unit)
 
