--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -32,7 +32,8 @@
 DEEPEST = 0.9  # part of the rate that one fall takes at most
 RISE = 2_000  # the rate about doubles in this time while tasks are held and the lag is far under its target
 FALL = 0.2  # part that it loses with the lag at twice its target
-FRESH = SECOND  # samples that tell of the present
+FRESH = SECOND  # samples that tell of the present, if the queue that they saw is not longer
+DRAIN = 0.5  # time of waiting that a queue loses in a unit of time
 LATEST = 4  # of these, the last few tell of the present queue
 SAMPLES = 24  # outcomes that a node's figures are worked out from
 STALE = 2 * SECOND  # a node whose last sample is older counts as the average
@@ -88,9 +89,14 @@
         return sent + units <= part or (not sent and self.credit >= 0)
 
 
+def present(wait: float, age: int) -> float:
+    """What is left of a queue seen some time ago: it drains, also while some work still comes in."""
+    return max(wait - DRAIN * age, 0.0)
+
+
 def middle(waits: dict[Store, tuple[int, float]], now: int) -> float:
     """The lower middle of the nodes' fresh queueing, so that one sick node does not speak for the others."""
-    fresh = sorted(wait * (at - now + FRESH) / FRESH for at, wait in waits.values() if at >= now - FRESH)
+    fresh = sorted(present(wait, now - at) for at, wait in waits.values() if now - at <= max(FRESH, wait / DRAIN))
     return fresh[(len(fresh) - 1) // 2] if len(fresh) > 1 else 0.0
 
 
@@ -125,14 +131,13 @@
         """Time that the last hand-offs spent waiting. Old samples must not be taken for the present: a node
         judged too slow gets no tasks. Without fresh ones it counts as the middle of the others (design:
         average): where a gateway sees a node once in several seconds, a load on all shows only so."""
-        since, unit = self.desk.now - FRESH, self.unit_time()
+        now, unit = self.desk.now, self.unit_time()
         # Silence while work is out tells of a node that stands still before any time-out does.
-        silence = self.desk.now - max(self.heard, next(iter(self.sent.values()))) if self.sent else 0
-        latest = list(self.lags)[-LATEST:]
-        # A queue drains: what a sample tells fades over the time that it counts.
-        waits = [max(lag - units * unit, 0.0) * (at - since) / FRESH for at, lag, units in latest if at >= since]
-        present = sum(waits) / len(waits) if waits else middle(self.waits, self.desk.now)
-        return max(present, silence - self.usual * unit)
+        silence = now - max(self.heard, next(iter(self.sent.values()))) if self.sent else 0
+        seen = [(now - at, lag - units * unit) for at, lag, units in list(self.lags)[-LATEST:]]
+        left = [present(wait, age) for age, wait in seen if age <= max(FRESH, wait / DRAIN)]
+        wait = sum(left) / len(left) if left else middle(self.waits, now)
+        return max(wait, silence - self.usual * unit)
 
     def lag(self, units: float) -> float:
         return self.queueing() + units * self.unit_time()
