--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -33,7 +33,7 @@
 RISE = 2_000  # the rate about doubles in this time while tasks are held and the lag is far under its target
 FALL = 0.2  # part that it loses with the lag at twice its target
 FRESH = SECOND  # samples that tell of the present, if the queue that they saw is not longer
-DRAIN = 0.3  # time of waiting that a queue loses in a unit of time
+DRAIN = 0.5  # time of waiting that a queue loses in a unit of time
 LATEST = 4  # of these, the last few tell of the present queue
 SAMPLES = 24  # outcomes that a node's figures are worked out from
 STALE = 2 * SECOND  # a node whose last sample is older counts as the average
@@ -89,14 +89,16 @@
         return sent + units <= part or (not sent and self.credit >= 0)
 
 
-def counts(wait: float, age: int) -> bool:
-    """Whether a sample still tells of the present: a queue that it saw is there for a few times its length."""
-    return age <= (min(wait / DRAIN, STALE) if wait > 0 else FRESH)
+def present(wait: float, age: int, limit: int) -> float:
+    """What is left of a queue seen some time ago. A short one, as after a pause, drains while work comes in;
+    one past the tightest soft limit tells of an overload and stays for as long as it counts."""
+    return wait if wait > limit else max(wait - DRAIN * age, 0.0)
 
 
-def middle(waits: dict[Store, tuple[int, float]], now: int) -> float:
+def middle(waits: dict[Store, tuple[int, float]], now: int, limit: int) -> float:
     """The lower middle of the nodes' fresh queueing, so that one sick node does not speak for the others."""
-    fresh = sorted(wait for at, wait in waits.values() if counts(wait, now - at))
+    fresh = sorted(present(wait, now - at, limit) for at, wait in waits.values()
+                   if now - at <= (STALE if wait > limit else FRESH))
     return fresh[(len(fresh) - 1) // 2] if len(fresh) > 1 else 0.0
 
 
@@ -135,8 +137,9 @@
         # Silence while work is out tells of a node that stands still before any time-out does.
         silence = now - max(self.heard, next(iter(self.sent.values()))) if self.sent else 0
         seen = [(now - at, lag - units * unit) for at, lag, units in list(self.lags)[-LATEST:]]
-        left = [max(wait, 0.0) for age, wait in seen if counts(wait, age)]
-        wait = sum(left) / len(left) if left else middle(self.waits, now)
+        limit = self.tightest
+        left = [present(wait, age, limit) for age, wait in seen if age <= (STALE if wait > limit else FRESH)]
+        wait = sum(left) / len(left) if left else middle(self.waits, now, limit)
         return max(wait, silence - self.usual * unit)
 
     def lag(self, units: float) -> float:
