--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -9,7 +9,7 @@
 
 import random
 from collections import deque
-from collections.abc import Callable, Generator
+from collections.abc import Generator, Iterable
 
 from tansykeel.interface import (
     BreakOff, BudgetRule, ColdRule, Desk, Facts, HandOff, How, Nack, Outcome, Repeat, Scope, Signal, State,
@@ -60,12 +60,11 @@
 
     Half of that is dealt evenly. Half goes by past use: warm, the store did all that was sent then; it starts
     with a known share of that power, so each gateway may send that share of what it sent itself. Where this
-    comes to less than a task, one goes when it is paid for; the first payment starts at a time of its own."""
+    comes to less than a task, one goes when its part is paid for that spaces the gateways evenly."""
 
-    def __init__(self, rule: ColdRule, gateways: int, usual: float,
-                 uniform: Callable[[float, float], float]) -> None:
-        self.rule, self.usual, self.uniform = rule, usual, uniform
-        self.even = rule.always_safe / max(gateways, 1)
+    def __init__(self, rule: ColdRule, gateways: int, me: int, largest: float) -> None:
+        self.rule, self.largest = rule, largest
+        self.even, self.phase = rule.always_safe / max(gateways, 1), (me + 0.5) / max(gateways, 1)
         self.sent: deque[tuple[int, float]] = deque()
         self.suspected = 0  # last time that the store could not be reached: it may have started since
         self.since, self.at, self.past, self.credit = 0, 0, 0.0, 0.0
@@ -78,28 +77,22 @@
         if started <= 0 or age >= self.rule.warm_after + self.rule.span:
             return True
         if started != self.since:
-            self.since, self.at, self.past = started, now, pace * self.rule.span
-            self.credit = -self.uniform(0, self.usual)
+            self.since, self.at, self.past, self.credit = started, now, pace * self.rule.span, 0.0
         # The power at the start of the window bounds the whole window, for power never sinks on the way up.
         since = max(age - self.rule.span, 0) / max(self.rule.warm_after, 1)
         grown = 1 + since * (1 / self.rule.share - 1) if self.rule.share > 0 else 1.0
         part = (self.even + self.rule.multiple * self.rule.share * self.past) / 2 * grown
-        self.credit, self.at = min(self.credit + part * (now - self.at) / self.rule.span, 0.0), now
+        self.credit = min(self.credit + part * (now - self.at) / self.rule.span, self.largest)
+        self.at = now
         sent = sum(u for _, u in self.sent)
-        return sent + units <= part or (not sent and self.credit >= 0)
+        return sent + units <= part or (not sent and self.credit >= units * self.phase)
 
 
-def present(wait: float, age: int, limit: int) -> float:
-    """What is left of a queue seen some time ago. A short one, as after a pause, drains while work comes in;
+def left(seen: Iterable[tuple[int, float]], now: int, limit: int) -> list[float]:
+    """What is left of queues seen some time ago. A short one, as after a pause, drains while work comes in;
     one past the tightest soft limit tells of an overload and stays for as long as it counts."""
-    return wait if wait > limit else max(wait - DRAIN * age, 0.0)
-
-
-def middle(waits: dict[Store, tuple[int, float]], now: int, limit: int) -> float:
-    """The lower middle of the nodes' fresh queueing, so that one sick node does not speak for the others."""
-    fresh = sorted(present(wait, now - at, limit) for at, wait in waits.values()
-                   if now - at <= (STALE if wait > limit else FRESH))
-    return fresh[(len(fresh) - 1) // 2] if len(fresh) > 1 else 0.0
+    return [wait if wait > limit else max(wait - DRAIN * (now - at), 0.0)
+            for at, wait in seen if now - at <= (STALE if wait > limit else FRESH)]
 
 
 class Node:
@@ -107,11 +100,10 @@
 
     def __init__(self, store: Store, desk: Desk, rate: float, least: float, usual: float, tightest: int,
                  young: Young | None, waits: dict[Store, tuple[int, float]], gateways: int,
-                 before: Node | None) -> None:
+                 before: Node | None) -> None:  # before: the node that held the shard until now
         self.store, self.desk, self.young, self.waits = store, desk, young, waits
         self.rate, self.least, self.usual, self.tightest = rate, least, usual, tightest
-        self.floor = LEAST_RATE * usual / tightest / max(gateways, 1)
-        self.before = before  # the node that held the shard until now
+        self.floor, self.before = LEAST_RATE * usual / tightest / max(gateways, 1), before
         self.lines: dict[Volume, Line] = {}
         self.first, self.bucket = 0, 0.0  # first: where the next round of slices starts
         self.born = self.heard = self.accrued = self.reset_at = desk.now
@@ -134,12 +126,14 @@
         judged too slow gets no tasks. Without fresh ones it counts as the middle of the others (design:
         average): where a gateway sees a node once in several seconds, a load on all shows only so."""
         now, unit = self.desk.now, self.unit_time()
-        # Silence while work is out tells of a node that stands still before any time-out does.
+        # Silence while work is out tells of a node that stands still before any time-out.
         silence = now - max(self.heard, next(iter(self.sent.values()))) if self.sent else 0
-        seen = [(now - at, lag - units * unit) for at, lag, units in list(self.lags)[-LATEST:]]
-        limit = self.tightest
-        left = [present(wait, age, limit) for age, wait in seen if age <= (STALE if wait > limit else FRESH)]
-        wait = sum(left) / len(left) if left else middle(self.waits, now, limit)
+        seen = [(at, lag - units * unit) for at, lag, units in list(self.lags)[-LATEST:]]
+        if waits := left(seen, now, self.tightest):
+            wait = sum(waits) / len(waits)
+        else:  # the lower middle, so that one sick node does not speak for the others
+            waits = sorted(left(self.waits.values(), now, self.tightest))
+            wait = waits[(len(waits) - 1) // 2] if len(waits) > 1 else 0.0
         return max(wait, silence - self.usual * unit)
 
     def lag(self, units: float) -> float:
@@ -264,10 +258,6 @@
             self.young.credit -= task.units
         self.desk.wake(task, Signal.TURN)
 
-    def take_back(self, task: Task) -> None:
-        del self.sent[task]
-        self.release(cost_of(task))
-
     def release(self, cost: float) -> None:
         self.out, self.tokens_out = self.out - 1, self.tokens_out - cost
         self.round()
@@ -340,16 +330,16 @@
     """What this gateway keeps of a volume over all its nodes, and its part of the volume's limit.
     That starts empty: an earlier instance may have spent it all."""
 
-    def __init__(self, limit: float, depth: float, now: int) -> None:
-        self.limit, self.depth, self.units, self.at = limit, depth, 0.0, now
+    def __init__(self, hosts: float, limit: float, depth: float, now: int) -> None:
+        self.hosts, self.limit, self.depth, self.units, self.at = hosts, limit, depth, 0.0, now
         self.sent: deque[tuple[Line, float]] = deque(maxlen=32)  # the last hand-offs: where, how much
         self.told: deque[tuple[float, float]] = deque(maxlen=32)  # of the last answers: units here, elsewhere
 
-    def part(self, hosts: float, usual: float) -> float:
+    def part(self, usual: float) -> float:
         """This gateway's part of the volume's use, as answers tell it; the even part weighs in as a usual
         task. An even split starves the busy gateway, and idle ones keep the supply; the lead moves."""
         here = sum(units for units, _ in self.told)
-        return (here + usual / hosts) / (here + sum(units for _, units in self.told) + usual)
+        return (here + usual / self.hosts) / (here + sum(units for _, units in self.told) + usual)
 
     def wait_for(self, task: Task, now: int) -> int:
         """Tenths until the limit has the units of a first hand-off, 0 if it has them or there is none."""
@@ -370,8 +360,7 @@
         self.nodes: dict[Store, Node] = {}
         self.by_shard: dict[int, Node] = {}
         self.waits: dict[Store, tuple[int, float]] = {}  # when each node was last heard of, its queueing then
-        self.ranked: list[Node] = []
-        self.rank_due = 0
+        self.ranked, self.rank_due = list[Node](), 0
         self.keys: dict[int, KeyLine] = {}
         self.extras = Extras(facts.budget) if facts.budget else None
         self.asks = 0
@@ -386,7 +375,7 @@
         for store in stores:
             if store not in self.nodes and store.state is not State.GONE:
                 cold, gateways = self.facts.cold, self.facts.gateways
-                young = Young(cold, gateways, self.usual, self.uniform) if cold else None
+                young = Young(cold, gateways, self.facts.me, self.least) if cold else None
                 before = next((n for n in [*self.nodes.values()][::-1] if n.store.shard == store.shard), None)
                 self.nodes[store] = Node(store, self.desk, self.average_rate(), self.least, self.usual,
                                          self.tightest, young, self.waits, gateways, before)
@@ -467,8 +456,9 @@
                     break
                 legal = self.may_hand_off(task) and self.in_group(task, node.store)
                 if not legal or state.wait_for(task, self.desk.now):
-                    node.take_back(task)  # not legal any more, or the limit has too little left at the turn:
-                    continue  # charged before, a held line could leave in one burst
+                    del node.sent[task]  # not legal any more, or the limit has too little left at the turn:
+                    node.release(cost_of(task))  # charged before, a held line could leave in one burst
+                    continue
                 self.spend(task, line, state)
                 sent = self.desk.now
                 outcome = yield HandOff(node.store)
@@ -489,20 +479,18 @@
                 node.drop(line, task)
             self.leave_key(task)
 
-    def hosts_of(self, volume: Volume) -> float:
-        return volume.gateways if volume.gateways >= 1 else self.facts.gateways
-
     def line_of(self, node: Node, volume: Volume) -> Line:
         line = node.lines.get(volume)
         if line is None:
             line = node.lines[volume] = Line(volume.plan.reserve / SECOND)
-            line.earns = line.reserve / self.hosts_of(volume) / max(len(self.by_shard), 1)
+            line.earns = line.reserve / self.state_of(volume).hosts / max(len(self.by_shard), 1)
         return line
 
     def state_of(self, volume: Volume) -> VolumeState:
         if volume.state is None:
-            plan, hosts = volume.plan, self.hosts_of(volume)
-            volume.state = VolumeState(plan.limit / SECOND / hosts, plan.limit_depth / hosts, self.desk.now)
+            plan, hosts = volume.plan, volume.gateways if volume.gateways >= 1 else self.facts.gateways
+            rate, depth = plan.limit / SECOND / hosts, plan.limit_depth / hosts
+            volume.state = VolumeState(hosts, rate, depth, self.desk.now)
         return volume.state
 
     def spend(self, task: Task, line: Line, state: VolumeState) -> None:
@@ -512,7 +500,7 @@
             self.extras.extras.append(self.desk.now)
         task.hand_offs += 1
         state.sent.append((line, task.units))
-        total = sum(units for _, units in state.sent) / state.part(self.hosts_of(task.volume), self.usual)
+        total = sum(units for _, units in state.sent) / state.part(self.usual)
         for other in {id(sent): sent for sent, _ in state.sent}.values():
             other.earns = other.reserve * sum(units for sent, units in state.sent if sent is other) / total
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -7,7 +7,7 @@
 import pytest
 from helpers import HARMLESS, PLAN, facts, outcome, scheduler, store, task
 
-from tansykeel.brain import Allowance, Extras, Scheduler, Young
+from tansykeel.brain import Extras, Scheduler, VolumeState, Young, left
 from tansykeel.interface import (
     BreakOff,
     BudgetRule,
@@ -118,15 +118,30 @@
     assert isinstance(next(brain.serve(task(desk, shard=shard))), Nack)
 
 
-@pytest.mark.parametrize("age, room", [(0, 10.0), (100_000, 10.0 * 3), (300_000, 1e9)])
-def test_a_young_store_gets_this_gateways_part_of_what_it_bears(age, room):
-    rule = ColdRule(share=0.2, warm_after=180_000, multiple=2.5, span=10_000, always_safe=20.0)
-    young, at = Young(rule, gateways=2), store(started=1_000)
-    now = 1_000 + age
-    assert young.room(at, now, min(room, 1e6))
-    young.sent.append((now, room))
-    assert young.room(at, now, 0.1) is (age > 200_000)
-    assert young.room(at, now + rule.span, 1.0)
+COLD = ColdRule(share=0.2, warm_after=180_000, multiple=2.5, span=10_000, always_safe=20.0)
+
+
+@pytest.mark.parametrize("gateways, past, age, part", [
+    (1, 0.0, 0, 10.0), (1, 0.004, 0, 20.0), (1, 0.0, 100_000, 30.0), (2, 0.0, 0, 5.0), (300, 0.0, 0, 0.0),
+])
+def test_a_young_store_gets_half_evenly_and_half_by_past_use(gateways, past, age, part):
+    young, at, now = Young(COLD, gateways, gateways - 1, 8.0), store(started=1_000), 1_000 + age
+    assert young.room(at, now, part, past) and not young.room(at, now, part + 0.1, past)
+    young.sent.append((now, part))
+    assert not young.room(at, now, 0.1, past) and young.room(at, now + COLD.span, part, past)
+    assert young.room(at, 1_000 + 190_000, 1e6, past)
+
+
+def test_several_hundred_gateways_with_parts_under_a_unit_stay_within_the_safe_units():
+    at, sent = store(started=1), 0.0
+    every = [Young(COLD, 300, me, 8.0) for me in range(300)]
+    for now in range(1, 10_002, 100):  # each would send a task every 10 ms; past use was 20 units a second
+        for young in every:
+            if young.room(at, now, 2.0 + young.phase, 20 / 300 / 10_000):
+                young.sent.append((now, 2.0 + young.phase))
+                young.credit -= 2.0 + young.phase
+                sent += 2.0 + young.phase
+    assert 0 < sent <= COLD.always_safe
 
 
 def test_further_hand_offs_stay_within_the_budget_of_every_window():
@@ -163,12 +178,49 @@
     assert (node.out, node.tokens_out, node.sent) == (0, 0.0, {})
 
 
-def test_a_limit_starts_empty_and_never_gives_more_than_this_gateways_part():
-    allowance = Allowance(rate=0.01, depth=20.0, now=0)
-    assert allowance.wait_for(5.0, 0) == 501
-    assert allowance.wait_for(5.0, 501) == 0
-    assert allowance.wait_for(20.0, 10**6) == 0
-    assert allowance.wait_for(20.1, 10**6) > 0
+@pytest.mark.parametrize("units, now, wait", [
+    (5.0, 0, 501), (5.0, 501, 0), (20.0, 10**6, 0), (20.1, 10**6, 11),
+])
+def test_a_limit_starts_empty_and_never_gives_more_than_this_gateways_part(units, now, wait):
+    _, desk = scheduler([])
+    assert VolumeState(1.0, limit=0.01, depth=20.0, now=0).wait_for(task(desk, units=units), now) == wait
+
+
+@pytest.mark.parametrize("hosts, told, part", [
+    (24, [], 1 / 24), (1, [], 1.0), (0, [], 1 / 2), (24, [(2.0, 0)] * 23, 23 / 24 + 1 / 576),
+    (2, [(2.0, 8)], 0.25),
+])
+def test_a_reserve_is_split_by_the_use_that_answers_tell_of(hosts, told, part):
+    brain, _ = scheduler([])
+    state = brain.state_of(Volume("v", PLAN, hosts))
+    state.told.extend(told)
+    assert state.part(2.0) == pytest.approx(part)
+
+
+@pytest.mark.parametrize("wait, age, remains", [
+    (1_000, 0, [1_000]), (1_000, 1_000, [500]), (1_000, 10_001, []), (-5, 0, [0]),
+    (3_000, 10_001, [3_000]), (3_000, 20_001, []),
+])
+def test_a_short_queue_drains_and_one_past_the_soft_limit_stays(wait, age, remains):
+    assert left([(0, wait)], age, 2_500) == remains
+
+
+def test_an_unheard_node_counts_as_the_middle_of_those_heard():
+    brain, desk = scheduler([store(shard) for shard in range(4)])
+    unheard = brain.by_shard[3]
+    for shard, wait in enumerate([0, 4_000, 90_000]):
+        brain.waits[brain.by_shard[shard].store] = (desk.now, wait)
+        assert unheard.queueing() == [0, 0, 4_000][shard]
+
+
+@pytest.mark.parametrize("used, rate", [(0.0, "floor"), (10.0, 1e-3 * 4 * 0.5), (1e6, 0.5)])
+def test_a_rate_falls_from_what_was_used(used, rate):
+    brain, desk = scheduler([store()])
+    node = next(iter(brain.nodes.values()))
+    node.rate = 1.0
+    node.grants.append((desk.now, used))
+    node.fall(0.5, 100)
+    assert node.rate == (node.floor if rate == "floor" else rate)
 
 
 def test_a_limited_volume_is_charged_at_its_first_hand_off_only():
@@ -179,10 +231,10 @@
     desk.now += 100_000
     run = brain.serve(task(desk, units=8.0, volume=volume))
     turn(run, desk, brain)
-    assert state.allowance.units == 92.0
+    assert state.units == 92.0
     run.send(outcome(How.ERROR))
     run.send(Signal.TURN)
-    assert state.allowance.units == 92.0
+    assert state.units == 92.0
 
 
 def test_held_tasks_of_a_limited_volume_cannot_leave_in_one_burst():
@@ -190,14 +242,14 @@
     brain, desk = scheduler([store()], plans=(plan,))
     volume, node = Volume("v", plan, 1.0), next(iter(brain.nodes.values()))
     state = brain.state_of(volume)
-    state.allowance.units, node.out, node.tokens_out = 10.0, 1, 1e9
+    state.units, node.out, node.tokens_out = 10.0, 1, 1e9
     runs = [brain.serve(task(desk, units=8.0, volume=volume)) for _ in range(2)]
     assert all(isinstance(next(run), Wait) for run in runs)
     node.out = node.tokens_out = 0
     node.bucket = 100.0
     node.round()
     assert len(desk.woken) == 1
-    assert isinstance(runs[0].send(Signal.TURN), HandOff) and state.allowance.units == 2.0
+    assert isinstance(runs[0].send(Signal.TURN), HandOff) and state.units == 2.0
     node.out = node.tokens_out = 0
     node.round()
     assert not isinstance(runs[1].send(Signal.TURN), HandOff)
@@ -228,7 +280,7 @@
         sent = task(desk)
         node.sent[sent] = desk.now
         node.learn(sent, outcome(how))
-    assert node.young.room(at, desk.now, 4.1) is room
+    assert node.young.room(at, desk.now, 4.1, 0.0) is room
     assert node.usable() is (hows[0] is How.RESET)
 
 
@@ -238,7 +290,7 @@
     node = brain.nodes[at]
     node.lags.extend((desk.now, lag, 2.0) for lag in [100] * 8 + [9_000] * 8)
     assert node.gap() < 0
-    desk.now += 10_001
+    desk.now += 20_001
     assert node.gap() > 0
 
 
@@ -253,13 +305,19 @@
     assert node.queueing() == 0
 
 
-@pytest.mark.parametrize("out, turns", [(0, 1), (1, 0)])
-def test_only_a_node_with_nothing_out_lends_tokens(out, turns):
+@pytest.mark.parametrize("out, debt, heard, turns", [
+    (0, 0.0, None, 1), (1, 0.0, None, 0), (0, -9.0, None, 0), (0, -9.0, 0, 1), (0, -9.0, 9_000, 0),
+    (0, 0.0, 3_000, 0),
+])
+def test_an_idle_node_lends_and_to_a_line_in_debt_only_on_a_fresh_sample(out, debt, heard, turns):
     brain, desk = scheduler([store()])
-    node = next(iter(brain.nodes.values()))
-    node.out = out
-    run = brain.serve(task(desk))
-    assert isinstance(next(run), Wait)
+    node, asking = next(iter(brain.nodes.values())), task(desk)
+    node.out, node.rate = out, node.floor
+    brain.line_of(node, asking.volume).tokens = debt
+    if heard is not None:
+        node.lags.extend([(desk.now, 100, 2.0)] * 8 + [(desk.now, 100 + heard, 2.0)] * 4)
+        brain.waits[node.store] = (desk.now, node.queueing())
+    node.hold(node.lines[asking.volume], asking)
     assert len(desk.woken) == turns
 
 
@@ -291,11 +349,10 @@
     tasks += [task(desk, volume=rich, units=1.0) for _ in range(2)]
     runs = [brain.serve(each) for each in tasks]
     assert all(isinstance(next(run), Wait) for run in runs)
-    node.lines[rich].balance = -49.5
     node.bucket = 0.0
     desk.now += 10
-    node.rate, node.least = 1e-9, 100.0
-    node.lines[rich].earns = 1e-4
+    node.rate, node.least, node.out = 1e-9, 100.0, 1
+    node.lines[rich].balance, node.lines[rich].earns = -0.5, 1e-4
     node.round()
     assert [woken for woken, _ in desk.woken] == [tasks[2]]
 
