--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -144,9 +144,8 @@
         return 1 - self.lag(self.usual) / (self.tightest * AIM_PART)
 
     def free(self) -> bool:
-        """Whether fresh samples, of this node or others, show no more waiting than the target."""
-        heard = any(at >= self.desk.now - FRESH for at, _ in self.waits.values())
-        return heard and self.queueing() < self.tightest * AIM_PART
+        """Whether a fresh sample, of this node or another, shows a lag under its target."""
+        return any(at >= self.desk.now - FRESH for at, _ in self.waits.values()) and self.gap() > 0
 
     def bound(self) -> float:
         """Tokens that may be out. The least of one largest task does not hold while the node has too much:
