--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -12,7 +12,7 @@
 from collections.abc import Generator, Iterable
 
 from tansykeel.interface import (
-    BreakOff, BudgetRule, ColdRule, Desk, Facts, HandOff, How, Nack, Outcome, Repeat, Scope, Signal, State,
+    BreakOff, BudgetRule, Category, ColdRule, Desk, Facts, HandOff, How, Nack, Outcome, Repeat, Scope, Signal, State,
     Store, Task, Volume, Wait, Want,
 )
 
@@ -363,6 +363,7 @@
         self.ranked, self.rank_due = list[Node](), 0
         self.keys: dict[int, KeyLine] = {}
         self.extras = Extras(facts.budget) if facts.budget else None
+        self.patience: dict[Category, deque[int]] = {}  # of the last tasks: time left when they came
         self.asks = 0
         if facts.listing.must_ask:
             desk.watch()
@@ -428,7 +429,9 @@
         """The ordinary path: find the node, wait for the turn, hand off, judge the outcome."""
         now = self.desk.now
         state = self.state_of(task.volume)
-        aim = min(now + task.category.soft_limit, task.cut_off)
+        aim = self.aim_of(task)
+        late = aim <= now  # worth little any more: it goes only where nothing waits
+        aim = min(now + task.category.soft_limit, task.cut_off) if late else aim
         if self.extras:
             self.extras.taken.append(now)
         node: Node | None = None
@@ -437,7 +440,7 @@
             in_turn = not (task.category.ordered and task.key) or (yield from self.turn_on_key(task, aim))
             while in_turn and self.may_hand_off(task):
                 node = self.node_for(task)
-                if node is None or not self.in_group(task, node.store):
+                if node is None or not self.in_group(task, node.store) or late and not node.free():
                     break
                 line = self.line_of(node, task.volume)
                 latest = aim - int(min(node.lag(task.units) * MARGIN, (aim - now) * MOST_MARGIN))
@@ -479,6 +482,14 @@
                 node.drop(line, task)
             self.leave_key(task)
 
+    def aim_of(self, task: Task) -> int:
+        """When the soft limit ends. Tells from the time left that a task is a further try, or came while this gateway
+        stood still: its limit runs from its first try. Less time than the soft limit may be a short patience."""
+        left = self.patience.setdefault(task.category, deque(maxlen=SAMPLES))
+        left.append(task.cut_off - self.desk.now)
+        age = max(left) - left[-1] if left[-1] >= task.category.soft_limit else 0
+        return min(self.desk.now + task.category.soft_limit - age, task.cut_off)
+
     def line_of(self, node: Node, volume: Volume) -> Line:
         line = node.lines.get(volume)
         if line is None:
