--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -194,8 +194,8 @@
                     line.balance -= cost
                     self.grant(line, cost)
             self.slices()
-        if (self.held or self.out) and not self.round_set:
-            self.round_set = True  # also while work is out: an alarm past its time shows a stall of our own
+        if self.held and not self.round_set:
+            self.round_set = True
             self.desk.alarm(self.desk.now + ROUND, self.next_round)
 
     def next_round(self) -> None:
@@ -281,8 +281,6 @@
             self.heard, self.out, self.tokens_out = now, self.out - 1, self.tokens_out - cost
         if outcome.how not in (How.MOOT, How.CANCELLED):
             self.ends.append(outcome.how is How.DELIVERED)
-        if self.desk.overdue > ROUND:
-            return  # this gateway stood still: the lag is its own fault and tells nothing of the node
         if outcome.how in (How.DELIVERED, How.TIMED_OUT):
             self.lags.append((now, outcome.lag, task.units))
             self.waits[self.store] = (now, self.queueing())
--- a/tansykeel/interface.py
+++ b/tansykeel/interface.py
@@ -222,7 +222,6 @@
     """What the module can ask of the runner beside what tasks yield."""
 
     now: int
-    overdue: int  # how far the next alarm was past its time when the clock last moved
 
     def wake(self, task: Task, signal: Signal) -> None: ...
     def alarm(self, at: int, call: Callable[[], None]) -> None: ...
--- a/tansykeel/runner.py
+++ b/tansykeel/runner.py
@@ -17,7 +17,6 @@
 
     def __init__(self, door: Door, now: int) -> None:
         self.now = now
-        self.overdue = 0
         self._door = door
         self._runs: dict[Task, Run] = {}
         self._waits: dict[Task, int] = {}
@@ -27,9 +26,7 @@
         self._reminder: int | None = None
 
     def move(self, now: int) -> None:
-        if now > self.now:
-            self.now = now
-            self.overdue = max(now - self._alarms[0][0], 0) if self._alarms else 0
+        self.now = max(self.now, now)
 
     def start(self, task: Task, run: Run) -> None:
         self._runs[task] = run
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -33,7 +33,6 @@
 
     def __init__(self) -> None:
         self.now = 1_000_000
-        self.overdue = 0
         self.woken: list[tuple[Task, Signal]] = []
         self.alarms: list[tuple[int, Callable[[], None]]] = []
         self.watches = 0
