--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -27,7 +27,7 @@
 MARGIN = 1.5  # times the usual lag that a held task must have left to its soft limit
 MOST_MARGIN = 0.75  # part of the soft limit that this may take at most
 MOST_OUT = 24  # hand-offs out at a node (design: 32)
-LEAST_RATE = 12  # the least rates of all gateways together, in usual tasks within a tightest soft limit
+LEAST_RATE = 4  # the least rates of all gateways together, in usual tasks within a tightest soft limit
 USE = 4  # times what was used lately that a falling rate starts from at most
 DEEPEST = 0.9  # part of the rate that one fall takes at most
 RISE = 2_000  # the rate about doubles in this time while tasks are held and the lag is far under its target
@@ -129,10 +129,10 @@
         # Silence while work is out tells of a node that stands still before any time-out.
         silence = now - max(self.heard, next(iter(self.sent.values()))) if self.sent else 0
         seen = [(at, lag - units * unit) for at, lag, units in list(self.lags)[-LATEST:]]
-        if waits := left(seen, now, self.tightest):
+        if waits := left(seen, now, 2 * self.tightest):
             wait = sum(waits) / len(waits)
         else:  # the lower middle, so that one sick node does not speak for the others
-            waits = sorted(left(self.waits.values(), now, self.tightest))
+            waits = sorted(left(self.waits.values(), now, 2 * self.tightest))
             wait = waits[(len(waits) - 1) // 2] if len(waits) > 1 else 0.0
         return max(wait, silence - self.usual * unit)
 
