--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -129,10 +129,10 @@
         # Silence while work is out tells of a node that stands still before any time-out.
         silence = now - max(self.heard, next(iter(self.sent.values()))) if self.sent else 0
         seen = [(at, lag - units * unit) for at, lag, units in list(self.lags)[-LATEST:]]
-        if waits := left(seen, now, 2 * self.tightest):
+        if waits := left(seen, now, self.tightest):
             wait = sum(waits) / len(waits)
         else:  # the lower middle, so that one sick node does not speak for the others
-            waits = sorted(left(self.waits.values(), now, 2 * self.tightest))
+            waits = sorted(left(self.waits.values(), now, self.tightest))
             wait = waits[(len(waits) - 1) // 2] if len(waits) > 1 else 0.0
         return max(wait, silence - self.usual * unit)
 
