--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -12,8 +12,8 @@
 from collections.abc import Generator, Iterable
 
 from tansykeel.interface import (
-    BreakOff, BudgetRule, Category, ColdRule, Desk, Facts, HandOff, How, Nack, Outcome, Repeat, Scope, Signal, State,
-    Store, Task, Volume, Wait, Want,
+    BreakOff, BudgetRule, Category, ColdRule, Desk, Facts, HandOff, How, Nack, Outcome, Repeat, Scope, Signal,
+    State, Store, Task, Volume, Wait, Want,
 )
 
 SECOND = 10_000
@@ -56,24 +56,22 @@
 
 
 class Young:
-    """Keeps what all gateways send to a store that has just started within what it surely bears.
-
-    Half of that is dealt evenly. Half goes by past use: warm, the store did all that was sent then; it starts
-    with a known share of that power, so each gateway may send that share of what it sent itself. Where this
-    comes to less than a task, one goes when its part is paid for that spaces the gateways evenly."""
+    """Keeps what all gateways send to a store that has just started within what it surely bears. Half is dealt
+    evenly, half by past use: warm, the store did all that was sent then; it starts with a known share of that
+    power, so each gateway may send that share of what it sent itself. Where this comes to less than a task,
+    one goes when as much is paid for as spaces the gateways evenly."""
 
     def __init__(self, rule: ColdRule, gateways: int, me: int, largest: float) -> None:
         self.rule, self.largest = rule, largest
         self.even, self.phase = rule.always_safe / max(gateways, 1), (me + 0.5) / max(gateways, 1)
-        self.sent: deque[tuple[int, float]] = deque()
+        self.sent = deque[tuple[int, float]]()
         self.suspected = 0  # last time that the store could not be reached: it may have started since
         self.since, self.at, self.past, self.credit = 0, 0, 0.0, 0.0
 
     def room(self, store: Store, now: int, units: float, pace: float) -> bool:
         while self.sent and self.sent[0][0] <= now - self.rule.span:
             self.sent.popleft()
-        started = max(store.started, self.suspected)
-        age = now - started
+        age = now - (started := max(store.started, self.suspected))
         if started <= 0 or age >= self.rule.warm_after + self.rule.span:
             return True
         if started != self.since:
@@ -208,8 +206,7 @@
             line = ring[(self.first + step) % len(ring)]
             while line.held:
                 cost = cost_of(line.held[0])
-                short = cost - line.tokens
-                if short > self.bucket:
+                if (short := cost - line.tokens) > self.bucket:
                     self.starved = True
                     # An idle node lends, its supply would be lost; not where the work would come too late,
                     # and to a line in debt only on a fresh sample: many gateways may be as blind as this one.
@@ -228,8 +225,8 @@
         span, self.accrued = now - self.accrued, now
         if self.starved and (gap := self.gap()) > 0:
             # By time and not by outcomes: where few tasks come by, a rate once low would stay low.
-            self.rate *= 1 + gap * min(span, ROUND) / RISE
-            self.rate = min(self.rate, MOST_OUT * self.usual / (self.tightest * AIM_PART))
+            rate = self.rate * (1 + gap * min(span, ROUND) / RISE)
+            self.rate = min(rate, MOST_OUT * self.usual / (self.tightest * AIM_PART))
         self.starved = False
         if now >= self.reset_at:
             self.bucket, self.reset_at = 0.0, now + RESET
@@ -292,9 +289,8 @@
             self.fall(FALL, ROUND)
             self.resting = now + ROUND * 5 * min(self.troubles, 10)
         elif outcome.how is How.NO_CONNECTION:
-            # Guards against a store that is down or restarting: it is tried ever more seldom, not forgotten,
-            # and counts as just started: the list tells of a restart seconds after the cold store could fall.
-            # A reset alone is no such sign: links drop connections of stores that run on.
+            # Guards against a store that is down or restarting: tried ever more seldom, it counts as just
+            # started, for the list tells of it too late. A reset is no such sign: links drop connections too.
             self.troubles += 1
             if self.young and self.troubles > 1:
                 self.young.suspected = now
@@ -306,8 +302,7 @@
     """Tasks of ordered categories that carry one key, in the order taken."""
 
     def __init__(self) -> None:
-        self.tasks: deque[Task] = deque()
-        self.rests_until = 0
+        self.tasks, self.rests_until = deque[Task](), 0
 
 
 class Extras:
@@ -315,8 +310,7 @@
 
     def __init__(self, rule: BudgetRule) -> None:
         self.rule = rule
-        self.taken: deque[int] = deque()
-        self.extras: deque[int] = deque()
+        self.taken, self.extras = deque[int](), deque[int]()
 
     def room(self, now: int) -> bool:
         while self.taken and self.taken[0] <= now - self.rule.span + 1:  # rounding never in our favour
@@ -357,11 +351,10 @@
         self.uniform = random.Random(seed).uniform
         self.tightest = min(category.soft_limit for category in facts.categories)
         self.least, self.usual = max(facts.sizes.largest, 1.0), max(facts.sizes.usual, 1.0)
-        self.nodes: dict[Store, Node] = {}
-        self.by_shard: dict[int, Node] = {}
+        self.nodes, self.by_shard = dict[Store, Node](), dict[int, Node]()
         self.waits: dict[Store, tuple[int, float]] = {}  # when each node was last heard of, its queueing then
         self.ranked, self.rank_due = list[Node](), 0
-        self.keys: dict[int, KeyLine] = {}
+        self.keys = dict[int, KeyLine]()
         self.extras = Extras(facts.budget) if facts.budget else None
         self.patience: dict[Category, deque[int]] = {}  # of the last tasks: time left when they came
         self.asks = 0
@@ -373,9 +366,9 @@
     def list_changed(self, stores: list[Store], confirmed: bool) -> None:
         if confirmed:
             self.asks = 0
+        cold, gateways = self.facts.cold, self.facts.gateways
         for store in stores:
             if store not in self.nodes and store.state is not State.GONE:
-                cold, gateways = self.facts.cold, self.facts.gateways
                 young = Young(cold, gateways, self.facts.me, self.least) if cold else None
                 before = next((n for n in [*self.nodes.values()][::-1] if n.store.shard == store.shard), None)
                 self.nodes[store] = Node(store, self.desk, self.average_rate(), self.least, self.usual,
@@ -395,8 +388,8 @@
 
     def list_failed(self) -> None:
         """A call or the subscription failed: ask again, ever less often, at a time of our own."""
+        wait = int(self.uniform(0.5, 1.5) * SECOND * min(2**self.asks, 8))
         self.asks += 1
-        wait = int(self.uniform(0.5, 1.5) * SECOND * min(2 ** (self.asks - 1), 8))
         self.desk.alarm(self.desk.now + wait, self.desk.watch)
 
     def average_rate(self) -> float:
@@ -430,12 +423,11 @@
         now = self.desk.now
         state = self.state_of(task.volume)
         aim = self.aim_of(task)
-        late = aim <= now  # worth little any more: it goes only where nothing waits
-        aim = min(now + task.category.soft_limit, task.cut_off) if late else aim
+        if late := aim <= now:  # worth little any more: it goes only where nothing waits
+            aim = min(now + task.category.soft_limit, task.cut_off)
         if self.extras:
             self.extras.taken.append(now)
-        node: Node | None = None
-        line: Line | None = None
+        node, line = None, None
         try:
             in_turn = not (task.category.ordered and task.key) or (yield from self.turn_on_key(task, aim))
             while in_turn and self.may_hand_off(task):
@@ -463,8 +455,7 @@
                     node.release(cost_of(task))  # charged before, a held line could leave in one burst
                     continue
                 self.spend(task, line, state)
-                sent = self.desk.now
-                outcome = yield HandOff(node.store)
+                sent, outcome = self.desk.now, (yield HandOff(node.store))
                 assert isinstance(outcome, Outcome)
                 node.learn(task, outcome)
                 if outcome.how is How.DELIVERED and self.facts.tells_elsewhere:
@@ -483,19 +474,18 @@
             self.leave_key(task)
 
     def aim_of(self, task: Task) -> int:
-        """When the soft limit ends. Tells from the time left that a task is a further try, or came while this gateway
-        stood still: its limit runs from its first try. Less time than the soft limit may be a short patience."""
-        left = self.patience.setdefault(task.category, deque(maxlen=SAMPLES))
-        left.append(task.cut_off - self.desk.now)
-        age = max(left) - left[-1] if left[-1] >= task.category.soft_limit else 0
+        """When the soft limit ends. The time left tells of a further try, or of a task that came while this
+        gateway stood still: the limit runs from the first try. Less than it may be a short patience."""
+        times = self.patience.setdefault(task.category, deque(maxlen=SAMPLES))
+        times.append(task.cut_off - self.desk.now)
+        age = max(times) - times[-1] if times[-1] >= task.category.soft_limit else 0
         return min(self.desk.now + task.category.soft_limit - age, task.cut_off)
 
     def line_of(self, node: Node, volume: Volume) -> Line:
-        line = node.lines.get(volume)
-        if line is None:
+        if volume not in node.lines:
             line = node.lines[volume] = Line(volume.plan.reserve / SECOND)
             line.earns = line.reserve / self.state_of(volume).hosts / max(len(self.by_shard), 1)
-        return line
+        return node.lines[volume]
 
     def state_of(self, volume: Volume) -> VolumeState:
         if volume.state is None:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -366,6 +366,28 @@
     assert len(times) == 4 and times[0] >= desk.now + 5_000 and times[-1] >= desk.now + 40_000
 
 
+@pytest.mark.parametrize("left, aim", [
+    (10_000, 2_500), (9_000, 1_500), (7_000, -500), (2_400, 2_400), (800, 800), (2_600, -4_900),
+])
+def test_the_soft_limit_runs_from_the_first_try_unless_patience_is_short(left, aim):
+    brain, desk = scheduler([store()])
+    usual, further = task(desk), task(desk)
+    further.cut_off = desk.now + left
+    assert brain.aim_of(usual) == desk.now + 2_500
+    assert brain.aim_of(further) == desk.now + aim
+
+
+@pytest.mark.parametrize("wait, want", [(0, Wait), (5_000, Nack)])
+def test_a_task_late_already_goes_only_where_nothing_waits(wait, want):
+    brain, desk = scheduler([store()])
+    next(brain.serve(task(desk)))
+    brain.waits[next(iter(brain.nodes))] = (desk.now, wait)
+    late, node = task(desk), next(iter(brain.nodes.values()))
+    late.cut_off = desk.now + 5_000
+    node.lags.extend([(desk.now, 100, 2.0)] * 8 + [(desk.now, 100 + wait, 2.0)] * 4)
+    assert isinstance(next(brain.serve(late)), want)
+
+
 def test_two_instances_with_one_seed_act_alike():
     brain, desk = scheduler([store(shard) for shard in range(5)])
     other = Scheduler(facts(), 1, desk)
