--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -56,10 +56,9 @@
 
 
 class Young:
-    """Keeps what all gateways send to a store that has just started within what it surely bears. Half is dealt
-    evenly, half by past use: warm, the store did all that was sent then; it starts with a known share of that
-    power, so each gateway may send that share of what it sent itself. Where this comes to less than a task,
-    one goes when as much is paid for as spaces the gateways evenly."""
+    """Keeps what all gateways send to a store that has just started within what it surely bears. Half is
+    even, half by past use: warm, the store did all that was sent; it starts with a known share of that, so each
+    gateway may send that share of its own. Where this is less than a task, one goes when paid for, spaced."""
 
     def __init__(self, rule: ColdRule, gateways: int, me: int, largest: float) -> None:
         self.rule, self.largest = rule, largest
