--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -58,7 +58,7 @@
 class Young:
     """Keeps what all gateways send to a store that has just started within what it surely bears. Half is
     even, half by past use: warm, the store did all that was sent; it starts with a known share of that, so
-    each gateway may send that share of its own. Where it is less than a task, one goes when paid for, spaced."""
+    each gateway may send that share of its own. Where it is under a task, one goes when paid for, spaced."""
 
     def __init__(self, rule: ColdRule, gateways: int, me: int, largest: float) -> None:
         self.rule, self.largest = rule, largest
