--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -137,10 +137,8 @@
         return self.queueing() + units * self.unit_time()
 
     def gap(self) -> float:
-        """How far the lag of a usual task stays under its target, as a part of it. A slow node that nothing waits
-        at must not count as loaded: its target is no less than its own time for the task and half as much."""
-        service = self.usual * self.unit_time()
-        return 1 - (self.queueing() + service) / max(self.tightest * AIM_PART, 1.5 * service)
+        """How far the lag of a usual task stays under its target, as a part of it."""
+        return 1 - self.lag(self.usual) / (self.tightest * AIM_PART)
 
     def free(self) -> bool:
         """Whether a fresh sample, of this node or another, shows a lag under its target."""
