--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -434,8 +434,7 @@
                 if node is None or not self.in_group(task, node.store) or late and not node.free():
                     break
                 line = self.line_of(node, task.volume)
-                least = task.units * node.unit_time()  # no margin makes up for a store's own time
-                latest = aim - int(max(min(node.lag(task.units) * MARGIN, (aim - now) * MOST_MARGIN), least))
+                latest = aim - int(min(node.lag(task.units) * MARGIN, (aim - now) * MOST_MARGIN))
                 wait = state.wait_for(task, self.desk.now)
                 if self.desk.now + wait >= latest:
                     break
