--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -78,7 +78,7 @@
         # The power at the start of the window bounds the whole window, for power never sinks on the way up.
         since = max(age - self.rule.span, 0) / max(self.rule.warm_after, 1)
         grown = 1 + since * (1 / self.rule.share - 1) if self.rule.share > 0 else 1.0
-        part = (self.even / 4 + self.rule.multiple * self.rule.share * self.past * 3 / 4) * grown
+        part = (self.even + self.rule.multiple * self.rule.share * self.past) / 2 * grown
         self.credit = min(self.credit + part * (now - self.at) / self.rule.span, self.largest)
         self.at = now
         sent = sum(u for _, u in self.sent)
