--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -142,7 +142,7 @@
 
     def free(self) -> bool:
         """Whether a fresh sample, of this node or another, shows a lag under its target."""
-        return any(at >= self.desk.now - FRESH for at, _ in self.waits.values()) and self.gap() > 1 - 0.5 / AIM_PART
+        return any(at >= self.desk.now - FRESH for at, _ in self.waits.values()) and self.gap() > 0
 
     def bound(self) -> float:
         """Tokens that may be out. The least of one largest task does not hold while the node has too much:
