--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -388,6 +388,30 @@
     assert isinstance(next(brain.serve(late)), want)
 
 
+def test_a_replacement_under_a_new_id_takes_the_shard_and_the_past_over():
+    at, new = store(), store()
+    brain, desk = scheduler([at])
+    brain.nodes[at].lags.append((desk.now, 100, 2.0))
+    at.state = State.GONE
+    brain.list_changed([at], confirmed=True)
+    assert isinstance(next(brain.serve(task(desk))), Nack)
+    brain.list_changed([at, new], confirmed=True)
+    assert brain.node_for(task(desk)) is brain.nodes[new]
+    assert brain.nodes[new].pace() == brain.nodes[at].pace() > 0
+
+
+@pytest.mark.parametrize("signal", [Signal.TIME, Signal.TURN])
+def test_a_wake_up_far_past_its_time_sends_nothing(signal):
+    brain, desk = scheduler([store()])
+    next(iter(brain.nodes.values())).out = 1
+    run = brain.serve(task(desk))
+    assert isinstance(next(run), Wait)
+    desk.now += 50_000
+    if signal is Signal.TURN:
+        next(iter(brain.nodes.values())).release(0.0)
+    assert isinstance(run.send(signal), Nack)
+
+
 def test_two_instances_with_one_seed_act_alike():
     brain, desk = scheduler([store(shard) for shard in range(5)])
     other = Scheduler(facts(), 1, desk)
