--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -272,7 +272,7 @@
         del self.sent[task]
         if outcome.how is How.TIMED_OUT:
             # Guards against work that goes on at the store after its client left: it stays on the books.
-            self.desk.alarm(now + min(int(self.lag(task.units)), self.tightest), lambda: self.release(cost))
+            self.desk.alarm(now + self.tightest, lambda: self.release(cost))
         else:
             self.heard, self.out, self.tokens_out = now, self.out - 1, self.tokens_out - cost
         if outcome.how not in (How.MOOT, How.CANCELLED):
