--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -448,7 +448,7 @@
                     if signal is Signal.MOVED:
                         continue
                     break
-                legal = self.desk.now <= latest and self.may_hand_off(task) and self.in_group(task, node.store)
+                legal = self.may_hand_off(task) and self.in_group(task, node.store)
                 if not legal or state.wait_for(task, self.desk.now):
                     del node.sent[task]  # not legal any more, or the limit has too little left at the turn:
                     node.release(cost_of(task))  # charged before, a held line could leave in one burst
