Work out the unit time once for a lag, past use only at a cold start; comments put right

A lag sorted its samples twice, past use was worked out at every hand-off though only a cold start reads it, the nodes were copied to be walked backwards.

--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -9,7 +9,7 @@
 
 import random
 from collections import deque
-from collections.abc import Generator, Iterable
+from collections.abc import Callable, Generator, Iterable
 
 from tansykeel.interface import (
     BreakOff, BudgetRule, Category, ColdRule, Desk, Facts, HandOff, How, Nack, Outcome, Repeat, Scope, Signal,
@@ -33,10 +33,10 @@
 RISE = 2_000  # the rate about doubles in this time while tasks are held and the lag is far under its target
 FALL = 0.2  # part that it loses with the lag at twice its target
 FRESH = SECOND  # samples that tell of the present, if the queue that they saw is not longer
-DRAIN = 0.5  # time of waiting that a queue loses in a unit of time
 LATEST = 4  # of these, the last few tell of the present queue
+DRAIN = 0.5  # time of waiting that a queue loses in a unit of time
 SAMPLES = 24  # outcomes that a node's figures are worked out from
-STALE = 2 * SECOND  # a node whose last sample is older counts as the average
+STALE = 2 * SECOND  # samples of an overload count this long, and a node's rate for new nodes
 RANKING = 500  # the ranking for new objects is renewed every 50 ms
 PAUSE = 2_000  # rest of a node that cannot be reached, grows with every failure in a row
 
@@ -67,14 +67,14 @@
         self.suspected = 0  # last time that the store could not be reached: it may have started since
         self.since, self.at, self.past, self.credit = 0, 0, 0.0, 0.0
 
-    def room(self, store: Store, now: int, units: float, pace: float) -> bool:
+    def room(self, store: Store, now: int, units: float, pace: Callable[[], float]) -> bool:
         while self.sent and self.sent[0][0] <= now - self.rule.span:
             self.sent.popleft()
         age = now - (started := max(store.started, self.suspected))
         if started <= 0 or age >= self.rule.warm_after + self.rule.span:
             return True
         if started != self.since:
-            self.since, self.at, self.past, self.credit = started, now, pace * self.rule.span, 0.0
+            self.since, self.at, self.past, self.credit = started, now, pace() * self.rule.span, 0.0
         # The power at the start of the window bounds the whole window, for power never sinks on the way up.
         since = max(age - self.rule.span, 0) / max(self.rule.warm_after, 1)
         grown = 1 + since * (1 / self.rule.share - 1) if self.rule.share > 0 else 1.0
@@ -118,11 +118,11 @@
         times = sorted(lag / units for _, lag, units in self.lags)
         return times[len(times) // 4] if times else 0.0
 
-    def queueing(self) -> float:
+    def queueing(self, unit: float) -> float:
         """Time that the last hand-offs spent waiting. Old samples must not be taken for the present: a node
         judged too slow gets no tasks. Without fresh ones it counts as the middle of the others (design:
         average): where a gateway sees a node once in several seconds, a load on all shows only so."""
-        now, unit = self.desk.now, self.unit_time()
+        now = self.desk.now
         # Silence while work is out tells of a node that stands still before any time-out.
         silence = now - max(self.heard, next(iter(self.sent.values()))) if self.sent else 0
         seen = [(at, lag - units * unit) for at, lag, units in list(self.lags)[-LATEST:]]
@@ -134,7 +134,7 @@
         return max(wait, silence - self.usual * unit)
 
     def lag(self, units: float) -> float:
-        return self.queueing() + units * self.unit_time()
+        return self.queueing(unit := self.unit_time()) + units * unit
 
     def gap(self) -> float:
         """How far the lag of a usual task stays under its target, as a part of it."""
@@ -166,7 +166,7 @@
         if self.out and self.tokens_out + cost > self.bound():
             self.starved = True
             return False
-        return self.young is None or self.young.room(self.store, self.desk.now, task.units, self.pace())
+        return self.young is None or self.young.room(self.store, self.desk.now, task.units, self.pace)
 
     def hold(self, line: Line, task: Task) -> None:
         line.touched = self.desk.now
@@ -279,7 +279,7 @@
             self.ends.append(outcome.how is How.DELIVERED)
         if outcome.how in (How.DELIVERED, How.TIMED_OUT):
             self.lags.append((now, outcome.lag, task.units))
-            self.waits[self.store] = (now, self.queueing())
+            self.waits[self.store] = (now, self.queueing(self.unit_time()))
             self.troubles = 0
             if (gap := self.gap()) < 0:
                 self.fall(min(FALL * -gap, DEEPEST), min(outcome.lag, self.tightest) // 2)
@@ -369,9 +369,9 @@
         for store in stores:
             if store not in self.nodes and store.state is not State.GONE:
                 young = Young(cold, gateways, self.facts.me, self.least) if cold else None
-                before = next((n for n in [*self.nodes.values()][::-1] if n.store.shard == store.shard), None)
+                past = next((n for n in reversed(self.nodes.values()) if n.store.shard == store.shard), None)
                 self.nodes[store] = Node(store, self.desk, self.average_rate(), self.least, self.usual,
-                                         self.tightest, young, self.waits, gateways, before)
+                                         self.tightest, young, self.waits, gateways, past)
         self.by_shard = {}
         for node in self.nodes.values():
             best = self.by_shard.get(node.store.shard)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -126,10 +126,11 @@
 ])
 def test_a_young_store_gets_half_evenly_and_half_by_past_use(gateways, past, age, part):
     young, at, now = Young(COLD, gateways, gateways - 1, 8.0), store(started=1_000), 1_000 + age
-    assert young.room(at, now, part, past) and not young.room(at, now, part + 0.1, past)
+    assert young.room(at, now, part, lambda: past) and not young.room(at, now, part + 0.1, lambda: past)
     young.sent.append((now, part))
-    assert not young.room(at, now, 0.1, past) and young.room(at, now + COLD.span, part, past)
-    assert young.room(at, 1_000 + 190_000, 1e6, past)
+    assert not young.room(at, now, 0.1, lambda: past)
+    assert young.room(at, now + COLD.span, part, lambda: past)
+    assert young.room(at, 1_000 + 190_000, 1e6, lambda: past)
 
 
 def test_several_hundred_gateways_with_parts_under_a_unit_stay_within_the_safe_units():
@@ -137,7 +138,7 @@
     every = [Young(COLD, 300, me, 8.0) for me in range(300)]
     for now in range(1, 10_002, 100):  # each would send a task every 10 ms; past use was 20 units a second
         for young in every:
-            if young.room(at, now, 2.0 + young.phase, 20 / 300 / 10_000):
+            if young.room(at, now, 2.0 + young.phase, lambda: 20 / 300 / 10_000):
                 young.sent.append((now, 2.0 + young.phase))
                 young.credit -= 2.0 + young.phase
                 sent += 2.0 + young.phase
@@ -210,7 +211,7 @@
     unheard = brain.by_shard[3]
     for shard, wait in enumerate([0, 4_000, 90_000]):
         brain.waits[brain.by_shard[shard].store] = (desk.now, wait)
-        assert unheard.queueing() == [0, 0, 4_000][shard]
+        assert unheard.queueing(unheard.unit_time()) == [0, 0, 4_000][shard]
 
 
 @pytest.mark.parametrize("used, rate", [(0.0, "floor"), (10.0, 1e-3 * 4 * 0.5), (1e6, 0.5)])
@@ -280,7 +281,7 @@
         sent = task(desk)
         node.sent[sent] = desk.now
         node.learn(sent, outcome(how))
-    assert node.young.room(at, desk.now, 4.1, 0.0) is room
+    assert node.young.room(at, desk.now, 4.1, lambda: 0.0) is room
     assert node.usable() is (hows[0] is How.RESET)
 
 
@@ -300,9 +301,9 @@
     node = brain.nodes[at]
     node.sent[task(desk)] = desk.now
     desk.now += 5_000
-    assert node.queueing() == 5_000 and node.gap() < 0
+    assert node.queueing(node.unit_time()) == 5_000 and node.gap() < 0
     node.heard = desk.now
-    assert node.queueing() == 0
+    assert node.queueing(node.unit_time()) == 0
 
 
 @pytest.mark.parametrize("out, debt, heard, turns", [
@@ -316,7 +317,7 @@
     brain.line_of(node, asking.volume).tokens = debt
     if heard is not None:
         node.lags.extend([(desk.now, 100, 2.0)] * 8 + [(desk.now, 100 + heard, 2.0)] * 4)
-        brain.waits[node.store] = (desk.now, node.queueing())
+        brain.waits[node.store] = (desk.now, node.queueing(node.unit_time()))
     node.hold(node.lines[asking.volume], asking)
     assert len(desk.woken) == turns
 
@@ -366,13 +367,13 @@
     assert len(times) == 4 and times[0] >= desk.now + 5_000 and times[-1] >= desk.now + 40_000
 
 
-@pytest.mark.parametrize("left, aim", [
+@pytest.mark.parametrize("remaining, aim", [
     (10_000, 2_500), (9_000, 1_500), (7_000, -500), (2_400, 2_400), (800, 800), (2_600, -4_900),
 ])
-def test_the_soft_limit_runs_from_the_first_try_unless_patience_is_short(left, aim):
+def test_the_soft_limit_runs_from_the_first_try_unless_patience_is_short(remaining, aim):
     brain, desk = scheduler([store()])
     usual, further = task(desk), task(desk)
-    further.cut_off = desk.now + left
+    further.cut_off = desk.now + remaining
     assert brain.aim_of(usual) == desk.now + 2_500
     assert brain.aim_of(further) == desk.now + aim
 
