The running gateway: edge, stand-in stores and list, rehearsals, audit from the sockets

Need: the users ask for the program. The edge's core (no I/O) is the module's door; sockets, pools of connections to stores and the list stand around it. Stand-ins play stores and list, a Starlark script says fleet, load and troubles, and the audit judges the seven rules from what clients and stores wrote down.

--- /dev/null
+++ b/tansykeel/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m tansykeel`: the command line."""
+
+from tansykeel.cli.main import app
+
+app()
--- /dev/null
+++ b/tansykeel/audit/records.py
@@ -0,0 +1,182 @@
+"""What clients, stores, the list service and the conductor write down of what passed, for the audit.
+
+One file a process: records as msgpack, each after its length in four bytes. Times are whole microseconds of the
+machine's monotonic clock, which all processes of a rehearsal share.
+"""
+
+from __future__ import annotations
+
+import struct
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+_LENGTH = struct.Struct(">I")
+FLUSH_AT = 256 << 10  # bytes kept before they are written
+MOST_RECORD = 1 << 20
+
+
+def now_us() -> int:
+    return time.monotonic_ns() // 1000
+
+
+class Record(Struct, frozen=True, array_like=True, tag=True):
+    at: int
+
+
+class Sent(Record):
+    """A client sent a task to an edge. `tries`: 0 for the first of a piece of work, whose `mark` it carries."""
+
+    task: int
+    mark: int
+    tries: int
+    client: str
+    edge: str
+    volume: str
+    category: str
+    key: int
+    units: float
+    shard: int
+    patience: int
+
+
+class Got(Record):
+    """A client got an answer; `wrong`: a body that is not what was written."""
+
+    task: int
+    result: int
+    come_back: int
+    wrong: bool
+    reason: str
+
+
+class Gave(Record):
+    """A client ended a task without an answer: patience, vanished, or the edge's connection was lost."""
+
+    task: int
+    why: str
+
+
+class Up(Record):
+    store: str
+    boot: int
+    shard: int
+    zone: int
+    cold: bool
+    full_units: float
+
+
+class Arrived(Record):
+    """A hand-off came to a store, its body whole."""
+
+    store: str
+    boot: int
+    edge: str
+    task: int
+    number: int
+    volume: str
+    key: int
+    units: float
+
+
+class Began(Record):
+    """The first bytes of a hand-off came, its body did not yet."""
+
+    store: str
+    edge: str
+    task: int
+    number: int
+
+
+class Ran(Record):
+    """Its work ended; `effect`: it changed the store (a repeat of a stamped task does not)."""
+
+    store: str
+    task: int
+    number: int
+    mark: int
+    effect: bool
+
+
+class Told(Record):
+    """Its outcome was sent, or (`lost`) the connection or a cancel ended it first."""
+
+    store: str
+    task: int
+    number: int
+    how: str
+
+
+class Fell(Record):
+    store: str
+
+
+class Listed(Record):
+    """The list service sent rows to an edge: name, state, boot. `full`: all there are."""
+
+    edge: str
+    full: bool
+    rows: tuple[tuple[str, str, int], ...]
+
+
+class Trouble(Record):
+    verb: str
+    detail: dict[str, Any]
+
+
+class Stood(Record):
+    """An edge's process was stopped at `at` and went on at `until`."""
+
+    edge: str
+    until: int
+
+
+class Killed(Record):
+    edge: str
+
+
+AnyRecord = (Sent | Got | Gave | Up | Arrived | Began | Ran | Told | Fell | Listed | Trouble | Stood | Killed)
+
+
+class Recorder:
+    def __init__(self, path: Path) -> None:
+        self._file = path.open("ab", buffering=0)
+        self._held = bytearray()
+        self._encode = msgspec.msgpack.Encoder().encode
+
+    def add(self, record: Record) -> None:
+        data = self._encode(record)
+        self._held += _LENGTH.pack(len(data)) + data
+        if len(self._held) >= FLUSH_AT:
+            self.flush()
+
+    def flush(self) -> None:
+        if self._held:
+            self._file.write(self._held)
+            self._held.clear()
+
+    def close(self) -> None:
+        self.flush()
+        self._file.close()
+
+
+def read(path: Path) -> Iterator[AnyRecord]:
+    """All whole records; a last one that was cut off by a kill is left out. Raises ValueError on what is none."""
+    decode = msgspec.msgpack.Decoder(AnyRecord).decode
+    data = path.read_bytes()
+    at = 0
+    while at + _LENGTH.size <= len(data):
+        (length,) = _LENGTH.unpack_from(data, at)
+        if length > MOST_RECORD:
+            raise ValueError(f"{path}: at byte {at}: a record of {length} bytes; legal: {MOST_RECORD} at most")
+        if at + _LENGTH.size + length > len(data):
+            return
+        try:
+            yield decode(data[at + _LENGTH.size:at + _LENGTH.size + length])
+        except msgspec.DecodeError as error:
+            raise ValueError(f"{path}: at byte {at}: {error}") from None
+        at += _LENGTH.size + length
--- /dev/null
+++ b/tansykeel/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/tansykeel/cli/show.py
@@ -0,0 +1,53 @@
+"""Verdicts as tables."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from rich.console import Console
+from rich.table import Table
+
+from tansykeel.audit.report import Verdict
+from tansykeel.rehearse.day import load_day
+from tansykeel.rehearse.play import folders
+from tansykeel.settings.script import ScriptError
+
+SHOWN = 10  # breaks named in a table
+
+
+def listed_days() -> Iterator[str]:
+    for folder in folders():
+        for script in sorted(folder.glob("*.star")):
+            try:
+                yield f"{script.stem:24} {load_day(script).says}"
+            except ScriptError as error:
+                yield f"{script.stem:24} cannot be used: {error}"
+
+
+def table(verdict: Verdict) -> None:
+    console = Console()
+    console.print(f"[bold]{verdict.day}[/bold], seed {verdict.seed}, {verdict.seconds:g} s, {verdict.tasks} tasks, "
+                  f"{verdict.hand_offs} hand-offs (stand-ins on loopback)")
+    rules = Table("rule", "breaks", title="rules")
+    for rule, breaks in verdict.rules.items():
+        rules.add_row(rule, f"[red]{breaks}[/red]" if breaks else "[green]0[/green]")
+    answers = Table("answer", "tasks", "%", title="answers")
+    for answer, number in verdict.answers.items():
+        answers.add_row(answer, str(number), f"{100 * number / max(verdict.tasks, 1):.1f}")
+    lags = Table("delivered, ms", *next(iter([list(verdict.lag_ms)]), []), title="lag")
+    lags.add_row("all", *map(str, verdict.lag_ms.values()))
+    for name, quantiles in verdict.lag_ms_by_category.items():
+        lags.add_row(name, *map(str, quantiles.values()))
+    service = Table("service", "", title="service")
+    service.add_row("whole day", f"{verdict.service:.3f}")
+    service.add_row("worst 10 s", f"{verdict.worst_10s:.3f}")
+    for name, value in (verdict.service_by_plan | verdict.service_by_category).items():
+        service.add_row(name, f"{value:.3f}")
+    for part in (rules, answers, service, lags):
+        console.print(part)
+    console.print(f"most sent to a cold store: {verdict.cold_most:.2f} of what it bears")
+    for fault in verdict.breaks[:SHOWN]:
+        console.print(f"[red]{fault['rule']}[/red]: {fault['what']} (task {fault['task']})", highlight=False)
+    if verdict.service < verdict.least_service:
+        console.print(f"[red]service {verdict.service:.3f} is under {verdict.least_service:.3f}[/red], "
+                      "which good looks like")
--- /dev/null
+++ b/tansykeel/edge/__init__.py
@@ -0,0 +1,1 @@
+"""The program at the edge: takes tasks from clients, carries out what the module decides."""
--- /dev/null
+++ b/tansykeel/edge/core.py
@@ -0,0 +1,373 @@
+"""What a gateway holds and owes, without I/O: the module's door, every task's memory, time-outs and one answer.
+
+Told of whatever comes in by the program (or by an emulator), it tells the module, and acts through a `Wire`. It
+decides nothing about routing, waiting or refusing: tasks that can't be held (no memory, stopping, bad names) are
+answered as `Scheduler.final` says. Times are whole tenths of a millisecond of one monotonic clock.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any, Protocol
+
+from tansykeel.brain import Scheduler
+from tansykeel.interface import BreakOff, Facts, How, Nack, Outcome, Plan, State, Store, Task, Volume, Want
+from tansykeel.protocol.frames import Answer, ListOf, ProtocolError, TaskOf
+from tansykeel.runner import Run, Runner
+from tansykeel.settings.records import Settings
+
+DELIVERED, NACKED, BROKEN_OFF = 0, 1, 2
+MICROS = 100  # microseconds in a tenth
+MS = 10  # tenths in a millisecond
+
+
+@dataclass(eq=False, slots=True)
+class Held:
+    """One task from its taking to its answer, and to the outcome of its last hand-off."""
+
+    client: Any
+    id: int
+    request: TaskOf
+    task: Task
+    memory: int
+    missing: int  # bytes of its body still to come
+    body: list[bytes] = field(default_factory=list)
+    out: list[Attempt] = field(default_factory=list)
+    started: bool = False
+    left: bool = False
+    answered: bool = False
+
+
+@dataclass(eq=False, slots=True)
+class Attempt:
+    """One hand-off on its way; `seat` is the wire's own."""
+
+    held: Held
+    store: Store
+    number: int
+    sent: int
+    until: int
+    seat: Any = None
+    over: bool = False
+
+
+class Wire(Protocol):
+    """What the core needs of the sockets. None of these may call back into the core before it returns."""
+
+    def answer(self, held: Held, answer: Answer, body: list[bytes], sent: Callable[[], None]) -> None: ...
+    def hand_off(self, attempt: Attempt, left: int) -> None: ...
+    def cancel(self, attempt: Attempt) -> None: ...
+    def remind(self, at: int) -> None: ...
+    def ask_list(self) -> None: ...
+    def note(self, event: str, **fields: Any) -> None: ...
+
+
+@dataclass(slots=True)
+class Counts:
+    """Since the start."""
+
+    taken: int = 0
+    delivered: int = 0
+    nacked: int = 0
+    broken_off: int = 0
+    left: int = 0
+    hand_offs: int = 0
+    outcomes: dict[str, int] = field(default_factory=dict)
+
+
+class Memory:
+    """Bytes promised to bodies, of one connection and of all; a task's are taken whole before it is held."""
+
+    def __init__(self, most: int, most_each: int) -> None:
+        self.most, self.most_each = most, most_each
+        self.used = 0
+        self.by_client: dict[Any, int] = {}
+
+    def take(self, client: Any, size: int) -> bool:
+        mine = self.by_client.get(client, 0)
+        if self.used + size > self.most or mine + size > self.most_each:
+            return False
+        self.used, self.by_client[client] = self.used + size, mine + size
+        return True
+
+    def free(self, client: Any, size: int) -> None:
+        if not size:
+            return
+        self.used -= size
+        if left := self.by_client[client] - size:
+            self.by_client[client] = left
+        else:
+            del self.by_client[client]
+
+
+class Decisions(Protocol):
+    """What the core asks of the module, and of a baseline in its place."""
+
+    def list_changed(self, stores: list[Store], confirmed: bool) -> None: ...
+    def list_failed(self) -> None: ...
+    def serve(self, task: Task) -> Run: ...
+    def final(self, task: Task) -> Want: ...
+
+
+class Core:
+    def __init__(self, settings: Settings, facts: Facts, seed: int, wire: Wire, now: int,
+                 decide: Callable[[Facts, int, Runner], Decisions] = Scheduler) -> None:
+        self.settings, self.facts, self.wire = settings, facts, wire
+        self.runner = Runner(self, now)
+        self.categories = {category.name: category for category in facts.categories}
+        plans: dict[str, Plan] = {plan.name: plan for plan in facts.plans}
+        self.volumes = {
+            volume.name: Volume(volume.name, plans[volume.plan], float(volume.gateways or facts.gateways))
+            for volume in settings.volumes
+        }
+        self.stores: dict[str, Store] = {}
+        self.addresses: dict[Store, str] = {}
+        self.boots: dict[Store, int] = {}
+        self.held: dict[tuple[Any, int], Held] = {}
+        self.memory = Memory(settings.gateway.body_memory, settings.gateway.connection_memory)
+        self.counts = Counts()
+        self.stopping = False
+        self.list_version = -1
+        self.brain = decide(facts, seed, self.runner)
+        for row in settings.stores:
+            store = self.stores[row.name] = Store(row.name, row.zone, 0, row.shard, State.READY)
+            self.addresses[store] = row.address
+        self.brain.list_changed(list(self.stores.values()), confirmed=False)
+        self.runner.settle()
+
+    # What clients say
+
+    def taken(self, now: int, client: Any, id: int, request: TaskOf) -> None:
+        """A task has come. Raises ProtocolError where the client uses the id of a task that it still waits for."""
+        self.runner.move(now)
+        now = self.runner.now
+        if (client, id) in self.held:
+            raise ProtocolError(f"TASK on stream {id}: a task with this id is still held")
+        held, fault = self._held(now, client, id, request)
+        self.counts.taken += 1
+        self.held[client, id] = held
+        if fault or self.stopping or len(self.held) > self.settings.gateway.open_tasks:
+            return self._give_up(held, fault or ("stopping" if self.stopping else "too many open tasks"))
+        if not self.memory.take(client, request.size):
+            return self._give_up(held, "no memory for its body")
+        held.memory = request.size
+        if held.missing:  # guards against a body that never comes: the client is answered all the same
+            self.runner.alarm(held.task.cut_off, partial(self._body_late, held))
+            self.runner.settle()
+        else:
+            self._start(held)
+
+    def piece(self, now: int, client: Any, id: int, data: bytes) -> None:
+        """Bytes of a task's body; those of a task that has its answer already are let go."""
+        held = self.held.get((client, id))
+        if held is None or held.answered or held.started:
+            return
+        held.body.append(data)
+        held.missing -= len(data)
+        if not held.missing:
+            self.runner.move(now)
+            self._start(held)
+
+    def left(self, now: int, client: Any, id: int) -> None:
+        """The client gave the task up, or its body."""
+        held = self.held.get((client, id))
+        if held is None or held.answered:
+            return
+        self.runner.move(now)
+        held.left = held.answered = True
+        self.counts.left += 1
+        if held.started and not self.runner.left(held.task) and self.facts.allowed.cancel:
+            for attempt in held.out:
+                self.wire.cancel(attempt)
+        self._let_go(held)
+        self.runner.settle()
+
+    def client_gone(self, now: int, client: Any) -> None:
+        for owner, id in [key for key in self.held if key[0] is client]:
+            self.left(now, owner, id)
+
+    # What stores and the list say
+
+    def outcome(self, now: int, attempt: Attempt, how: How, *, shard: int = -1, body: list[bytes] | None = None,
+                report: tuple[float, ...] = (), used: int = -1, elsewhere: int = 0) -> None:
+        """What became of a hand-off. One whose outcome is known already is not told of again."""
+        if attempt.over:
+            return
+        self.runner.move(now)
+        attempt.over = True
+        held, lag = attempt.held, self.runner.now - attempt.sent
+        held.out.remove(attempt)
+        self.counts.outcomes[how.value] = self.counts.outcomes.get(how.value, 0) + 1
+        if how is How.DELIVERED and not held.answered:
+            self._answer(held, Answer(DELIVERED, 0, shard if shard >= 0 else attempt.store.shard,
+                                      body=sum(map(len, body or ()))), body or [])
+        told = Outcome(how, lag, held.answered, used if used >= 0 else None, elsewhere, report)
+        self.runner.outcome(held.task, told)
+        self._let_go(held)
+
+    def met(self, now: int, store: Store, boot: int, age: int) -> None:
+        """A store's own hello told its boot id and its age in microseconds: the list may be late with it."""
+        self.runner.move(now)
+        if self._booted(store, boot, age):
+            self.brain.list_changed(list(self.stores.values()), confirmed=False)
+            self.runner.settle()
+
+    def listed(self, now: int, update: ListOf) -> None:
+        """The list, or a change to it. One older than what is known is not believed."""
+        self.runner.move(now)
+        if update.failed:
+            return self.list_lost(now)
+        if update.version < self.list_version:
+            return
+        self.list_version = update.version
+        rows = {row.name: row for row in update.rows}
+        for row in update.rows:
+            store = self.stores.setdefault(row.name, Store(row.name))
+            store.zone, store.shard, store.state = row.zone, row.shard, State(row.state)
+            self.addresses[store] = row.address
+            self._booted(store, row.boot, row.age)
+        if update.full:
+            for name, store in self.stores.items():
+                if name not in rows:
+                    store.state = State.GONE
+        self.brain.list_changed(list(self.stores.values()), confirmed=True)
+        self.runner.settle()
+
+    def list_lost(self, now: int) -> None:
+        """A call failed or the subscription dropped: the module says when to ask again."""
+        self.runner.move(now)
+        self.brain.list_failed()
+        self.runner.settle()
+
+    def tick(self, now: int) -> None:
+        self.runner.move(now)
+        self.runner.reminded()
+
+    # The end
+
+    def stop(self) -> None:
+        """No new tasks from now on; what is held goes its way."""
+        self.stopping = True
+
+    def answer_all(self, now: int) -> None:
+        """Answer whatever is still held, as the module says for a task given up on."""
+        self.runner.move(now)
+        for held in [held for held in self.held.values() if not held.answered]:
+            self._give_up(held, "the gateway ends")
+
+    # The module's door
+
+    def hand_off(self, task: Task, store: Store, time_out: int) -> None:
+        held: Held = task.handle
+        now = self.runner.now
+        until = min(now + time_out, task.cut_off) if time_out > 0 else task.cut_off
+        attempt = Attempt(held, store, task.hand_offs - 1, now, until)
+        held.out.append(attempt)
+        self.counts.hand_offs += 1
+        self.runner.alarm(until, partial(self._timed_out, attempt))
+        self.wire.hand_off(attempt, max(until - now, 0) * MICROS)
+
+    def nack(self, task: Task, come_back: int) -> None:
+        self._final(task.handle, Nack(come_back), "")
+
+    def break_off(self, task: Task) -> None:
+        self._final(task.handle, BreakOff(), "")
+
+    def remind(self, at: int) -> None:
+        self.wire.remind(at)
+
+    def watch(self) -> None:
+        self.wire.ask_list()
+
+    def note(self, text: str) -> None:
+        self.wire.note("module", text=text)
+
+    # Within
+
+    def _held(self, now: int, client: Any, id: int, request: TaskOf) -> tuple[Held, str]:
+        """The task as the module will see it, and what is wrong with it, if something is."""
+        volume, category = self.volumes.get(request.volume), self.categories.get(request.category)
+        gateway, sizes = self.settings.gateway, self.facts.sizes
+        units = max(math.ceil(request.size / gateway.unit_bytes), 1)
+        fault = ""
+        if volume is None:
+            fault = f"volume {request.volume!r} is not in the settings"
+        elif category is None:
+            fault = f"category {request.category!r} is not in the settings; legal: {', '.join(self.categories)}"
+        elif units > sizes.largest or request.size > gateway.largest_body:
+            most = min(int(sizes.largest * gateway.unit_bytes), gateway.largest_body)
+            fault = f"size {request.size}; legal: {most} bytes at most"
+        elif request.body not in ((request.size,) if category.writes else (0,)):
+            fault = f"body of {request.body} bytes; legal: {request.size if category.writes else 0}"
+        kind = category or next(iter(self.categories.values()))
+        patience = min(request.patience // MICROS, kind.cut_off)
+        # Answers are due a stall's length before the client gives up, but never in the first half of its patience.
+        spare = min(int(gateway.stall_allowance_ms * MS), patience // 2)
+        task = Task(None, kind, volume or next(iter(self.volumes.values()), Volume("", self.facts.plans[0])),
+                    float(units), None if request.shard < 0 else request.shard, request.key, now,
+                    now + patience - spare, request.again)
+        held = Held(client, id, request, task, 0, request.body)
+        task.handle = held
+        return held, fault
+
+    def _start(self, held: Held) -> None:
+        held.started = True
+        self.runner.start(held.task, self.brain.serve(held.task))
+
+    def _body_late(self, held: Held) -> None:
+        if not held.started and not held.answered:
+            self._give_up(held, "its body did not come in time")
+
+    def _timed_out(self, attempt: Attempt) -> None:
+        if attempt.over:
+            return
+        if self.facts.allowed.cancel:
+            self.wire.cancel(attempt)
+        self.outcome(self.runner.now, attempt, How.TIMED_OUT)
+
+    def _give_up(self, held: Held, reason: str) -> None:
+        """Answer a task outside of its generator. What is out for it is cancelled; nothing more is sent."""
+        want = self.brain.final(held.task)
+        self._final(held, want, reason)
+        if held.started and not self.runner.left(held.task):
+            for attempt in held.out:
+                self.wire.cancel(attempt)
+        self._let_go(held)
+
+    def _final(self, held: Held, want: Want, reason: str) -> None:
+        if held.answered:
+            return
+        if isinstance(want, Nack):
+            self._answer(held, Answer(NACKED, want.come_back * MICROS, reason=reason[:500]), [])
+        else:
+            self._answer(held, Answer(BROKEN_OFF, reason=reason[:500]), [])
+        self._let_go(held)
+
+    def _answer(self, held: Held, answer: Answer, body: list[bytes]) -> None:
+        held.answered = True
+        count = ("delivered", "nacked", "broken_off")[answer.result]
+        setattr(self.counts, count, getattr(self.counts, count) + 1)
+        memory, held.memory = held.memory, 0
+        self.wire.answer(held, answer, body, partial(self.memory.free, held.client, memory))
+
+    def _let_go(self, held: Held) -> None:
+        """Forget a task that has its answer and nothing out."""
+        if held.answered and not held.out and (held.client, held.id) in self.held:
+            del self.held[held.client, held.id]
+            held.body.clear()
+            if held.memory:
+                self.memory.free(held.client, held.memory)
+                held.memory = 0
+
+    def _booted(self, store: Store, boot: int, age: int) -> bool:
+        """Take in when a store started. Of two starts the later is right: a late list must not undo a hello."""
+        if not boot or self.boots.get(store) == boot:
+            return False
+        started = max(self.runner.now - age // MICROS, 1) if age else 0
+        if store in self.boots and started <= store.started:
+            return False
+        self.boots[store], store.started = boot, started
+        return True
--- /dev/null
+++ b/tansykeel/edge/program.py
@@ -0,0 +1,193 @@
+"""The edge program: sockets around the core. It accepts clients, keeps the clock, ends on SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+
+from tansykeel.brain import Scheduler
+from tansykeel.edge.core import Attempt, Core, Decisions, Held
+from tansykeel.edge.listing import Listing
+from tansykeel.edge.stores import Stores
+from tansykeel.edge.trace import Trace
+from tansykeel.interface import Facts
+from tansykeel.protocol.codec import Codec, Event, Piece
+from tansykeel.protocol.frames import Answer, Cancel, Cut, Goodbye, Hello, TaskOf
+from tansykeel.settings.records import Settings
+from tansykeel.transport.link import Hub, Limits, Link, accept_all, listening
+
+TENTH = 100_000  # nanoseconds
+EPOCH = 10**9  # the clock's first tenth, so that no time that matters is 0 or less
+LATE = 20  # tenths by which a reminder shows that the process stood still
+SWEEP = 1.0  # seconds between looks at idle connections
+EXIT_FAILED = 70  # the module failed: everything held was answered, the process ends
+
+
+def clock() -> int:
+    """Whole tenths of a millisecond, monotonic."""
+    return time.monotonic_ns() // TENTH + EPOCH
+
+
+class Edge:
+    """One gateway. `serve` runs it until SIGTERM; `ready` is called with its port once it takes tasks."""
+
+    def __init__(self, settings: Settings, facts: Facts, seed: int, trace: Trace | None = None,
+                 sample: int = 100, decide: Callable[..., Decisions] = Scheduler) -> None:
+        self.settings, self.gateway = settings, settings.gateway
+        self.log = structlog.get_logger().bind(gateway=f"{settings.gateway.name}-{facts.me}")
+        self.trace, self.sample, self._logged = trace, sample, 0
+        self.boot = time.time_ns() & (2**62 - 1)
+        self.hello = Hello(1, "edge", f"{settings.gateway.name}-{facts.me}", self.boot, 0)
+        self.hub = Hub(Limits(stall=settings.gateway.peer_stall_s))
+        self.clients: set[Link] = set()
+        self._reminder: asyncio.TimerHandle | None = None
+        self._reminder_at = 0
+        self._asked = False
+        self.listing: Listing | None = None
+        self.failed = False
+        self.stopping = asyncio.Event()
+        self.core = Core(settings, facts, seed, self, clock(), decide)
+        self.stores = Stores(self.core, self.hub, self.gateway, self.hello, clock)
+
+    async def serve(self, ready: Callable[[int], None] = lambda port: None) -> int:
+        """Take tasks until SIGTERM, then answer what is held and return the exit code."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stopping.set)
+        loop.set_exception_handler(self._broken)
+        listener = listening(self.gateway.listen)
+        self.hub.start()
+        accepting = loop.create_task(accept_all(listener, self._accept, self.stores.pressure))
+        sweeping = loop.create_task(self._sweep())
+        if self.settings.listing:
+            self.listing = Listing(self.core, self.hub, self.settings.listing, self.hello, clock)
+            if self._asked or self.settings.listing.mode == "push":
+                self.listing.ask()
+        port = listener.getsockname()[1]
+        self.log.info("ready", port=port)
+        ready(port)
+        await self.stopping.wait()
+        self.log.info("stopping", held=len(self.core.held))
+        accepting.cancel()
+        self.core.stop()
+        await asyncio.sleep(0)
+        listener.close()
+        for link in list(self.clients):
+            link.send(0, Goodbye())
+        await self._wait_for(lambda: not self.core.held or self.failed, self.gateway.stop_within_s * 0.8)
+        self.core.answer_all(clock())
+        for link in list(self.clients):
+            link.close()
+        await self._wait_for(lambda: not self.clients, self.gateway.stop_within_s * 0.2)
+        sweeping.cancel()
+        if self.listing:
+            self.listing.end()
+        await self.hub.stop()
+        if self.trace:
+            self.trace.end()
+        self.log.info("stopped", left_unanswered=sum(not held.answered for held in self.core.held.values()))
+        return EXIT_FAILED if self.failed else 0
+
+    # Wire: what the core wants done
+
+    def answer(self, held: Held, answer: Answer, body: list[bytes], sent: Callable[[], None]) -> None:
+        link: Link = held.client
+        link.send(held.id, answer)
+        if body:
+            link.send_body(held.id, body, sent)
+        else:
+            sent()
+        if self.trace:
+            self.trace.answered(held, answer)
+        self._logged += 1
+        if self._logged % self.sample == 0:
+            self.log.info("answered", task=held.id, volume=held.request.volume, category=held.request.category,
+                          result=answer.result, reason=answer.reason or None, hand_offs=held.task.hand_offs,
+                          lag_ms=(self.core.runner.now - held.task.arrived) / 10, one_in=self.sample)
+
+    def hand_off(self, attempt: Attempt, left: int) -> None:
+        if self.trace:
+            self.trace.handed_off(attempt)
+        self.stores.hand_off(attempt)
+
+    def cancel(self, attempt: Attempt) -> None:
+        self.stores.cancel(attempt)
+
+    def remind(self, at: int) -> None:
+        if self._reminder:
+            if at >= self._reminder_at:
+                return
+            self._reminder.cancel()
+        self._reminder_at = at
+        # Half a tenth on: it must not come before the tenth that it stands for.
+        self._reminder = asyncio.get_event_loop().call_later(max(at - clock() + 0.5, 0) / 10_000, self._remind, False)
+
+    def ask_list(self) -> None:
+        self._asked = True  # the module may ask before the program runs
+        if self.listing:
+            self.listing.ask()
+
+    def note(self, event: str, **fields: Any) -> None:
+        self.log.info(event, **fields)
+
+    # Within
+
+    def _remind(self, read_first: bool) -> None:
+        """Guards against a process that stood still: what came in meanwhile (a drain, a client's end) must be
+        known before held tasks are acted on, so sockets are read before a late reminder is carried out."""
+        self._reminder = None
+        now = clock()
+        if now < self._reminder_at:  # the loop's clock is not ours: a reminder that comes early is not lost
+            self.remind(self._reminder_at)
+        elif not read_first and now - self._reminder_at > LATE:
+            self._reminder = asyncio.get_event_loop().call_later(0.001, self._remind, True)
+        else:
+            self.core.tick(now)
+
+    def _accept(self, sock: Any) -> None:
+        link = Link(self.hub, sock, Codec("client"), self.hello, self._event, self._gone)
+        self.clients.add(link)
+        if self.core.stopping:
+            link.send(0, Goodbye())
+
+    def _event(self, link: Link, event: Event) -> None:
+        if isinstance(event, Piece):
+            self.core.piece(clock(), link, event.stream, event.data)
+            return
+        match event.record:
+            case TaskOf() as request:
+                self.core.taken(clock(), link, event.stream, request)
+            case Cancel():
+                link.drop_body(event.stream)
+                self.core.left(clock(), link, event.stream)
+            case Cut():
+                self.core.left(clock(), link, event.stream)
+
+    def _gone(self, link: Link, why: str) -> None:
+        self.clients.discard(link)
+        self.core.client_gone(clock(), link)
+
+    def _broken(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """The module or this program failed: answer what is held and end; a supervisor starts a new one."""
+        error = context.get("exception")
+        self.log.error("failed", message=context.get("message"), exc_info=error)
+        self.failed = True
+        self.core.stop()
+        self.stopping.set()
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP)
+            self.stores.sweep(asyncio.get_running_loop().time())
+
+    async def _wait_for(self, done: Callable[[], bool], seconds: float) -> None:
+        end = asyncio.get_running_loop().time() + seconds
+        while not done() and asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(0.02)
+
+
--- /dev/null
+++ b/tansykeel/edge/stores.py
@@ -0,0 +1,210 @@
+"""Connections to stores: opened as they are needed, kept warm, closed when they idle.
+
+Nothing is sent before the store's hello: until then a connection that fails proves that nothing ran. A connection
+that is lost later tells every hand-off on it as RESET.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from tansykeel.edge.core import Attempt, Core
+from tansykeel.interface import How, Store
+from tansykeel.protocol.codec import Codec, Event, Frame, Piece
+from tansykeel.protocol.frames import Cancel, HandOffOf, Hello, OutcomeOf
+from tansykeel.settings.records import Gateway
+from tansykeel.transport.link import Hub, Link, connect
+
+HOWS = {how.value: how for how in (How.DELIVERED, How.ERROR, How.FULL, How.MOOT, How.CANCELLED)}
+
+
+class Seat:
+    """One connection to a store; `ready` once its hello came."""
+
+    def __init__(self, pool: Pool) -> None:
+        self.pool = pool
+        self.link: Link | None = None
+        self.ready = False
+        self.out: dict[int, Attempt] = {}
+        self.answers: dict[int, tuple[OutcomeOf, list[bytes]]] = {}  # delivered, the body still coming
+        self.count = 0
+        self.idle_since = 0.0
+
+
+class Pool:
+    """All connections of this gateway to one store."""
+
+    def __init__(self, stores: Stores, store: Store) -> None:
+        self.stores, self.store = stores, store
+        self.seats: list[Seat] = []
+        self.waiting: deque[Attempt] = deque()
+
+    def hand_off(self, attempt: Attempt) -> None:
+        seat = min((s for s in self.seats if s.ready), key=lambda s: len(s.out), default=None)
+        bounds = self.stores.gateway
+        if seat is None or len(seat.out) >= bounds.streams_per_connection:
+            opening = sum(not s.ready for s in self.seats)
+            if opening * bounds.streams_per_connection <= len(self.waiting) \
+                    and len(self.seats) < bounds.connections_per_store:
+                self._open()
+            if seat is None or opening:
+                self.waiting.append(attempt)
+                return
+        self._send(seat, attempt)
+
+    def cancel(self, attempt: Attempt) -> None:
+        if attempt in self.waiting:  # it was never sent
+            self.waiting.remove(attempt)
+            self.stores.later(attempt, How.CANCELLED)
+        elif isinstance(attempt.seat, tuple):
+            seat, stream = attempt.seat
+            if seat.link and stream in seat.out:
+                seat.link.drop_body(stream)
+                seat.link.send(stream, Cancel())
+
+    def close_idle(self, before: float) -> None:
+        """Close connections with nothing out since `before`."""
+        for seat in list(self.seats):
+            if seat.ready and not seat.out and seat.idle_since <= before and seat.link:
+                seat.link.close()
+
+    def _open(self) -> None:
+        seat = Seat(self)
+        self.seats.append(seat)
+        self.stores.spawn(self._connect(seat))
+
+    async def _connect(self, seat: Seat) -> None:
+        timeout = self.stores.gateway.connect_timeout_ms / 1000
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        try:
+            sock = await connect(self.stores.core.addresses[self.store], timeout)
+        except (OSError, ValueError):
+            return self._failed(seat)
+        seat.link = Link(self.stores.hub, sock, Codec("store"), self.stores.hello, self._on_event(seat),
+                         lambda link, why: self._lost(seat))
+        await asyncio.sleep(max(timeout - (loop.time() - begun), 0))
+        if not seat.ready and not seat.link.lost:  # accepts, and says nothing
+            seat.link.abort("no hello in time")
+
+    def _failed(self, seat: Seat) -> None:
+        if seat in self.seats:
+            self.seats.remove(seat)
+        if not self.seats:
+            while self.waiting:
+                self.stores.core_outcome(self.waiting.popleft(), How.NO_CONNECTION)
+
+    def _lost(self, seat: Seat) -> None:
+        out, was_ready = list(seat.out.values()), seat.ready
+        seat.out.clear()
+        seat.answers.clear()
+        if not was_ready:
+            return self._failed(seat)
+        self.seats.remove(seat)
+        for attempt in out:
+            self.stores.core_outcome(attempt, How.RESET)
+        if self.waiting and not self.seats:
+            self._open()
+
+    def _send(self, seat: Seat, attempt: Attempt) -> None:
+        assert seat.link is not None
+        seat.count += 1
+        seat.out[seat.count] = attempt
+        attempt.seat = seat, seat.count
+        held, task = attempt.held, attempt.held.task
+        request, category = held.request, task.category
+        now = self.stores.clock()
+        seat.link.send(seat.count, HandOffOf(
+            held.id, attempt.number, request.volume, request.category, request.key, request.size, task.units,
+            request.shard, max(attempt.until - now, 0) * 100, request.mark, category.writes, category.repeat.value,
+            category.scope.value, category.window * 100, request.body))
+        if request.body:
+            seat.link.send_body(seat.count, held.body)
+
+    def _on_event(self, seat: Seat) -> Callable[[Link, Event], None]:
+        def on_event(link: Link, event: Event) -> None:
+            if isinstance(event, Piece):
+                if event.stream in seat.answers:
+                    outcome, parts = seat.answers[event.stream]
+                    parts.append(event.data)
+                    if event.last:
+                        del seat.answers[event.stream]
+                        self._done(seat, event.stream, outcome, parts)
+                return
+            if isinstance(event.record, Hello):
+                return self._ready(seat, event.record)
+            self._frame(seat, link, event)
+        return on_event
+
+    def _ready(self, seat: Seat, hello: Hello) -> None:
+        seat.ready, seat.idle_since = True, asyncio.get_running_loop().time()
+        self.stores.core.met(self.stores.clock(), self.store, hello.boot, hello.age)
+        while self.waiting and len(seat.out) < self.stores.gateway.streams_per_connection:
+            attempt = self.waiting.popleft()
+            if not attempt.over:
+                self._send(seat, attempt)
+
+    def _frame(self, seat: Seat, link: Link, event: Frame) -> None:
+        outcome = event.record
+        attempt = seat.out.get(event.stream)
+        if not isinstance(outcome, OutcomeOf) or attempt is None:
+            return  # an outcome that came after its time-out, or an error frame before the end
+        if outcome.body > attempt.held.request.size:
+            link.abort(f"{outcome.body} bytes for a task of {attempt.held.request.size}")
+        elif outcome.body:
+            seat.answers[event.stream] = outcome, []
+        else:
+            self._done(seat, event.stream, outcome, [])
+
+    def _done(self, seat: Seat, stream: int, outcome: OutcomeOf, parts: list[bytes]) -> None:
+        attempt = seat.out.pop(stream, None)
+        if not seat.out:
+            seat.idle_since = asyncio.get_running_loop().time()
+        if attempt:
+            self.stores.core.outcome(self.stores.clock(), attempt, HOWS[outcome.how], shard=outcome.shard,
+                                     body=parts, report=outcome.report, used=outcome.used,
+                                     elsewhere=outcome.elsewhere)
+        if self.waiting and seat.ready and seat.link and not seat.link.lost:
+            waiting = self.waiting.popleft()
+            if not waiting.over:
+                self._send(seat, waiting)
+
+
+class Stores:
+    def __init__(self, core: Core, hub: Hub, gateway: Gateway, hello: Hello, clock: Callable[[], int]) -> None:
+        self.core, self.hub, self.gateway, self.hello, self.clock = core, hub, gateway, hello, clock
+        self.pools: dict[Store, Pool] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def hand_off(self, attempt: Attempt) -> None:
+        store = attempt.store
+        if store not in self.pools:
+            self.pools[store] = Pool(self, store)
+        self.pools[store].hand_off(attempt)
+
+    def cancel(self, attempt: Attempt) -> None:
+        self.pools[attempt.store].cancel(attempt)
+
+    def sweep(self, now: float) -> None:
+        for pool in self.pools.values():
+            pool.close_idle(now - self.gateway.idle_close_s)
+
+    def pressure(self) -> None:
+        """No descriptor is left: what idles goes."""
+        for pool in self.pools.values():
+            pool.close_idle(float("inf"))
+
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def later(self, attempt: Attempt, how: How) -> None:
+        """Tell the core of an outcome once it has returned."""
+        asyncio.get_running_loop().call_soon(self.core_outcome, attempt, how)
+
+    def core_outcome(self, attempt: Attempt, how: How) -> None:
+        self.core.outcome(self.clock(), attempt, how)
--- a/tansykeel/protocol/frames.py
+++ b/tansykeel/protocol/frames.py
@@ -9,7 +9,7 @@
 
 import struct
 from enum import IntEnum
-from typing import Annotated
+from typing import Annotated, Literal
 
 import google_crc32c
 import msgspec
@@ -108,16 +108,16 @@
     left: U64  # time left until nobody waits for it
     mark: U64
     writes: bool
-    repeat: Annotated[str, Meta(max_length=16)]
-    scope: Annotated[str, Meta(max_length=16)] = "shard"
+    repeat: Literal["harmless", "stamped", "one-shot"]
+    scope: Literal["all", "zone", "shard"] = "shard"
     window: U64 = 0
     body: Size = 0
 
 
 class OutcomeOf(Fields):
-    """What became of a hand-off: delivered, error, full, moot or cancelled."""
+    """What became of a hand-off, as the store tells it."""
 
-    how: Annotated[str, Meta(max_length=16)]
+    how: Literal["delivered", "error", "full", "moot", "cancelled"]
     shard: Annotated[int, Meta(ge=-1, le=65535)] = -1
     report: Annotated[tuple[float, ...], Meta(max_length=4)] = ()
     used: Annotated[int, Meta(ge=-1)] = -1  # percent of the plan's rate in a finished period, late; -1: none
@@ -142,7 +142,7 @@
     address: Text
     zone: Annotated[int, Meta(ge=0, le=65535)]
     shard: Annotated[int, Meta(ge=0, le=65535)]
-    state: Annotated[str, Meta(max_length=16)]  # ready, draining or gone
+    state: Literal["ready", "draining", "gone"]
     boot: U64 = 0
     age: U64 = 0  # since its start, 0: long past
 
--- /dev/null
+++ b/tansykeel/rehearse/play.py
@@ -0,0 +1,48 @@
+"""Finds a day by name, plays it on sockets, judges it."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from tansykeel.audit.report import Verdict, judge_folder
+from tansykeel.rehearse.conductor import Conductor
+from tansykeel.rehearse.day import Day, load_day
+from tansykeel.settings.script import ScriptError
+
+
+def folders() -> list[Path]:
+    """Where rehearsals lie: beside the program's source, and under the folder one stands in."""
+    places = [Path(__file__).parents[2] / "examples" / "rehearsals", Path("examples") / "rehearsals"]
+    return [place for place in dict.fromkeys(place.resolve() for place in places) if place.is_dir()]
+
+
+def day_of(name: str, seconds: float | None, given: dict[str, Any]) -> Day:
+    """The day of a script's file, or of a rehearsal by its name. Raises ScriptError."""
+    path = Path(name)
+    if path.suffix != ".star":
+        found = [folder / f"{name}.star" for folder in folders() if (folder / f"{name}.star").is_file()]
+        if not found:
+            there = sorted({script.stem for folder in folders() for script in folder.glob("*.star")})
+            raise ScriptError(f"rehearsal {name!r}: there is none; legal: a .star file, or {', '.join(there)}")
+        path = found[0]
+    if seconds is not None and seconds <= 0:
+        raise ScriptError(f"--seconds {seconds:g}: legal: above 0")
+    day = load_day(path, given)
+    return day.scaled(seconds) if seconds is not None else day
+
+
+def play(day: Day, seed: int, folder: Path | None, at_once: bool, progress: Callable[[float], None]) -> Verdict:
+    """Play and judge a day; without a folder its records are let go. Raises RehearsalError, ScriptError."""
+    if folder is None:
+        with tempfile.TemporaryDirectory(prefix="tansykeel-") as made:
+            return play(day, seed, Path(made), at_once, progress)
+    if (folder / "day.json").exists():
+        raise ScriptError(f"--folder {folder}: holds a day already; legal: a new or empty folder")
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "seed").write_text(str(seed))
+    asyncio.run(Conductor(day, seed, folder, at_once, progress).play())
+    return judge_folder(folder)
--- /dev/null
+++ b/tansykeel/transport/link.py
@@ -0,0 +1,277 @@
+"""One connection: a codec that is fed from a reused buffer, and an Outgoing that is emptied as the peer reads.
+
+Bounds, each by name in `Limits`: a peer with more than `high_water` bytes waiting for it is not read from until it
+took them down to half of that; one that takes nothing for `stall` seconds, or says no hello within that time, is
+dropped. Receive buffers are small while a connection idles and borrowed from the hub while much comes in.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tansykeel.protocol.codec import Codec, Event
+from tansykeel.protocol.frames import Error, Fields, Hello, ProtocolError
+from tansykeel.protocol.outgoing import Done, Outgoing
+
+SMALL = 2 << 10  # receive buffer of a connection that idles
+LARGE = 128 << 10  # one borrowed while a body comes in
+SPARE = 64  # large buffers kept for the next to borrow
+BATCH = 256 << 10  # bytes handed to the socket at once
+SWEEP = 0.25  # seconds between looks at stalled peers
+PRESSURE_REST = 0.05  # seconds before the next accept when no descriptor was left
+OUT_OF_FILES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    high_water: int = 8 << 20
+    stall: float = 10.0
+
+
+class Hub:
+    """What the connections of one program share: limits, spare buffers, the look at stalled peers."""
+
+    def __init__(self, limits: Limits) -> None:
+        self.limits = limits
+        self.links: set[Link] = set()
+        self.spare: list[bytearray] = []
+        self._sweeping: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        self._sweeping = asyncio.get_running_loop().create_task(self._sweep())
+
+    async def stop(self) -> None:
+        """Close all connections at once and end the sweeping."""
+        if self._sweeping:
+            self._sweeping.cancel()
+        for link in list(self.links):
+            link.abort("the program ends")
+        await asyncio.sleep(0)
+
+    def borrow(self) -> bytearray:
+        return self.spare.pop() if self.spare else bytearray(LARGE)
+
+    def give_back(self, buffer: bytearray) -> None:
+        if len(self.spare) < SPARE:
+            self.spare.append(buffer)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP)
+            now = asyncio.get_running_loop().time()
+            for link in list(self.links):
+                link.look(now)
+
+
+class Link:
+    """`on_event(link, event)` for all that the peer says, hello included; `on_lost(link, why)` once, at the end."""
+
+    def __init__(self, hub: Hub, sock: socket.socket, codec: Codec, hello: Hello,
+                 on_event: Callable[[Link, Event], None], on_lost: Callable[[Link, str], None]) -> None:
+        self.hub, self.sock, self.codec = hub, sock, codec
+        self.on_event, self.on_lost = on_event, on_lost
+        self.outgoing = Outgoing()
+        self.lost = self.closing = False
+        self.holds: set[str] = set()  # reasons not to read for now
+        loop = asyncio.get_running_loop()
+        self._loop = loop
+        self._born = loop.time()
+        self._sending_since: float | None = None
+        self._may_read: asyncio.Future[None] | None = None
+        self._work: asyncio.Future[None] | None = None
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.outgoing.frame(0, hello)
+        hub.links.add(self)
+        self._tasks = [loop.create_task(self._read()), loop.create_task(self._write())]
+        for task in self._tasks:
+            task.add_done_callback(self._ended)
+
+    @property
+    def peer(self) -> Hello | None:
+        return self.codec.peer
+
+    def send(self, stream: int, record: Fields) -> None:
+        if not self.lost:
+            self.outgoing.frame(stream, record)
+            self._wake_writer()
+
+    def send_body(self, stream: int, parts: list[bytes], done: Done | None = None) -> None:
+        """The bytes announced by the stream's frame; `done` is called once, also when the peer is lost."""
+        if self.lost:
+            if done:
+                done()
+            return
+        self.outgoing.body(stream, parts, done)
+        self._wake_writer()
+
+    def drop_body(self, stream: int) -> None:
+        if self.outgoing.drop(stream):
+            self._wake_writer()
+
+    def hold_reading(self, reason: str) -> None:
+        self.holds.add(reason)
+
+    def read_on(self, reason: str) -> None:
+        self.holds.discard(reason)
+        if not self.holds and self._may_read and not self._may_read.done():
+            self._may_read.set_result(None)
+
+    def close(self) -> None:
+        """End the connection once all that waits is sent."""
+        self.closing = True
+        self.hold_reading("closing")
+        self._wake_writer()
+
+    def abort(self, why: str, reset: bool = False) -> None:
+        """End it now; with `reset` the peer sees a reset and not an orderly end."""
+        if self.lost:
+            return
+        self.lost = True
+        self.hub.links.discard(self)
+        current = asyncio.current_task()
+        for task in self._tasks:
+            if task is not current:
+                task.cancel()
+        if reset:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        self._loop.call_soon(self.sock.close)  # after the cancelled calls have let go of it
+        self.outgoing.clear()
+        self.on_lost(self, why)
+
+    def look(self, now: float) -> None:
+        """Guards against peers that connect and say nothing, or never read: each would hold memory for good."""
+        if self._sending_since is not None and now - self._sending_since > self.hub.limits.stall:
+            self.abort(f"it took nothing for {self.hub.limits.stall:g} s")
+        elif self.codec.peer is None and now - self._born > self.hub.limits.stall:
+            self.abort(f"no hello within {self.hub.limits.stall:g} s")
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        """Guards against a handler's exception that nobody sees: it goes to the program, the connection ends."""
+        if not task.cancelled() and (error := task.exception()):
+            self.abort("a handler failed")
+            self._loop.call_exception_handler({"message": "a connection's handler failed", "exception": error})
+
+    def _wake_writer(self) -> None:
+        if self.outgoing.held > self.hub.limits.high_water:
+            self.hold_reading("it does not read")
+        if self._work and not self._work.done():
+            self._work.set_result(None)
+
+    async def _read(self) -> None:
+        small, large = bytearray(SMALL), None
+        recv_into, sock = self._loop.sock_recv_into, self.sock
+        try:
+            while True:
+                while self.holds:
+                    self._may_read = self._loop.create_future()
+                    await self._may_read
+                buffer = large or small
+                size = await recv_into(sock, buffer)
+                if not size:
+                    return self.abort("closed by the peer")
+                for event in self.codec.receive(memoryview(buffer)[:size]):
+                    self.on_event(self, event)
+                    if self.lost:
+                        return
+                if size == len(buffer) and large is None:
+                    large = self.hub.borrow()
+                elif size < SMALL and large is not None:
+                    self.hub.give_back(large)
+                    large = None
+        except ProtocolError as error:
+            self.send(0, Error(str(error)[:500]))
+            self.close()
+        except OSError as error:
+            self.abort(error.strerror or type(error).__name__)
+        finally:
+            if large is not None:
+                self.hub.give_back(large)
+
+    async def _write(self) -> None:
+        sendall, sock, outgoing = self._loop.sock_sendall, self.sock, self.outgoing
+        try:
+            while True:
+                if not outgoing:
+                    if self.closing:
+                        return self.abort("closed here")
+                    self._work = self._loop.create_future()
+                    await self._work
+                    continue
+                blocks = outgoing.take(BATCH)
+                self._sending_since = self._loop.time()
+                await sendall(sock, blocks[0] if len(blocks) == 1 else b"".join(blocks))
+                self._sending_since = None
+                if self.holds and outgoing.held <= self.hub.limits.high_water / 2:
+                    self.read_on("it does not read")
+        except OSError as error:
+            self.abort(error.strerror or type(error).__name__)
+
+
+def address_of(text: str) -> tuple[str, int]:
+    """host:port. Raises ValueError."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"address {text!r}; legal: host:port")
+    return host.strip("[]"), int(port)
+
+
+async def connect(address: str, timeout: float) -> socket.socket:
+    """A connected socket. Raises OSError (also when no descriptor is left) or TimeoutError."""
+    host, port = address_of(address)
+    sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        async with asyncio.timeout(timeout):
+            await asyncio.get_running_loop().sock_connect(sock, (host, port))
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+def listening(address: str, backlog: int = 1024) -> socket.socket:
+    """A listening socket; port 0 takes a free one. Raises OSError."""
+    host, port = address_of(address)
+    sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((host, port))
+        sock.listen(backlog)
+    except BaseException:
+        sock.close()
+        raise
+    sock.setblocking(False)
+    return sock
+
+
+async def accept_all(listener: socket.socket, take: Callable[[socket.socket], None],
+                     pressure: Callable[[], None] = lambda: None) -> None:
+    """Hand over each connection that comes, until cancelled.
+
+    Out of descriptors it calls `pressure`, which may close what idles, and rests: guards against a loop that spins
+    on a listening socket which stays readable.
+    """
+    loop = asyncio.get_running_loop()
+    while True:
+        try:
+            sock, _ = await loop.sock_accept(listener)
+        except OSError as error:
+            if error.errno in OUT_OF_FILES:
+                pressure()
+                await asyncio.sleep(PRESSURE_REST)
+            elif listener.fileno() < 0:
+                return
+            continue
+        take(sock)
+
+
+def run(main: Callable[[], object]) -> None:
+    """Run a program's coroutine on uvloop."""
+    import uvloop
+
+    uvloop.run(main())  # type: ignore[arg-type]
