--- a/tansykeel/protocol/codec.py
+++ b/tansykeel/protocol/codec.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
+import struct
 from typing import NamedTuple
 
 import google_crc32c
 import msgspec
 
 from tansykeel.protocol.frames import (
-    CHECK,
     DECODERS,
     HEAD_BYTES,
     HEADER,
@@ -32,8 +32,15 @@
 
 MOST_BODIES = 4_096  # bodies under way on one connection in one direction
 
-ALWAYS = frozenset({Kind.ERROR, Kind.GOODBYE, Kind.CUT, Kind.CHUNK})
-SAYS: dict[str, frozenset[Kind]] = {  # what each role may say after its hello
+HEAD = struct.Struct(HEADER.format + "I")  # with its check
+Head = tuple[int, ...]
+KINDS = {kind.value: kind for kind in Kind}
+CHUNK = Kind.CHUNK.value
+FIRST = (Kind.HELLO.value, Kind.ERROR.value)
+crc_of, crc_extend = google_crc32c.value, google_crc32c.extend
+
+ALWAYS: frozenset[int] = frozenset({Kind.ERROR, Kind.GOODBYE, Kind.CUT, Kind.CHUNK})
+SAYS: dict[str, frozenset[int]] = {  # what each role may say after its hello
     "client": ALWAYS | {Kind.TASK, Kind.CANCEL},
     "edge": ALWAYS | {Kind.ANSWER, Kind.HAND_OFF, Kind.CANCEL, Kind.PROBE, Kind.LIST_ASK},
     "store": ALWAYS | {Kind.OUTCOME, Kind.PROBED},
@@ -65,6 +72,7 @@
         self.expect = expect
         self.peer: Hello | None = None
         self.fault: str | None = None
+        self._says: frozenset[int] = frozenset()
         self._rest = bytearray()
         self._bodies: dict[int, int] = {}  # bytes still to come, by stream
         self._chunk: tuple[int, int] | None = None  # stream, bytes left of the chunk that is being read
@@ -95,55 +103,61 @@
                 at += take
                 if len(self._rest) < need or self._needed() > len(self._rest):
                     continue
-                whole = bytes(self._rest)
+                whole = memoryview(bytes(self._rest))
                 self._rest.clear()
-                self._frame(memoryview(whole), 0, events)
+                self._frame(HEAD.unpack_from(whole), whole, 0, events)
                 continue
             if end - at < HEAD_BYTES:
                 self._rest += view[at:]
                 break
-            kind, length = self._head(view, at)
-            if kind is not Kind.CHUNK and end - at < HEAD_BYTES + length:
+            kind, _, _, length, _, _ = head = HEAD.unpack_from(view, at)
+            if kind != CHUNK and end - at < HEAD_BYTES + length:
+                self._check(head)
                 self._rest += view[at:]
                 break
-            at += self._frame(view, at, events)
+            at += self._frame(head, view, at, events)
         return events
 
     def _needed(self) -> int:
         """Bytes up to the end of the frame that `_rest` begins, or of its header while that is short."""
         if len(self._rest) < HEAD_BYTES:
             return HEAD_BYTES
-        kind, length = self._head(self._rest, 0)
-        return HEAD_BYTES + (0 if kind is Kind.CHUNK else length)
-
-    def _head(self, view: memoryview | bytearray, at: int) -> tuple[Kind, int]:
-        code, flags, reserved, length, stream = HEADER.unpack_from(view, at)
-        if not 1 <= code <= Kind.CUT:
-            raise ProtocolError(f"unknown frame kind {code} on stream {stream}; known: 1 to {Kind.CUT.value}")
-        kind = Kind(code)
+        head = HEAD.unpack_from(self._rest)
+        self._check(head)
+        return HEAD_BYTES + (0 if head[0] == CHUNK else head[3])
+
+    def _check(self, head: Head) -> None:
+        """Refuse a header that no frame can have, before a byte of the frame is waited for."""
+        code, flags, reserved, length, stream, _ = head
+        if code not in KINDS:
+            raise ProtocolError(f"unknown frame kind {code} on stream {stream}; known: 1 to {len(KINDS)}")
+        name = KINDS[code].name
         if flags or reserved:
-            raise ProtocolError(f"{kind.name} on stream {stream}: flags {flags}, reserved {reserved}; legal: 0")
-        most = MOST_CHUNK if kind is Kind.CHUNK else MOST_FIELDS
+            raise ProtocolError(f"{name} on stream {stream}: flags {flags}, reserved {reserved}; legal: 0")
+        most = MOST_CHUNK if code == CHUNK else MOST_FIELDS
         if length > most:
-            raise ProtocolError(f"{kind.name} on stream {stream}: {length} bytes; legal: {most} at most")
-        return kind, length
+            raise ProtocolError(f"{name} on stream {stream}: {length} bytes; legal: {most} at most")
 
-    def _frame(self, view: memoryview, at: int, events: list[Event]) -> int:
+    def _frame(self, head: Head, view: memoryview, at: int, events: list[Event]) -> int:
         """Read the frame at `at`, all of it at hand (of a CHUNK: its header); returns the bytes used."""
-        kind, length = self._head(view, at)
-        stream = HEADER.unpack_from(view, at)[4]
-        start = at + HEAD_BYTES
-        fields = b"" if kind is Kind.CHUNK else bytes(view[start:start + length])
-        (check,) = CHECK.unpack_from(view, at + HEADER.size)
-        if google_crc32c.value(bytes(view[at:at + HEADER.size]) + fields) != check:
-            raise ProtocolError(f"{kind.name} on stream {stream}: its check does not fit its bytes")
-        if self.peer is None and kind not in (Kind.HELLO, Kind.ERROR):
-            raise ProtocolError(f"{kind.name} before the hello")
-        if self.peer is not None and kind not in SAYS[self.peer.role]:
-            raise ProtocolError(f"{kind.name} on stream {stream}: not legal from a peer of role {self.peer.role!r}")
-        if kind is Kind.CHUNK:
+        self._check(head)
+        code, _, _, length, stream, check = head
+        found = crc_of(bytes(view[at:at + HEADER.size]))
+        if code != CHUNK:
+            fields = bytes(view[at + HEAD_BYTES:at + HEAD_BYTES + length])
+            found = crc_extend(found, fields)
+        if found != check:
+            raise ProtocolError(f"{KINDS[code].name} on stream {stream}: its check does not fit its bytes")
+        if self.peer is None:
+            if code not in FIRST:
+                raise ProtocolError(f"{KINDS[code].name} before the hello")
+        elif code not in self._says:
+            raise ProtocolError(f"{KINDS[code].name} on stream {stream}: not legal from a peer of role "
+                                f"{self.peer.role!r}")
+        if code == CHUNK:
             self._open_chunk(stream, length)
             return HEAD_BYTES
+        kind = KINDS[code]
         try:
             record = DECODERS[kind].decode(fields)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
@@ -163,7 +177,7 @@
             raise ProtocolError(f"HELLO: version {hello.version}; spoken here: {VERSION}")
         if hello.role not in self.expect:
             raise ProtocolError(f"HELLO: role {hello.role!r}; expected: {' or '.join(self.expect)}")
-        self.peer = hello
+        self.peer, self._says = hello, SAYS[hello.role]
 
     def _open_body(self, kind: Kind, stream: int, size: int) -> None:
         if stream in self._bodies:
--- a/tansykeel/protocol/outgoing.py
+++ b/tansykeel/protocol/outgoing.py
@@ -11,24 +11,27 @@
 from tansykeel.protocol.frames import MOST_CHUNK, Cut, Fields, chunk_head, pack
 
 Done = Callable[[], None]
+Block = bytes | memoryview
 
 
 class Body:
     """A body on its way: parts as they came, cut into chunks as they leave."""
 
     def __init__(self, stream: int, parts: Sequence[bytes], done: Done | None) -> None:
-        self.stream, self.parts, self.done = stream, deque(parts), done
+        self.stream, self.done = stream, done
+        self.parts = deque[Block](parts)
         self.size = sum(map(len, parts))
 
-    def chunk(self) -> list[bytes]:
-        """The next chunk: its header and pieces of MOST_CHUNK bytes together at most."""
-        pieces: list[bytes] = []
+    def chunk(self) -> list[Block]:
+        """The next chunk: its header and pieces of MOST_CHUNK bytes together at most. Nothing is copied."""
+        pieces: list[Block] = []
         room = MOST_CHUNK
         while self.parts and room:
             part = self.parts.popleft()
             if len(part) > room:
-                self.parts.appendleft(part[room:])
-                part = part[:room]
+                view = memoryview(part)
+                self.parts.appendleft(view[room:])
+                part = view[:room]
             pieces.append(part)
             room -= len(part)
         self.size -= MOST_CHUNK - room
@@ -80,9 +83,9 @@
             if body.done:
                 body.done()
 
-    def take(self, most: int) -> list[bytes]:
+    def take(self, most: int) -> list[Block]:
         """The next blocks to send, `most` bytes or a chunk more."""
-        blocks: list[bytes] = []
+        blocks: list[Block] = []
         size = 0
         while self._frames and size < most:
             blocks.append(self._frames.popleft())
--- a/tansykeel/standin/model.py
+++ b/tansykeel/standin/model.py
@@ -169,9 +169,10 @@
                 self.warmed += min(len(self.working) / self.shape.cores, 1.0) * (end - self.at)
             self.virtual += rate * (end - self.at)
             self.at = end
-            if end >= now:
+            if self._next_change() <= end:  # also one that is due just now: who asks `due` must get on
+                self._change()
+            elif end >= now:
                 return done
-            self._change()
 
     def due(self) -> float:
         """When `advance` has something to do next; NEVER while nothing is in hand."""
@@ -179,7 +180,7 @@
             return self.flush_at
         rate = self._rate(self.at)
         ends_at = self.at + (self.working[0][0] - self.virtual) / rate if rate > 0 else NEVER
-        return min(ends_at, self._next_change())
+        return max(min(ends_at, self._next_change()), self.at)
 
     def load(self) -> tuple[float, float]:
         """Jobs waiting and in work."""
--- a/tansykeel/transport/link.py
+++ b/tansykeel/transport/link.py
@@ -18,8 +18,8 @@
 from tansykeel.protocol.outgoing import Done, Outgoing
 
 SMALL = 2 << 10  # receive buffer of a connection that idles
-LARGE = 128 << 10  # one borrowed while a body comes in
-SPARE = 64  # large buffers kept for the next to borrow
+LARGE = 256 << 10  # one borrowed while a body comes in
+SPARE = 32  # large buffers kept for the next to borrow
 BATCH = 256 << 10  # bytes handed to the socket at once
 SWEEP = 0.25  # seconds between looks at stalled peers
 PRESSURE_REST = 0.05  # seconds before the next accept when no descriptor was left
