A quick store is not held to the target's rate; no process outlives its rehearsal

Cause: the node rate was capped by what 24 hand-offs make at the lag that is aimed at. Change: the cap follows the lag seen, where samples tell of one. Edges and clients of a rehearsal end with whoever started them: a conductor that was killed left edges running.

--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -225,7 +225,9 @@
         if self.starved and (gap := self.gap()) > 0:
             # By time and not by outcomes: where few tasks come by, a rate once low would stay low.
             rate = self.rate * (1 + gap * min(span, ROUND) / RISE)
-            self.rate = min(rate, MOST_OUT * self.usual / (self.tightest * AIM_PART))
+            # What MOST_OUT hand-offs can be at the lag seen: a store far quicker than the target does far more.
+            lag = self.lag(self.usual) if self.lags else self.tightest * AIM_PART
+            self.rate = min(rate, MOST_OUT * self.usual / max(lag, 1))
         self.starved = False
         if now >= self.reset_at:
             self.bucket, self.reset_at = 0.0, now + RESET
--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -59,6 +59,7 @@
     trace_share: Annotated[float, typer.Option(help="part of the tasks that is traced")] = 0.01,
     metrics: Annotated[int, typer.Option(help="port for metrics on loopback, 0: none")] = 0,
     send_at_once: Annotated[bool, typer.Option(hidden=True)] = False,
+    leashed: Annotated[bool, typer.Option(help="end with standard input, as with SIGTERM", hidden=True)] = False,
 ) -> None:
     """Run a gateway until SIGTERM."""
     from tansykeel.baselines import SendAtOnce
@@ -67,6 +68,7 @@
     from tansykeel.edge.program import Edge
     from tansykeel.settings.build import facts_of, load
     from tansykeel.settings.script import ScriptError
+    from tansykeel.transport.leash import leash
     from tansykeel.transport.link import run
 
     if log not in ("json", "console"):
@@ -89,6 +91,8 @@
         if metrics:
             from tansykeel.cli.metrics import serve
             serve(program, metrics)
+        if leashed:
+            leash(program.stopping.set)
         code = await program.serve(lambda port: say(event="ready", port=port))
     try:
         run(main)
--- a/tansykeel/edge/program.py
+++ b/tansykeel/edge/program.py
@@ -189,5 +189,3 @@
         end = asyncio.get_running_loop().time() + seconds
         while not done() and asyncio.get_running_loop().time() < end:
             await asyncio.sleep(0.02)
-
-
--- a/tansykeel/rehearse/clients.py
+++ b/tansykeel/rehearse/clients.py
@@ -20,6 +20,7 @@
 from tansykeel.rehearse.load import Arrival, arrivals_of, stream
 from tansykeel.settings.records import CategoryOf
 from tansykeel.standin import content
+from tansykeel.transport.leash import leash
 from tansykeel.transport.link import Hub, Limits, Link, connect
 
 RECONNECT = 0.2  # seconds between tries to reach an edge
@@ -276,6 +277,7 @@
     day = msgspec.convert(told["day"], Day)
     clients = LoadClients(day, told["seed"], told["number"], told["count"],
                           [(name, address) for name, address in told["edges"]], Path(told["record"]))
+    leash(lambda: os._exit(1))
     ready()
     while not (go := Path(told["go"])).exists():
         await asyncio.sleep(0.02)
--- a/tansykeel/rehearse/conductor.py
+++ b/tansykeel/rehearse/conductor.py
@@ -152,7 +152,8 @@
         script.write_text(text_of(settings_of(self.day, f"127.0.0.1:{self.list_port}",
                                               f"127.0.0.1:{self.ports[index]}")))
         child = await self._spawn(f"edge-{index}", *self.edge, script, "--number", index,
-                                  "--count", self.day.fleet.edges, "--seed", self.seed * 1000 + index)
+                                  "--count", self.day.fleet.edges, "--seed", self.seed * 1000 + index,
+                                  "--leashed")
         self.ports[index] = (await self._ready(child))["port"]
         return child
 
--- a/tansykeel/rehearse/play.py
+++ b/tansykeel/rehearse/play.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import tempfile
+import threading
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 from tansykeel.audit.report import Verdict, judge_folder
-from tansykeel.rehearse.conductor import EDGE, Conductor
+from tansykeel.rehearse.conductor import EDGE, Conductor, RehearsalError
 from tansykeel.rehearse.day import Day, load_day
 from tansykeel.settings.script import ScriptError
 
@@ -51,5 +53,17 @@
         raise ScriptError(f"--folder {folder}: holds a day already; legal: a new or empty folder")
     folder.mkdir(parents=True, exist_ok=True)
     (folder / "seed").write_text(str(seed))
-    asyncio.run(Conductor(day, seed, folder, progress, edge).play())
+    asyncio.run(_played(Conductor(day, seed, folder, progress, edge)))
     return judge_folder(folder)
+
+
+async def _played(conductor: Conductor) -> None:
+    """Guards against processes left behind when this one is told to end in mid-day."""
+    playing = asyncio.ensure_future(conductor.play())
+    if threading.current_thread() is threading.main_thread():
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
+    try:
+        await playing
+    except asyncio.CancelledError:
+        raise RehearsalError("ended from outside before the day was over") from None
--- a/tests/brain/test_brain.py
+++ b/tests/brain/test_brain.py
@@ -418,3 +418,19 @@
     other = Scheduler(facts(), 1, desk)
     other.list_changed([store(shard) for shard in range(5)], confirmed=True)
     assert [n.store.shard for n in brain.ranked] == [n.store.shard for n in other.ranked]
+
+
+def test_a_store_far_quicker_than_the_target_is_not_held_to_the_targets_rate():
+    """At a tenth of the target's lag the hand-offs that may be out make ten times the rate."""
+    at = store()
+    brain, desk = scheduler([at])
+    node = brain.nodes[at]
+    quick = int(brain.tightest * 0.3 / 10)
+    for _ in range(24):
+        node.lags.append((desk.now, quick, brain.usual))
+    for _ in range(2_000):
+        desk.now += 100
+        node.lags.append((desk.now, quick, brain.usual))
+        node.starved = True
+        node.accrue()
+    assert node.rate == pytest.approx(24 * brain.usual / quick, rel=0.01)
--- a/tests/broken_edge.py
+++ b/tests/broken_edge.py
@@ -12,6 +12,7 @@
 from tansykeel.edge.core import Core
 from tansykeel.edge.program import Edge
 from tansykeel.settings.build import facts_of, load
+from tansykeel.transport.leash import leash
 from tansykeel.transport.link import run
 
 
@@ -63,13 +64,16 @@
     options.add_argument("settings", type=Path)
     for name in ("--number", "--count", "--seed"):
         options.add_argument(name, type=int)
+    options.add_argument("--leashed", action="store_true")
     told = options.parse_args()
     set_up("json")
     made = load(told.settings)
     facts = globals()[told.fault](facts_of(made, told.number, told.count))
 
     async def serve():
-        await Edge(made, facts, told.seed).serve(lambda port: print(json.dumps({"port": port}), flush=True))
+        edge = Edge(made, facts, told.seed)
+        leash(edge.stopping.set)
+        await edge.serve(lambda port: print(json.dumps({"port": port}), flush=True))
     run(serve)
 
 
