Stores, list, troubles and clients' habits without I/O, shared by every stage

Need: the simulated stage will play the same script. What a store does with hand-offs, how late a list is, how each trouble goes step by step, and when a client tries again no longer stand in socket programs.

--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -15,7 +15,7 @@
 
 from tansykeel.brain import Scheduler
 from tansykeel.interface import BreakOff, Facts, How, Nack, Outcome, Plan, State, Store, Task, Volume, Want
-from tansykeel.protocol.frames import Answer, ListOf, ProtocolError, TaskOf
+from tansykeel.protocol.frames import Answer, HandOffOf, ListOf, ProtocolError, TaskOf
 from tansykeel.runner import Run, Runner
 from tansykeel.settings.records import Settings
 
@@ -275,6 +275,14 @@
         self.runner.alarm(until, partial(self._timed_out, attempt))
         self.wire.hand_off(attempt, max(until - now, 0) * MICROS)
 
+    def hand_off_of(self, attempt: Attempt, now: int) -> HandOffOf:
+        """What a store is told of a hand-off that leaves now."""
+        held, request, category = attempt.held, attempt.held.request, attempt.held.task.category
+        return HandOffOf(held.id, attempt.number, request.volume, request.category, request.key, request.size,
+                         held.task.units, request.shard, max(attempt.until - now, 0) * MICROS, request.mark,
+                         category.writes, category.repeat.value, category.scope.value, category.window * MICROS,
+                         request.body)
+
     def nack(self, task: Task, come_back: int) -> None:
         self._final(task.handle, Nack(come_back), "")
 
--- a/tansykeel/edge/stores.py
+++ b/tansykeel/edge/stores.py
@@ -14,7 +14,7 @@
 from tansykeel.edge.core import Attempt, Core
 from tansykeel.interface import How, Store
 from tansykeel.protocol.codec import Codec, Event, Frame, Piece
-from tansykeel.protocol.frames import Cancel, HandOffOf, Hello, OutcomeOf
+from tansykeel.protocol.frames import Cancel, Hello, OutcomeOf
 from tansykeel.settings.records import Gateway
 from tansykeel.transport.link import Hub, Link, connect
 
@@ -114,15 +114,10 @@
         seat.count += 1
         seat.out[seat.count] = attempt
         attempt.seat = seat, seat.count
-        held, task = attempt.held, attempt.held.task
-        request, category = held.request, task.category
-        now = self.stores.clock()
-        seat.link.send(seat.count, HandOffOf(
-            held.id, attempt.number, request.volume, request.category, request.key, request.size, task.units,
-            request.shard, max(attempt.until - now, 0) * 100, request.mark, category.writes, category.repeat.value,
-            category.scope.value, category.window * 100, request.body))
+        request = self.stores.core.hand_off_of(attempt, self.stores.clock())
+        seat.link.send(seat.count, request)
         if request.body:
-            seat.link.send_body(seat.count, held.body)
+            seat.link.send_body(seat.count, attempt.held.body)
 
     def _on_event(self, seat: Seat) -> Callable[[Link, Event], None]:
         def on_event(link: Link, event: Event) -> None:
--- a/tansykeel/rehearse/clients.py
+++ b/tansykeel/rehearse/clients.py
@@ -17,6 +17,7 @@
 from tansykeel.protocol.codec import Codec, Event, Piece
 from tansykeel.protocol.frames import Answer, Cancel, Hello, TaskOf
 from tansykeel.rehearse.day import Day
+from tansykeel.rehearse.habits import DELIVERED, LOST, Habits
 from tansykeel.rehearse.load import Arrival, arrivals_of, stream
 from tansykeel.settings.records import CategoryOf
 from tansykeel.standin import content
@@ -26,7 +27,6 @@
 RECONNECT = 0.2  # seconds between tries to reach an edge
 CONNECT_WITHIN = 0.5
 RETRIES = 10**6  # stream of draws for the clients' own chance
-DELIVERED, NACKED = 0, 1
 
 
 @dataclass(eq=False, slots=True)
@@ -97,7 +97,7 @@
         self.day, self.number, self.count = day, number, count
         self.edges = edges
         self.record = Recorder(record)
-        self.draw = stream(seed, RETRIES, number)
+        self.habits = Habits(day.clients, stream(seed, RETRIES, number))
         self.hub = Hub(Limits(stall=60.0))
         self.hello = Hello(1, "client", f"client-{number}", os.getpid())
         self.lines: list[list[Line]] = [[Line(self, name, address) for _ in range(day.clients.connections)]
@@ -105,7 +105,6 @@
         self.categories = {c.name: c for c in day.categories}
         self.made = 0
         self.under_way = 0
-        self.placed: dict[str, list[tuple[int, int, int]]] = {}  # new objects by volume: key, shard, units
         self.vanishing: set[asyncio.Task[None]] = set()
         self.arrivals = [a for index, a in enumerate(arrivals_of(day, seed)) if index % count == number]
 
@@ -139,11 +138,8 @@
     # A piece of work
 
     def first_try(self, arrival: Arrival, now: float) -> None:
-        if arrival.reread and (known := self.placed.get(arrival.volume)):
-            key, shard, units = known[int(self.draw.integers(len(known)))]
-            arrival = arrival._replace(key=key, shard=shard, units=units)
         self.under_way += 1
-        self._try(arrival, 0, now)
+        self._try(self.habits.aimed(arrival), 0, now)
 
     def _try(self, arrival: Arrival, tries: int, first_at: float) -> None:
         category = self.categories[arrival.category]
@@ -232,14 +228,12 @@
             if not held.category.writes:
                 size = arrival.units * self.day.gateway.unit_bytes
                 wrong = not content.fits(b"".join(held.parts or []), arrival.key, size)
-            elif arrival.shard < 0:
-                self.placed.setdefault(arrival.volume, []).append((arrival.key, answer.shard, arrival.units))
+            self.habits.delivered(arrival, held.category, answer.shard)
         self.record.add(Got(now_us(), task, answer.result, answer.come_back, wrong, answer.reason))
         if answer.result == DELIVERED:
             self.under_way -= 1
         else:
-            again = answer.result == NACKED or held.category.repeat == "harmless"
-            self._again(held, again, answer.come_back / 1e6, answer.result == NACKED)
+            self._again(held, answer.result, answer.come_back / 1e6)
 
     def answered_again(self, answer: Answer, task: int) -> None:
         """An answer to a task that is over here: too late, or a second one. The audit judges."""
@@ -250,7 +244,7 @@
         if held.timer:
             held.timer.cancel()
         self.record.add(Gave(now_us(), task, "edge lost"))
-        self._again(held, held.category.repeat == "harmless", 0.0, False)
+        self._again(held, LOST, 0.0)
 
     def _patience_over(self, held: Try, task: int) -> None:
         if held.line.open.pop(task, None) is None:
@@ -261,14 +255,12 @@
             held.line.link.send(task, Cancel())
         self.under_way -= 1
 
-    def _again(self, held: Try, legal: bool, come_back: float, nacked: bool) -> None:
-        if not legal or held.tries >= self.day.clients.retries:
+    def _again(self, held: Try, result: int, come_back: float) -> None:
+        wait = self.habits.again(held.category, held.tries, result, come_back)
+        if wait is None:
             self.under_way -= 1
-            return
-        wait = self.day.clients.backoff_ms / 1000 * (0.5 + self.draw.random())
-        if nacked and self.draw.random() < self.day.clients.honour:
-            wait = max(wait, come_back)
-        asyncio.get_running_loop().call_later(wait, self._try, held.arrival, held.tries + 1, held.first_at)
+        else:
+            asyncio.get_running_loop().call_later(wait, self._try, held.arrival, held.tries + 1, held.first_at)
 
 
 async def play_file(path: Path, ready: Callable[[], None]) -> None:
--- a/tansykeel/rehearse/conductor.py
+++ b/tansykeel/rehearse/conductor.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -18,8 +19,9 @@
 
 from tansykeel.audit.records import Killed, Recorder, Stood, now_us
 from tansykeel.audit.records import Trouble as TroubleRecord
-from tansykeel.rehearse.day import ALL, LIST, LOAD, STORES, VERBS, Day, Trouble, settings_of
+from tansykeel.rehearse.day import LOAD, VERBS, Day, Trouble, settings_of
 from tansykeel.rehearse.load import stream
+from tansykeel.rehearse.troubles import Steps, steps_of
 from tansykeel.settings.build import text_of
 
 START_WITHIN = 20.0  # seconds for a process to say that it is ready
@@ -27,7 +29,6 @@
 LEAD = 1.0  # seconds between all being ready and the first task
 PROGRAM = (sys.executable, "-m", "tansykeel")
 EDGE = (*PROGRAM, "edge")
-NOTICE = 0.1  # seconds until the list notices a start
 CHANCE = 2 * 10**6  # stream of the conductor's own draws
 
 
@@ -72,6 +73,8 @@
         self.edges: list[Child] = []
         self.ports: list[int] = []
         self.draw = stream(seed, CHANCE)
+        self.silent_s = day.fleet.silent_s
+        self.stopped: dict[int, tuple[int, Child]] = {}
         self.tasks: set[asyncio.Future[None]] = set()
         self.tasks_failed: list[BaseException] = []
 
@@ -199,31 +202,13 @@
 
     def _cause(self, trouble: Trouble) -> None:
         self.record.add(TroubleRecord(now_us(), trouble.verb, trouble.detail | {"for_s": trouble.for_s}))
-        whom = VERBS[trouble.verb][0]
-        if whom is LIST:
-            verb = {"list_late": "late", "list_gone": "gone"}[trouble.verb]
-            self.list.tell(verb=verb, for_s=trouble.for_s, **trouble.detail)
-            return
-        for index in self._struck(trouble):
-            method = getattr(self, f"_{trouble.verb}", None)
-            if method is not None:
-                self._go(method(index, trouble))
-            elif whom is STORES:
-                self.stores[index].child.tell(**self._command(trouble))
-
-    def _struck(self, trouble: Trouble) -> list[int]:
-        told = trouble.detail[VERBS[trouble.verb][0]]
-        return list(told) if isinstance(told, (list, tuple)) else [told]
-
-    @staticmethod
-    def _command(trouble: Trouble) -> dict[str, Any]:
-        """The store's own verb for a trouble that lasts."""
-        detail = {name: value for name, value in trouble.detail.items() if name not in ALL}
-        names = {"slow": ("slow", "factor"), "fast_errors": ("errors", "share"), "neighbour": ("neighbour", "share"),
-                 "heavy_tail": ("heavy", "factor"), "report_late": ("late", "")}
-        verb, figure = names.get(trouble.verb, (trouble.verb, ""))
-        how_much = {"how_much": detail.pop(figure)} if figure else {}
-        return {"verb": verb, "for_s": trouble.for_s, **how_much, **detail}
+        for steps in steps_of(self, trouble):
+            self._go(self._walk(steps))
+
+    async def _walk(self, steps: Steps) -> None:
+        with contextlib.closing(steps):
+            for step in steps:
+                await (asyncio.sleep(step) if isinstance(step, (int, float)) else step)
 
     def _go(self, work: Awaitable[None]) -> None:
         task = asyncio.ensure_future(work)
@@ -235,89 +220,71 @@
         if not task.cancelled() and (error := task.exception()):
             self.tasks_failed.append(error)
 
-    # Troubles of stores
+    # Stage: what troubles can do
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def chance(self) -> float:
+        return float(self.draw.random())
+
+    def store(self, index: int) -> StoreChild:
+        return self.stores[index]
 
-    async def _drain(self, index: int, trouble: Trouble) -> None:
-        store = self.stores[index]
-        store.child.tell(verb="drain")
-        self._list(store, state="draining")
-        if trouble.detail["die_after_s"]:
-            await asyncio.sleep(trouble.detail["die_after_s"])
-            await self._death(store)
+    def alive(self, store: StoreChild) -> bool:
+        return store.alive
 
-    async def _die(self, index: int, trouble: Trouble) -> None:
-        await self._death(self.stores[index])
+    def store_verb(self, store: StoreChild, verb: str, for_s: float, detail: dict[str, Any]) -> None:
+        store.child.tell(verb=verb, for_s=for_s, **detail)
 
-    async def _death(self, store: StoreChild) -> None:
+    def kill_store(self, store: StoreChild) -> None:
         store.alive = False
         store.child.tell(verb="die")
-        await asyncio.sleep(self.day.fleet.silent_s)
-        self._list(store, state="gone")
 
-    async def _restart(self, index: int, trouble: Trouble) -> None:
-        store = self.stores[index]
-        await asyncio.sleep(trouble.detail["within_s"] * self.draw.random())
-        store.child.tell(verb="restart", down_s=trouble.detail["down_s"])
+    async def restart_store(self, store: StoreChild, down_s: float) -> None:
+        store.child.tell(verb="restart", down_s=down_s)
         up = await self._ready(store.child)
-        store.boot, store.started = up["boot"], asyncio.get_running_loop().time()
-        await asyncio.sleep(NOTICE)
-        self._list(store)
-
-    _mass_restart = _restart
-
-    async def _replace(self, index: int, trouble: Trouble) -> None:
-        """A new machine under a new id holds the same shard."""
-        old = self.stores[index]
-        if old.alive:
-            await self._death(old)
-        await asyncio.sleep(trouble.detail["after_s"])
+        store.boot, store.started = up["boot"], self.now()
+
+    async def new_store(self, index: int) -> None:
         name = f"store-{index}-{sum(c.name.startswith(f'store-{index}') for c in self.children)}"
         self.stores[index] = await self._store(name, index, cold=True)
-        self._list(self.stores[index])
 
-    async def _preempt(self, index: int, trouble: Trouble) -> None:
-        """Told to go, gone after the notice, back on a new machine: wave after wave over the stores struck."""
-        struck, waves = self._struck(trouble), max(int(trouble.detail["waves"]), 1)
-        await asyncio.sleep(trouble.for_s * (struck.index(index) * waves // len(struck)) / waves)
-        self.stores[index].child.tell(verb="drain")
-        self._list(self.stores[index], state="draining")
-        await asyncio.sleep(trouble.detail["notice_s"])
-        await self._replace(index, trouble)
+    def list_store(self, store: StoreChild, state: str) -> None:
+        self._list(store, state=state)
+
+    def list_verb(self, verb: str, for_s: float, detail: dict[str, Any]) -> None:
+        self.list.tell(verb=verb, for_s=for_s, **detail)
 
     def _list(self, *stores: StoreChild, state: str = "ready") -> None:
-        now = asyncio.get_running_loop().time()
+        now = self.now()
         self.list.tell(verb="rows", rows=[
             {"name": s.name, "address": s.address, "zone": s.zone, "shard": s.index, "state": state, "boot": s.boot,
              "age": int((now - s.started) * 1e6) if s.started else 0} for s in stores])
 
-    # Troubles of edges
-
-    async def _stall(self, index: int, trouble: Trouble) -> None:
-        """The process stands still again and again, then finds all that came meanwhile."""
-        loop = asyncio.get_running_loop()
-        end = loop.time() + trouble.for_s
-        while loop.time() < end:
-            edge = self.edges[index]
-            if edge.process.returncode is not None:
-                return
-            at = now_us()
-            os.kill(edge.process.pid, signal.SIGSTOP)
-            try:
-                await asyncio.sleep(trouble.detail["stall_ms"] / 1000)
-            finally:
-                os.kill(edge.process.pid, signal.SIGCONT)
-                self.record.add(Stood(at, f"edge-{index}", now_us()))
-            await asyncio.sleep(trouble.detail["every_s"] * (0.5 + self.draw.random()))
-
-    async def _kill_edge(self, index: int, trouble: Trouble) -> None:
+    def stop_edge(self, index: int) -> bool:
+        edge = self.edges[index]
+        if edge.process.returncode is not None:
+            return False
+        self.stopped[index] = now_us(), edge
+        os.kill(edge.process.pid, signal.SIGSTOP)
+        return True
+
+    def let_edge_go_on(self, index: int) -> None:
+        at, edge = self.stopped.pop(index)
+        if edge.process.returncode is None:
+            os.kill(edge.process.pid, signal.SIGCONT)
+        self.record.add(Stood(at, f"edge-{index}", now_us()))
+
+    async def kill_edge(self, index: int) -> None:
         edge = self.edges[index]
         self.record.add(Killed(now_us(), f"edge-{index}"))
         self.record.flush()
         edge.process.kill()
         await edge.process.wait()
-        if trouble.detail["back_s"]:
-            await asyncio.sleep(trouble.detail["back_s"])
-            self.edges[index] = await self._edge(index)
+
+    async def start_edge(self, index: int) -> None:
+        self.edges[index] = await self._edge(index)
 
     # The end
 
--- a/tansykeel/rehearse/day.py
+++ b/tansykeel/rehearse/day.py
@@ -48,6 +48,8 @@
     list_call_ms: Least0 = 1.0
     silent_s: Least0 = 0.8  # until the list notices a store that is gone
     drain_grace_ms: Above = 500.0
+    way_ms: Least0 = 0.3  # one way within a zone, on the emulator; on sockets it is what the machine makes it
+    cross_ms: Least0 = 1.0  # one way between zones
 
 
 class Clients(Record):
