Order by key follows the taking of tasks, not the end of their bodies

Change: tasks of an ordered category start as they were taken; clients send one key over one connection.

--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
@@ -127,6 +128,7 @@
         self.addresses: dict[Store, str] = {}
         self.boots: dict[Store, int] = {}
         self.held: dict[tuple[Any, int], Held] = {}
+        self.coming: dict[int, deque[Held]] = {}  # by key, of ordered categories: not started, as they were taken
         self.memory = Memory(settings.gateway.body_memory, settings.gateway.connection_memory)
         self.counts = Counts()
         self.stopping = False
@@ -157,8 +159,10 @@
         if held.missing:  # guards against a body that never comes: the client is answered all the same
             self.runner.alarm(held.task.cut_off, partial(self._body_late, held))
             self.runner.settle()
-        else:
-            self._start(held)
+        if held.task.category.ordered and held.task.key:
+            self.coming.setdefault(held.task.key, deque()).append(held)
+        if not held.missing:
+            self._whole(held)
 
     def piece(self, now: int, client: Any, id: int, data: bytes) -> None:
         """Bytes of a task's body; those of a task that has its answer already are let go."""
@@ -169,7 +173,7 @@
         held.missing -= len(data)
         if not held.missing:
             self.runner.move(now)
-            self._start(held)
+            self._whole(held)
 
     def left(self, now: int, client: Any, id: int) -> None:
         """The client gave the task up, or its body."""
@@ -326,6 +330,21 @@
         task.handle = held
         return held, fault
 
+    def _whole(self, held: Held) -> None:
+        """All of a task is here. One of an ordered category waits for those of its key that were taken before it.
+
+        Guards against a small body that overtakes a large one: the module orders tasks as they are started.
+        """
+        line = self.coming.get(held.task.key) if held.task.category.ordered else None
+        if line is None:
+            return self._start(held)
+        while line and (line[0].answered or not line[0].missing):
+            first = line.popleft()
+            if not first.answered:
+                self._start(first)
+        if not line:
+            self.coming.pop(held.task.key, None)
+
     def _start(self, held: Held) -> None:
         held.started = True
         self.runner.start(held.task, self.brain.serve(held.task))
@@ -372,6 +391,8 @@
         """Forget a task that has its answer and nothing out."""
         if held.answered and not held.out and (held.client, held.id) in self.held:
             del self.held[held.client, held.id]
+            if not held.started and held.task.key in self.coming:
+                self._whole(held)  # whoever waited for its body goes on
             held.body.clear()
             if held.memory:
                 self.memory.free(held.client, held.memory)
--- a/tansykeel/rehearse/clients.py
+++ b/tansykeel/rehearse/clients.py
@@ -185,11 +185,12 @@
         return (self.number + 1) << 40 | self.made
 
     def _line(self, arrival: Arrival) -> Line | None:
-        """A connection to the first of the volume's edges that can be reached."""
+        """A connection to the first of the volume's edges that can be reached; one key always takes the same, so
+        that the order in which its tasks are sent is the order in which they are taken."""
         for edge in arrival.edges:
-            up = [line for line in self.lines[edge] if line.up]
-            if up:
-                return min(up, key=lambda line: len(line.open))
+            if any(line.up for line in self.lines[edge]):
+                line = self.lines[edge][arrival.key % len(self.lines[edge])]
+                return line if line.up else next(other for other in self.lines[edge] if other.up)
         return None
 
     async def _vanish(self, arrival: Arrival, like: Line, task: int, patience: float) -> None:
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -78,6 +78,29 @@
     play(go())
 
 
+@pytest.mark.parametrize("first_ends", ["whole", "cut"])
+def test_a_small_body_does_not_overtake_a_large_one_of_its_key(first_ends):
+    """Guards against order by whose body is whole: what counts is which task was taken first."""
+    async def go():
+        async with staged(FakeStore("s0", 0, deliver)) as stage:
+            client = await stage.client()
+            first = client.ask("log", 100_000, key=5, body=b"")
+            client.send_part(first, 60_000)
+            second, other = client.ask("log", 1000, key=5), client.ask("log", 1000, key=6)
+            assert (await client.answer(other)).result == DELIVERED
+            assert [h.task for h in stage.stores[0].handed] == [other]
+            if first_ends == "whole":
+                client.send_part(first, 40_000)
+            else:
+                client.link.send(first, Cut())
+            assert (await client.answer(second)).result == DELIVERED
+            order = [other, first, second] if first_ends == "whole" else [other, second]
+            assert [h.task for h in stage.stores[0].handed] == order
+            await until(lambda: not stage.edge.core.held)
+            assert not stage.edge.core.coming
+    play(go())
+
+
 @pytest.mark.parametrize("category, result, handed", [("write", DELIVERED, 2), ("post", BROKEN_OFF, 1)])
 def test_a_store_that_dies_between_body_and_outcome(category, result, handed):
     """A reset may have run: a harmless task is tried again, a one-shot one broken off at once."""
