The module's cost follows the tasks that are held, not the volumes ever seen

Change: a round walks lines with held tasks; debts and balances of the others are worked out when they are looked at (a property test holds that against walking them); queueing once for each state; volumes idle for 10 min are let go. Moved on purpose: a second round in the same tenth gives nothing anew, and a volume counts as active for a second from when its last held task left.

--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -8,8 +8,10 @@
 from __future__ import annotations
 
 import random
+from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Callable, Generator, Iterable
+from heapq import heappop, heappush
 
 from tansykeel.interface import (
     BreakOff, BudgetRule, Category, ColdRule, Desk, Facts, HandOff, How, Nack, Outcome, Repeat, Scope, Signal,
@@ -35,20 +37,36 @@
 FRESH = SECOND  # samples that tell of the present, if the queue that they saw is not longer
 LATEST = 4  # of these, the last few tell of the present queue
 DRAIN = 0.5  # time of waiting that a queue loses in a unit of time
+LAST = 32  # of a volume's last hand-offs and answers, where it is used is worked out
 SAMPLES = 24  # outcomes that a node's figures are worked out from
 STALE = 2 * SECOND  # samples of an overload count this long, and a node's rate for new nodes
 RANKING = 500  # the ranking for new objects is renewed every 50 ms
+FORGET = 600 * SECOND  # lines and nodes that nothing was sent for are let go after this
 PAUSE = 2_000  # rest of a node that cannot be reached, grows with every failure in a row
 
 
 class Line:
-    """One volume at one node: its tokens and its held tasks in order of arrival."""
+    """One volume at one node: its tokens and its held tasks in order of arrival. A round walks the lines that
+    hold tasks; what the others earn or owe is worked out when it is looked at: idle volumes cost nothing."""
 
-    def __init__(self, reserve: float) -> None:
+    def __init__(self, node: Node, number: int, volume: Volume) -> None:
+        self.node, self.number, self.volume = node, number, volume  # number: its place in the round
         self.held: deque[Task] = deque()
-        self.reserve = reserve  # read tokens a tenth, over all gateways and nodes
+        self.reserve = volume.plan.reserve / SECOND  # read tokens a tenth, over all gateways and nodes
         self.earns = self.balance = self.tokens = 0.0  # earns: this gateway's and node's part of the reserve
-        self.touched = 0
+        self.at, self.paid = node.accrued, 0.0  # up to when balance and tokens are worked out
+        self.full_at, self.clear_at = 0, 0.0  # when its balance is full; after which slices it owes nothing
+
+    def earn(self, earns: float) -> None:
+        if self.node.lines.get(self.volume) is self:
+            self.node.earn += earns - self.earns
+            if self in self.node.full:
+                self.node.full_earn += earns - self.earns
+            elif not self.held:
+                self.balance += self.earns * (self.node.accrued - self.at)
+                self.at, self.earns = self.node.accrued, earns
+                self.node.fill(self)
+        self.earns = earns
 
 
 def cost_of(task: Task) -> float:
@@ -92,17 +110,52 @@
             for at, wait in seen if now - at <= (STALE if wait > limit else FRESH)]
 
 
+class Waits:
+    """When each node was last heard of, and its queueing then."""
+
+    def __init__(self) -> None:
+        self.seen: dict[Store, tuple[int, float]] = {}  # the newest last
+        self.newest, self.changes, self.known = -STALE, 0, (-1, -1, 0.0)
+
+    def put(self, store: Store, now: int, wait: float) -> None:
+        self.seen.pop(store, None)
+        self.seen[store] = now, wait
+        self.newest, self.changes = now, self.changes + 1
+
+    def middle(self, now: int, limit: int) -> float:
+        """The lower middle of what was heard lately, so that one sick node does not speak for the others."""
+        if self.known[:2] != (now, self.changes):
+            seen = list[tuple[int, float]]()
+            for at, wait in reversed(self.seen.values()):
+                if at < now - STALE:
+                    break
+                seen.append((at, wait))
+            waits = sorted(left(seen, now, limit))
+            self.known = now, self.changes, waits[(len(waits) - 1) // 2] if len(waits) > 1 else 0.0
+        return self.known[2]
+
+
 class Node:
     """One store as this gateway's scheduler sees it."""
 
     def __init__(self, store: Store, desk: Desk, rate: float, least: float, usual: float, tightest: int,
-                 young: Young | None, waits: dict[Store, tuple[int, float]], gateways: int,
+                 young: Young | None, waits: Waits, gateways: int,
                  before: Node | None) -> None:  # before: the node that held the shard until now
         self.store, self.desk, self.young, self.waits = store, desk, young, waits
         self.rate, self.least, self.usual, self.tightest = rate, least, usual, tightest
         self.floor, self.before = LEAST_RATE * usual / tightest / max(gateways, 1), before
         self.lines: dict[Volume, Line] = {}
-        self.first, self.bucket = 0, 0.0  # first: where the next round of slices starts
+        self.holding: list[Line] = []  # lines with held tasks, in the order of the round
+        # Of the others: those whose balance is full (each has `has` for a token it earns), when more will be,
+        # those that held a task lately, those in debt, and the slices after which they owe nothing.
+        self.full: dict[Line, None] = {}
+        self.fills: list[tuple[int, int, Line]] = []
+        self.late: dict[Line, int] = {}
+        self.owing: dict[Line, None] = {}
+        self.debts: list[tuple[float, int, Line]] = []
+        self.notes = 0  # keep the order of fills and debts
+        self.earn = self.full_earn = self.has = self.paid = 0.0  # paid: all slices so far, of one line
+        self.count, self.first, self.bucket = 0, 0, 0.0  # first: where the next round of slices starts
         self.born = self.heard = self.accrued = self.reset_at = desk.now
         self.out, self.tokens_out = 0, 0.0
         self.sent: dict[Task, int] = {}  # hand-offs out, in order, with their times
@@ -110,31 +163,34 @@
         self.held, self.held_tokens = 0, 0.0
         self.lags: deque[tuple[int, int, float]] = deque(maxlen=SAMPLES)  # when, lag, units
         self.ends: deque[bool] = deque(maxlen=SAMPLES)  # whether each outcome was a good one
+        self.changes, self.seen, self.waited, self.unit = 0, (-1, -1, -1), 0.0, 0.0  # what is worked out once
         self.resting = self.fell = self.troubles = 0
         self.round_set = self.starved = False  # starved: tokens or bound held something back
 
-    def unit_time(self) -> float:
-        """Tenths that a unit takes here when nothing waits: the quickest quarter of the last outcomes."""
+    def sample(self, lag: int, units: float) -> None:
+        self.lags.append((self.desk.now, lag, units))
+        self.changes += 1
+        # Tenths that a unit takes here when nothing waits: the quickest quarter of the last outcomes.
         times = sorted(lag / units for _, lag, units in self.lags)
-        return times[len(times) // 4] if times else 0.0
+        self.unit = times[len(times) // 4]
 
-    def queueing(self, unit: float) -> float:
+    def queueing(self) -> float:
         """Time that the last hand-offs spent waiting. Old samples must not be taken for the present: a node
         judged too slow gets no tasks. Without fresh ones it counts as the middle of the others (design:
         average): where a gateway sees a node once in several seconds, a load on all shows only so."""
         now = self.desk.now
-        # Silence while work is out tells of a node that stands still before any time-out.
-        silence = now - max(self.heard, next(iter(self.sent.values()))) if self.sent else 0
-        seen = [(at, lag - units * unit) for at, lag, units in list(self.lags)[-LATEST:]]
-        if waits := left(seen, now, self.tightest):
-            wait = sum(waits) / len(waits)
-        else:  # the lower middle, so that one sick node does not speak for the others
-            waits = sorted(left(self.waits.values(), now, self.tightest))
-            wait = waits[(len(waits) - 1) // 2] if len(waits) > 1 else 0.0
-        return max(wait, silence - self.usual * unit)
+        if self.seen != (seen := (now, self.changes, self.waits.changes)):
+            self.seen = seen
+            # Silence while work is out tells of a node that stands still before any time-out.
+            silence = now - max(self.heard, next(iter(self.sent.values()))) if self.sent else 0
+            samples = [(at, lag - units * self.unit) for at, lag, units in list(self.lags)[-LATEST:]]
+            waits = left(samples, now, self.tightest)
+            wait = sum(waits) / len(waits) if waits else self.waits.middle(now, self.tightest)
+            self.waited = max(wait, silence - self.usual * self.unit)
+        return self.waited
 
     def lag(self, units: float) -> float:
-        return self.queueing(unit := self.unit_time()) + units * unit
+        return self.queueing() + units * self.unit
 
     def gap(self) -> float:
         """How far the lag of a usual task stays under its target, as a part of it."""
@@ -142,7 +198,7 @@
 
     def free(self) -> bool:
         """Whether a fresh sample, of this node or another, shows a lag under its target."""
-        return any(at >= self.desk.now - FRESH for at, _ in self.waits.values()) and self.gap() > 0
+        return self.waits.newest >= self.desk.now - FRESH and self.gap() > 0
 
     def bound(self) -> float:
         """Tokens that may be out. The least of one largest task does not hold while the node has too much:
@@ -169,7 +225,8 @@
         return self.young is None or self.young.room(self.store, self.desk.now, task.units, self.pace)
 
     def hold(self, line: Line, task: Task) -> None:
-        line.touched = self.desk.now
+        if not line.held:
+            self.rouse(line)
         (line.held.appendleft if task.hand_offs else line.held.append)(task)
         self.held, self.held_tokens = self.held + 1, self.held_tokens + cost_of(task)
         self.round()
@@ -178,12 +235,62 @@
         if task in line.held:
             line.held.remove(task)
             self.held, self.held_tokens = self.held - 1, self.held_tokens - cost_of(task)
+            if not line.held:
+                self.lull(line)
+
+    def rouse(self, line: Line) -> None:
+        """A line comes to hold a task: what it has now."""
+        insort(self.holding, line, key=lambda other: other.number)
+        if line in self.full:
+            del self.full[line]
+            self.full_earn -= line.earns
+            line.balance = self.has * line.earns
+        else:
+            line.balance += line.earns * (self.accrued - line.at)
+        if line in self.owing:
+            del self.owing[line]
+            line.tokens += self.paid - line.paid
+        self.late.pop(line, None)
+        line.full_at = 0
+
+    def lull(self, line: Line) -> None:
+        """A line holds nothing any more."""
+        self.holding.remove(line)
+        line.at, line.paid = self.accrued, self.paid
+        self.late[line] = self.desk.now
+        if line.tokens < 0:
+            self.owing[line], line.clear_at = None, self.paid - line.tokens
+            self.notes += 1
+            heappush(self.debts, (line.clear_at, self.notes, line))
+        else:
+            self.bucket, line.tokens = self.bucket + line.tokens, 0.0
+        self.fill(line)
+
+    def fill(self, line: Line) -> None:
+        """Note when the balance of a line that holds nothing will be full."""
+        missing = 3 * ROUND * line.earns - line.balance
+        if line.earns and missing > 0:
+            line.full_at = line.at + int(missing / line.earns) + 1
+            self.notes += 1
+            heappush(self.fills, (line.full_at, self.notes, line))
+        else:
+            self.settle(line)
+
+    def settle(self, line: Line) -> None:
+        """Its balance is full: it gives to the bucket as all such lines do. Those so for longest go: volumes
+        come and go, memory must not grow."""
+        self.bucket += line.balance - self.has * line.earns
+        self.full[line], line.at, line.full_at = None, self.accrued, 0
+        self.full_earn += line.earns
+        while (oldest := next(iter(self.full))).at < self.desk.now - FORGET and oldest not in self.owing:
+            del self.full[oldest], self.lines[oldest.volume]
+            self.earn, self.full_earn = self.earn - oldest.earns, self.full_earn - oldest.earns
 
     def round(self) -> None:
         """One scheduling round: reserved volumes first, then the others by equal slices and the bucket."""
         self.accrue()
         if self.held and self.usable():
-            for line in self.lines.values():
+            for line in list(self.holding):
                 while line.earns and line.held and line.balance > -min(DEFICIT, line.earns * RESET):
                     cost = cost_of(line.held[0])
                     if not self.fits(line.held[0], cost):
@@ -200,9 +307,8 @@
         self.round()
 
     def slices(self) -> None:
-        ring = list(self.lines.values())
-        for step in range(len(ring)):
-            line = ring[(self.first + step) % len(ring)]
+        start = bisect_left(self.holding, self.first, key=lambda line: line.number)
+        for line in self.holding[start:] + self.holding[:start]:
             while line.held:
                 cost = cost_of(line.held[0])
                 if (short := cost - line.tokens) > self.bucket:
@@ -212,12 +318,12 @@
                     if self.out or self.gap() < 1 - 1 / AIM_PART or (line.tokens < 0 and not self.free()):
                         break
                 if not self.fits(line.held[0], cost):
-                    self.first = (self.first + step) % len(ring)
+                    self.first = line.number
                     return
                 drawn = min(max(short, 0.0), max(self.bucket, 0.0))
                 self.bucket, line.tokens = self.bucket - drawn, line.tokens + drawn - cost
                 self.grant(line, cost)
-        self.first = (self.first + 1) % max(len(ring), 1)
+        self.first = (self.first + 1) % max(self.count, 1)
 
     def accrue(self) -> None:
         now = self.desk.now
@@ -225,28 +331,45 @@
         if self.starved and (gap := self.gap()) > 0:
             # By time and not by outcomes: where few tasks come by, a rate once low would stay low.
             rate = self.rate * (1 + gap * min(span, ROUND) / RISE)
-            # What MOST_OUT hand-offs can be at the lag seen: a store far quicker than the target does far more.
+            # What MOST_OUT hand-offs can be at the lag seen: a store far quicker than the target does more.
             lag = self.lag(self.usual) if self.lags else self.tightest * AIM_PART
             self.rate = min(rate, MOST_OUT * self.usual / max(lag, 1))
         self.starved = False
         if now >= self.reset_at:
             self.bucket, self.reset_at = 0.0, now + RESET
-        active, reserved = [], 0.0
-        for line in self.lines.values():
-            reserved += line.earns
+        if not span:
+            return
+        while self.fills and self.fills[0][0] <= now:
+            moment, _, line = heappop(self.fills)
+            if line.full_at == moment:
+                line.balance += line.earns * (now - line.at)
+                self.settle(line)
+        most = 3 * ROUND
+        surplus = max(self.has + span - most, 0.0) * DONATED
+        self.has, self.bucket = self.has + span - surplus, self.bucket + surplus * self.full_earn
+        while self.late and next(iter(self.late.values())) <= now - RESET:
+            del self.late[next(iter(self.late))]
+        late = len(self.late)
+        active = len(self.holding) + late + sum(line not in self.late for line in self.owing)
+        if not active:
+            return
+        part = max(self.rate - self.earn, self.rate * FLOOR) * span / active
+        self.paid += part
+        self.bucket += part * (active - len(self.holding) - len(self.owing))
+        while self.debts and self.debts[0][0] <= self.paid:
+            debt, _, line = heappop(self.debts)
+            if line in self.owing and line.clear_at == debt:
+                del self.owing[line]
+                self.bucket, line.tokens = self.bucket + self.paid - debt, 0.0
+        for line in self.holding:
+            line.tokens += part
             line.balance += line.earns * span
-            surplus = max(line.balance - 3 * ROUND * line.earns, 0.0) * DONATED
+            surplus = max(line.balance - most * line.earns, 0.0) * DONATED
             line.balance, self.bucket = line.balance - surplus, self.bucket + surplus
-            if line.held or line.tokens < 0 or now - line.touched < RESET:
-                active.append(line)
-        free = max(self.rate - reserved, self.rate * FLOOR) * span
-        for line in active:
-            line.tokens += free / len(active)
-            if not line.held and line.tokens > 0:
-                self.bucket, line.tokens = self.bucket + line.tokens, 0.0
 
     def grant(self, line: Line, cost: float) -> None:
         task = line.held.popleft()
+        self.changes += 1
         self.held, self.held_tokens = self.held - 1, self.held_tokens - cost
         self.out, self.tokens_out = self.out + 1, self.tokens_out + cost
         self.sent[task] = self.desk.now
@@ -254,12 +377,20 @@
         if self.young:
             self.young.sent.append((self.desk.now, task.units))
             self.young.credit -= task.units
+        if not line.held:
+            self.lull(line)
         self.desk.wake(task, Signal.TURN)
 
     def release(self, cost: float) -> None:
         self.out, self.tokens_out = self.out - 1, self.tokens_out - cost
         self.round()
 
+    def recall(self, task: Task) -> None:
+        """A granted task does not go after all."""
+        del self.sent[task]
+        self.changes += 1
+        self.release(cost_of(task))
+
     def fall(self, part: float, rest: int) -> None:
         """Lower the rate, at most once in the time that a step needs to show, and from a few times its use:
         a gateway that sends little must feel it too, for all of them together are the node's load."""
@@ -272,6 +403,7 @@
         """Take an outcome in: the node's load, its lag, its rate and its health."""
         now, cost = self.desk.now, cost_of(task)
         del self.sent[task]
+        self.changes += 1
         if outcome.how is How.TIMED_OUT:
             # Guards against work that goes on at the store after its client left: it stays on the books.
             self.desk.alarm(now + self.tightest, lambda: self.release(cost))
@@ -280,8 +412,8 @@
         if outcome.how not in (How.MOOT, How.CANCELLED):
             self.ends.append(outcome.how is How.DELIVERED)
         if outcome.how in (How.DELIVERED, How.TIMED_OUT):
-            self.lags.append((now, outcome.lag, task.units))
-            self.waits[self.store] = (now, self.queueing(self.unit_time()))
+            self.sample(outcome.lag, task.units)
+            self.waits.put(self.store, now, self.queueing())
             self.troubles = 0
             if (gap := self.gap()) < 0:
                 self.fall(min(FALL * -gap, DEEPEST), min(outcome.lag, self.tightest) // 2)
@@ -327,14 +459,29 @@
 
     def __init__(self, hosts: float, limit: float, depth: float, now: int) -> None:
         self.hosts, self.limit, self.depth, self.units, self.at = hosts, limit, depth, 0.0, now
-        self.sent: deque[tuple[Line, float]] = deque(maxlen=32)  # the last hand-offs: where, how much
-        self.told: deque[tuple[float, float]] = deque(maxlen=32)  # of the last answers: units here, elsewhere
+        self.sent: deque[tuple[Line, float]] = deque()  # the last hand-offs: where, how much
+        self.by_line: dict[Line, float] = {}  # their units
+        self.told: deque[tuple[float, float]] = deque()  # of the last answers: units here, elsewhere
+        self.here = self.there = self.total = 0.0  # sums of those
+
+    def tell(self, here: float, there: float) -> None:
+        self.told.append((here, there))
+        was = self.told.popleft() if len(self.told) > LAST else (0.0, 0.0)
+        self.here, self.there = self.here + here - was[0], self.there + there - was[1]
+
+    def send(self, line: Line, units: float) -> None:
+        self.sent.append((line, units))
+        self.by_line[line], self.total = self.by_line.get(line, 0.0) + units, self.total + units
+        if len(self.sent) > LAST:
+            line, units = self.sent.popleft()
+            self.by_line[line], self.total = self.by_line[line] - units, self.total - units
+            if self.by_line[line] <= 0:
+                del self.by_line[line]
 
     def part(self, usual: float) -> float:
         """This gateway's part of the volume's use, as answers tell it; the even part weighs in as a usual
         task. An even split starves the busy gateway, and idle ones keep the supply; the lead moves."""
-        here = sum(units for units, _ in self.told)
-        return (here + usual / self.hosts) / (here + sum(units for _, units in self.told) + usual)
+        return (self.here + usual / self.hosts) / (self.here + self.there + usual)
 
     def wait_for(self, task: Task, now: int) -> int:
         """Tenths until the limit has the units of a first hand-off, 0 if it has them or there is none."""
@@ -353,7 +500,7 @@
         self.tightest = min(category.soft_limit for category in facts.categories)
         self.least, self.usual = max(facts.sizes.largest, 1.0), max(facts.sizes.usual, 1.0)
         self.nodes, self.by_shard = dict[Store, Node](), dict[int, Node]()
-        self.waits: dict[Store, tuple[int, float]] = {}  # when each node was last heard of, its queueing then
+        self.waits = Waits()
         self.ranked, self.rank_due = list[Node](), 0
         self.keys = dict[int, KeyLine]()
         self.extras = Extras(facts.budget) if facts.budget else None
@@ -452,15 +599,16 @@
                     break
                 legal = self.may_hand_off(task) and self.in_group(task, node.store)
                 if not legal or state.wait_for(task, self.desk.now):
-                    del node.sent[task]  # not legal any more, or the limit has too little left at the turn:
-                    node.release(cost_of(task))  # charged before, a held line could leave in one burst
+                    # Not legal any more, or the limit has too little left at the turn: charged before, a held
+                    # line could leave in one burst.
+                    node.recall(task)
                     continue
                 self.spend(task, line, state)
                 sent, outcome = self.desk.now, (yield HandOff(node.store))
                 assert isinstance(outcome, Outcome)
                 node.learn(task, outcome)
                 if outcome.how is How.DELIVERED and self.facts.tells_elsewhere:
-                    state.told.append((task.units, outcome.elsewhere))
+                    state.tell(task.units, outcome.elsewhere)
                 if not outcome.never_ran:
                     task.may_have_run.append((node.store, sent))
                     if outcome.how in (How.TIMED_OUT, How.RESET, How.CANCELLED) and task.key in self.keys:
@@ -484,8 +632,9 @@
 
     def line_of(self, node: Node, volume: Volume) -> Line:
         if volume not in node.lines:
-            line = node.lines[volume] = Line(volume.plan.reserve / SECOND)
-            line.earns = line.reserve / self.state_of(volume).hosts / max(len(self.by_shard), 1)
+            line = node.lines[volume] = Line(node, node.count, volume)
+            node.count += 1
+            line.earn(line.reserve / self.state_of(volume).hosts / max(len(self.by_shard), 1))
         return node.lines[volume]
 
     def state_of(self, volume: Volume) -> VolumeState:
@@ -501,10 +650,10 @@
         elif self.extras:
             self.extras.extras.append(self.desk.now)
         task.hand_offs += 1
-        state.sent.append((line, task.units))
-        total = sum(units for _, units in state.sent) / state.part(self.usual)
-        for other in {id(sent): sent for sent, _ in state.sent}.values():
-            other.earns = other.reserve * sum(units for sent, units in state.sent if sent is other) / total
+        state.send(line, task.units)
+        total = state.total / state.part(self.usual)
+        for other, units in state.by_line.items():
+            other.earn(other.reserve * units / total)
 
     # Guards of the rules
 
--- a/tests/brain/test_brain.py
+++ b/tests/brain/test_brain.py
@@ -6,6 +6,8 @@
 
 import pytest
 from helpers import HARMLESS, PLAN, facts, outcome, scheduler, store, task
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from tansykeel.brain import Extras, Scheduler, VolumeState, Young, left
 from tansykeel.interface import (
@@ -28,6 +30,11 @@
 STAMPED = replace(HARMLESS, repeat=Repeat.STAMPED, scope=Scope.SHARD, window=5_000)
 
 
+def heard(node, *lags):
+    for lag in lags:
+        node.sample(lag, 2.0)
+
+
 def turn(run, desk, brain):
     """Start a task and give it its turn; returns what it then wants."""
     assert isinstance(next(run), Wait)
@@ -194,7 +201,8 @@
 def test_a_reserve_is_split_by_the_use_that_answers_tell_of(hosts, told, part):
     brain, _ = scheduler([])
     state = brain.state_of(Volume("v", PLAN, hosts))
-    state.told.extend(told)
+    for here, there in told:
+        state.tell(here, there)
     assert state.part(2.0) == pytest.approx(part)
 
 
@@ -210,8 +218,8 @@
     brain, desk = scheduler([store(shard) for shard in range(4)])
     unheard = brain.by_shard[3]
     for shard, wait in enumerate([0, 4_000, 90_000]):
-        brain.waits[brain.by_shard[shard].store] = (desk.now, wait)
-        assert unheard.queueing(unheard.unit_time()) == [0, 0, 4_000][shard]
+        brain.waits.put(brain.by_shard[shard].store, desk.now, wait)
+        assert unheard.queueing() == [0, 0, 4_000][shard]
 
 
 @pytest.mark.parametrize("used, rate", [(0.0, "floor"), (10.0, 1e-3 * 4 * 0.5), (1e6, 0.5)])
@@ -289,7 +297,7 @@
     at = store()
     brain, desk = scheduler([at])
     node = brain.nodes[at]
-    node.lags.extend((desk.now, lag, 2.0) for lag in [100] * 8 + [9_000] * 8)
+    heard(node, *[100] * 8, *[9_000] * 8)
     assert node.gap() < 0
     desk.now += 20_001
     assert node.gap() > 0
@@ -299,25 +307,26 @@
     at = store()
     brain, desk = scheduler([at])
     node = brain.nodes[at]
-    node.sent[task(desk)] = desk.now
+    sent = task(desk)
+    node.sent[sent] = desk.now
     desk.now += 5_000
-    assert node.queueing(node.unit_time()) == 5_000 and node.gap() < 0
-    node.heard = desk.now
-    assert node.queueing(node.unit_time()) == 0
+    assert node.queueing() == 5_000 and node.gap() < 0
+    node.learn(sent, outcome(How.ERROR))
+    assert node.queueing() == 0
 
 
-@pytest.mark.parametrize("out, debt, heard, turns", [
+@pytest.mark.parametrize("out, debt, lag, turns", [
     (0, 0.0, None, 1), (1, 0.0, None, 0), (0, -9.0, None, 0), (0, -9.0, 0, 1), (0, -9.0, 9_000, 0),
     (0, 0.0, 3_000, 0),
 ])
-def test_an_idle_node_lends_and_to_a_line_in_debt_only_on_a_fresh_sample(out, debt, heard, turns):
+def test_an_idle_node_lends_and_to_a_line_in_debt_only_on_a_fresh_sample(out, debt, lag, turns):
     brain, desk = scheduler([store()])
     node, asking = next(iter(brain.nodes.values())), task(desk)
     node.out, node.rate = out, node.floor
     brain.line_of(node, asking.volume).tokens = debt
-    if heard is not None:
-        node.lags.extend([(desk.now, 100, 2.0)] * 8 + [(desk.now, 100 + heard, 2.0)] * 4)
-        brain.waits[node.store] = (desk.now, node.queueing(node.unit_time()))
+    if lag is not None:
+        heard(node, *[100] * 8, *[100 + lag] * 4)
+        brain.waits.put(node.store, desk.now, node.queueing())
     node.hold(node.lines[asking.volume], asking)
     assert len(desk.woken) == turns
 
@@ -382,10 +391,10 @@
 def test_a_task_late_already_goes_only_where_nothing_waits(wait, want):
     brain, desk = scheduler([store()])
     next(brain.serve(task(desk)))
-    brain.waits[next(iter(brain.nodes))] = (desk.now, wait)
+    brain.waits.put(next(iter(brain.nodes)), desk.now, wait)
     late, node = task(desk), next(iter(brain.nodes.values()))
     late.cut_off = desk.now + 5_000
-    node.lags.extend([(desk.now, 100, 2.0)] * 8 + [(desk.now, 100 + wait, 2.0)] * 4)
+    heard(node, *[100] * 8, *[100 + wait] * 4)
     assert isinstance(next(brain.serve(late)), want)
 
 
@@ -426,11 +435,86 @@
     brain, desk = scheduler([at])
     node = brain.nodes[at]
     quick = int(brain.tightest * 0.3 / 10)
-    for _ in range(24):
-        node.lags.append((desk.now, quick, brain.usual))
+    heard(node, *[quick] * 24)
     for _ in range(2_000):
         desk.now += 100
-        node.lags.append((desk.now, quick, brain.usual))
+        heard(node, quick)
         node.starved = True
         node.accrue()
     assert node.rate == pytest.approx(24 * brain.usual / quick, rel=0.01)
+
+
+class Walked:
+    """A node's supply with every line walked at every step: what the module works out without walking."""
+
+    def __init__(self, rate, earns):
+        self.rate, self.earns = rate, earns
+        self.balance, self.tokens, self.late, self.holds = [0.0] * len(earns), [0.0] * len(earns), {}, set()
+        self.bucket = 0.0
+
+    def step(self, now, span):
+        for n, earns in enumerate(self.earns):
+            self.balance[n] += earns * span
+            if n in self.holds:
+                surplus = max(self.balance[n] - 300 * earns, 0.0) * 0.9
+                self.balance[n] -= surplus
+                self.bucket += surplus
+        self.late = {n: at for n, at in self.late.items() if at > now - 10_000}
+        active = [n for n in range(len(self.earns)) if n in self.holds or n in self.late or self.tokens[n] < 0]
+        free = max(self.rate - sum(self.earns), self.rate * 0.1) * span
+        for n in active:
+            self.tokens[n] += free / len(active)
+            if n not in self.holds and self.tokens[n] > 0:
+                self.tokens[n] = 0.0
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(st.tuples(st.integers(0, 4), st.integers(1, 4_000), st.floats(0, 30)), min_size=1, max_size=40))
+def test_what_idle_lines_have_and_owe_is_what_walking_them_would_give(steps):
+    """Guards the working out of idle lines at need: debts, balances under their full one, who counts as active."""
+    brain, desk = scheduler([store()])
+    node = next(iter(brain.nodes.values()))
+    volumes = [Volume(f"v{n}", replace(PLAN, reserve=5.0 * n), 1.0) for n in range(5)]
+    lines = [brain.line_of(node, volume) for volume in volumes]
+    node.rate, node.resting = 0.01, 1 << 60  # nothing is granted by itself
+    walked = Walked(0.01, [line.earns for line in lines])
+    for which, span, cost in steps:
+        desk.now += span
+        node.accrue()
+        walked.step(desk.now, span)
+        held, line = task(desk, volume=volumes[which]), lines[which]
+        node.hold(line, held)
+        walked.holds.add(which)
+        assert line.tokens == pytest.approx(walked.tokens[which], abs=1e-6)
+        if line.earns and walked.balance[which] < 299 * line.earns:
+            assert line.balance == pytest.approx(walked.balance[which], abs=1e-6)
+        desk.now += span
+        node.accrue()
+        walked.step(desk.now, span)
+        line.tokens -= cost
+        line.balance = walked.balance[which] = min(line.balance, walked.balance[which]) - cost
+        walked.tokens[which] -= cost
+        node.drop(line, held)
+        walked.holds.discard(which)
+        walked.tokens[which] = min(walked.tokens[which], 0.0)
+        walked.late[which] = desk.now
+        assert node.earn == pytest.approx(sum(walked.earns))
+
+
+def test_volumes_long_gone_are_let_go_and_come_back_as_new():
+    brain, desk = scheduler([store()])
+    node = next(iter(brain.nodes.values()))
+    gone, here = Volume("gone", replace(PLAN, reserve=2.0), 1.0), Volume("here", replace(PLAN, reserve=2.0), 1.0)
+    line = brain.line_of(node, gone)
+    assert node.earn == line.earns > 0
+    for _ in range(8):
+        desk.now += 1_000_000
+        held = task(desk, volume=here)
+        node.hold(brain.line_of(node, here), held)
+        node.drop(brain.line_of(node, here), held)
+        desk.now += 10_000
+        node.accrue()
+    assert list(node.lines) == [here] and node.earn == pytest.approx(line.earns)
+    line.earn(1.0)  # a volume's old line is still told of: it counts no more
+    assert node.earn == pytest.approx(node.lines[here].earns)
+    assert brain.line_of(node, gone) is not line
