The audit knows a client process that stood still itself

Change: a client notes its own stalls; an answer heard during one is not called late. What the gateway itself does late still breaks rule 1.

--- a/tansykeel/audit/join.py
+++ b/tansykeel/audit/join.py
@@ -15,6 +15,7 @@
     Gave,
     Got,
     Killed,
+    Lagged,
     Listed,
     Ran,
     Sent,
@@ -83,6 +84,7 @@
         self.listed: dict[str, list[Listed]] = defaultdict(list)
         self.stood: dict[str, list[Stood]] = defaultdict(list)
         self.killed: dict[str, list[int]] = defaultdict(list)
+        self.lagged: dict[str, list[Lagged]] = defaultdict(list)
         self.troubles: list[Trouble] = []
 
     def stood_at(self, edge: str, at: int, slack: int) -> Stood | None:
@@ -90,6 +92,11 @@
         return next((s for s in self.stood.get(edge, []) if s.at <= at <= s.until + slack), None)
 
 
+    def client_stood(self, client: str, start: int, end: int) -> bool:
+        """Whether a client process itself stood still over a span, but for 20 ms."""
+        return any(lag.at <= start + 20_000 and lag.until >= end - 20_000 for lag in self.lagged.get(client, []))
+
+
 def join(records: list[AnyRecord]) -> Passed:
     """Records of all processes in any order."""
     passed = Passed()
@@ -106,6 +113,8 @@
                 passed.listed[record.edge].append(record)
             case Stood():
                 passed.stood[record.edge].append(record)
+            case Lagged():
+                passed.lagged[record.client].append(record)
             case Killed():
                 passed.killed[record.edge].append(record.at)
             case Trouble():
--- a/tansykeel/audit/records.py
+++ b/tansykeel/audit/records.py
@@ -61,6 +61,13 @@
     why: str
 
 
+class Lagged(Record):
+    """A client process stood still itself until then: what it writes down as heard may have come before."""
+
+    client: str
+    until: int
+
+
 class Up(Record):
     store: str
     boot: int
@@ -147,7 +154,8 @@
     edge: str
 
 
-AnyRecord = (Sent | Got | Gave | Up | Arrived | Began | Ran | Told | Ended | Fell | Listed | Trouble | Stood | Killed)
+AnyRecord = (Sent | Got | Gave | Lagged | Up | Arrived | Began | Ran | Told | Ended | Fell | Listed | Trouble | Stood
+             | Killed)
 
 
 class Recorder:
--- a/tansykeel/audit/rules.py
+++ b/tansykeel/audit/rules.py
@@ -52,7 +52,8 @@
         if any(got.wrong for got in seen.got):
             yield Break(rule, f"{edge} delivered bytes that nobody wrote", task)
         due = sent.at + sent.patience + grace
-        late = seen.got and seen.got[0].at > due + SLACK / 5
+        limit = due + SLACK // 5
+        late = seen.got and seen.got[0].at > limit and not passed.client_stood(sent.client, limit, seen.got[0].at)
         if not seen.got or late:
             why = seen.gave.why if seen.gave else "nothing"
             if why == "vanished" or passed.stood_at(edge, due, SLACK):
--- a/tansykeel/rehearse/clients.py
+++ b/tansykeel/rehearse/clients.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from tansykeel.audit.records import Gave, Got, Recorder, Sent, now_us
+from tansykeel.audit.records import Gave, Got, Lagged, Recorder, Sent, now_us
 from tansykeel.protocol.codec import Codec, Event, Piece
 from tansykeel.protocol.frames import Answer, Cancel, Hello, TaskOf
 from tansykeel.rehearse.day import Day
@@ -26,6 +26,8 @@
 
 RECONNECT = 0.2  # seconds between tries to reach an edge
 CONNECT_WITHIN = 0.5
+LOOK = 0.01  # seconds between looks at itself
+LAGS = 30_000  # microseconds by which a look comes late when the process stood still
 RETRIES = 10**6  # stream of draws for the clients' own chance
 
 
@@ -113,7 +115,7 @@
         loop = asyncio.get_running_loop()
         self.hub.start()
         keepers = [loop.create_task(line.stay_connected()) for lines in self.lines for line in lines]
-        flushing = loop.create_task(self._flush())
+        flushing, watching = loop.create_task(self._flush()), loop.create_task(self._watch_itself())
         start = loop.time() + (start_us - now_us()) / 1e6
         for arrival in self.arrivals:
             if (wait := start + arrival.at - loop.time()) > 0.0005:
@@ -125,7 +127,7 @@
         for lines in self.lines:
             for line in lines:
                 line.keep = False
-        for task in [*keepers, flushing]:
+        for task in [*keepers, flushing, watching]:
             task.cancel()
         await self.hub.stop()
         self.record.close()
@@ -135,6 +137,14 @@
             await asyncio.sleep(0.5)
             self.record.flush()
 
+    async def _watch_itself(self) -> None:
+        """Guards against a client that is starved and takes its own lateness for the gateway's."""
+        while True:
+            before = now_us()
+            await asyncio.sleep(LOOK)
+            if now_us() - before > LOOK * 1e6 + LAGS:
+                self.record.add(Lagged(before, self.hello.name, now_us()))
+
     # A piece of work
 
     def first_try(self, arrival: Arrival, now: float) -> None:
