--- a/tansykeel/baselines.py
+++ b/tansykeel/baselines.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections import deque
+from collections.abc import Generator
+
 from tansykeel.interface import (
     BreakOff,
     Desk,
@@ -12,9 +15,12 @@
     Outcome,
     Repeat,
     Scope,
+    Signal,
     State,
     Store,
     Task,
+    Volume,
+    Wait,
     Want,
 )
 from tansykeel.runner import Run
@@ -27,7 +33,7 @@
     def __init__(self, facts: Facts, seed: int, desk: Desk) -> None:
         self.facts, self.desk = facts, desk
         self.by_shard: dict[int, Store] = {}
-        self.turn = seed
+        self.next_new = seed
         self.asks = 0
         if facts.listing.must_ask:
             desk.watch()
@@ -43,8 +49,8 @@
         if task.shard is not None:
             return self.by_shard.get(task.shard)
         shards = sorted(self.by_shard)
-        self.turn += 1
-        return self.by_shard[shards[self.turn % len(shards)]] if shards else None
+        self.next_new += 1
+        return self.by_shard[shards[self.next_new % len(shards)]] if shards else None
 
     def serve(self, task: Task) -> Run:
         while task.hand_offs < self.facts.allowed.hand_offs and self.desk.now < task.cut_off:
@@ -64,3 +70,123 @@
         repeat, scope = task.category.repeat, task.category.scope
         sure = repeat is Repeat.HARMLESS or repeat is Repeat.STAMPED and scope is Scope.ALL
         return BreakOff() if task.may_have_run and not sure else Nack(0)
+
+
+class Window(SendAtOnce):
+    """First in first out: WINDOW hand-offs out at a store, all others wait in one line for it, whoever they are."""
+
+    WINDOW = 8
+
+    def __init__(self, facts: Facts, seed: int, desk: Desk) -> None:
+        super().__init__(facts, seed, desk)
+        self.out: dict[Store, int] = {}
+        self.lines: dict[Store, deque[Task]] = {}
+
+    def room(self, store: Store, task: Task) -> Generator[Want, Signal | Outcome | None, bool]:
+        """Wait until the store has room; False when the task's time is up."""
+        line = self.lines.setdefault(store, deque())
+        if self.out.get(store, 0) < self.WINDOW and not line:
+            return True
+        line.append(task)
+        signal = yield Wait(task.cut_off)
+        if task in line:
+            line.remove(task)
+        return signal is Signal.TURN
+
+    def pass_on(self, store: Store) -> None:
+        """Whoever is next at the store has its turn."""
+        if line := self.lines.get(store):
+            self.desk.wake(line.popleft(), Signal.TURN)
+
+    def serve(self, task: Task) -> Run:
+        while task.hand_offs < self.facts.allowed.hand_offs and self.desk.now < task.cut_off:
+            store = self.store_for(task)
+            if store is None or task.may_have_run and task.category.repeat is not Repeat.HARMLESS:
+                break
+            if not (yield from self.room(store, task)):
+                break
+            if store.state is not State.READY:
+                self.pass_on(store)
+                continue
+            self.out[store] = self.out.get(store, 0) + 1
+            task.hand_offs += 1
+            sent, outcome = self.desk.now, (yield HandOff(store))
+            assert isinstance(outcome, Outcome)
+            self.out[store] -= 1
+            self.pass_on(store)
+            if outcome.over or outcome.how is How.DELIVERED:
+                return
+            if not outcome.never_ran:
+                task.may_have_run.append((store, sent))
+        yield self.final(task)
+
+
+class Buckets(SendAtOnce):
+    """A token bucket for each volume, filled at its plan's rate over its gateways; a task waits for its units."""
+
+    SECOND = 10_000
+
+    def __init__(self, facts: Facts, seed: int, desk: Desk) -> None:
+        super().__init__(facts, seed, desk)
+        self.level: dict[Volume, tuple[float, int]] = {}
+
+    def serve(self, task: Task) -> Run:
+        rate = task.volume.plan.rate / self.SECOND / max(task.volume.gateways, 1)
+        depth = rate * self.SECOND + self.facts.sizes.largest
+        level, at = self.level.get(task.volume, (depth, self.desk.now))
+        level = min(level + rate * (self.desk.now - at), depth) - task.units
+        self.level[task.volume] = level, self.desk.now
+        if level < 0:
+            ready = self.desk.now + int(-level / rate) + 1
+            if ready >= task.cut_off:
+                self.level[task.volume] = level + task.units, self.desk.now
+                yield self.final(task)
+                return
+            yield Wait(ready)
+        yield from super().serve(task)
+
+
+class RoundRobin(Window):
+    """Deficit round robin over volumes for each store, WINDOW hand-offs out: equal shares, no reserves, no rates."""
+
+    QUANTUM = 4.0  # units that a volume gains in a round
+
+    def __init__(self, facts: Facts, seed: int, desk: Desk) -> None:
+        super().__init__(facts, seed, desk)
+        self.rings: dict[Store, dict[Volume, deque[Task]]] = {}
+        self.deficits: dict[tuple[Store, Volume], float] = {}
+
+    def room(self, store: Store, task: Task) -> Generator[Want, Signal | Outcome | None, bool]:
+        ring = self.rings.setdefault(store, {})
+        if self.out.get(store, 0) < self.WINDOW and not ring:
+            return True
+        ring.setdefault(task.volume, deque()).append(task)
+        signal = yield Wait(task.cut_off)
+        if signal is not Signal.TURN and task in ring.get(task.volume, ()):
+            self._take(store, task.volume, task)
+        return signal is Signal.TURN
+
+    def _take(self, store: Store, volume: Volume, task: Task) -> None:
+        ring = self.rings[store]
+        ring[volume].remove(task)
+        if not ring[volume]:
+            del ring[volume]
+            self.deficits.pop((store, volume), None)
+
+    def pass_on(self, store: Store) -> None:
+        ring = self.rings.get(store)
+        while ring:
+            volume = next(iter(ring))
+            first, key = ring[volume][0], (store, volume)
+            if self.deficits.get(key, 0.0) >= first.units:
+                self.deficits[key] -= first.units
+                self._take(store, volume, first)
+                self.desk.wake(first, Signal.TURN)
+                return
+            self.deficits[key] = self.deficits.get(key, 0.0) + self.QUANTUM
+            ring[volume] = ring.pop(volume)  # to the end of the ring
+
+
+BASELINES: dict[str, type[SendAtOnce]] = {
+    "at-once": SendAtOnce, "window": Window, "buckets": Buckets, "round-robin": RoundRobin,
+}
--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -178,6 +178,8 @@
     json_file: Annotated[Path | None, typer.Option("--json", help="write the verdict to this file")] = None,
     folder: Annotated[Path | None, typer.Option(help="keep records and logs here")] = None,
     set_: Annotated[list[str] | None, typer.Option("--set", help="NAME=VALUE for a param of the script")] = None,
+    stage: Annotated[str, typer.Option(help="sockets, or emulator: simulated time")] = "sockets",
+    digest: Annotated[bool, typer.Option(help="emulator: print a digest of all that passed as the last line")] = False,
     at_once: Annotated[bool, typer.Option(help="the baseline: send every task at once")] = False,
     list_: Annotated[bool, typer.Option("--list", help="name the rehearsals there are")] = False,
     quiet: Annotated[bool, typer.Option(help="no progress, no table")] = False,
@@ -191,16 +193,34 @@
         for line in listed_days():
             typer.echo(line)
         raise typer.Exit(0 if list_ else BAD_INPUT)
+    if stage not in ("sockets", "emulator"):
+        fail(f"--stage: {stage!r}; legal: sockets or emulator")
+    if digest and stage != "emulator":
+        fail("--digest: sockets have none, time is real there; legal: with --stage emulator")
     try:
         day = day_of(name, seconds, given_params(set_ or []))
     except ScriptError as error:
         fail(error)
-    program = AT_ONCE if at_once else EDGE
-    verdict = played(lambda progress: play(day, seed, folder, progress, program), day.seconds, quiet)
+    passed = ""
+    if stage == "emulator":
+        from tansykeel.baselines import SendAtOnce
+        from tansykeel.brain import Scheduler
+        from tansykeel.emulator.world import World
+
+        world = World(day, seed, SendAtOnce if at_once else Scheduler)
+        verdict = world.run()
+        passed = world.digest() if digest else ""
+        if folder:
+            world.leave(folder)
+    else:
+        program = AT_ONCE if at_once else EDGE
+        verdict = played(lambda progress: play(day, seed, folder, progress, program), day.seconds, quiet)
     if json_file:
         json_file.write_text(verdict.to_json() + "\n")
     if not quiet:
         table(verdict)
+    if passed:
+        typer.echo(passed)
     if not verdict.kept or verdict.service < verdict.least_service and not at_once:
         raise typer.Exit(BROKEN)
 
@@ -245,7 +265,7 @@
 def demo() -> None:
     """A small fleet, some load and one trouble: about 20 seconds, then a table."""
     begun = time.monotonic()
-    rehearse("demo", None, 1, None, None, None, False, False, False)
+    rehearse("demo", None, 1, None, None, None, "sockets", False, False, False, False)
     typer.echo(f"{time.monotonic() - begun:.0f} s. Next: tansykeel rehearse --list", err=True)
 
 
--- a/tansykeel/cli/show.py
+++ b/tansykeel/cli/show.py
@@ -17,7 +17,7 @@
 
 def listed_days() -> Iterator[str]:
     for folder in folders():
-        for script in sorted(folder.glob("*.star")):
+        for script in sorted(folder.glob("[!_]*.star")):
             try:
                 yield f"{script.stem:24} {load_day(script).says}"
             except ScriptError as error:
--- /dev/null
+++ b/tansykeel/emulator/experiments.py
@@ -0,0 +1,180 @@
+"""Experiments: days over a grid of parameters and seeds, over all cores, kept in one duckdb file.
+
+Beside each day's figures stand its script, parameters, seed, the digest of whoever decided, and the day's own digest:
+the same key played again must give the same digest, or the file says so.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import time
+from collections.abc import Callable, Iterable, Sequence
+from concurrent.futures import FIRST_COMPLETED, ProcessPoolExecutor, wait
+from multiprocessing import get_context
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import duckdb
+import msgspec
+
+from tansykeel.emulator.compare import Interval, grid, interval
+from tansykeel.emulator.versions import decide_of
+from tansykeel.emulator.world import World
+from tansykeel.rehearse.play import day_of
+
+TABLE = """
+create table if not exists days (
+    key varchar primary key, script varchar, script_text varchar, params varchar, seed bigint, seconds double,
+    version varchar, version_digest varchar, digest varchar, service double, worst_10s double, kept boolean,
+    tasks bigint, delivered bigint, nacked bigint, broken_off bigint, cold_most double, p50 double, p99 double,
+    edges bigint, stores bigint, wall_s double, verdict varchar)
+"""
+AHEAD = 2  # days handed to the pool for each core before the first of them ends
+
+
+class Differs(Exception):
+    """A day that was played before came out otherwise."""
+
+
+class Job(NamedTuple):
+    script: str
+    params: dict[str, Any]
+    seed: int
+    version: str
+    seconds: float | None = None
+
+
+class Played(NamedTuple):
+    job: Job
+    text: str
+    version_digest: str
+    digest: str
+    verdict: dict[str, Any]
+    edges: int
+    stores: int
+    wall_s: float
+
+
+def text_of(script: str) -> str:
+    """The script with the scripts beside it that it may load: what a day's outcome hangs on."""
+    path = Path(script)
+    if not path.is_file():
+        from tansykeel.rehearse.play import folders
+        path = next(folder / f"{script}.star" for folder in folders() if (folder / f"{script}.star").is_file())
+    parts = [path.read_text()] + [other.read_text() for other in sorted(path.parent.glob("_*.star"))]
+    return "\n".join(parts)
+
+
+def key_of(job: Job, text: str, version_digest: str) -> str:
+    told = json.dumps([text, job.params, job.seed, job.seconds, version_digest], sort_keys=True)
+    return hashlib.sha256(told.encode()).hexdigest()
+
+
+def play(job: Job) -> Played:
+    """One day, in a process of its own. Raises ScriptError, UnknownVersion."""
+    begun = time.monotonic()
+    decide, version_digest = decide_of(job.version)
+    day = day_of(job.script, job.seconds, job.params)
+    world = World(day, job.seed, decide)
+    verdict = world.run()
+    return Played(job, text_of(job.script), version_digest, world.digest(), msgspec.to_builtins(verdict),
+                  day.fleet.edges, day.fleet.stores, time.monotonic() - begun)
+
+
+class Project:
+    """One duckdb file. Days already in it are not played again."""
+
+    def __init__(self, path: Path) -> None:
+        self.base = duckdb.connect(str(path))
+        self.base.execute(TABLE)
+
+    def close(self) -> None:
+        self.base.close()
+
+    def has(self, key: str) -> bool:
+        return bool(self.base.execute("select 1 from days where key = ?", [key]).fetchone())
+
+    def put(self, played: Played) -> None:
+        """Keep a day. Raises Differs if it is there already with another outcome."""
+        job, verdict = played.job, played.verdict
+        key = key_of(job, played.text, played.version_digest)
+        known = self.base.execute("select digest from days where key = ?", [key]).fetchone()
+        if known is not None:
+            if known[0] != played.digest:
+                raise Differs(f"{job.script}, seed {job.seed}, {job.params}: digest {played.digest[:12]}, was "
+                              f"{known[0][:12]}")
+            return
+        answers = verdict["answers"]
+        self.base.execute(
+            "insert into days values (?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?)",
+            [key, job.script, played.text, json.dumps(job.params, sort_keys=True), job.seed, verdict["seconds"],
+             job.version, played.version_digest, played.digest, verdict["service"], verdict["worst_10s"],
+             not any(verdict["rules"].values()), verdict["tasks"], answers["delivered"], answers["nacked"],
+             answers["broken_off"], verdict["cold_most"], verdict["lag_ms"].get("p50"), verdict["lag_ms"].get("p99"),
+             played.edges, played.stores, played.wall_s, json.dumps(verdict)])
+
+    def rows(self, script: str | None = None, version: str | None = None) -> list[dict[str, Any]]:
+        """Days in a stated order, whatever the order they were played in."""
+        asked = self.base.execute(
+            "select * from days where (? is null or script = ?) and (? is null or version = ?) "
+            "order by script, version, params, seed, key", [script, script, version, version])
+        names = [column[0] for column in asked.description or []]
+        return [dict(zip(names, row, strict=True)) for row in asked.fetchall()]
+
+    def compare(self, first: str, second: str, figure: str = "service") -> dict[str, Interval]:
+        """By script and parameters, and over `all`: second less first, paired by seed.
+
+        Raises ValueError where the two have no day in common.
+        """
+        days: dict[str, dict[tuple[str, str, int], float]] = {}
+        for version in (first, second):
+            days[version] = {(r["script"], r["params"], r["seed"]): r[figure] for r in self.rows(version=version)}
+        pairs = sorted(set(days[first]) & set(days[second]))
+        if not pairs:
+            raise ValueError(f"{first} and {second} have no day in common; legal: both swept with the same script, "
+                             "parameters and seeds")
+        groups: dict[str, list[tuple[str, str, int]]] = {"all": pairs}
+        for pair in pairs:
+            groups.setdefault(f"{pair[0]} {pair[1]}", []).append(pair)
+        return {name: interval([days[first][p] for p in group], [days[second][p] for p in group])
+                for name, group in groups.items()}
+
+
+def jobs_of(script: str, axes: dict[str, Sequence[Any]], seeds: Iterable[int], versions: Sequence[str],
+            seconds: float | None) -> list[Job]:
+    return [Job(script, params, seed, version, seconds)
+            for params in grid(axes) for seed in seeds for version in versions]
+
+
+def sweep(project: Project, jobs: list[Job], cores: int, done: Callable[[Played | None], None]) -> int:
+    """Play what the project does not have yet; `done` after each (None: it was there). Returns how many were played.
+
+    Cut off at any moment, all that was done is kept, and the same sweep goes on from there.
+    """
+    texts = {job.script: text_of(job.script) for job in jobs}
+    digests = {job.version: decide_of(job.version)[1] for job in jobs}
+    todo: list[Job] = []
+    for job in jobs:
+        if project.has(key_of(job, texts[job.script], digests[job.version])):
+            done(None)
+        else:
+            todo.append(job)
+    if not todo:
+        return 0
+    with ProcessPoolExecutor(cores, mp_context=get_context("spawn")) as pool:
+        running = {pool.submit(play, job) for job in todo[:cores * AHEAD]}
+        rest = iter(todo[cores * AHEAD:])
+        try:
+            while running:
+                ended, running = wait(running, return_when=FIRST_COMPLETED)
+                for future in ended:
+                    played = future.result()
+                    project.put(played)
+                    done(played)
+                    if (following := next(rest, None)) is not None:
+                        running.add(pool.submit(play, following))
+        except BaseException:
+            pool.shutdown(wait=False, cancel_futures=True)
+            raise
+    return len(todo)
--- /dev/null
+++ b/tansykeel/emulator/gateway.py
@@ -0,0 +1,280 @@
+"""A gateway in simulated time: the edge's real core behind simulated connections, stalls and restarts."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from tansykeel.audit.records import Listed
+from tansykeel.edge.core import Attempt, Core, Held
+from tansykeel.interface import How
+from tansykeel.protocol.frames import Answer, Hello, ListOf, Row, TaskOf
+from tansykeel.standin.behaviour import Work
+
+if TYPE_CHECKING:
+    from tansykeel.emulator.stores import SimStore
+    from tansykeel.emulator.world import World
+
+TENTH = 100  # microseconds
+LATE = 20  # tenths by which a reminder shows that the process stood still
+
+
+class Line:
+    """One direction of a connection: what is sent first arrives first."""
+
+    __slots__ = ("last",)
+
+    def __init__(self) -> None:
+        self.last = 0
+
+    def arrival(self, moment: int) -> int:
+        self.last = max(self.last + 1, moment)
+        return self.last
+
+
+class Conn:
+    """A gateway's connection to a store. `life` and `boot` tell whose it was."""
+
+    def __init__(self, gateway: Gateway, store: SimStore) -> None:
+        self.gateway, self.store, self.life = gateway, store, gateway.life
+        self.up = self.lost = self.dropped = False  # lost: the gateway knows; dropped: at the store's end
+        self.waiting: deque[Attempt] = deque()
+        self.works: dict[Attempt, Work] = {}
+        self.there, self.back = Line(), Line()
+
+
+class Gateway:
+    def __init__(self, world: World, index: int) -> None:
+        self.world, self.index, self.name = world, index, f"edge-{index}"
+        self.engine = world.engine
+        self.life = 0
+        self.alive = self.stalled = False
+        self.start()
+
+    def start(self) -> None:
+        """Start, or start again with nothing known but the settings and the list."""
+        self.life += 1
+        self.alive, self.stalled = True, False
+        self.conns: dict[SimStore, Conn] = {}
+        self.backlog: list[tuple[Callable[..., Any], tuple[Any, ...]]] = []
+        self.reminder, self.ticket = 0, 0
+        self.from_list = Line()
+        self.asked = False
+        world = self.world
+        self.core = Core(world.settings, world.facts[self.index], world.seed * 1000 + self.index, self, self.clock(),
+                         world.decide)
+        if self.asked or world.day.fleet.list_mode == "push":
+            self.ask_list()
+
+    def clock(self) -> int:
+        return self.engine.now // TENTH
+
+    def kill(self) -> None:
+        """All it held is gone; stores and clients see their connections end."""
+        self.alive = False
+        self.life += 1
+        for conn in self.conns.values():
+            conn.lost = True
+            self.engine.after(self.world.way(self, conn.store), conn.store.dropped, conn)
+        self.world.clients.edge_lost(self)
+
+    # What comes in
+
+    def tell(self, life: int, call: Callable[..., Any], *arguments: Any) -> None:
+        """Something arrives. A process that stands still finds it later; one that was killed never."""
+        if life != self.life:
+            return
+        if self.stalled:
+            self.backlog.append((call, arguments))
+        else:
+            call(*arguments)
+
+    def stall(self) -> None:
+        self.stalled = True
+
+    def go_on(self) -> None:
+        """All that came meanwhile is read before held tasks are acted on, as the program does."""
+        self.stalled = False
+        backlog, self.backlog = self.backlog, []
+        for call, arguments in backlog:
+            call(*arguments)
+
+    def task(self, client: str, id: int, request: TaskOf, body: bool) -> None:
+        self.core.taken(self.clock(), client, id, request)
+        if body and request.body:
+            self.core.piece(self.clock(), client, id, self.world.blank(request.body))
+
+    def cancelled(self, client: str, id: int) -> None:
+        self.core.left(self.clock(), client, id)
+
+    def client_gone(self, client: str) -> None:
+        self.core.client_gone(self.clock(), client)
+
+    def listed(self, update: ListOf) -> None:
+        self.core.listed(self.clock(), update)
+
+    def list_lost(self) -> None:
+        self.core.list_lost(self.clock())
+
+    # Wire: what the core wants done
+
+    def answer(self, held: Held, answer: Answer, body: list[bytes], sent: Callable[[], None]) -> None:
+        sent()
+        self.world.clients.answer_on_its_way(self, held.id, answer)
+
+    def remind(self, at: int) -> None:
+        if self.reminder and at >= self.reminder:
+            return
+        self.reminder = at
+        self.ticket += 1
+        self.engine.at(at * TENTH, self._tick, self.life, self.ticket)
+
+    def _tick(self, life: int, ticket: int) -> None:
+        if life == self.life and ticket == self.ticket:
+            if self.stalled:
+                self.backlog.append((self._late, (ticket,)))
+                return
+            self.reminder = 0
+            self.core.tick(self.clock())
+
+    def _late(self, ticket: int) -> None:
+        """A reminder that fell into a stall: carried out after all that came in was read."""
+        self.engine.after(1_000, self._tick, self.life, ticket)
+
+    def ask_list(self) -> None:
+        self.asked = True
+        self.engine.after(self.world.list_way(), self.world.list.ask, self, self.life)
+
+    def note(self, event: str, **fields: Any) -> None:
+        self.world.notes.append(f"{self.name} {event} {fields}")
+
+    def hand_off(self, attempt: Attempt, left: int) -> None:
+        store = self.world.by_address[self.core.addresses[attempt.store]]
+        conn = self.conns.get(store)
+        if conn is None or conn.lost:
+            conn = self.conns[store] = Conn(self, store)
+            conn.waiting.append(attempt)
+            way = self.world.way(self, store)
+            self.engine.after(2 * way, store.reached, conn, way)
+            timeout = int(self.world.settings.gateway.connect_timeout_ms * 1000)
+            self.engine.after(timeout, self.tell, self.life, self._connect_over, conn)
+        elif not conn.up:
+            conn.waiting.append(attempt)
+        else:
+            self._send(conn, attempt)
+
+    def cancel(self, attempt: Attempt) -> None:
+        conn = attempt.seat
+        if conn is None:
+            for other in self.conns.values():
+                if attempt in other.waiting:
+                    other.waiting.remove(attempt)
+                    self.engine.after(0, self.tell, self.life, self._outcome, attempt, How.CANCELLED)
+        elif not conn.lost and attempt in conn.works:
+            way = self.world.way(self, conn.store)
+            self.engine.at(conn.there.arrival(self.engine.now + way), conn.store.cancel, conn, attempt)
+
+    def _send(self, conn: Conn, attempt: Attempt) -> None:
+        attempt.seat = conn
+        request = self.core.hand_off_of(attempt, self.clock())
+        work = conn.works[attempt] = Work((conn, attempt), self.name, request)
+        way = self.world.way(self, conn.store) + self.world.wire_time(request.body)
+        self.engine.at(conn.there.arrival(self.engine.now + way), conn.store.arrive, conn, work)
+
+    # What stores say
+
+    def hello(self, conn: Conn, hello: Hello) -> None:
+        if conn.lost:
+            return
+        conn.up = True
+        unsent, conn.waiting = list(conn.waiting), deque()
+        store = next(s for s, a in self.core.addresses.items() if a == conn.store.address)
+        anew = self.core.met(self.clock(), store, hello.boot, hello.age)
+        for attempt in unsent:
+            if anew:  # granted without knowing of the start: as the program does, it is decided anew
+                self._outcome(attempt, How.MOOT)
+            elif not attempt.over:
+                self._send(conn, attempt)
+
+    def not_reached(self, conn: Conn) -> None:
+        if not conn.up and not conn.lost:
+            conn.lost = True
+            while conn.waiting:
+                self._outcome(conn.waiting.popleft(), How.NO_CONNECTION)
+
+    _connect_over = not_reached
+
+    def reset(self, conn: Conn) -> None:
+        """The store's end is gone: whatever was out may have run."""
+        if conn.lost:
+            return
+        if not conn.up:
+            return self.not_reached(conn)
+        conn.lost = True
+        for attempt in list(conn.works):
+            self._outcome(attempt, How.RESET)
+        conn.works.clear()
+
+    def told(self, conn: Conn, attempt: Attempt, how: How, shard: int, report: tuple[float, ...],
+             elsewhere: int) -> None:
+        if not conn.lost:
+            conn.works.pop(attempt, None)
+            self.core.outcome(self.clock(), attempt, how, shard=shard, report=report, elsewhere=elsewhere)
+
+    def _outcome(self, attempt: Attempt, how: How) -> None:
+        self.core.outcome(self.clock(), attempt, how)
+
+
+class SimList:
+    """The list's service: the stand-in's book, told over simulated connections."""
+
+    def __init__(self, world: World) -> None:
+        from tansykeel.standin.book import Book
+
+        self.world, self.engine = world, world.engine
+        self.book = Book(world.day.fleet.list_late_s, world.day.fleet.list_call_ms / 1000)
+        self.watchers: dict[Gateway, int] = {}
+
+    def now(self) -> float:
+        return self.engine.now / 1e6
+
+    def ask(self, gateway: Gateway, life: int) -> None:
+        now, way = self.now(), self.world.list_way()
+        ready = self.book.asked(now) if now >= self.book.gone_until else None
+        if ready is None:
+            self.engine.after(way, gateway.tell, life, gateway.list_lost)
+        else:
+            self.engine.at(int(ready * 1e6), self._answer, gateway, life)
+
+    def _answer(self, gateway: Gateway, life: int) -> None:
+        if gateway.life == life and self.now() >= self.book.gone_until:
+            self.watchers[gateway] = life
+            self._send(gateway, True, self.book.all_rows(self.now()))
+
+    def change(self, rows: list[dict[str, Any]]) -> None:
+        now = self.now()
+        self.engine.at(int(self.book.heard(now) * 1e6), self._change, rows, now)
+
+    def _change(self, rows: list[dict[str, Any]], of: float) -> None:
+        told = self.book.change(rows, of, self.now())
+        for gateway in list(self.watchers):
+            self._send(gateway, False, told)
+
+    def _send(self, gateway: Gateway, full: bool, rows: tuple[Row, ...]) -> None:
+        life = self.watchers[gateway]
+        if life != gateway.life:
+            del self.watchers[gateway]
+            return
+        seen = tuple((row.name, row.state, row.boot) for row in rows)
+        self.world.record(Listed(self.engine.now, gateway.name, full, seen))
+        update = ListOf(full, self.book.version, rows)
+        moment = gateway.from_list.arrival(self.engine.now + self.world.list_way())
+        self.engine.at(moment, gateway.tell, life, gateway.listed, update)
+
+    def trouble(self, verb: str, for_s: float, detail: dict[str, Any]) -> None:
+        self.book.trouble(verb, self.now(), for_s, detail)
+        if verb == "list_gone":
+            for gateway, life in self.watchers.items():
+                self.engine.after(self.world.list_way(), gateway.tell, life, gateway.list_lost)
+            self.watchers.clear()
--- a/tansykeel/rehearse/play.py
+++ b/tansykeel/rehearse/play.py
@@ -28,7 +28,7 @@
     if path.suffix != ".star":
         found = [folder / f"{name}.star" for folder in folders() if (folder / f"{name}.star").is_file()]
         if not found:
-            there = sorted({script.stem for folder in folders() for script in folder.glob("*.star")})
+            there = sorted({script.stem for folder in folders() for script in folder.glob("[!_]*.star")})
             raise ScriptError(f"rehearsal {name!r}: there is none; legal: a .star file, or {', '.join(there)}")
         path = found[0]
     if seconds is not None and seconds <= 0:
