--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -15,8 +15,11 @@
 
 import typer
 
+from tansykeel.cli.emulate import app as emulate
+
 app = typer.Typer(add_completion=True, no_args_is_help=True, pretty_exceptions_enable=False,
                   help="A storage gateway that keeps volumes to their reservations, shares and limits.")
+app.add_typer(emulate, name="emulate")
 BROKEN, BAD_INPUT, NOT_PLAYED = 1, 2, 3
 SettingsFile = Annotated[Path, typer.Argument(help="a settings script", metavar="SETTINGS")]
 
--- a/tansykeel/emulator/experiments.py
+++ b/tansykeel/emulator/experiments.py
@@ -9,7 +9,7 @@
 import hashlib
 import json
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from concurrent.futures import FIRST_COMPLETED, ProcessPoolExecutor, wait
 from multiprocessing import get_context
 from pathlib import Path
@@ -21,7 +21,7 @@
 from tansykeel.emulator.compare import Interval, grid, interval
 from tansykeel.emulator.versions import decide_of
 from tansykeel.emulator.world import World
-from tansykeel.rehearse.play import day_of
+from tansykeel.rehearse.play import day_of, path_of
 
 TABLE = """
 create table if not exists days (
@@ -58,10 +58,7 @@
 
 def text_of(script: str) -> str:
     """The script with the scripts beside it that it may load: what a day's outcome hangs on."""
-    path = Path(script)
-    if not path.is_file():
-        from tansykeel.rehearse.play import folders
-        path = next(folder / f"{script}.star" for folder in folders() if (folder / f"{script}.star").is_file())
+    path = path_of(script)
     parts = [path.read_text()] + [other.read_text() for other in sorted(path.parent.glob("_*.star"))]
     return "\n".join(parts)
 
@@ -141,7 +138,7 @@
                 for name, group in groups.items()}
 
 
-def jobs_of(script: str, axes: dict[str, Sequence[Any]], seeds: Iterable[int], versions: Sequence[str],
+def jobs_of(script: str, axes: Mapping[str, Sequence[Any]], seeds: Iterable[int], versions: Sequence[str],
             seconds: float | None) -> list[Job]:
     return [Job(script, params, seed, version, seconds)
             for params in grid(axes) for seed in seeds for version in versions]
--- a/tansykeel/rehearse/play.py
+++ b/tansykeel/rehearse/play.py
@@ -22,8 +22,8 @@
     return [place for place in dict.fromkeys(place.resolve() for place in places) if place.is_dir()]
 
 
-def day_of(name: str, seconds: float | None, given: dict[str, Any]) -> Day:
-    """The day of a script's file, or of a rehearsal by its name. Raises ScriptError."""
+def path_of(name: str) -> Path:
+    """A script's file, or that of a rehearsal by its name. Raises ScriptError."""
     path = Path(name)
     if path.suffix != ".star":
         found = [folder / f"{name}.star" for folder in folders() if (folder / f"{name}.star").is_file()]
@@ -31,6 +31,12 @@
             there = sorted({script.stem for folder in folders() for script in folder.glob("[!_]*.star")})
             raise ScriptError(f"rehearsal {name!r}: there is none; legal: a .star file, or {', '.join(there)}")
         path = found[0]
+    return path
+
+
+def day_of(name: str, seconds: float | None, given: dict[str, Any]) -> Day:
+    """The day of a script's file, or of a rehearsal by its name. Raises ScriptError."""
+    path = path_of(name)
     if seconds is not None and seconds <= 0:
         raise ScriptError(f"--seconds {seconds:g}: legal: above 0")
     day = load_day(path, given)
