--- a/examples/rehearsals/badday.star
+++ b/examples/rehearsals/badday.star
@@ -2,7 +2,7 @@
 day("badday", seconds = 40,
     says = "no rule broken through drains, deaths, a cold floor, stalls, a killed edge, a late list; service over 0.5",
     least_service = 0.4)
-gateway("edge", stall_allowance_ms = 1200, unit_bytes = 4096)
+gateway("edge", stall_allowance_ms = 1700, unit_bytes = 4096)
 fleet(edges = 3, stores = 8, zones = 2, cores = 2, unit_ms = 10, cold_s = 4, cold_share = 0.2, fall_multiple = 3.0,
       fall_s = 1.0, pause_every_s = 4, pause_ms = 60, defer = 0.3, seek = 0.5, list_late_s = 0.3)
 clients(retries = 1, honour = 0.7, connections = 2)
@@ -26,7 +26,7 @@
 fast_errors(at = 5, for_s = 5, stores = [1], share = 0.6)
 drain(at = 6, stores = [2], die_after_s = 2)
 replace(at = 10, stores = [2], after_s = 0.5)
-stall(at = 8, for_s = 8, edges = [0], stall_ms = 1000, every_s = 2.5)
+stall(at = 8, for_s = 8, edges = [0], stall_ms = 1500, every_s = 2.5)
 list_late(at = 12, for_s = 10, late_s = 2.5)
 mass_restart(at = 14, stores = [4, 5, 6, 7], down_s = 1.0, within_s = 0.2)
 give_up(at = 18, for_s = 4, patience = 0.25)
