--- a/tansykeel/audit/join.py
+++ b/tansykeel/audit/join.py
@@ -42,7 +42,6 @@
     volume: str
     key: int
     units: float
-    ran: int | None = None
     effect: bool = False
     told: int | None = None
     how: str = ""
@@ -91,7 +90,6 @@
         """The stop of an edge's process that covers a moment, if one does; `slack` microseconds after it count too."""
         return next((s for s in self.stood.get(edge, []) if s.at <= at <= s.until + slack), None)
 
-
     def client_stood(self, client: str, start: int, end: int) -> bool:
         """Whether a client process itself stood still over a span, but for 20 ms."""
         return any(lag.at <= start + 20_000 and lag.until >= end - 20_000 for lag in self.lagged.get(client, []))
@@ -100,7 +98,7 @@
 def join(records: list[AnyRecord]) -> Passed:
     """Records of all processes in any order."""
     passed = Passed()
-    records.sort(key=lambda record: record.at)
+    records = sorted(records, key=lambda record: record.at)  # a copy: a day's digest is of its own order
     for record in records:
         match record:
             case Sent():
@@ -141,7 +139,7 @@
                     passed.invented.append(record)
             case Ran():
                 if here := open_at.get((record.store, record.task, record.number)):
-                    here.ran, here.effect = record.at, record.effect
+                    here.effect = record.effect
             case Ended():
                 if here := open_at.get((record.store, record.task, record.number)):
                     here.ended = record.at
--- a/tansykeel/audit/service.py
+++ b/tansykeel/audit/service.py
@@ -123,7 +123,7 @@
         for volume, works in here.items():
             plan, span = law.plan_of[volume], second - last.get(volume, second - 1)
             last[volume] = second
-            total = sum(w.first.sent.units for w in works)
+            total = asked_units = sum(w.first.sent.units for w in works)
             if plan.limit:
                 held = min(limit_left.get(volume, plan.limit_depth) + plan.limit * span, plan.limit_depth)
                 total = min(total, held)
@@ -135,7 +135,7 @@
             beyond = total - full[volume]
             for work in works:
                 shard = work.first.sent.shard if work.first.sent.shard >= 0 else work.first.sent.key % len(shards)
-                part = beyond * work.first.sent.units / sum(w.first.sent.units for w in works)
+                part = beyond * work.first.sent.units / asked_units
                 wants[shard][volume] = wants[shard].get(volume, 0.0) + part
         share: dict[str, float] = defaultdict(float)
         for shard, asking in wants.items():
--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -38,7 +38,6 @@
     body: list[bytes] = field(default_factory=list)
     out: list[Attempt] = field(default_factory=list)
     started: bool = False
-    left: bool = False
     answered: bool = False
 
 
@@ -59,7 +58,7 @@
     """What the core needs of the sockets. None of these may call back into the core before it returns."""
 
     def answer(self, held: Held, answer: Answer, body: list[bytes], sent: Callable[[], None]) -> None: ...
-    def hand_off(self, attempt: Attempt, left: int) -> None: ...
+    def hand_off(self, attempt: Attempt) -> None: ...
     def cancel(self, attempt: Attempt) -> None: ...
     def remind(self, at: int) -> None: ...
     def ask_list(self) -> None: ...
@@ -181,7 +180,7 @@
         if held is None or held.answered:
             return
         self.runner.move(now)
-        held.left = held.answered = True
+        held.answered = True
         self.counts.left += 1
         if held.started and not self.runner.left(held.task) and self.facts.allowed.cancel:
             for attempt in held.out:
@@ -277,7 +276,7 @@
         held.out.append(attempt)
         self.counts.hand_offs += 1
         self.runner.alarm(until, partial(self._timed_out, attempt))
-        self.wire.hand_off(attempt, max(until - now, 0) * MICROS)
+        self.wire.hand_off(attempt)
 
     def hand_off_of(self, attempt: Attempt, now: int) -> HandOffOf:
         """What a store is told of a hand-off that leaves now."""
--- a/tansykeel/edge/program.py
+++ b/tansykeel/edge/program.py
@@ -110,7 +110,7 @@
                           result=answer.result, reason=answer.reason or None, hand_offs=held.task.hand_offs,
                           lag_ms=(self.core.runner.now - held.task.arrived) / 10, one_in=self.sample)
 
-    def hand_off(self, attempt: Attempt, left: int) -> None:
+    def hand_off(self, attempt: Attempt) -> None:
         if self.trace:
             self.trace.handed_off(attempt)
         self.stores.hand_off(attempt)
--- a/tansykeel/emulator/clients.py
+++ b/tansykeel/emulator/clients.py
@@ -8,13 +8,12 @@
 from tansykeel.emulator.gateway import Gateway, Line
 from tansykeel.protocol.frames import Answer, TaskOf
 from tansykeel.rehearse.habits import DELIVERED, LOST, Habits
-from tansykeel.rehearse.load import Arrival, stream
+from tansykeel.rehearse.load import RETRIES, Arrival, stream
 from tansykeel.settings.records import CategoryOf
 
 if TYPE_CHECKING:
     from tansykeel.emulator.world import World
 
-RETRIES = 10**6  # stream of the clients' own chance
 VANISH_AFTER = 20_000  # microseconds from a vanishing client's task to its end
 
 
--- a/tansykeel/emulator/gateway.py
+++ b/tansykeel/emulator/gateway.py
@@ -8,16 +8,16 @@
 
 from tansykeel.audit.records import Listed
 from tansykeel.edge.core import Attempt, Core, Held
-from tansykeel.interface import How
+from tansykeel.interface import How, Store
 from tansykeel.protocol.frames import Answer, Hello, ListOf, Row, TaskOf
 from tansykeel.standin.behaviour import Work
+from tansykeel.standin.book import Book
 
 if TYPE_CHECKING:
     from tansykeel.emulator.stores import SimStore
     from tansykeel.emulator.world import World
 
 TENTH = 100  # microseconds
-LATE = 20  # tenths by which a reminder shows that the process stood still
 
 
 class Line:
@@ -34,10 +34,10 @@
 
 
 class Conn:
-    """A gateway's connection to a store. `life` and `boot` tell whose it was."""
+    """A gateway's connection to a store, which the module knows as `known`; `life` tells whose it was."""
 
-    def __init__(self, gateway: Gateway, store: SimStore) -> None:
-        self.gateway, self.store, self.life = gateway, store, gateway.life
+    def __init__(self, gateway: Gateway, store: SimStore, known: Store) -> None:
+        self.gateway, self.store, self.known, self.life = gateway, store, known, gateway.life
         self.up = self.lost = self.dropped = False  # lost: the gateway knows; dropped: at the store's end
         self.waiting: deque[Attempt] = deque()
         self.works: dict[Attempt, Work] = {}
@@ -149,11 +149,11 @@
     def note(self, event: str, **fields: Any) -> None:
         self.world.notes.append(f"{self.name} {event} {fields}")
 
-    def hand_off(self, attempt: Attempt, left: int) -> None:
+    def hand_off(self, attempt: Attempt) -> None:
         store = self.world.by_address[self.core.addresses[attempt.store]]
         conn = self.conns.get(store)
         if conn is None or conn.lost:
-            conn = self.conns[store] = Conn(self, store)
+            conn = self.conns[store] = Conn(self, store, attempt.store)
             conn.waiting.append(attempt)
             way = self.world.way(self, store)
             self.engine.after(2 * way, store.reached, conn, way)
@@ -189,8 +189,7 @@
             return
         conn.up = True
         unsent, conn.waiting = list(conn.waiting), deque()
-        store = next(s for s, a in self.core.addresses.items() if a == conn.store.address)
-        anew = self.core.met(self.clock(), store, hello.boot, hello.age)
+        anew = self.core.met(self.clock(), conn.known, hello.boot, hello.age)
         for attempt in unsent:
             if anew:  # granted without knowing of the start: as the program does, it is decided anew
                 self._outcome(attempt, How.MOOT)
@@ -230,8 +229,6 @@
     """The list's service: the stand-in's book, told over simulated connections."""
 
     def __init__(self, world: World) -> None:
-        from tansykeel.standin.book import Book
-
         self.world, self.engine = world, world.engine
         self.book = Book(world.day.fleet.list_late_s, world.day.fleet.list_call_ms / 1000)
         self.watchers: dict[Gateway, int] = {}
--- a/tansykeel/emulator/plots.py
+++ b/tansykeel/emulator/plots.py
@@ -23,7 +23,7 @@
 
 def draw_day(world: World, out: Path) -> list[Path]:
     """All pictures of a day that was played; the files written."""
-    passed = join(list(world.records))
+    passed = join(world.records)
     made: list[Path] = []
     for name, draw in (("service", service), ("lags", lags), ("cold", cold), ("shares", shares)):
         figure, axes = plt.subplots(figsize=(9, 4.5))
--- a/tansykeel/emulator/stores.py
+++ b/tansykeel/emulator/stores.py
@@ -21,7 +21,7 @@
 class SimStore:
     def __init__(self, world: World, name: str, index: int, cold: bool) -> None:
         self.world, self.engine, self.name, self.index = world, world.engine, name, index
-        self.zone = world.zone(index)
+        self.zone = world.day.fleet.zone_of(index)
         self.address = f"{name}:1"
         self.alive, self.listening = True, True
         self.refuse_until = self.silent_until = 0
@@ -30,11 +30,9 @@
         draw = world.stream_of_store(index)
         self.behaviour = Behaviour(name, index, self.zone, world.day.fleet.shape, draw.random, draw.standard_normal,
                                    world.marks, lambda: self.engine.now, world.record, self._tell)
-        self.boots = 0
         self.boot(cold)
 
     def boot(self, cold: bool) -> None:
-        self.boots += 1
         self.listening = True
         self.behaviour.boot(self.world.new_boot(), cold)
         self.started = self.engine.now if cold else 0
--- a/tansykeel/emulator/world.py
+++ b/tansykeel/emulator/world.py
@@ -22,12 +22,12 @@
 from tansykeel.emulator.stores import SimStore
 from tansykeel.interface import Facts
 from tansykeel.rehearse.day import LOAD, VERBS, Day, Trouble, settings_of
-from tansykeel.rehearse.load import arrivals_of, stream
+from tansykeel.rehearse.load import CHANCE, arrivals_of, stream
 from tansykeel.rehearse.troubles import Steps, steps_of
 from tansykeel.settings.build import facts_of
 from tansykeel.standin.behaviour import KeptMarks
 
-STORES, NETWORK, CHANCE = 3 * 10**6, 4 * 10**6, 2 * 10**6  # streams beside those of volumes and clients
+STORES, NETWORK = 3 * 10**6, 4 * 10**6  # streams beside those of `rehearse.load`
 AFTER = 2.0  # seconds past the longest cut-off in which a day must have come to its end
 MOST_EVENTS = 400  # of the engine for each task, and MOST_BASE more: a day that needs more does not end
 MOST_BASE = 50_000_000
@@ -144,9 +144,6 @@
         self.boots += 1
         return self.boots
 
-    def zone(self, index: int) -> int:
-        return index * self.day.fleet.zones // self.day.fleet.stores
-
     # Stage: what troubles can do
 
     def _cause(self, trouble: Trouble) -> None:
--- a/tansykeel/rehearse/clients.py
+++ b/tansykeel/rehearse/clients.py
@@ -18,7 +18,7 @@
 from tansykeel.protocol.frames import Answer, Cancel, Hello, TaskOf
 from tansykeel.rehearse.day import Day
 from tansykeel.rehearse.habits import DELIVERED, LOST, Habits
-from tansykeel.rehearse.load import Arrival, arrivals_of, stream
+from tansykeel.rehearse.load import RETRIES, Arrival, arrivals_of, stream
 from tansykeel.settings.records import CategoryOf
 from tansykeel.standin import content
 from tansykeel.transport.leash import leash
@@ -28,7 +28,6 @@
 CONNECT_WITHIN = 0.5
 LOOK = 0.01  # seconds between looks at itself
 LAGS = 30_000  # microseconds by which a look comes late when the process stood still
-RETRIES = 10**6  # stream of draws for the clients' own chance
 
 
 @dataclass(eq=False, slots=True)
--- a/tansykeel/rehearse/conductor.py
+++ b/tansykeel/rehearse/conductor.py
@@ -20,7 +20,7 @@
 from tansykeel.audit.records import Killed, Recorder, Stood, now_us
 from tansykeel.audit.records import Trouble as TroubleRecord
 from tansykeel.rehearse.day import LOAD, VERBS, Day, Trouble, settings_of
-from tansykeel.rehearse.load import stream
+from tansykeel.rehearse.load import CHANCE, stream
 from tansykeel.rehearse.troubles import Steps, steps_of
 from tansykeel.settings.build import text_of
 
@@ -29,7 +29,6 @@
 LEAD = 1.0  # seconds between all being ready and the first task
 PROGRAM = (sys.executable, "-m", "tansykeel")
 EDGE = (*PROGRAM, "edge")
-CHANCE = 2 * 10**6  # stream of the conductor's own draws
 
 
 class RehearsalError(Exception):
@@ -142,13 +141,14 @@
         raise RehearsalError(f"{child.name} {why}: {log}")
 
     async def _store(self, name: str, index: int, cold: bool) -> StoreChild:
+        zone = self.day.fleet.zone_of(index)
         child = await self._spawn(
-            name, *PROGRAM, "store", "--name", name, "--shard", index, "--zone", self._zone(index), "--data",
+            name, *PROGRAM, "store", "--name", name, "--shard", index, "--zone", zone, "--data",
             self.folder / "data", "--record", self._rec(name), "--seed", self.seed, "--shape",
             self.folder / "shape.json", *(["--cold"] if cold else []))
         up = await self._ready(child)
         now = asyncio.get_running_loop().time()
-        return StoreChild(child, name, index, self._zone(index), up["address"], up["boot"], now if cold else 0.0)
+        return StoreChild(child, name, index, zone, up["address"], up["boot"], now if cold else 0.0)
 
     async def _edge(self, index: int) -> Child:
         script = self.folder / f"edge-{index}.star"
@@ -174,9 +174,6 @@
     def _rec(self, name: str) -> str:
         return str(self.folder / "records" / f"{name}.rec")
 
-    def _zone(self, index: int) -> int:
-        return index * self.day.fleet.zones // self.day.fleet.stores
-
     # The day
 
     async def _run(self) -> None:
--- a/tansykeel/rehearse/day.py
+++ b/tansykeel/rehearse/day.py
@@ -51,6 +51,10 @@
     way_ms: Least0 = 0.3  # one way within a zone, on the emulator; on sockets it is what the machine makes it
     cross_ms: Least0 = 1.0  # one way between zones
 
+    def zone_of(self, index: int) -> int:
+        """Stores lie in zones in blocks, by their index."""
+        return index * self.zones // self.stores
+
 
 class Clients(Record):
     processes: Count = 1
--- a/tansykeel/rehearse/load.py
+++ b/tansykeel/rehearse/load.py
@@ -12,6 +12,7 @@
 from tansykeel.rehearse.day import Day, Trouble, Volumes, volume_names, volume_rate
 
 ARRIVALS, TASKS, SHAPE = 0, 1, 2  # streams of a volume
+RETRIES, CHANCE = 10**6, 2 * 10**6  # streams of the clients' own chance, and of the troubles'
 MOST_TASKS = 2_000_000  # first tries of one day
 
 
--- a/tansykeel/standin/control.py
+++ b/tansykeel/standin/control.py
@@ -16,8 +16,3 @@
     while line := await reader.readline():
         carry_out(json.loads(line))
     carry_out({"verb": "end"})
-
-
-def say(**fields: Any) -> None:
-    """One line to whoever started this process."""
-    print(json.dumps(fields), flush=True)
