Cold nodes get more: parts by past use as rates, larger where a fresh sample shows no queue

Cause: half of what a cold node bears was dealt evenly and mostly lay idle with gateways that send it nothing; a start told twice (list and store, a few tenths apart) threw the credit away and took the pace of the first cold seconds for past use; credit began with a gateway's first task and one task a window was the most where a part is under a task. Change: a fifth evenly, the rest by past use, as a bucket filled from the start; past use stays that of when the store was last warm; a fresh sample of the gateway's own without a queue makes its part larger by the stated multiple.

--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -41,6 +41,7 @@
 SAMPLES = 24  # outcomes that a node's figures are worked out from
 STALE = 2 * SECOND  # samples of an overload count this long, and a node's rate for new nodes
 RANKING = 500  # the ranking for new objects is renewed every 50 ms
+EVEN = 0.2  # part of what a cold node bears that gateways share evenly, the rest by past use
 FORGET = 600 * SECOND  # lines and nodes that nothing was sent for are let go after this
 PAUSE = 2_000  # rest of a node that cannot be reached, grows with every failure in a row
 
@@ -74,33 +75,34 @@
 
 
 class Young:
-    """Keeps what all gateways send to a store that has just started within what it surely bears. Half is
-    even, half by past use: warm, the store did all that was sent; it starts with a known share of that, so
-    each gateway may send that share of its own. Where it is under a task, one goes when paid for, spaced."""
+    """Keeps what all gateways send to a store that has just started within what it surely bears. A part is
+    even, the rest by past use: warm, the store did all that was sent; it starts with a known share of that,
+    so each gateway may send that share of its own. Tasks go when paid for, the first spaced by its number."""
 
     def __init__(self, rule: ColdRule, gateways: int, me: int, largest: float) -> None:
         self.rule, self.largest = rule, largest
         self.even, self.phase = rule.always_safe / max(gateways, 1), (me + 0.5) / max(gateways, 1)
-        self.sent = deque[tuple[int, float]]()
         self.suspected = 0  # last time that the store could not be reached: it may have started since
-        self.since, self.at, self.past, self.credit = 0, 0, 0.0, 0.0
+        self.since, self.at, self.past, self.credit = -rule.warm_after - rule.span, 0, 0.0, 0.0
 
-    def room(self, store: Store, now: int, units: float, pace: Callable[[], float]) -> bool:
-        while self.sent and self.sent[0][0] <= now - self.rule.span:
-            self.sent.popleft()
+    def room(self, store: Store, now: int, units: float, pace: Callable[[], float], clear: bool) -> bool:
         age = now - (started := max(store.started, self.suspected))
         if started <= 0 or age >= self.rule.warm_after + self.rule.span:
             return True
-        if started != self.since:
-            self.since, self.at, self.past, self.credit = started, now, pace() * self.rule.span, 0.0
+        if started > self.since + self.rule.span:  # the list and the store tell of one start a little apart
+            if started > self.since + self.rule.warm_after:  # else what it did when last warm still holds
+                self.past = pace() * self.rule.span
+            self.at, self.credit = started, 0.0
+        self.since = started
         # The power at the start of the window bounds the whole window, for power never sinks on the way up.
         since = max(age - self.rule.span, 0) / max(self.rule.warm_after, 1)
         grown = 1 + since * (1 / self.rule.share - 1) if self.rule.share > 0 else 1.0
-        part = (self.even + self.rule.multiple * self.rule.share * self.past) / 2 * grown
+        part = (EVEN * self.even + (1 - EVEN) * self.rule.multiple * self.rule.share * self.past) * grown
+        if clear:  # all together send it less than its power, which is that much under what it bears
+            part *= self.rule.multiple
         self.credit = min(self.credit + part * (now - self.at) / self.rule.span, self.largest)
         self.at = now
-        sent = sum(u for _, u in self.sent)
-        return sent + units <= part or (not sent and self.credit >= units * self.phase)
+        return self.credit >= units * self.phase
 
 
 def left(seen: Iterable[tuple[int, float]], now: int, limit: int) -> list[float]:
@@ -222,7 +224,8 @@
         if self.out and self.tokens_out + cost > self.bound():
             self.starved = True
             return False
-        return self.young is None or self.young.room(self.store, self.desk.now, task.units, self.pace)
+        clear = bool(self.lags) and self.lags[-1][0] >= self.desk.now - FRESH and self.gap() > 0
+        return not self.young or self.young.room(self.store, self.desk.now, task.units, self.pace, clear)
 
     def hold(self, line: Line, task: Task) -> None:
         if not line.held:
@@ -375,7 +378,6 @@
         self.sent[task] = self.desk.now
         self.grants.append((self.desk.now, cost))
         if self.young:
-            self.young.sent.append((self.desk.now, task.units))
             self.young.credit -= task.units
         if not line.held:
             self.lull(line)
@@ -426,7 +428,8 @@
             # started, for the list tells of it too late. A reset is no such sign: links drop connections too.
             self.troubles += 1
             if self.young and self.troubles > 1:
-                self.young.suspected = now
+                self.young.suspected = self.young.at = now
+                self.young.credit = min(self.young.credit, 0.0)
             self.resting = now + PAUSE * min(self.troubles, 5)
             self.desk.alarm(self.resting, self.round)
 
--- a/tansykeel/emulator/plots.py
+++ b/tansykeel/emulator/plots.py
@@ -1,9 +1,11 @@
-"""Pictures of a simulated day, each as PNG and SVG."""
+"""Pictures of a simulated day, and of a sweep, each as PNG and SVG."""
 
 from __future__ import annotations
 
+import json
 from collections import defaultdict
 from pathlib import Path
+from statistics import median
 from typing import Any
 
 import matplotlib
@@ -37,6 +39,39 @@
     return made
 
 
+FIGURES = {"service": "service", "p99": "99th percentile of lag, ms", "cold_most": "most sent to a cold store, of safe"}
+
+
+def draw_sweep(rows: list[dict[str, Any]], out: Path) -> list[Path]:
+    """For each script and each parameter that took several numbers: figures over it, median and spread over the other
+    parameters and seeds, a line for each version."""
+    made: list[Path] = []
+    for script in sorted({row["script"] for row in rows}):
+        here = [(json.loads(row["params"]), row) for row in rows if row["script"] == script]
+        for name in sorted({name for params, _ in here for name in params}):
+            values = {params[name] for params, _ in here if isinstance(params.get(name), int | float)}
+            for figure, label in FIGURES.items() if len(values) > 1 else ():
+                drawn, axes = plt.subplots(figsize=(7, 4))
+                for version in sorted({row["version"] for _, row in here}):
+                    found = {value: [row[figure] or 0.0 for params, row in here
+                                     if row["version"] == version and params.get(name) == value]
+                             for value in sorted(values)}
+                    places = [value for value in found if found[value]]
+                    axes.plot(places, [median(found[v]) for v in places], marker="o", label=version)
+                    axes.fill_between(places, [min(found[v]) for v in places], [max(found[v]) for v in places],
+                                      alpha=0.15)
+                if min(values) > 0 and max(values) / min(values) >= 10:
+                    axes.set_xscale("log")
+                axes.set(xlabel=name, ylabel=label, title=f"{Path(script).stem}: {figure} over {name}")
+                axes.legend()
+                drawn.tight_layout()
+                for kind in ("png", "svg"):
+                    made.append(out / f"{Path(script).stem}-{figure}-over-{name}.{kind}")
+                    drawn.savefig(made[-1], metadata={"Date": None} if kind == "svg" else None)
+                plt.close(drawn)
+    return made
+
+
 def service(axes: Any, world: World, passed: Passed) -> bool:
     """Gain served over gain due in each second, with the troubles marked."""
     day = world.day
--- a/tansykeel/emulator/versions.py
+++ b/tansykeel/emulator/versions.py
@@ -10,9 +10,12 @@
 
 import tansykeel.brain
 from tansykeel.baselines import BASELINES
+from tansykeel.emulator.oracle import TrueView
 from tansykeel.emulator.world import Decide
 
 MODULE = "module"
+UPPER_MARK = "true-view"
+NAMED: dict[str, Decide] = {**BASELINES, UPPER_MARK: TrueView}
 
 
 class UnknownVersion(Exception):
@@ -26,11 +29,11 @@
     """
     if name == MODULE:
         return tansykeel.brain.Scheduler, digest_of(Path(tansykeel.brain.__file__))
-    if name in BASELINES:
-        return BASELINES[name], digest_of(Path(sys.modules[BASELINES[name].__module__].__file__ or ""))
+    if name in NAMED:
+        return NAMED[name], digest_of(Path(sys.modules[NAMED[name].__module__].__file__ or ""))
     path = Path(name)
     if not path.is_file():
-        raise UnknownVersion(f"version {name!r}; legal: {MODULE}, {', '.join(BASELINES)}, or a file with the "
+        raise UnknownVersion(f"version {name!r}; legal: {MODULE}, {', '.join(NAMED)}, or a file with the "
                              "module's text")
     digest = digest_of(path)
     spec = importlib.util.spec_from_file_location(f"tansykeel_version_{digest[:12]}", path)
