--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -20,6 +20,7 @@
 
 SECOND = 10_000
 ROUND = 100  # a round every 10 ms (design)
+LONG = 10 * ROUND  # at most so long is a round put off that would find no room at a cold node
 RESET = SECOND  # the bucket is emptied once a second (design)
 DEFICIT = 50.0  # tokens that a reserved volume may sink below nothing (paper)
 DONATED = 0.9  # part of a reserved volume's surplus that goes to the bucket (paper)
@@ -82,6 +83,7 @@
     def __init__(self, rule: ColdRule, gateways: int, me: int, largest: float) -> None:
         self.rule, self.largest = rule, largest
         self.even, self.phase = rule.always_safe / max(gateways, 1), (me + 0.5) / max(gateways, 1)
+        self.due = 0  # when the last task that found no room would find it: no round is needed before
         self.suspected = 0  # last time that the store could not be reached: it may have started since
         self.since, self.at, self.past, self.credit = -rule.warm_after - rule.span, 0, 0.0, 0.0
 
@@ -102,7 +104,9 @@
             part *= self.rule.multiple
         self.credit = min(self.credit + part * (now - self.at) / self.rule.span, self.largest)
         self.at = now
-        return self.credit >= units * self.phase
+        short = units * self.phase - self.credit
+        self.due = now + int(min(short * self.rule.span / max(part, 1e-9), LONG)) if short > 0 else 0
+        return short <= 0
 
 
 def left(seen: Iterable[tuple[int, float]], now: int, limit: int) -> list[float]:
@@ -303,7 +307,7 @@
             self.slices()
         if self.held and not self.round_set:
             self.round_set = True
-            self.desk.alarm(self.desk.now + ROUND, self.next_round)
+            self.desk.alarm(max(self.desk.now + ROUND, self.young.due if self.young else 0), self.next_round)
 
     def next_round(self) -> None:
         self.round_set = False
--- a/tansykeel/emulator/versions.py
+++ b/tansykeel/emulator/versions.py
@@ -18,6 +18,15 @@
 NAMED: dict[str, Decide] = {**BASELINES, UPPER_MARK: TrueView}
 
 
+def digest_of(path: Path) -> str:
+    return hashlib.sha256(path.read_bytes()).hexdigest()
+
+
+# Of the texts as they are loaded: guards against a file that is changed while a sweep goes on.
+DIGESTS = {name: digest_of(Path(sys.modules[decide.__module__].__file__ or ""))
+           for name, decide in {MODULE: tansykeel.brain.Scheduler, **NAMED}.items()}
+
+
 class UnknownVersion(Exception):
     """Names no version; the text says what would be legal."""
 
@@ -28,9 +37,9 @@
     Raises UnknownVersion.
     """
     if name == MODULE:
-        return tansykeel.brain.Scheduler, digest_of(Path(tansykeel.brain.__file__))
+        return tansykeel.brain.Scheduler, DIGESTS[MODULE]
     if name in NAMED:
-        return NAMED[name], digest_of(Path(sys.modules[NAMED[name].__module__].__file__ or ""))
+        return NAMED[name], DIGESTS[name]
     path = Path(name)
     if not path.is_file():
         raise UnknownVersion(f"version {name!r}; legal: {MODULE}, {', '.join(NAMED)}, or a file with the "
@@ -47,7 +56,3 @@
         raise UnknownVersion(f"version {name!r} cannot be loaded: {type(error).__name__}: {error}; legal: a file "
                              "with the module's text") from None
     return decide, digest
-
-
-def digest_of(path: Path) -> str:
-    return hashlib.sha256(path.read_bytes()).hexdigest()
--- a/tests/brain/test_brain.py
+++ b/tests/brain/test_brain.py
@@ -164,6 +164,22 @@
     assert young.past == pytest.approx(past)
 
 
+def test_no_round_before_a_task_could_find_room_at_a_cold_node():
+    """Guards against a round each 10 ms, for every gateway and node, that can send nothing."""
+    at = store(started=999_000)
+    brain, desk = scheduler([at], cold=ColdRule(0.2, 180_000, 2.5, 10_000, 8.0))
+    node = brain.nodes[at]
+    node.young.room(at, desk.now, 2.0, lambda: 0.0, False)
+    node.young.credit = 2.0 * node.young.phase - 0.03
+    run = brain.serve(task(desk))
+    next(run)
+    assert node.held == 1 and desk.now + 100 < node.young.due < desk.now + 1_000
+    assert min(moment for moment, call in desk.alarms if call == node.next_round) == node.young.due
+    desk.now = node.young.due
+    node.next_round()
+    assert node.held == 0
+
+
 def test_credit_from_before_a_store_was_found_out_of_reach_is_gone():
     """Guards against all gateways spending at once what they saved while it was away."""
     at = store(started=500_000)
--- a/tests/emulator/test_emulator.py
+++ b/tests/emulator/test_emulator.py
@@ -14,6 +14,7 @@
 from tansykeel.baselines import SendAtOnce
 from tansykeel.brain import Scheduler
 from tansykeel.emulator.engine import START, Engine
+from tansykeel.emulator.oracle import TrueView
 from tansykeel.emulator.world import World
 from tansykeel.rehearse.day import VERBS, load_day
 
@@ -122,3 +123,21 @@
     verdict = played.run()
     played.leave(tmp_path / "left")
     assert judge_folder(tmp_path / "left").to_json() == verdict.to_json()
+
+
+@pytest.mark.parametrize("more", [
+    "", "restart(at = 1, stores = [0], down_s = 0.5)\nslow(at = 1, for_s = 2, stores = [1])",
+])
+def test_the_upper_mark_answers_every_task_and_serves_no_less_than_the_module(world, more):
+    load = "traffic(part = 1.1, surges = 0, mix = {'read': 0.6, 'write': 0.4})\n"
+    mark, module = world(load + more, decide=TrueView), world(load + more)
+    best, mine = mark.run(), module.run()
+    assert not best.rules["one_answer"] and not best.rules["no_effect_twice"] and not best.rules["cold_stores"]
+    assert best.answers["client_left"] == 0
+    assert best.service >= mine.service
+
+
+def test_the_upper_mark_keeps_a_limit_over_all_gateways(world):
+    capped = "volumes('capped', count = 2, hosts = 3, stores = 3, limit = 0.5, share = 0.5)\n"
+    verdict = world(capped, decide=TrueView).run()
+    assert not verdict.rules["limits"] and verdict.answers["nacked"] > 0 and verdict.service_by_plan["capped"] > 0.3
--- a/tests/emulator/test_experiments.py
+++ b/tests/emulator/test_experiments.py
@@ -10,7 +10,8 @@
 from tansykeel.emulator import experiments
 from tansykeel.emulator.compare import grid, interval, shrink
 from tansykeel.emulator.experiments import Differs, Job, Project, jobs_of, play, sweep
-from tansykeel.emulator.plots import draw_day
+from tansykeel.emulator.pages import page_of_day, page_of_project
+from tansykeel.emulator.plots import draw_day, draw_sweep
 from tansykeel.emulator.versions import UnknownVersion, decide_of
 from tansykeel.emulator.world import World
 from tansykeel.rehearse.day import load_day
@@ -120,3 +121,32 @@
     assert {path.name for path in made} == {f"d-{name}.{kind}" for name in ("service", "lags", "cold", "shares")
                                             for kind in ("png", "svg")}
     assert all(path.stat().st_size > 2_000 for path in made)
+
+
+def test_troubles_left_out_are_another_day(script, tmp_path):
+    (tmp_path / "d.star").write_text(DAY + "restart(at = 0.5, stores = [0], down_s = 0.1)\n")
+    whole, without = Job(script, {}, 1, "module"), Job(script, {}, 1, "module", without=(0,))
+    assert play(whole).digest != play(without).digest
+    assert experiments.key_of(whole, "t", "d") != experiments.key_of(without, "t", "d")
+    assert without.told() == '{"without": [0]}'
+
+
+def test_a_project_is_drawn_over_what_was_swept_and_told_on_one_page(script, tmp_path):
+    project = Project(tmp_path / "p.duckdb")
+    for job in jobs_of(script, {"part": [0.3, 1.2]}, [1, 2], ["module", "at-once"], None):
+        project.put(play(job))
+    made = draw_sweep(project.rows(), tmp_path)
+    assert {path.name for path in made} == {f"d-{figure}-over-part.{kind}" for kind in ("png", "svg")
+                                            for figure in ("service", "p99", "cold_most")}
+    text = page_of_project("p", project.rows(), {"module less at-once": project.compare("at-once", "module")})
+    project.close()
+    assert text.count("<svg") == 3 and "module less at-once" in text
+    assert "src=" not in text and "<link" not in text  # all that it shows is inside it
+
+
+def test_a_day_is_told_on_one_page(tmp_path):
+    (tmp_path / "d.star").write_text(DAY + "restart(at = 0.5, stores = [0], down_s = 0.1)\n")
+    world = World(load_day(tmp_path / "d.star"), 1)
+    world.play()
+    text = page_of_day(world, "module")
+    assert world.digest() in text and text.count("<svg") == 4 and "<td>restart</td>" in text
