--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -356,8 +356,7 @@
         self.has, self.bucket = self.has + span - surplus, self.bucket + surplus * self.full_earn
         while self.late and next(iter(self.late.values())) <= now - RESET:
             del self.late[next(iter(self.late))]
-        late = len(self.late)
-        active = len(self.holding) + late + sum(line not in self.late for line in self.owing)
+        active = len(self.holding) + len(self.late) + sum(line not in self.late for line in self.owing)
         if not active:
             return
         part = max(self.rate - self.earn, self.rate * FLOOR) * span / active
@@ -528,6 +527,12 @@
                 past = next((n for n in reversed(self.nodes.values()) if n.store.shard == store.shard), None)
                 self.nodes[store] = Node(store, self.desk, self.average_rate(), self.least, self.usual,
                                          self.tightest, young, self.waits, gateways, past)
+                if past and past.lags:
+                    past.before = None  # else each node would keep all that ever held its shard
+        for node in [n for n in self.nodes.values() if n.store.state is State.GONE]:
+            if not node.out and not node.held and self.desk.now - node.heard >= FORGET:
+                del self.nodes[node.store]
+                self.waits.seen.pop(node.store, None)
         self.by_shard = {}
         for node in self.nodes.values():
             best = self.by_shard.get(node.store.shard)
--- a/tansykeel/cli/emulate.py
+++ b/tansykeel/cli/emulate.py
@@ -9,6 +9,8 @@
 
 import typer
 
+from tansykeel.cli.words import BROKEN, axes_of, fail, params_of, seeds_of
+
 app = typer.Typer(no_args_is_help=True, help="Experiments in simulated time, kept in one file a project.")
 Script = Annotated[str, typer.Argument(help="a rehearsal's name or a script's file")]
 ProjectFile = Annotated[Path, typer.Option("--project", help="duckdb file of the experiments")]
@@ -17,38 +19,6 @@
 Params = Annotated[list[str] | None, typer.Option("--set", help="NAME=VALUE for a param of the script")]
 Length = Annotated[float | None, typer.Option(help="play it in this length")]
 Seeds = Annotated[str, typer.Option("--seeds", help="as 1-8 or 1,3,5")]
-BAD_INPUT, WORSE = 2, 1
-
-
-def fail(text: object) -> typer.Exit:
-    typer.echo(f"tansykeel: {text}", err=True)
-    return typer.Exit(BAD_INPUT)
-
-
-def seeds_of(text: str) -> list[int]:
-    """1-8 or 1,3,5. Raises Exit with one clear error."""
-    try:
-        first, dash, last = text.partition("-")
-        seeds = list(range(int(first), int(last) + 1)) if dash else [int(part) for part in text.split(",")]
-    except ValueError:
-        seeds = []
-    if not seeds:
-        raise fail(f"--seeds {text}: legal: as 1-8 or 1,3,5")
-    return seeds
-
-
-def axes_of(texts: list[str], option: str = "--over") -> dict[str, list[Any]]:
-    """NAME=V1,V2,… for each axis of a grid. Raises Exit with one clear error."""
-    axes: dict[str, list[Any]] = {}
-    for text in texts:
-        name, sign, values = text.partition("=")
-        try:
-            axes[name] = json.loads(f"[{values}]")
-        except ValueError:
-            axes[name] = values.split(",")
-        if not sign or not axes[name]:
-            raise fail(f"{option} {text}: legal: NAME=V1,V2")
-    return axes
 
 
 @app.command()
@@ -83,7 +53,7 @@
         show(kept, script)
         kept.close()
     except (ScriptError, UnknownVersion, Differs) as error:
-        raise fail(error) from None
+        fail(error)
 
 
 def show(kept: Any, script: str | None) -> None:
@@ -127,12 +97,12 @@
     from rich.table import Table
 
     if figure not in ("service", "worst_10s", "p50", "p99", "cold_most"):
-        raise fail(f"--figure {figure}: legal: service, worst_10s, p50, p99 or cold_most")
+        fail(f"--figure {figure}: legal: service, worst_10s, p50, p99 or cold_most")
     kept = opened(project)
     try:
         told = kept.compare(first, second, figure)
     except ValueError as error:
-        raise fail(error) from None
+        fail(error)
     kept.close()
     table = Table("days", "pairs", f"{figure}: {second} less {first}", "95% from", "to", "verdict")
     for name, gap in told.items():
@@ -140,7 +110,7 @@
                       gap.verdict if figure in ("service", "worst_10s") else "")
     Console(width=160).print(table)
     if figure in ("service", "worst_10s") and told["all"].verdict == "worse":
-        raise typer.Exit(WORSE)
+        raise typer.Exit(BROKEN)
 
 
 @app.command()
@@ -168,12 +138,12 @@
         kept.put(day)
         kept.close()
     except (ScriptError, UnknownVersion, Differs) as error:
-        raise fail(error) from None
+        fail(error)
     verdict = msgspec.convert(day.verdict, Verdict)
     table(verdict)
     typer.echo(day.digest)
     if not verdict.kept:
-        raise typer.Exit(WORSE)
+        raise typer.Exit(BROKEN)
 
 
 @app.command()
@@ -191,7 +161,7 @@
     from tansykeel.emulator.plots import draw_day, draw_sweep
 
     if (project is None) == (not script):
-        raise fail("plot: legal: a script, or --project FILE")
+        fail("plot: legal: a script, or --project FILE")
     out.mkdir(parents=True, exist_ok=True)
     if project is not None:
         kept = opened(project)
@@ -217,7 +187,7 @@
     from tansykeel.emulator.pages import page_of_day, page_of_project
 
     if (project is None) == (not script):
-        raise fail("report: legal: --script NAME, or --project FILE")
+        fail("report: legal: --script NAME, or --project FILE")
     if project is not None:
         kept = opened(project)
         rows = kept.rows()
@@ -266,7 +236,7 @@
         for name in (version, mark):
             decide_of(name)
     except (ScriptError, UnknownVersion, ValueError) as error:
-        raise fail(error) from None
+        fail(error)
     kept = Project(project)
 
     def look(trials: list[Trial]) -> list[Shown]:
@@ -296,28 +266,24 @@
             table.add_section()
             row(least)
     except ScriptError as error:
-        raise fail(error) from None
+        fail(error)
     finally:
         kept.close()
     Console(width=160).print(table)
     if cut:
         typer.echo("the last row is the first one cut down; 'without': troubles of the script left out, from 0")
     if shown[0].rules:
-        raise typer.Exit(WORSE)
+        raise typer.Exit(BROKEN)
 
 
 def opened(project: Path) -> Any:
     from tansykeel.emulator.experiments import Project
 
     if not project.is_file():
-        raise fail(f"--project {project}: no such file; legal: one that a sweep made")
+        fail(f"--project {project}: no such file; legal: one that a sweep made")
     return Project(project)
 
 
-def params_of(texts: list[str]) -> dict[str, Any]:
-    return {name: values[0] for name, values in axes_of(texts, "--set").items()}
-
-
 def world_of(script: str, seed: int, version: str, texts: list[str], seconds: float | None) -> Any:
     """A day that was played. Raises Exit with one clear error."""
     from tansykeel.emulator.versions import UnknownVersion, decide_of
@@ -328,6 +294,6 @@
     try:
         world = World(day_of(script, seconds, params_of(texts)), seed, decide_of(version)[0])
     except (ScriptError, UnknownVersion) as error:
-        raise fail(error) from None
+        fail(error)
     world.play()
     return world
--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -11,24 +11,19 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Annotated, Any, NoReturn
+from typing import Annotated, Any
 
 import typer
 
 from tansykeel.cli.emulate import app as emulate
+from tansykeel.cli.words import BAD_INPUT, BROKEN, NOT_PLAYED, fail, params_of
 
 app = typer.Typer(add_completion=True, no_args_is_help=True, pretty_exceptions_enable=False,
                   help="A storage gateway that keeps volumes to their reservations, shares and limits.")
 app.add_typer(emulate, name="emulate")
-BROKEN, BAD_INPUT, NOT_PLAYED = 1, 2, 3
 SettingsFile = Annotated[Path, typer.Argument(help="a settings script", metavar="SETTINGS")]
 
 
-def fail(text: object, code: int = BAD_INPUT) -> NoReturn:
-    typer.echo(f"tansykeel: {text}", err=True)
-    raise typer.Exit(code)
-
-
 def say(**fields: Any) -> None:
     """One line for whoever started this program."""
     print(json.dumps(fields), flush=True)
@@ -160,19 +155,6 @@
     run(lambda: play_file(plan, lambda: say(event="ready")))
 
 
-def given_params(texts: list[str]) -> dict[str, Any]:
-    given: dict[str, Any] = {}
-    for text in texts:
-        name, sign, value = text.partition("=")
-        if not sign:
-            fail(f"--set {text}: legal: NAME=VALUE")
-        try:
-            given[name] = json.loads(value)
-        except ValueError:
-            given[name] = value
-    return given
-
-
 @app.command()
 def rehearse(
     name: Annotated[str, typer.Argument(help="a rehearsal's name or a script's file")] = "",
@@ -201,7 +183,7 @@
     if digest and stage != "emulator":
         fail("--digest: sockets have none, time is real there; legal: with --stage emulator")
     try:
-        day = day_of(name, seconds, given_params(set_ or []))
+        day = day_of(name, seconds, params_of(set_ or []))
     except ScriptError as error:
         fail(error)
     passed = ""
--- a/tansykeel/emulator/experiments.py
+++ b/tansykeel/emulator/experiments.py
@@ -8,6 +8,8 @@
 
 import hashlib
 import json
+import os
+import threading
 import time
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from concurrent.futures import FIRST_COMPLETED, ProcessPoolExecutor, wait
@@ -30,6 +32,7 @@
     tasks bigint, delivered bigint, nacked bigint, broken_off bigint, cold_most double, p50 double, p99 double,
     edges bigint, stores bigint, wall_s double, verdict varchar)
 """
+LOOK = 0.5  # seconds
 AHEAD = 2  # days handed to the pool for each core before the first of them ends
 
 
@@ -170,11 +173,20 @@
     return len(todo)
 
 
+def end_with(parent: int) -> None:
+    """Guards against days that play on after whoever asked for them was killed: this process ends within LOOK."""
+    def look() -> None:
+        while os.getppid() == parent:
+            time.sleep(LOOK)
+        os._exit(1)
+    threading.Thread(target=look, daemon=True).start()
+
+
 def over_cores(jobs: Sequence[Job], cores: int) -> Iterator[Played]:
     """Play days in processes of their own, `cores` at a time; each as it ends."""
     if not jobs:
         return
-    with ProcessPoolExecutor(cores, mp_context=get_context("spawn")) as pool:
+    with ProcessPoolExecutor(cores, get_context("spawn"), end_with, (os.getpid(),)) as pool:
         running = {pool.submit(play, job) for job in jobs[:cores * AHEAD]}
         rest = iter(jobs[cores * AHEAD:])
         try:
--- a/tansykeel/rehearse/load.py
+++ b/tansykeel/rehearse/load.py
@@ -12,7 +12,8 @@
 from tansykeel.rehearse.day import Day, Trouble, Volumes, volume_names, volume_rate
 
 ARRIVALS, TASKS, SHAPE = 0, 1, 2  # streams of a volume
-RETRIES, CHANCE = 10**6, 2 * 10**6  # streams of the clients' own chance, and of the troubles'
+# Streams of the clients' own chance, of the troubles', and of whom troubles of the load strike.
+RETRIES, CHANCE, STRUCK = 10**6, 2 * 10**6, 5 * 10**6
 MOST_TASKS = 2_000_000  # first tries of one day
 
 
@@ -74,7 +75,7 @@
             return self.of.plan == trouble.detail["plan"]
         if trouble.verb in ("hot_key", "scan"):
             total = sum(v.count for v in self.day.volumes)
-            chosen = stream(self.seed, 10**6, round(trouble.at * 1000)).permutation(total)
+            chosen = stream(self.seed, STRUCK, round(trouble.at * 1000)).permutation(total)
             return self.index in chosen[:int(trouble.detail["volumes"])]
         return trouble.verb == "burst"
 
--- a/tests/brain/test_brain.py
+++ b/tests/brain/test_brain.py
@@ -164,6 +164,25 @@
     assert young.past == pytest.approx(past)
 
 
+def test_nodes_long_gone_are_let_go_and_what_held_the_shard_before_them():
+    """Guards against memory that grows with every store that ever was."""
+    stores = [store(shard=0)]
+    brain, desk = scheduler(stores)
+    for step in range(4):
+        node = brain.nodes[stores[-1]]
+        sent = task(desk)
+        node.sent[sent] = desk.now
+        node.learn(sent, outcome(How.DELIVERED))
+        node.out = 0
+        stores[-1].state = State.GONE
+        stores.append(store(shard=0, started=desk.now))
+        brain.list_changed(stores, True)
+        assert brain.nodes[stores[-1]].before is node and node.before is None, step
+        desk.now += 4_000_000
+    assert list(brain.nodes) == stores[-3:]
+    assert stores[0] not in brain.waits.seen
+
+
 def test_no_round_before_a_task_could_find_room_at_a_cold_node():
     """Guards against a round each 10 ms, for every gateway and node, that can send nothing."""
     at = store(started=999_000)
--- a/tests/emulator/test_experiments.py
+++ b/tests/emulator/test_experiments.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
+import time
 from pathlib import Path
 
 import pytest
@@ -150,3 +153,27 @@
     world.play()
     text = page_of_day(world, "module")
     assert world.digest() in text and text.count("<svg") == 4 and "<td>restart</td>" in text
+
+
+def test_days_in_play_end_with_whoever_asked_for_them(tmp_path):
+    """Guards against processes left behind by a sweep that was killed."""
+    (tmp_path / "long.star").write_text(DAY.replace("seconds = 2", "seconds = 3000"))
+    program = ("from tansykeel.emulator.experiments import Job, over_cores\n"
+               f"list(over_cores([Job({str(tmp_path / 'long.star')!r}, {{}}, n, 'module') for n in (1, 2)], 2))\n")
+    (tmp_path / "asks.py").write_text(f"if __name__ == '__main__':\n    {program.replace(chr(10), chr(10) + '    ')}")
+    asks = subprocess.Popen([sys.executable, str(tmp_path / "asks.py")], start_new_session=True)
+
+    def playing():
+        told = subprocess.run(["ps", "-o", "pid=", "-s", str(asks.pid)], capture_output=True, text=True)
+        return {int(pid) for pid in told.stdout.split()} - {asks.pid}
+    assert waited(lambda: len(playing()) >= 2)
+    asks.kill()
+    asks.wait()
+    assert waited(lambda: not playing())
+
+
+def waited(seen):
+    end = time.monotonic() + 30
+    while not seen() and time.monotonic() < end:
+        time.sleep(0.1)
+    return seen()
