--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -177,7 +177,7 @@
         self.lags.append((self.desk.now, lag, units))
         self.changes += 1
         # Tenths that a unit takes here when nothing waits: the quickest quarter of the last outcomes.
-        times = sorted(lag / units for _, lag, units in self.lags)
+        times = sorted([lag / units for _, lag, units in self.lags])
         self.unit = times[len(times) // 4]
 
     def queueing(self) -> float:
@@ -664,7 +664,7 @@
         task.hand_offs += 1
         state.send(line, task.units)
         total = state.total / state.part(self.usual)
-        for other, units in state.by_line.items():
+        for other, units in state.by_line.items() if line.reserve else ():
             other.earn(other.reserve * units / total)
 
     # Guards of the rules
