--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -21,6 +21,7 @@
 from tansykeel.settings.records import Settings
 
 DELIVERED, NACKED, BROKEN_OFF = 0, 1, 2
+MOST_GONE = 1_000  # stores that are gone and still known by name, the newest ones
 MICROS = 100  # microseconds in a tenth
 MS = 10  # tenths in a millisecond
 
@@ -242,6 +243,11 @@
                 if name not in rows:
                     store.state = State.GONE
         self.brain.list_changed(list(self.stores.values()), confirmed=True)
+        gone = [name for name, store in self.stores.items() if store.state is State.GONE]
+        for name in gone[:-MOST_GONE]:
+            store = self.stores.pop(name)
+            del self.addresses[store]
+            self.boots.pop(store, None)
         self.runner.settle()
 
     def list_lost(self, now: int) -> None:
--- a/tests/emulator/test_emulator.py
+++ b/tests/emulator/test_emulator.py
@@ -16,6 +16,7 @@
 from tansykeel.emulator.engine import START, Engine
 from tansykeel.emulator.oracle import TrueView
 from tansykeel.emulator.world import World
+from tansykeel.protocol.frames import ListOf, Row
 from tansykeel.rehearse.day import VERBS, load_day
 
 DAY = """
@@ -141,3 +142,15 @@
     capped = "volumes('capped', count = 2, hosts = 3, stores = 3, limit = 0.5, share = 0.5)\n"
     verdict = world(capped, decide=TrueView).run()
     assert not verdict.rules["limits"] and verdict.answers["nacked"] > 0 and verdict.service_by_plan["capped"] > 0.3
+
+
+def test_names_of_stores_long_gone_are_let_go(world, monkeypatch):
+    """Guards against memory that grows with every store that was ever listed."""
+    monkeypatch.setattr("tansykeel.edge.core.MOST_GONE", 2)
+    gateway = world().gateways[0]
+    for version in range(1, 8):
+        row = Row(f"new-{version}", f"new-{version}:1", 0, 0, "ready", version, 0)
+        gateway.core.listed(gateway.clock() + version, ListOf(True, version, (row,)))
+    assert list(gateway.core.stores) == ["new-5", "new-6", "new-7"]
+    assert {store.handle for store in gateway.core.addresses} == set(gateway.core.stores)
+    assert set(gateway.core.boots) <= set(gateway.core.addresses)
