--- a/benchmarks/emulator_speed.py
+++ b/benchmarks/emulator_speed.py
@@ -18,6 +18,7 @@
 
 sys.path.insert(0, str(Path(__file__).parents[1]))
 
+from tansykeel.audit.records import Sent  # noqa: E402
 from tansykeel.emulator.world import World  # noqa: E402
 from tansykeel.rehearse.load import mean_units  # noqa: E402
 from tansykeel.rehearse.play import day_of  # noqa: E402
@@ -69,7 +70,7 @@
     begun = time.perf_counter()
     world.play()
     wall = time.perf_counter() - begun
-    tasks = sum(type(record).__name__ == "Sent" for record in world.records)
+    tasks = sum(isinstance(record, Sent) for record in world.records)
     print(f"{given.script}, {given.edges} gateways, {given.seconds:g} s, {given.rate:g} tasks a second asked for: "
           f"{tasks} tasks with further tries, {world.engine.events} events, {wall:.1f} s, {tasks / wall:.0f} tasks a "
           f"second of wall time; module {clock.total:.1f} s ({clock.total / wall:.0%}), "
--- a/benchmarks/stages.py
+++ b/benchmarks/stages.py
@@ -19,6 +19,8 @@
 from tempfile import TemporaryDirectory
 from typing import Any
 
+from tansykeel.cli.words import seeds_of
+
 SCRIPTS = "demo,badday,slowtenth,surging,stalls,quickerrors,latelist,impatient"
 STAGES = ("sockets", "emulator")
 
@@ -26,7 +28,7 @@
 def played(script: str, stage: str, seed: int) -> dict[str, Any]:
     with TemporaryDirectory(prefix="tansykeel-") as folder:
         out = Path(folder) / "verdict.json"
-        done = run([sys.executable, "-m", "tansykeel.cli.main", "rehearse", script, "--stage", stage,
+        done = run([sys.executable, "-m", "tansykeel", "rehearse", script, "--stage", stage,
                     "--seed", str(seed), "--json", str(out), "--quiet"], capture_output=True, text=True, timeout=600)
         if not out.is_file():
             raise SystemExit(f"{script}, seed {seed}, {stage}: {done.stderr}")
@@ -55,8 +57,7 @@
     asked.add_argument("--sockets-at-once", type=int, default=2)
     asked.add_argument("--json", type=Path)
     given = asked.parse_args()
-    first, _, last = given.seeds.partition("-")
-    seeds = range(int(first), int(last or first) + 1)
+    seeds = seeds_of(given.seeds)
     scripts = given.scripts.split(",")
     jobs = [(script, seed) for script in scripts for seed in seeds]
     told: dict[str, list[dict[str, Any]]] = {}
--- a/tansykeel/cli/emulate.py
+++ b/tansykeel/cli/emulate.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -48,7 +47,7 @@
         kept = Project(project)
         with Progress(console=Console(stderr=True), transient=True) as bar:
             task = bar.add_task("days", total=len(jobs))
-            played = play_all(kept, jobs, cores or os.cpu_count() or 1, lambda day: bar.advance(task))
+            played = play_all(kept, jobs, cores, lambda day: bar.advance(task))
         typer.echo(f"{len(jobs)} days, {played} played now")
         show(kept, script)
         kept.close()
@@ -58,22 +57,17 @@
 
 def show(kept: Any, script: str | None) -> None:
     """A table of the project's days: medians over seeds."""
-    from statistics import median
-
     from rich.console import Console
     from rich.table import Table
 
-    groups: dict[tuple[str, str, str], list[dict[str, Any]]] = {}
-    for row in kept.rows(script):
-        groups.setdefault((row["script"], row["version"], row["params"]), []).append(row)
+    from tansykeel.emulator.compare import figures_of
+
     table = Table("script", "version", "params", "days", "service", "least", "most", "worst 10 s", "p99 ms", "cold",
                   "rules kept")
-    for (name, version, params), rows in groups.items():
-        services = [row["service"] for row in rows]
-        table.add_row(name, version, params, str(len(rows)), f"{median(services):.3f}", f"{min(services):.3f}",
-                      f"{max(services):.3f}", f"{median(row['worst_10s'] for row in rows):.3f}",
-                      f"{median(row['p99'] or 0 for row in rows):.0f}", f"{max(row['cold_most'] for row in rows):.2f}",
-                      f"{sum(row['kept'] for row in rows)} of {len(rows)}")
+    for of in figures_of(kept.rows(script)):
+        table.add_row(of.script, of.version, of.params, str(of.days), f"{of.service:.3f}", f"{of.least:.3f}",
+                      f"{of.most:.3f}", f"{of.worst_10s:.3f}", f"{of.p99:.0f}", f"{of.cold_most:.2f}",
+                      f"{of.kept} of {of.days}")
     Console(width=160).print(table)
 
 
@@ -243,7 +237,7 @@
         """Each trial decided by both; what the module lost."""
         jobs = [Job(script, t.params, t.seed, name, seconds, t.without) for t in trials for name in (version, mark)]
         told: dict[tuple[str, int, str], Any] = {}
-        for played in over_cores(jobs, cores or os.cpu_count() or 1):
+        for played in over_cores(jobs, cores):
             kept.put(played)
             told[played.job.told(), played.job.seed, played.job.version] = played.verdict
         found = []
--- a/tansykeel/emulator/compare.py
+++ b/tansykeel/emulator/compare.py
@@ -1,9 +1,10 @@
-"""What a comparison of paired days allows to say, and how a day is cut down, without I/O."""
+"""What days came to, what a comparison of pairs allows to say, how a day is cut down: without I/O."""
 
 from __future__ import annotations
 
 import itertools
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from statistics import median
 from typing import Any, NamedTuple
 
 import numpy
@@ -13,6 +14,37 @@
 LEAST_PAIRS = 4  # under this nothing is told apart
 
 
+class Figures(NamedTuple):
+    """What days of one script, version and parameters came to over their seeds. `kept`: days that broke no rule."""
+
+    script: str
+    version: str
+    params: str
+    days: int
+    service: float  # median
+    least: float
+    most: float
+    worst_10s: float  # median
+    p99: float  # milliseconds, median
+    cold_most: float  # the most of any day
+    kept: int
+
+
+def figures_of(rows: Iterable[dict[str, Any]]) -> list[Figures]:
+    """Figures of a project's rows, in the order in which their groups come."""
+    groups: dict[tuple[str, str, str], list[dict[str, Any]]] = {}
+    for row in rows:
+        groups.setdefault((row["script"], row["version"], row["params"]), []).append(row)
+    found = []
+    for names, days in groups.items():
+        services = [day["service"] for day in days]
+        found.append(Figures(
+            *names, len(days), median(services), min(services), max(services), median(day["worst_10s"] for day in days),
+            median(day["p99"] or 0.0 for day in days), max(day["cold_most"] for day in days),
+            sum(day["kept"] for day in days)))
+    return found
+
+
 class Interval(NamedTuple):
     """Mean difference, second less first, and its interval by bootstrap over the pairs."""
 
--- a/tansykeel/emulator/experiments.py
+++ b/tansykeel/emulator/experiments.py
@@ -183,9 +183,10 @@
 
 
 def over_cores(jobs: Sequence[Job], cores: int) -> Iterator[Played]:
-    """Play days in processes of their own, `cores` at a time; each as it ends."""
+    """Play days in processes of their own, `cores` at a time (0: as many as there are); each as it ends."""
     if not jobs:
         return
+    cores = cores or os.cpu_count() or 1
     with ProcessPoolExecutor(cores, get_context("spawn"), end_with, (os.getpid(),)) as pool:
         running = {pool.submit(play, job) for job in jobs[:cores * AHEAD]}
         rest = iter(jobs[cores * AHEAD:])
--- a/tansykeel/emulator/oracle.py
+++ b/tansykeel/emulator/oracle.py
@@ -21,7 +21,7 @@
     from tansykeel.emulator.world import World
 
 SECOND = 10_000
-AHEAD = 2
+AHEAD = 2  # hand-offs out at a store beyond one for each core: what covers the way
 LOOK = 50  # tenths after which a task whose store is not to be had looks again
 
 
@@ -61,10 +61,13 @@
     def room(self, store: SimStore) -> bool:
         return self.out[store] < store.behaviour.shape.cores + AHEAD and self.power(store) > 0
 
-    def spend(self, task: Task, now: int) -> None:
+    def used_now(self, task: Task, now: int) -> float:
+        """Units of its volume that were sent in this second so far."""
         second, units = self.used.get(task.volume.handle, (0, 0.0))
-        here = now // SECOND
-        self.used[task.volume.handle] = here, (units if second == here else 0.0) + task.units
+        return units if second == now // SECOND else 0.0
+
+    def spend(self, task: Task, now: int) -> None:
+        self.used[task.volume.handle] = now // SECOND, self.used_now(task, now) + task.units
         if task.volume.plan.limit:
             left, at = self.left(task, now)
             self.allowed[task.volume.handle] = left - task.units, at
@@ -88,8 +91,7 @@
     def rank(self, seat: Seat, now: int) -> tuple[float, float, int]:
         """First what is worth most for its work, then whoever had least for its weight, then who has least time."""
         task = seat.task
-        second, units = self.used.get(task.volume.handle, (0, 0.0))
-        units = units if second == now // SECOND else 0.0
+        units = self.used_now(task, now)
         plan, worth = task.volume.plan, task.category.gain * task.volume.plan.price
         beyond = units + task.units > plan.reserve
         if task.category.writes:
@@ -142,9 +144,9 @@
         """The store for a task, if the list tells of the one that is there; the emptiest for a new object."""
         world = self.eye.world
         addresses = world.gateways[self.facts.me].core.addresses
-        there = {store: world.by_address[addresses[store]] for store in self.by_shard.values()}
-        found = [(store, true) for store, true in there.items() if store.state is State.READY and true.listening
-                 and (task.shard is None or store.shard == task.shard)]
+        listed = [store for store in self.by_shard.values() if task.shard in (None, store.shard)]
+        there = [(store, world.by_address[addresses[store]]) for store in listed]
+        found = [(store, true) for store, true in there if store.state is State.READY and true.listening]
         return min(found, key=lambda pair: self.eye.out[pair[1]] + len(self.eye.waiting[pair[1]]), default=None)
 
     def serve(self, task: Task) -> Run:
--- a/tansykeel/emulator/pages.py
+++ b/tansykeel/emulator/pages.py
@@ -7,12 +7,10 @@
 from collections.abc import Iterable, Sequence
 from html import escape
 from pathlib import Path
-from statistics import median
 from typing import Any
 
-from tansykeel.audit.join import join
-from tansykeel.audit.report import Verdict, judge
-from tansykeel.emulator.compare import Interval
+from tansykeel.audit.report import Verdict
+from tansykeel.emulator.compare import Interval, figures_of
 from tansykeel.emulator.plots import draw_day, draw_sweep
 from tansykeel.emulator.world import World
 
@@ -46,7 +44,7 @@
 
 def page_of_day(world: World, version: str) -> str:
     """Of a day that was played."""
-    verdict = judge(join(world.records), world.day, world.seed)
+    verdict = world.verdict()
     with tempfile.TemporaryDirectory(prefix="tansykeel-") as folder:
         drawn = pictures(draw_day(world, Path(folder)))
     return page(
@@ -72,14 +70,7 @@
 
 def page_of_project(name: str, rows: list[dict[str, Any]], compared: dict[str, dict[str, Interval]]) -> str:
     """Of all days that a project holds. `compared`: by the two versions' names, by days, second less first."""
-    groups: dict[tuple[str, str, str], list[dict[str, Any]]] = {}
-    for row in rows:
-        groups.setdefault((row["script"], row["version"], row["params"]), []).append(row)
-    figures = [[script, version, params, len(some), median(r["service"] for r in some),
-                min(r["service"] for r in some), max(r["service"] for r in some),
-                median(r["worst_10s"] for r in some), median(r["p99"] or 0.0 for r in some),
-                max(r["cold_most"] for r in some), f"{sum(r['kept'] for r in some)} of {len(some)}"]
-               for (script, version, params), some in groups.items()]
+    figures = [[*of[:-1], f"{of.kept} of {of.days}"] for of in figures_of(rows)]
     gaps = [[versions, days, gap.pairs, f"{gap.mean:+.4f}", f"{gap.low:+.4f}", f"{gap.high:+.4f}", gap.verdict]
             for versions, told in compared.items() for days, gap in told.items()]
     digests = sorted({(r["script"], r["version"], r["version_digest"][:12]) for r in rows})
--- a/tansykeel/emulator/plots.py
+++ b/tansykeel/emulator/plots.py
@@ -13,7 +13,7 @@
 matplotlib.use("Agg")
 import matplotlib.pyplot as plt  # noqa: E402
 
-from tansykeel.audit.join import Passed, join  # noqa: E402
+from tansykeel.audit.join import Passed  # noqa: E402
 from tansykeel.audit.report import law_of  # noqa: E402
 from tansykeel.audit.service import count  # noqa: E402
 from tansykeel.emulator.world import World  # noqa: E402
@@ -25,20 +25,25 @@
 
 def draw_day(world: World, out: Path) -> list[Path]:
     """All pictures of a day that was played; the files written."""
-    passed = join(world.records)
     made: list[Path] = []
     for name, draw in (("service", service), ("lags", lags), ("cold", cold), ("shares", shares)):
         figure, axes = plt.subplots(figsize=(9, 4.5))
-        if draw(axes, world, passed):
+        if draw(axes, world, world.passed):
             axes.set_title(f"{world.day.name}, seed {world.seed}: {axes.get_title()}")
-            figure.tight_layout()
-            for kind in ("png", "svg"):
-                made.append(out / f"{world.day.name}-{name}.{kind}")
-                figure.savefig(made[-1], metadata={"Date": None} if kind == "svg" else None)
+            made += saved(figure, out, f"{world.day.name}-{name}")
         plt.close(figure)
     return made
 
 
+def saved(figure: Any, out: Path, name: str) -> list[Path]:
+    """A picture as PNG and SVG, without the date on which it was drawn."""
+    figure.tight_layout()
+    made = [out / f"{name}.{kind}" for kind in ("png", "svg")]
+    for path in made:
+        figure.savefig(path, metadata={"Date": None} if path.suffix == ".svg" else None)
+    return made
+
+
 FIGURES = {"service": "service", "p99": "99th percentile of lag, ms", "cold_most": "most sent to a cold store, of safe"}
 
 
@@ -64,10 +69,7 @@
                     axes.set_xscale("log")
                 axes.set(xlabel=name, ylabel=label, title=f"{Path(script).stem}: {figure} over {name}")
                 axes.legend()
-                drawn.tight_layout()
-                for kind in ("png", "svg"):
-                    made.append(out / f"{Path(script).stem}-{figure}-over-{name}.{kind}")
-                    drawn.savefig(made[-1], metadata={"Date": None} if kind == "svg" else None)
+                made += saved(drawn, out, f"{Path(script).stem}-{figure}-over-{name}")
                 plt.close(drawn)
     return made
 
--- a/tansykeel/emulator/versions.py
+++ b/tansykeel/emulator/versions.py
@@ -8,14 +8,14 @@
 from pathlib import Path
 from typing import Any
 
-import tansykeel.brain
 from tansykeel.baselines import BASELINES
+from tansykeel.brain import Scheduler
 from tansykeel.emulator.oracle import TrueView
 from tansykeel.emulator.world import Decide
 
 MODULE = "module"
 UPPER_MARK = "true-view"
-NAMED: dict[str, Decide] = {**BASELINES, UPPER_MARK: TrueView}
+NAMED: dict[str, Decide] = {MODULE: Scheduler, **BASELINES, UPPER_MARK: TrueView}
 
 
 def digest_of(path: Path) -> str:
@@ -23,8 +23,7 @@
 
 
 # Of the texts as they are loaded: guards against a file that is changed while a sweep goes on.
-DIGESTS = {name: digest_of(Path(sys.modules[decide.__module__].__file__ or ""))
-           for name, decide in {MODULE: tansykeel.brain.Scheduler, **NAMED}.items()}
+DIGESTS = {name: digest_of(Path(sys.modules[decide.__module__].__file__ or "")) for name, decide in NAMED.items()}
 
 
 class UnknownVersion(Exception):
@@ -36,14 +35,12 @@
 
     Raises UnknownVersion.
     """
-    if name == MODULE:
-        return tansykeel.brain.Scheduler, DIGESTS[MODULE]
     if name in NAMED:
         return NAMED[name], DIGESTS[name]
     path = Path(name)
     if not path.is_file():
-        raise UnknownVersion(f"version {name!r}; legal: {MODULE}, {', '.join(NAMED)}, or a file with the "
-                             "module's text")
+        raise UnknownVersion(f"version {name!r}; legal: {', '.join(NAMED)}, or a file with the module's "
+                             "text")
     digest = digest_of(path)
     spec = importlib.util.spec_from_file_location(f"tansykeel_version_{digest[:12]}", path)
     assert spec and spec.loader
--- a/tansykeel/emulator/world.py
+++ b/tansykeel/emulator/world.py
@@ -4,13 +4,14 @@
 
 import hashlib
 from collections.abc import Callable
+from functools import cached_property
 from pathlib import Path
 from typing import Any
 
 import msgspec
 import numpy
 
-from tansykeel.audit.join import join
+from tansykeel.audit.join import Passed, join
 from tansykeel.audit.records import AnyRecord, Killed, Record, Recorder, Stood
 from tansykeel.audit.records import Trouble as TroubleRecord
 from tansykeel.audit.report import Verdict, judge
@@ -67,7 +68,15 @@
     def run(self) -> Verdict:
         """Play the day to its end and judge it. Raises RuntimeError where it does not come to an end."""
         self.play()
-        return judge(join(self.records), self.day, self.seed)
+        return self.verdict()
+
+    @cached_property
+    def passed(self) -> Passed:
+        """What passed, once the day was played."""
+        return join(self.records)
+
+    def verdict(self) -> Verdict:
+        return judge(self.passed, self.day, self.seed)
 
     def play(self) -> None:
         arrivals = arrivals_of(self.day, self.seed)
--- a/tests/emulator/test_experiments.py
+++ b/tests/emulator/test_experiments.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import subprocess
 import sys
-import time
 from pathlib import Path
 
 import pytest
+from stage import until
 
 import tansykeel.brain
 from tansykeel.emulator import experiments
@@ -166,14 +167,7 @@
     def playing():
         told = subprocess.run(["ps", "-o", "pid=", "-s", str(asks.pid)], capture_output=True, text=True)
         return {int(pid) for pid in told.stdout.split()} - {asks.pid}
-    assert waited(lambda: len(playing()) >= 2)
+    asyncio.run(until(lambda: len(playing()) >= 2, 30))
     asks.kill()
     asks.wait()
-    assert waited(lambda: not playing())
-
-
-def waited(seen):
-    end = time.monotonic() + 30
-    while not seen() and time.monotonic() < end:
-        time.sleep(0.1)
-    return seen()
+    asyncio.run(until(lambda: not playing(), 30))
