Gateways pass on units of a limit; lost answers are told from slow ones

Gateways short of a volume's limit now ask six others of the volume, which give up to half of theirs; what is given is gone at the giver first and no part exceeds its depth. Where nodes do not tell a volume's use, the meter splits the reserve.

The edge sends such words to the gateways that peers(addresses) names, without which nothing changes; emulator alike.

--- a/tansykeel/baselines.py
+++ b/tansykeel/baselines.py
@@ -22,6 +22,7 @@
     Volume,
     Wait,
     Want,
+    Word,
 )
 from tansykeel.runner import Run
 
@@ -42,6 +43,9 @@
         ready = [store for store in stores if store.state is State.READY]
         self.by_shard = {store.shard: store for store in sorted(ready, key=lambda s: s.started)}
 
+    def heard(self, peer: int, word: Word) -> None:
+        """Baselines keep to what is theirs: they neither ask nor give."""
+
     def list_failed(self) -> None:
         self.desk.alarm(self.desk.now + 10_000, self.desk.watch)
 
--- a/tansykeel/benchlink/host.py
+++ b/tansykeel/benchlink/host.py
@@ -7,7 +7,7 @@
 import traceback
 from typing import Any
 
-from tansykeel.benchlink import wire
+from tansykeel.benchlink import wire, words
 from tansykeel.brain import Scheduler
 from tansykeel.interface import (
     Facts,
@@ -21,6 +21,7 @@
     Store,
     Task,
     Volume,
+    Word,
 )
 from tansykeel.runner import Runner
 from tansykeel.settings import facts as make
@@ -103,6 +104,7 @@
             hand_offs=limits["MostTries"], come_back=bool(limits.get("RetryAfter")),
             longest_come_back=limits.get("MaxRetryAfter") or 0, copies=bool(limits.get("MayDuplicate")),
             cancel=bool(limits.get("Cancel")), probes=bool(limits.get("Probes")),
+            peers=bool(limits.get("Peers")),
         ),
         listing=make.listing(
             must_ask=raw["MembershipMode"] == "ask", ask_within=rules.get("AskWithin") or 0,
@@ -183,8 +185,18 @@
         if how is How.DELIVERED or event.final:
             del self.tasks[event.id]
         used = event.used - 1 if event.used else None
-        self.runner.outcome(task, Outcome(how, _ceil(event.lag), bool(event.final), used, event.elsewhere,
-                                          event.report))
+        elsewhere = event.elsewhere if self.facts.tells_elsewhere else None
+        self.runner.outcome(task, Outcome(how, _ceil(event.lag), bool(event.final), used, elsewhere, event.report))
+
+    def heard(self, event: wire.Heard) -> None:
+        try:
+            handle, units, gift = words.read(event.message)
+        except ValueError as error:
+            raise wire.Malformed(f"message of instance {event.sender}: {error}") from error
+        volume = self.volumes.get(handle)
+        if volume is not None:  # no task of it has come here: there is nothing to ask or give
+            self.brain.heard(event.sender, Word(volume, units, gift))
+        self.runner.settle()
 
     def dropped(self, event: wire.Dropped) -> None:
         task = self.tasks.get(event.id)
@@ -212,6 +224,10 @@
     def watch(self) -> None:
         self.outbox.watch(self.who, True)
 
+    def tell(self, peer: int | None, word: Word) -> None:
+        whom = wire.EVERYONE if peer is None else peer
+        self.outbox.tell(self.who, whom, words.write(word.volume.handle, word.units, word.gift))
+
     def note(self, text: str) -> None:
         self.outbox.show(self.who, text)
 
@@ -264,5 +280,7 @@
                 instance.dropped(event)
             case wire.Reminder():
                 instance.reminder()
-            case wire.UnderWay() | wire.Heard() | wire.Pong():
-                pass  # nothing is streamed, and the module neither probes nor talks to other gateways
+            case wire.Heard():
+                instance.heard(event)
+            case wire.UnderWay() | wire.Pong():
+                pass  # nothing is streamed, and the module does not probe
--- a/tansykeel/benchlink/wire.py
+++ b/tansykeel/benchlink/wire.py
@@ -129,6 +129,8 @@
 _TIMER = struct.Struct(">HIQQ")
 _STORE = struct.Struct(">HI6s")
 _TEXT = struct.Struct(">HIII")
+_TELL = struct.Struct(">HIHII")
+EVERYONE = 0xFFFF  # Whom: all other instances
 _WATCH = struct.Struct(">HIB")
 
 
@@ -230,6 +232,10 @@
     def drop_conns(self, who: int, store: bytes) -> None:
         self._add(_STORE.pack(262, who, store))
 
+    def tell(self, who: int, whom: int, message: bytes) -> None:
+        self._add(_TELL.pack(263, who, whom, len(self._tail), len(message)))
+        self._tail += message
+
     def show(self, who: int, text: str) -> None:
         self._text(264, who, text)
 
--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -14,8 +14,8 @@
 from heapq import heappop, heappush
 
 from tansykeel.interface import (
-    BreakOff, BudgetRule, Category, ColdRule, Desk, Facts, HandOff, How, Nack, Outcome, Repeat, Scope, Signal,
-    State, Store, Task, Volume, Wait, Want,
+    BreakOff, BudgetRule, Category, ColdRule, Desk, Facts, HandOff, How, Nack, Outcome, Plan, Repeat, Scope,
+    Signal, State, Store, Task, Volume, Wait, Want, Word,
 )
 
 SECOND = 10_000
@@ -44,6 +44,9 @@
 RANKING = 500  # the ranking for new objects is renewed every 50 ms
 EVEN = 0.2  # part of what a cold node bears that gateways share evenly, the rest by past use
 FORGET = 600 * SECOND  # lines and nodes that nothing was sent for are let go after this
+PATIENCE = 4  # times the lag of a task after which its answer counts as lost, where answers are
+ASK = 800  # gateways asked for units of a limit have answered after 80 ms or will not
+ASKED = 6  # that are asked at once
 PAUSE = 2_000  # rest of a node that cannot be reached, grows with every failure in a row
 
 
@@ -122,6 +125,7 @@
     def __init__(self) -> None:
         self.seen: dict[Store, tuple[int, float]] = {}  # the newest last
         self.newest, self.changes, self.known = -STALE, 0, (-1, -1, 0.0)
+        self.lost: deque[bool] = deque(maxlen=SAMPLES)  # of the last hand-offs, whether an answer was lost
 
     def put(self, store: Store, now: int, wait: float) -> None:
         self.seen.pop(store, None)
@@ -171,6 +175,7 @@
         self.ends: deque[bool] = deque(maxlen=SAMPLES)  # whether each outcome was a good one
         self.changes, self.seen, self.waited, self.unit = 0, (-1, -1, -1), 0.0, 0.0  # what is worked out once
         self.resting = self.fell = self.troubles = 0
+        self.proof = 0  # when the latest of the hand-offs that were answered was sent
         self.round_set = self.starved = False  # starved: tokens or bound held something back
 
     def sample(self, lag: int, units: float) -> None:
@@ -188,7 +193,9 @@
         if self.seen != (seen := (now, self.changes, self.waits.changes)):
             self.seen = seen
             # Silence while work is out tells of a node that stands still before any time-out.
-            silence = now - max(self.heard, next(iter(self.sent.values()))) if self.sent else 0
+            # What was sent before something that was answered does not count: its answer is lost, the node works.
+            first = next((sent for sent in self.sent.values() if sent >= self.proof), now)
+            silence = now - max(self.heard, first)
             samples = [(at, lag - units * self.unit) for at, lag, units in list(self.lags)[-LATEST:]]
             waits = left(samples, now, self.tightest)
             wait = sum(waits) / len(waits) if waits else self.waits.middle(now, self.tightest)
@@ -407,15 +414,22 @@
     def learn(self, task: Task, outcome: Outcome) -> None:
         """Take an outcome in: the node's load, its lag, its rate and its health."""
         now, cost = self.desk.now, cost_of(task)
-        del self.sent[task]
+        sent = self.sent.pop(task)
+        lost = outcome.how is How.TIMED_OUT and sent < self.proof
+        self.waits.lost.append(lost)
         self.changes += 1
-        if outcome.how is How.TIMED_OUT:
+        if outcome.how is How.TIMED_OUT and not lost:
             # Guards against work that goes on at the store after its client left: it stays on the books.
             self.desk.alarm(now + self.tightest, lambda: self.release(cost))
         else:
-            self.heard, self.out, self.tokens_out = now, self.out - 1, self.tokens_out - cost
+            self.heard = self.heard if lost else now
+            self.out, self.tokens_out = self.out - 1, self.tokens_out - cost
+        if outcome.how is How.DELIVERED:
+            self.proof = max(self.proof, sent)
         if outcome.how not in (How.MOOT, How.CANCELLED):
             self.ends.append(outcome.how is How.DELIVERED)
+        if lost:
+            return
         if outcome.how in (How.DELIVERED, How.TIMED_OUT):
             self.sample(outcome.lag, task.units)
             self.waits.put(self.store, now, self.queueing())
@@ -460,20 +474,31 @@
 
 
 class VolumeState:
-    """What this gateway keeps of a volume over all its nodes, and its part of the volume's limit.
-    That starts empty: an earlier instance may have spent it all."""
-
-    def __init__(self, hosts: float, limit: float, depth: float, now: int) -> None:
-        self.hosts, self.limit, self.depth, self.units, self.at = hosts, limit, depth, 0.0, now
+    """What this gateway keeps of a volume over all its nodes, and its part of the volume's limit. That starts
+    empty with the gateway: an earlier instance may have spent it all. Gateways pass units of it on: the giver's
+    are gone before the taker's come, and no part exceeds its depth, so all together never exceed the limit."""
+
+    def __init__(self, hosts: float, limit: float, depth: float, born: int) -> None:
+        self.hosts, self.limit, self.depth, self.units, self.at = hosts, limit, depth, 0.0, born
+        self.peers: dict[int, None] = {}  # other gateways heard to have tasks of the volume
+        self.asked = self.ask_due = self.all_due = born  # when some were asked, and when some or all may be again
+        self.pause, self.wish, self.got = 0, 0.0, 0.0  # between two times; asked for and got the last time
+        self.short: dict[Task, None] = {}  # tasks that wait for an answer
         self.sent: deque[tuple[Line, float]] = deque()  # the last hand-offs: where, how much
         self.by_line: dict[Line, float] = {}  # their units
-        self.told: deque[tuple[float, float]] = deque()  # of the last answers: units here, elsewhere
-        self.here = self.there = self.total = 0.0  # sums of those
-
-    def tell(self, here: float, there: float) -> None:
-        self.told.append((here, there))
+        self.told: deque[tuple[float, float]] = deque()  # of the last answers: units here, by all gateways
+        self.here = self.all = self.total = 0.0  # sums of those
+        self.told_at = born
+
+    def tell(self, units: float, outcome: Outcome, plan: Plan, now: int) -> None:
+        """Take in what an answer tells of the volume's use: through other gateways since the last one, or, where
+        it has the meter alone, by all of them in a period, taken to hold since the last one."""
+        used = (outcome.used or 0) / 100 * plan.rate * min(now - self.told_at, STALE) / SECOND
+        here, all_ = units, used if outcome.elsewhere is None else units + outcome.elsewhere
+        self.told_at = now
+        self.told.append((here, all_))
         was = self.told.popleft() if len(self.told) > LAST else (0.0, 0.0)
-        self.here, self.there = self.here + here - was[0], self.there + there - was[1]
+        self.here, self.all = self.here + here - was[0], self.all + all_ - was[1]
 
     def send(self, line: Line, units: float) -> None:
         self.sent.append((line, units))
@@ -487,13 +512,16 @@
     def part(self, usual: float) -> float:
         """This gateway's part of the volume's use, as answers tell it; the even part weighs in as a usual
         task. An even split starves the busy gateway, and idle ones keep the supply; the lead moves."""
-        return (self.here + usual / self.hosts) / (self.here + self.there + usual)
+        return (self.here + usual / self.hosts) / (max(self.here, self.all) + usual)
+
+    def fill(self, now: int, more: float = 0.0) -> None:
+        self.units, self.at = min(self.units + self.limit * (now - self.at) + more, self.depth), now
 
     def wait_for(self, task: Task, now: int) -> int:
         """Tenths until the limit has the units of a first hand-off, 0 if it has them or there is none."""
         if task.hand_offs or not self.limit:
             return 0
-        self.units, self.at = min(self.units + self.limit * (now - self.at), self.depth), now
+        self.fill(now)
         return 0 if self.units >= task.units else int((task.units - self.units) / self.limit) + 1
 
 
@@ -502,7 +530,8 @@
 
     def __init__(self, facts: Facts, seed: int, desk: Desk) -> None:
         self.facts, self.desk = facts, desk
-        self.uniform = random.Random(seed).uniform
+        self.chance, self.born = random.Random(seed), desk.now
+        self.uniform = self.chance.uniform
         self.tightest = min(category.soft_limit for category in facts.categories)
         self.least, self.usual = max(facts.sizes.largest, 1.0), max(facts.sizes.usual, 1.0)
         self.nodes, self.by_shard = dict[Store, Node](), dict[int, Node]()
@@ -597,10 +626,14 @@
                 line = self.line_of(node, task.volume)
                 latest = aim - int(min(node.lag(task.units) * MARGIN, (aim - now) * MOST_MARGIN))
                 wait = state.wait_for(task, self.desk.now)
+                if wait and (due := self.ask(task.volume, state)):
+                    state.short[task] = None
+                    wait = min(wait, due)
                 if self.desk.now + wait >= latest:
                     break
                 if wait:
                     yield Wait(self.desk.now + wait)
+                    state.short.pop(task, None)
                     continue
                 node.hold(line, task)
                 signal = yield Wait(latest)
@@ -616,11 +649,11 @@
                     node.recall(task)
                     continue
                 self.spend(task, line, state)
-                sent, outcome = self.desk.now, (yield HandOff(node.store))
+                sent, outcome = self.desk.now, (yield HandOff(node.store, self.time_out(task, node, aim)))
                 assert isinstance(outcome, Outcome)
                 node.learn(task, outcome)
-                if outcome.how is How.DELIVERED and self.facts.tells_elsewhere:
-                    state.tell(task.units, outcome.elsewhere)
+                if outcome.how is How.DELIVERED and (outcome.elsewhere is not None or outcome.used is not None):
+                    state.tell(task.units, outcome, task.volume.plan, self.desk.now)
                 if not outcome.never_ran:
                     task.may_have_run.append((node.store, sent))
                     if outcome.how in (How.TIMED_OUT, How.RESET, How.CANCELLED) and task.key in self.keys:
@@ -632,8 +665,18 @@
         finally:
             if node and line:
                 node.drop(line, task)
+            state.short.pop(task, None)
             self.leave_key(task)
 
+    def time_out(self, task: Task, node: Node, aim: int) -> int:
+        """When a harmless task is handed off again because its answer seems lost: only while answers are lost,
+        and if the second hand-off can be in time. 0: not before its cut-off."""
+        if task.hand_offs > 1 or task.category.repeat is not Repeat.HARMLESS or True not in self.waits.lost:
+            return 0
+        lag = int(node.lag(task.units))
+        patience = max(int(PATIENCE * lag), self.tightest // 2)
+        return patience if self.desk.now + patience + lag * MARGIN < aim else 0
+
     def aim_of(self, task: Task) -> int:
         """When the soft limit ends. The time left tells of a further try, or of a task that came while this
         gateway stood still: the limit runs from the first try. Less than it may be a short patience."""
@@ -653,7 +696,7 @@
         if volume.state is None:
             plan, hosts = volume.plan, volume.gateways if volume.gateways >= 1 else self.facts.gateways
             rate, depth = plan.limit / SECOND / hosts, plan.limit_depth / hosts
-            volume.state = VolumeState(hosts, rate, depth, self.desk.now)
+            volume.state = VolumeState(hosts, rate, depth, self.born)
         return volume.state
 
     def spend(self, task: Task, line: Line, state: VolumeState) -> None:
@@ -667,6 +710,45 @@
         for other, units in state.by_line.items() if line.reserve else ():
             other.earn(other.reserve * units / total)
 
+    def ask(self, volume: Volume, state: VolumeState) -> int:
+        """Ask some other gateways of the volume for units of its limit, more seldom while little comes, and all
+        gateways while some of the volume's are unknown. Tenths until their answers must be here, 0 if they are."""
+        now = self.desk.now
+        if not self.facts.allowed.peers or state.hosts <= 1:
+            return 0
+        if now >= state.ask_due:
+            state.pause = ASK if 2 * state.got >= state.wish else min(2 * state.pause, SECOND)
+            state.asked, state.ask_due, state.got = now, now + state.pause, 0.0
+            state.wish = state.depth - state.units
+            some = self.chance.sample(list(state.peers), min(ASKED, len(state.peers)))
+            if len(state.peers) < state.hosts - 1 and now >= state.all_due:
+                self.desk.tell(None, Word(volume, state.wish / (state.hosts - 1), False))
+                state.all_due = now + FORGET // 100
+            else:
+                for peer in some:
+                    self.desk.tell(peer, Word(volume, state.wish / len(some), False))
+        return max(state.asked + ASK - now, 0)
+
+    def heard(self, peer: int, word: Word) -> None:
+        """Another gateway gives units of a volume's limit, or asks for some: it gets up to half of what is here, and
+        nothing where no task of the volume came here: this gateway has no part of it as far as it knows."""
+        if word.volume.state is None:
+            return
+        state, now = self.state_of(word.volume), self.desk.now
+        known = peer in state.peers
+        state.peers[peer] = None
+        if word.gift:
+            state.got += word.units
+            state.fill(now, word.units)
+            for task in state.short:
+                self.desk.wake(task, Signal.MOVED)
+            return
+        state.fill(now)
+        gift = min(word.units, max(state.units, 0.0) / 2)
+        if gift >= 1 or not known:
+            state.units -= gift
+            self.desk.tell(peer, Word(word.volume, gift, True))
+
     # Guards of the rules
 
     def may_hand_off(self, task: Task) -> bool:
--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -15,8 +15,8 @@
 from typing import Any, Protocol
 
 from tansykeel.brain import Scheduler
-from tansykeel.interface import BreakOff, Facts, How, Nack, Outcome, Plan, State, Store, Task, Volume, Want
-from tansykeel.protocol.frames import Answer, HandOffOf, ListOf, ProtocolError, TaskOf
+from tansykeel.interface import BreakOff, Facts, How, Nack, Outcome, Plan, State, Store, Task, Volume, Want, Word
+from tansykeel.protocol.frames import Answer, HandOffOf, ListOf, ProtocolError, Share, TaskOf
 from tansykeel.runner import Run, Runner
 from tansykeel.settings.records import Settings
 
@@ -63,6 +63,7 @@
     def cancel(self, attempt: Attempt) -> None: ...
     def remind(self, at: int) -> None: ...
     def ask_list(self) -> None: ...
+    def tell_peer(self, peer: int | None, share: Share) -> None: ...  # None: all other gateways
     def note(self, event: str, **fields: Any) -> None: ...
 
 
@@ -110,6 +111,7 @@
     def list_changed(self, stores: list[Store], confirmed: bool) -> None: ...
     def list_failed(self) -> None: ...
     def serve(self, task: Task) -> Run: ...
+    def heard(self, peer: int, word: Word) -> None: ...
     def final(self, task: Task) -> Want: ...
 
 
@@ -208,7 +210,8 @@
         if how is How.DELIVERED and not held.answered:
             self._answer(held, Answer(DELIVERED, 0, shard if shard >= 0 else attempt.store.shard,
                                       body=sum(map(len, body or ()))), body or [])
-        told = Outcome(how, lag, held.answered, used if used >= 0 else None, elsewhere, report)
+        told = Outcome(how, lag, held.answered, used if used >= 0 else None,
+                       elsewhere if self.facts.tells_elsewhere else None, report)
         self.runner.outcome(held.task, told)
         self._let_go(held)
 
@@ -256,6 +259,13 @@
         self.brain.list_failed()
         self.runner.settle()
 
+    def heard(self, now: int, share: Share) -> None:
+        """Another gateway's word. One on a volume that is not in the settings here is not acted on."""
+        self.runner.move(now)
+        if share.volume in self.volumes:
+            self.brain.heard(share.sender, Word(self.volumes[share.volume], share.units, share.gift))
+            self.runner.settle()
+
     def tick(self, now: int) -> None:
         self.runner.move(now)
         self.runner.reminded()
@@ -304,6 +314,9 @@
     def watch(self) -> None:
         self.wire.ask_list()
 
+    def tell(self, peer: int | None, word: Word) -> None:
+        self.wire.tell_peer(peer, Share(self.facts.me, word.volume.handle, word.units, word.gift))
+
     def note(self, text: str) -> None:
         self.wire.note("module", text=text)
 
--- a/tansykeel/edge/program.py
+++ b/tansykeel/edge/program.py
@@ -13,11 +13,12 @@
 from tansykeel.brain import Scheduler
 from tansykeel.edge.core import Attempt, Core, Decisions, Held
 from tansykeel.edge.listing import Listing
+from tansykeel.edge.peers import Peers
 from tansykeel.edge.stores import Stores
 from tansykeel.edge.trace import Trace
 from tansykeel.interface import Facts
 from tansykeel.protocol.codec import Codec, Event, Piece
-from tansykeel.protocol.frames import Answer, Cancel, Cut, Goodbye, Hello, TaskOf
+from tansykeel.protocol.frames import Answer, Cancel, Cut, Goodbye, Hello, Share, TaskOf
 from tansykeel.settings.records import Settings
 from tansykeel.transport.link import Hub, Limits, Link, accept_all, listening
 
@@ -53,6 +54,7 @@
         self.stopping = asyncio.Event()
         self.core = Core(settings, facts, seed, self, clock(), decide)
         self.stores = Stores(self.core, self.hub, self.gateway, self.hello, clock)
+        self.peers = Peers(settings.peers, facts.me, self.hub, self.hello) if settings.peers else None
 
     async def serve(self, ready: Callable[[int], None] = lambda port: None) -> int:
         """Take tasks until SIGTERM, then answer what is held and return the exit code."""
@@ -87,6 +89,8 @@
         sweeping.cancel()
         if self.listing:
             self.listing.end()
+        if self.peers:
+            self.peers.end()
         await self.hub.stop()
         if self.trace:
             self.trace.end()
@@ -132,6 +136,10 @@
         if self.listing:
             self.listing.ask()
 
+    def tell_peer(self, peer: int | None, share: Share) -> None:
+        if self.peers:
+            self.peers.tell(peer, share)
+
     def note(self, event: str, **fields: Any) -> None:
         self.log.info(event, **fields)
 
@@ -150,7 +158,7 @@
             self.core.tick(now)
 
     def _accept(self, sock: Any) -> None:
-        link = Link(self.hub, sock, Codec("client"), self.hello, self._event, self._gone)
+        link = Link(self.hub, sock, Codec("client", "peer"), self.hello, self._event, self._gone)
         self.clients.add(link)
         if self.core.stopping:
             link.send(0, Goodbye())
@@ -165,6 +173,8 @@
             case Cancel():
                 link.drop_body(event.stream)
                 self.core.left(clock(), link, event.stream)
+            case Share() as share:
+                self.core.heard(clock(), share)
             case Cut():
                 self.core.left(clock(), link, event.stream)
 
--- a/tansykeel/emulator/gateway.py
+++ b/tansykeel/emulator/gateway.py
@@ -9,7 +9,7 @@
 from tansykeel.audit.records import Listed
 from tansykeel.edge.core import Attempt, Core, Held
 from tansykeel.interface import How, Store
-from tansykeel.protocol.frames import Answer, Hello, ListOf, Row, TaskOf
+from tansykeel.protocol.frames import Answer, Hello, ListOf, Row, Share, TaskOf
 from tansykeel.standin.behaviour import Work
 from tansykeel.standin.book import Book
 
@@ -117,6 +117,9 @@
     def list_lost(self) -> None:
         self.core.list_lost(self.clock())
 
+    def share(self, share: Share) -> None:
+        self.core.heard(self.clock(), share)
+
     # Wire: what the core wants done
 
     def answer(self, held: Held, answer: Answer, body: list[bytes], sent: Callable[[], None]) -> None:
@@ -146,6 +149,11 @@
         self.asked = True
         self.engine.after(self.world.list_way(), self.world.list.ask, self, self.life)
 
+    def tell_peer(self, peer: int | None, share: Share) -> None:
+        for other in self.world.gateways:
+            if other.alive and other is not self and peer in (None, other.index):
+                self.engine.after(self.world.client_way(), other.tell, other.life, other.share, share)
+
     def note(self, event: str, **fields: Any) -> None:
         self.world.notes.append(f"{self.name} {event} {fields}")
 
--- a/tansykeel/interface.py
+++ b/tansykeel/interface.py
@@ -68,6 +68,7 @@
     copies: bool
     cancel: bool
     probes: bool
+    peers: bool = False  # gateways may send each other words
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,7 +177,7 @@
     lag: int
     over: bool
     used: int | None = None
-    elsewhere: int = 0
+    elsewhere: int | None = None  # None: answers do not tell it
     report: tuple[float, ...] = ()
 
     @property
@@ -184,6 +185,15 @@
         return self.how in (How.FULL, How.NO_CONNECTION, How.MOOT)
 
 
+@dataclass(frozen=True, slots=True)
+class Word:
+    """One gateway to another: units of a volume's limit, asked for or given. It may be lost, never doubled."""
+
+    volume: Volume
+    units: float
+    gift: bool
+
+
 class Signal(Enum):
     TURN = "turn"
     TIME = "time"
@@ -226,6 +236,7 @@
     def wake(self, task: Task, signal: Signal) -> None: ...
     def alarm(self, at: int, call: Callable[[], None]) -> None: ...
     def watch(self) -> None: ...
+    def tell(self, peer: int | None, word: Word) -> None: ...  # None: all other gateways
     def note(self, text: str) -> None: ...
 
 
@@ -237,4 +248,5 @@
     def break_off(self, task: Task) -> None: ...
     def remind(self, at: int) -> None: ...
     def watch(self) -> None: ...
+    def tell(self, peer: int | None, word: Word) -> None: ...
     def note(self, text: str) -> None: ...
--- a/tansykeel/protocol/codec.py
+++ b/tansykeel/protocol/codec.py
@@ -45,6 +45,7 @@
     "edge": ALWAYS | {Kind.ANSWER, Kind.HAND_OFF, Kind.CANCEL, Kind.PROBE, Kind.LIST_ASK},
     "store": ALWAYS | {Kind.OUTCOME, Kind.PROBED},
     "list": ALWAYS | {Kind.LIST},
+    "peer": ALWAYS | {Kind.SHARE},  # a gateway to another
 }
 CARRIERS = (TaskOf, Answer, HandOffOf, OutcomeOf)
 
--- a/tansykeel/protocol/frames.py
+++ b/tansykeel/protocol/frames.py
@@ -44,6 +44,7 @@
     LIST = 12
     GOODBYE = 13
     CUT = 14
+    SHARE = 15
 
 
 U64 = Annotated[int, Meta(ge=0, le=2**63 - 1)]
@@ -165,10 +166,20 @@
     """The sender gives up a body in the middle: no further CHUNK on this stream."""
 
 
+class Share(Fields):
+    """One gateway to another: units of a volume's limit, asked for or given."""
+
+    sender: Annotated[int, Meta(ge=0, le=65535)]  # its number
+    volume: Name
+    units: Annotated[float, Meta(ge=0)]
+    gift: bool
+
+
 RECORDS: dict[Kind, type[Fields]] = {
     Kind.HELLO: Hello, Kind.ERROR: Error, Kind.TASK: TaskOf, Kind.ANSWER: Answer, Kind.CANCEL: Cancel,
     Kind.HAND_OFF: HandOffOf, Kind.OUTCOME: OutcomeOf, Kind.PROBE: Probe, Kind.PROBED: Probed,
     Kind.LIST_ASK: ListAsk, Kind.LIST: ListOf, Kind.GOODBYE: Goodbye, Kind.CUT: Cut,
+    Kind.SHARE: Share,
 }
 KIND_OF = {record: kind for kind, record in RECORDS.items()}
 DECODERS = {kind: msgspec.msgpack.Decoder(record) for kind, record in RECORDS.items()}
--- a/tansykeel/runner.py
+++ b/tansykeel/runner.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Generator
 from functools import partial
 
-from tansykeel.interface import BreakOff, Door, HandOff, Nack, Outcome, Signal, Task, Wait, Want
+from tansykeel.interface import BreakOff, Door, HandOff, Nack, Outcome, Signal, Task, Wait, Want, Word
 
 Run = Generator[Want, "Signal | Outcome | None", None]
 
@@ -70,6 +70,9 @@
     def watch(self) -> None:
         self._door.watch()
 
+    def tell(self, peer: int | None, word: Word) -> None:
+        self._door.tell(peer, word)
+
     def note(self, text: str) -> None:
         self._door.note(text)
 
--- a/tansykeel/settings/build.py
+++ b/tansykeel/settings/build.py
@@ -18,6 +18,7 @@
     ColdOf,
     Gateway,
     ListOf,
+    PeersOf,
     PlanOf,
     Record,
     RulesOf,
@@ -72,6 +73,7 @@
         return {
             "gateway": self._one("gateway", Gateway), "listing": self._one("listing", ListOf),
             "sizes": self._one("sizes", SizesOf), "rules": self._one("rules", RulesOf),
+            "peers": self._one("peers", PeersOf),
             "category": self._named("category", CategoryOf), "plan": self._named("plan", PlanOf),
             "volume": self._named("volume", VolumeOf), "store": self._named("store", StoreOf),
             "cold": _plain("cold", ColdOf), "budget": _plain("budget", BudgetOf),
@@ -145,6 +147,8 @@
     for store in made.stores:
         if (other := shards.setdefault(store.shard, store.name)) != store.name:
             yield f"store({store.name!r}).shard: {store.shard} is held by {other!r} too; legal: a shard of its own"
+    if made.peers and len(set(made.peers.addresses)) < len(made.peers.addresses):
+        yield "peers.addresses: an address stands there twice; legal: one for each gateway, by its number"
     if made.sizes.usual > made.sizes.largest:
         yield f"sizes.usual: {made.sizes.usual:g} is not legal; legal: {made.sizes.largest:g} (largest) or less"
     if made.gateway.largest_body > made.gateway.connection_memory:
@@ -169,6 +173,8 @@
     """
     if not 0 <= number < count:
         raise ScriptError(f"gateway number {number} of {count}: legal: 0 to {count - 1}")
+    if made.peers and len(made.peers.addresses) != count:
+        raise ScriptError(f"peers.addresses: {len(made.peers.addresses)} for {count} gateways; legal: one for each")
     rules, cold, budget = made.rules, made.rules.cold, made.rules.budget
     return Facts(
         gateways=count, me=number, zone=made.gateway.zone,
@@ -181,7 +187,8 @@
                     for p in made.plans),
         sizes=Sizes(made.sizes.largest, made.sizes.usual),
         allowed=make.allowed(hand_offs=rules.hand_offs, come_back=rules.come_back, copies=rules.copies,
-                             longest_come_back=rules.longest_come_back_ms * MS, cancel=rules.cancel, probes=False),
+                             longest_come_back=rules.longest_come_back_ms * MS, cancel=rules.cancel, probes=False,
+                             peers=made.peers is not None),
         listing=make.listing(must_ask=bool(made.listing and made.listing.mode == "ask"),
                              ask_within=(made.listing.ask_within_ms if made.listing else 0) * MS,
                              drain_grace=(made.listing.drain_grace_ms if made.listing else 0) * MS),
@@ -189,7 +196,8 @@
         cold=make.cold_rule(share=cold.share, warm_after=cold.warm_s * 1000 * MS, multiple=cold.multiple,
                             span=cold.span_s * 1000 * MS, always_safe=cold.always_safe) if cold else None,
         budget=make.budget_rule(span=budget.span_ms * MS, free=budget.free, share=budget.share) if budget else None,
-        key_rest=make.ceil(rules.key_rest_ms * MS), report_fields=(), tells_elsewhere=True,
+        key_rest=make.ceil(rules.key_rest_ms * MS), report_fields=(),
+        tells_elsewhere=rules.tells == "node",
     )
 
 
@@ -207,7 +215,8 @@
         return f"{verb}(" + ", ".join(f"{name} = {value(part)}" for name, part in parts.items()) + ")"
 
     single: list[tuple[str, Record | None]] = [("gateway", made.gateway), ("sizes", made.sizes),
-                                               ("rules", made.rules), ("listing", made.listing)]
+                                               ("rules", made.rules), ("listing", made.listing),
+                                               ("peers", made.peers)]
     groups: list[tuple[str, tuple[Record, ...]]] = [
         ("category", made.categories), ("plan", made.plans), ("volume", made.volumes), ("store", made.stores)]
     lines = [call(verb, record) for verb, record in single if record is not None]
--- a/tansykeel/settings/facts.py
+++ b/tansykeel/settings/facts.py
@@ -39,8 +39,8 @@
 
 
 def allowed(*, hand_offs: int, come_back: bool, longest_come_back: float, copies: bool, cancel: bool,
-            probes: bool) -> Allowed:
-    return Allowed(hand_offs, come_back, floor(longest_come_back), copies, cancel, probes)
+            probes: bool, peers: bool = False) -> Allowed:
+    return Allowed(hand_offs, come_back, floor(longest_come_back), copies, cancel, probes, peers)
 
 
 def listing(*, must_ask: bool, ask_within: float, drain_grace: float) -> Listing:
--- a/tansykeel/settings/records.py
+++ b/tansykeel/settings/records.py
@@ -86,6 +86,13 @@
     drain_grace_ms: Above = 500.0
 
 
+class PeersOf(Record):
+    """Where the gateways listen, by number: they pass on units of limits to each other."""
+
+    addresses: Annotated[tuple[Address, ...], Meta(min_length=2, max_length=1_000)]
+    connect_timeout_ms: Above = 250.0
+
+
 class SizesOf(Record):
     largest: Above = 16.0
     usual: Above = 2.0
@@ -113,6 +120,7 @@
     longest_come_back_ms: Least0 = 1_000.0
     copies: bool = False
     cancel: bool = True
+    tells: Literal["node", "fleet"] = "node"  # stores tell a volume's use through others, or of all in a period
     cold: ColdOf | None = None
     budget: BudgetOf | None = None
 
@@ -124,5 +132,6 @@
     volumes: tuple[VolumeOf, ...]
     stores: tuple[StoreOf, ...] = ()
     listing: ListOf | None = None
+    peers: PeersOf | None = None
     sizes: SizesOf = field(default_factory=SizesOf)
     rules: RulesOf = field(default_factory=RulesOf)
--- a/tests/brain/test_link.py
+++ b/tests/brain/test_link.py
@@ -7,8 +7,9 @@
 import pytest
 from helpers import Desk, task
 
+from tansykeel.benchlink import words
 from tansykeel.benchlink.host import read_facts
-from tansykeel.benchlink.wire import Dropped, Malformed, Outbox, Query, Reminder, batches
+from tansykeel.benchlink.wire import EVERYONE, Dropped, Malformed, Outbox, Query, Reminder, batches
 from tansykeel.interface import Nack, Signal, Wait
 from tansykeel.runner import Runner
 
@@ -42,6 +43,24 @@
     ) + b"two servers unknown"
 
 
+def test_a_word_to_all_is_written_as_the_wire_describes_it():
+    out = Outbox()
+    out.tell(3, EVERYONE, b"hi!!")
+    assert out.frame() == bytes.fromhex("00000001 00000024 0107 00000003 ffff 00000000 00000004" + "00" * 16) + b"hi!!"
+
+
+@pytest.mark.parametrize("units, gift, back", [
+    (2.129, True, 2.12), (0.0, True, 0.0), (1.0, False, 1.0), (1e6, True, 327.67),
+])
+def test_a_word_arrives_rounded_down_so_that_no_unit_is_made_on_the_way(units, gift, back):
+    assert words.read(words.write(2**64 - 1, units, gift)) == (2**64 - 1, back, gift)
+
+
+def test_bytes_that_are_no_word_are_named():
+    with pytest.raises(ValueError, match="9 bytes; legal: 10"):
+        words.read(b"123456789")
+
+
 @pytest.mark.parametrize("frame, says", [
     (FRAME[:10], "short header"), (FRAME[:-1], "short body"),
     (FRAME.replace(b"\x01\x06", b"\x0f\x06", 1), "unknown code"),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -22,6 +22,7 @@
     Store,
     Task,
     Volume,
+    Word,
 )
 
 HARMLESS = Category("read", 2_500, 10_000, 1.0, 0.1, Repeat.HARMLESS, Scope.ALL, 0, False, False, 0.0)
@@ -37,6 +38,7 @@
         self.alarms: list[tuple[int, Callable[[], None]]] = []
         self.watches = 0
         self.notes: list[str] = []
+        self.told: list[tuple[int | None, Word]] = []
 
     def wake(self, task: Task, signal: Signal) -> None:
         self.woken.append((task, signal))
@@ -47,6 +49,9 @@
     def watch(self) -> None:
         self.watches += 1
 
+    def tell(self, peer: int | None, word: Word) -> None:
+        self.told.append((peer, word))
+
     def note(self, text: str) -> None:
         self.notes.append(text)
 
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -37,6 +37,29 @@
     assert facts.cold.span == 10_000 and facts.budget.free == 3
 
 
+TWO = 'peers(addresses = ["127.0.0.1:7001", "127.0.0.1:7002"])'
+
+
+def test_without_peers_gateways_send_each_other_nothing_and_with_them_they_may(written):
+    assert not facts_of(load(written(GOOD)), 1, 3).allowed.peers
+    assert facts_of(load(written(GOOD + TWO)), 1, 2).allowed.peers
+
+
+@pytest.mark.parametrize("tells, elsewhere", [("node", True), ("fleet", False)])
+def test_what_stores_tell_of_a_volumes_use_comes_from_the_script(written, tells, elsewhere):
+    made = load(written(GOOD.replace("rules(", f'rules(tells="{tells}", ')))
+    assert facts_of(made, 0, 1).tells_elsewhere is elsewhere
+
+
+def test_peers_name_each_gateway_once(written):
+    with pytest.raises(ScriptError, match="2 for 3 gateways; legal: one for each"):
+        facts_of(load(written(GOOD + TWO)), 0, 3)
+    with pytest.raises(ScriptError, match="an address stands there twice"):
+        load(written(GOOD + TWO.replace("7002", "7001")))
+    with pytest.raises(ScriptError, match="is not legal"):
+        load(written(GOOD + 'peers(addresses = ["127.0.0.1:7001"])'))
+
+
 def test_a_written_script_reads_back_as_the_same_record(written):
     made = load(written(GOOD))
     assert load(written(text_of(made), "again.star")) == made
