Limits of a new fleet start full; a gateway that starts among older ones starts empty

A gateway now greets the others when it starts; those that have run for two seconds answer. Unanswered after 80 ms, the fleet is new and the limit's store is full, as the rule has it.

--- a/tansykeel/benchlink/host.py
+++ b/tansykeel/benchlink/host.py
@@ -193,8 +193,8 @@
             handle, units, gift = words.read(event.message)
         except ValueError as error:
             raise wire.Malformed(f"message of instance {event.sender}: {error}") from error
-        volume = self.volumes.get(handle)
-        if volume is not None:  # no task of it has come here: there is nothing to ask or give
+        volume = self.volumes.get(handle) if handle is not None else None
+        if volume is not None or handle is None:  # else no task of it has come here: nothing to ask or give
             self.brain.heard(event.sender, Word(volume, units, gift))
         self.runner.settle()
 
@@ -226,7 +226,7 @@
 
     def tell(self, peer: int | None, word: Word) -> None:
         whom = wire.EVERYONE if peer is None else peer
-        self.outbox.tell(self.who, whom, words.write(word.volume.handle, word.units, word.gift))
+        self.outbox.tell(self.who, whom, words.write(word.volume.handle if word.volume else None, word.units, word.gift))
 
     def note(self, text: str) -> None:
         self.outbox.show(self.who, text)
--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -45,6 +45,7 @@
 EVEN = 0.2  # part of what a cold node bears that gateways share evenly, the rest by past use
 FORGET = 600 * SECOND  # lines and nodes that nothing was sent for are let go after this
 PATIENCE = 4  # times the lag of a task after which its answer counts as lost, where answers are
+NEW = 2 * SECOND  # gateways that started within this of each other are a new fleet
 ASK = 800  # gateways asked for units of a limit have answered after 80 ms or will not
 ASKED = 6  # that are asked at once
 PAUSE = 2_000  # rest of a node that cannot be reached, grows with every failure in a row
@@ -484,6 +485,7 @@
         self.asked = self.ask_due = self.all_due = born  # when some were asked, and when some or all may be again
         self.pause, self.wish, self.got = 0, 0.0, 0.0  # between two times; asked for and got the last time
         self.short: dict[Task, None] = {}  # tasks that wait for an answer
+        self.greeted = False  # whether it is settled that the part starts full, or empty
         self.sent: deque[tuple[Line, float]] = deque()  # the last hand-offs: where, how much
         self.by_line: dict[Line, float] = {}  # their units
         self.told: deque[tuple[float, float]] = deque()  # of the last answers: units here, by all gateways
@@ -531,7 +533,9 @@
     def __init__(self, facts: Facts, seed: int, desk: Desk) -> None:
         self.facts, self.desk = facts, desk
         self.chance, self.born = random.Random(seed), desk.now
-        self.uniform = self.chance.uniform
+        self.uniform, self.alone = self.chance.uniform, True
+        if facts.allowed.peers:
+            desk.alarm(desk.now, lambda: desk.tell(None, Word(None, 0.0, False)))
         self.tightest = min(category.soft_limit for category in facts.categories)
         self.least, self.usual = max(facts.sizes.largest, 1.0), max(facts.sizes.usual, 1.0)
         self.nodes, self.by_shard = dict[Store, Node](), dict[int, Node]()
@@ -625,7 +629,7 @@
                     break
                 line = self.line_of(node, task.volume)
                 latest = aim - int(min(node.lag(task.units) * MARGIN, (aim - now) * MOST_MARGIN))
-                wait = state.wait_for(task, self.desk.now)
+                wait = self.limit_wait(task, state)
                 if wait and (due := self.ask(task.volume, state)):
                     state.short[task] = None
                     wait = min(wait, due)
@@ -643,7 +647,7 @@
                         continue
                     break
                 legal = self.may_hand_off(task) and self.in_group(task, node.store)
-                if not legal or state.wait_for(task, self.desk.now):
+                if not legal or self.limit_wait(task, state):
                     # Not legal any more, or the limit has too little left at the turn: charged before, a held
                     # line could leave in one burst.
                     node.recall(task)
@@ -710,6 +714,13 @@
         for other, units in state.by_line.items() if line.reserve else ():
             other.earn(other.reserve * units / total)
 
+    def limit_wait(self, task: Task, state: VolumeState) -> int:
+        now = self.desk.now
+        if not state.greeted and now >= self.born + ASK:
+            state.greeted = True
+            state.fill(now, state.depth if self.facts.allowed.peers and self.alone else 0.0)
+        return state.wait_for(task, now)
+
     def ask(self, volume: Volume, state: VolumeState) -> int:
         """Ask some other gateways of the volume for units of its limit, more seldom while little comes, and all
         gateways while some of the volume's are unknown. Tenths until their answers must be here, 0 if they are."""
@@ -732,6 +743,12 @@
     def heard(self, peer: int, word: Word) -> None:
         """Another gateway gives units of a volume's limit, or asks for some: it gets up to half of what is here, and
         nothing where no task of the volume came here: this gateway has no part of it as far as it knows."""
+        if word.volume is None:
+            if word.gift:
+                self.alone = False
+            elif self.desk.now >= self.born + NEW:
+                self.desk.tell(peer, Word(None, 0.0, True))
+            return
         if word.volume.state is None:
             return
         state, now = self.state_of(word.volume), self.desk.now
--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -262,8 +262,9 @@
     def heard(self, now: int, share: Share) -> None:
         """Another gateway's word. One on a volume that is not in the settings here is not acted on."""
         self.runner.move(now)
-        if share.volume in self.volumes:
-            self.brain.heard(share.sender, Word(self.volumes[share.volume], share.units, share.gift))
+        volume = self.volumes.get(share.volume) if share.volume is not None else None
+        if volume is not None or share.volume is None:
+            self.brain.heard(share.sender, Word(volume, share.units, share.gift))
             self.runner.settle()
 
     def tick(self, now: int) -> None:
@@ -315,7 +316,8 @@
         self.wire.ask_list()
 
     def tell(self, peer: int | None, word: Word) -> None:
-        self.wire.tell_peer(peer, Share(self.facts.me, word.volume.handle, word.units, word.gift))
+        self.wire.tell_peer(peer, Share(self.facts.me, word.volume.handle if word.volume else None, word.units,
+                                         word.gift))
 
     def note(self, text: str) -> None:
         self.wire.note("module", text=text)
--- a/tests/brain/test_brain.py
+++ b/tests/brain/test_brain.py
@@ -310,7 +310,7 @@
     for (_, desk), state in zip(made, states, strict=True):
         desk.now += 10_000
         state.fill(desk.now)
-        state.units = 6.0
+        state.units, state.greeted = 6.0, True
     states[0].units = 0.5
     wanted = task(made[0][1], units=8.0, volume=volumes[0])
     run = made[0][0].serve(wanted)
@@ -343,6 +343,26 @@
     assert isinstance(next(run), Nack) and desk.told == []
 
 
+@pytest.mark.parametrize("answered, greeted_after, units", [(False, 800, 20.0), (True, 800, 0.0), (False, 799, 0.0)])
+def test_a_limit_starts_full_only_where_no_gateway_says_that_it_has_run_for_long(answered, greeted_after, units):
+    """Guards against a gateway that comes back and spends once more what its earlier self has spent."""
+    brain, desk = scheduler([store()], allowed=TALK)
+    volume = Volume("v", replace(LIMITED, limit=1e-6), 2.0)
+    if answered:
+        brain.heard(1, Word(None, 0.0, True))
+    desk.now += greeted_after
+    brain.limit_wait(task(desk, volume=volume), brain.state_of(volume))
+    assert volume.state.units == pytest.approx(units, abs=0.01)
+
+
+@pytest.mark.parametrize("age, answers", [(19_999, []), (20_000, [(3, Word(None, 0.0, True))])])
+def test_a_greeting_is_answered_by_a_gateway_that_has_run_for_long(age, answers):
+    brain, desk = scheduler([store()], allowed=TALK)
+    desk.now += age
+    brain.heard(3, Word(None, 0.0, False))
+    assert desk.told == answers
+
+
 def test_while_little_comes_gateways_are_asked_ever_more_seldom():
     """Guards against a storm of words when a volume has spent its whole limit."""
     made, volumes, states = of_gateways(0, 1)
--- a/tests/brain/test_link.py
+++ b/tests/brain/test_link.py
@@ -56,6 +56,10 @@
     assert words.read(words.write(2**64 - 1, units, gift)) == (2**64 - 1, back, gift)
 
 
+def test_a_greeting_arrives_without_a_volume():
+    assert words.read(words.write(None, 0.0, False)) == (None, 0.0, False)
+
+
 def test_bytes_that_are_no_word_are_named():
     with pytest.raises(ValueError, match="9 bytes; legal: 10"):
         words.read(b"123456789")
