--- a/tansykeel/benchlink/host.py
+++ b/tansykeel/benchlink/host.py
@@ -226,7 +226,8 @@
 
     def tell(self, peer: int | None, word: Word) -> None:
         whom = wire.EVERYONE if peer is None else peer
-        self.outbox.tell(self.who, whom, words.write(word.volume.handle if word.volume else None, word.units, word.gift))
+        volume = word.volume.handle if word.volume else None
+        self.outbox.tell(self.who, whom, words.write(volume, word.units, word.gift))
 
     def note(self, text: str) -> None:
         self.outbox.show(self.who, text)
--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -1,8 +1,7 @@
 """The decisions of tansykeel: which task goes to which store, when, and what becomes of it.
 
-Called by a runner (runner.py), one Scheduler for each gateway: `serve(task)` gives the generator of a task,
-`list_changed` and `list_failed` tell it of the list of stores. Types are in interface.py, the reasons in
-docs/design.md. Times are whole tenths of a millisecond, rates are units (or tokens) a tenth.
+One Scheduler for each gateway: `serve(task)` gives a task's generator; lists and words of other gateways come
+in between. Reasons are in docs/design.md. Times are whole tenths of a millisecond, rates units a tenth.
 """
 
 from __future__ import annotations
@@ -12,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable, Generator, Iterable
 from heapq import heappop, heappush
+from itertools import takewhile
 
 from tansykeel.interface import (
     BreakOff, BudgetRule, Category, ColdRule, Desk, Facts, HandOff, How, Nack, Outcome, Plan, Repeat, Scope,
@@ -27,19 +27,16 @@
 FLOOR = 0.1  # part of the node rate that the slices always share (design)
 READ_COST, WRITE_COST = 1.0, 1.5  # tokens for a unit
 AIM_PART = 0.3  # part of the tightest soft limit that work may spend at a node
-MARGIN = 1.5  # times the usual lag that a held task must have left to its soft limit
-MOST_MARGIN = 0.75  # part of the soft limit that this may take at most
+MARGIN, MOST_MARGIN = 1.5, 0.75  # times the lag left to a held task's soft limit; at most this part of that
 MOST_OUT = 24  # hand-offs out at a node (design: 32)
 LEAST_RATE = 4  # the least rates of all gateways together, in usual tasks within a tightest soft limit
 USE = 4  # times what was used lately that a falling rate starts from at most
-DEEPEST = 0.9  # part of the rate that one fall takes at most
 RISE = 2_000  # the rate about doubles in this time while tasks are held and the lag is far under its target
-FALL = 0.2  # part that it loses with the lag at twice its target
+FALL, DEEPEST = 0.2, 0.9  # part that it loses with the lag at twice its target, and at most in one fall
 FRESH = SECOND  # samples that tell of the present, if the queue that they saw is not longer
-LATEST = 4  # of these, the last few tell of the present queue
 DRAIN = 0.5  # time of waiting that a queue loses in a unit of time
 LAST = 32  # of a volume's last hand-offs and answers, where it is used is worked out
-SAMPLES = 24  # outcomes that a node's figures are worked out from
+SAMPLES, LATEST = 24, 4  # outcomes that a node's figures are worked out from; those that tell of its queue
 STALE = 2 * SECOND  # samples of an overload count this long, and a node's rate for new nodes
 RANKING = 500  # the ranking for new objects is renewed every 50 ms
 EVEN = 0.2  # part of what a cold node bears that gateways share evenly, the rest by past use
@@ -47,13 +44,12 @@
 PATIENCE = 4  # times the lag of a task after which its answer counts as lost, where answers are
 NEW = 2 * SECOND  # gateways that started within this of each other are a new fleet
 ASK = 800  # gateways asked for units of a limit have answered after 80 ms or will not
-ASKED = 6  # that are asked at once
+ASKED, ALL = 6, 6 * SECOND  # so many are asked at once; all gateways at most once in a while
 PAUSE = 2_000  # rest of a node that cannot be reached, grows with every failure in a row
 
 
 class Line:
-    """One volume at one node: its tokens and its held tasks in order of arrival. A round walks the lines that
-    hold tasks; what the others earn or owe is worked out when it is looked at: idle volumes cost nothing."""
+    """One volume at one node. What it earns or owes while it holds no tasks is worked out when needed."""
 
     def __init__(self, node: Node, number: int, volume: Volume) -> None:
         self.node, self.number, self.volume = node, number, volume  # number: its place in the round
@@ -80,15 +76,13 @@
 
 
 class Young:
-    """Keeps what all gateways send to a store that has just started within what it surely bears. A part is
-    even, the rest by past use: warm, the store did all that was sent; it starts with a known share of that,
-    so each gateway may send that share of its own. Tasks go when paid for, the first spaced by its number."""
+    """Keeps what all send to a store that has just started within what it surely bears: a part evenly, the
+    rest by past use, for it starts with a known share of that. Tasks go when paid, the first by number."""
 
     def __init__(self, rule: ColdRule, gateways: int, me: int, largest: float) -> None:
         self.rule, self.largest = rule, largest
         self.even, self.phase = rule.always_safe / max(gateways, 1), (me + 0.5) / max(gateways, 1)
-        self.due = 0  # when the last task that found no room would find it: no round is needed before
-        self.suspected = 0  # last time that the store could not be reached: it may have started since
+        self.due = self.suspected = 0  # when the last task will find room; when it may have started
         self.since, self.at, self.past, self.credit = -rule.warm_after - rule.span, 0, 0.0, 0.0
 
     def room(self, store: Store, now: int, units: float, pace: Callable[[], float], clear: bool) -> bool:
@@ -114,8 +108,7 @@
 
 
 def left(seen: Iterable[tuple[int, float]], now: int, limit: int) -> list[float]:
-    """What is left of queues seen some time ago. A short one, as after a pause, drains while work comes in;
-    one past the tightest soft limit tells of an overload and stays for as long as it counts."""
+    """What is left of queues seen some time ago: a short one drains, one past the tightest limit stays."""
     return [wait if wait > limit else max(wait - DRAIN * (now - at), 0.0)
             for at, wait in seen if now - at <= (STALE if wait > limit else FRESH)]
 
@@ -136,65 +129,51 @@
     def middle(self, now: int, limit: int) -> float:
         """The lower middle of what was heard lately, so that one sick node does not speak for the others."""
         if self.known[:2] != (now, self.changes):
-            seen = list[tuple[int, float]]()
-            for at, wait in reversed(self.seen.values()):
-                if at < now - STALE:
-                    break
-                seen.append((at, wait))
+            seen = takewhile(lambda sample: sample[0] >= now - STALE, reversed(self.seen.values()))
             waits = sorted(left(seen, now, limit))
             self.known = now, self.changes, waits[(len(waits) - 1) // 2] if len(waits) > 1 else 0.0
         return self.known[2]
 
 
 class Node:
-    """One store as this gateway's scheduler sees it."""
+    """One store as this gateway sees it; `before` held its shard until now."""
 
     def __init__(self, store: Store, desk: Desk, rate: float, least: float, usual: float, tightest: int,
-                 young: Young | None, waits: Waits, gateways: int,
-                 before: Node | None) -> None:  # before: the node that held the shard until now
+                 young: Young | None, waits: Waits, gateways: int, before: Node | None) -> None:
         self.store, self.desk, self.young, self.waits = store, desk, young, waits
         self.rate, self.least, self.usual, self.tightest = rate, least, usual, tightest
         self.floor, self.before = LEAST_RATE * usual / tightest / max(gateways, 1), before
-        self.lines: dict[Volume, Line] = {}
-        self.holding: list[Line] = []  # lines with held tasks, in the order of the round
+        self.lines, self.holding = dict[Volume, Line](), list[Line]()  # holding: with held tasks, in order
         # Of the others: those whose balance is full (each has `has` for a token it earns), when more will be,
         # those that held a task lately, those in debt, and the slices after which they owe nothing.
-        self.full: dict[Line, None] = {}
-        self.fills: list[tuple[int, int, Line]] = []
-        self.late: dict[Line, int] = {}
-        self.owing: dict[Line, None] = {}
-        self.debts: list[tuple[float, int, Line]] = []
-        self.notes = 0  # keep the order of fills and debts
+        self.full, self.fills = dict[Line, None](), list[tuple[int, int, Line]]()
+        self.late, self.owing = dict[Line, int](), dict[Line, None]()
+        self.debts = list[tuple[float, int, Line]]()
         self.earn = self.full_earn = self.has = self.paid = 0.0  # paid: all slices so far, of one line
-        self.count, self.first, self.bucket = 0, 0, 0.0  # first: where the next round of slices starts
+        self.count = self.notes = self.first = 0  # first: where the next round of slices starts
+        self.bucket, self.out, self.tokens_out, self.held, self.held_tokens = 0.0, 0, 0.0, 0, 0.0
         self.born = self.heard = self.accrued = self.reset_at = desk.now
-        self.out, self.tokens_out = 0, 0.0
         self.sent: dict[Task, int] = {}  # hand-offs out, in order, with their times
         self.grants: deque[tuple[int, float]] = deque(maxlen=SAMPLES)  # the last hand-offs: when, tokens
-        self.held, self.held_tokens = 0, 0.0
         self.lags: deque[tuple[int, int, float]] = deque(maxlen=SAMPLES)  # when, lag, units
         self.ends: deque[bool] = deque(maxlen=SAMPLES)  # whether each outcome was a good one
         self.changes, self.seen, self.waited, self.unit = 0, (-1, -1, -1), 0.0, 0.0  # what is worked out once
-        self.resting = self.fell = self.troubles = 0
-        self.proof = 0  # when the latest of the hand-offs that were answered was sent
+        self.resting = self.fell = self.troubles = self.proof = 0  # proof: when the last answered was sent
         self.round_set = self.starved = False  # starved: tokens or bound held something back
 
     def sample(self, lag: int, units: float) -> None:
         self.lags.append((self.desk.now, lag, units))
         self.changes += 1
-        # Tenths that a unit takes here when nothing waits: the quickest quarter of the last outcomes.
         times = sorted([lag / units for _, lag, units in self.lags])
-        self.unit = times[len(times) // 4]
+        self.unit = times[len(times) // 4]  # tenths that a unit takes here when nothing waits
 
     def queueing(self) -> float:
-        """Time that the last hand-offs spent waiting. Old samples must not be taken for the present: a node
-        judged too slow gets no tasks. Without fresh ones it counts as the middle of the others (design:
-        average): where a gateway sees a node once in several seconds, a load on all shows only so."""
+        """Time that the last hand-offs spent waiting; without fresh ones the middle of the others (design:
+        average), for a node judged too slow gets no tasks that could tell."""
         now = self.desk.now
         if self.seen != (seen := (now, self.changes, self.waits.changes)):
             self.seen = seen
-            # Silence while work is out tells of a node that stands still before any time-out.
-            # What was sent before something that was answered does not count: its answer is lost, the node works.
+            # Silence tells of a node that stands still; where a later answer came, the one missing is lost.
             first = next((sent for sent in self.sent.values() if sent >= self.proof), now)
             silence = now - max(self.heard, first)
             samples = [(at, lag - units * self.unit) for at, lag, units in list(self.lags)[-LATEST:]]
@@ -215,8 +194,7 @@
         return self.waits.newest >= self.desk.now - FRESH and self.gap() > 0
 
     def bound(self) -> float:
-        """Tokens that may be out. The least of one largest task does not hold while the node has too much:
-        many gateways with that much each would keep its queue full of work that comes too late."""
+        """Tokens that may be out; one largest task, but not where many gateways' would keep a queue full."""
         least = self.least if self.gap() >= 0 and not self.troubles else 0.0
         return max(self.rate * self.tightest * AIM_PART, least)
 
@@ -254,7 +232,6 @@
                 self.lull(line)
 
     def rouse(self, line: Line) -> None:
-        """A line comes to hold a task: what it has now."""
         insort(self.holding, line, key=lambda other: other.number)
         if line in self.full:
             del self.full[line]
@@ -269,7 +246,6 @@
         line.full_at = 0
 
     def lull(self, line: Line) -> None:
-        """A line holds nothing any more."""
         self.holding.remove(line)
         line.at, line.paid = self.accrued, self.paid
         self.late[line] = self.desk.now
@@ -282,7 +258,6 @@
         self.fill(line)
 
     def fill(self, line: Line) -> None:
-        """Note when the balance of a line that holds nothing will be full."""
         missing = 3 * ROUND * line.earns - line.balance
         if line.earns and missing > 0:
             line.full_at = line.at + int(missing / line.earns) + 1
@@ -292,8 +267,7 @@
             self.settle(line)
 
     def settle(self, line: Line) -> None:
-        """Its balance is full: it gives to the bucket as all such lines do. Those so for longest go: volumes
-        come and go, memory must not grow."""
+        """Its balance is full: it gives to the bucket as all such lines do. Those longest so are let go."""
         self.bucket += line.balance - self.has * line.earns
         self.full[line], line.at, line.full_at = None, self.accrued, 0
         self.full_earn += line.earns
@@ -328,8 +302,7 @@
                 cost = cost_of(line.held[0])
                 if (short := cost - line.tokens) > self.bucket:
                     self.starved = True
-                    # An idle node lends, its supply would be lost; not where the work would come too late,
-                    # and to a line in debt only on a fresh sample: many gateways may be as blind as this one.
+                    # An idle node lends if the work is in time, to a line in debt only on a fresh sample.
                     if self.out or self.gap() < 1 - 1 / AIM_PART or (line.tokens < 0 and not self.free()):
                         break
                 if not self.fits(line.held[0], cost):
@@ -399,21 +372,18 @@
         self.round()
 
     def recall(self, task: Task) -> None:
-        """A granted task does not go after all."""
         del self.sent[task]
         self.changes += 1
         self.release(cost_of(task))
 
     def fall(self, part: float, rest: int) -> None:
-        """Lower the rate, at most once in the time that a step needs to show, and from a few times its use:
-        a gateway that sends little must feel it too, for all of them together are the node's load."""
+        """Lower the rate, once in the time that a step shows, from a few times its use: all must feel it."""
         if self.desk.now >= self.fell:
             used = sum(cost for at, cost in self.grants if at >= self.desk.now - SECOND) / SECOND
             self.rate = max(min(self.rate, USE * used) * (1 - part), self.floor)
             self.fell = self.desk.now + rest
 
     def learn(self, task: Task, outcome: Outcome) -> None:
-        """Take an outcome in: the node's load, its lag, its rate and its health."""
         now, cost = self.desk.now, cost_of(task)
         sent = self.sent.pop(task)
         lost = outcome.how is How.TIMED_OUT and sent < self.proof
@@ -423,15 +393,11 @@
             # Guards against work that goes on at the store after its client left: it stays on the books.
             self.desk.alarm(now + self.tightest, lambda: self.release(cost))
         else:
-            self.heard = self.heard if lost else now
-            self.out, self.tokens_out = self.out - 1, self.tokens_out - cost
-        if outcome.how is How.DELIVERED:
-            self.proof = max(self.proof, sent)
+            self.heard, self.out, self.tokens_out = now, self.out - 1, self.tokens_out - cost
         if outcome.how not in (How.MOOT, How.CANCELLED):
             self.ends.append(outcome.how is How.DELIVERED)
-        if lost:
-            return
-        if outcome.how in (How.DELIVERED, How.TIMED_OUT):
+        if outcome.how is How.DELIVERED or outcome.how is How.TIMED_OUT and not lost:
+            self.proof = max(self.proof, sent if outcome.how is How.DELIVERED else 0)
             self.sample(outcome.lag, task.units)
             self.waits.put(self.store, now, self.queueing())
             self.troubles = 0
@@ -442,8 +408,7 @@
             self.fall(FALL, ROUND)
             self.resting = now + ROUND * 5 * min(self.troubles, 10)
         elif outcome.how is How.NO_CONNECTION:
-            # Guards against a store that is down or restarting: tried ever more seldom, it counts as just
-            # started, for the list tells of it too late. A reset is no such sign: links drop connections too.
+            # Guards against a restart that the list has not told: tried ever more seldom, it counts as cold.
             self.troubles += 1
             if self.young and self.troubles > 1:
                 self.young.suspected = self.young.at = now
@@ -452,16 +417,12 @@
             self.desk.alarm(self.resting, self.round)
 
 
-class KeyLine:
-    """Tasks of ordered categories that carry one key, in the order taken."""
-
+class KeyLine:  # tasks of ordered categories that carry one key, in the order taken
     def __init__(self) -> None:
         self.tasks, self.rests_until = deque[Task](), 0
 
 
-class Extras:
-    """Further hand-offs within the stated budget of every window."""
-
+class Extras:  # further hand-offs within the stated budget of every window
     def __init__(self, rule: BudgetRule) -> None:
         self.rule = rule
         self.taken, self.extras = deque[int](), deque[int]()
@@ -475,32 +436,28 @@
 
 
 class VolumeState:
-    """What this gateway keeps of a volume over all its nodes, and its part of the volume's limit. That starts
-    empty with the gateway: an earlier instance may have spent it all. Gateways pass units of it on: the giver's
-    are gone before the taker's come, and no part exceeds its depth, so all together never exceed the limit."""
+    """A volume over all nodes, and this gateway's part of its limit. Units passed on are gone at the giver
+    before they come, and no part grows past its depth: all parts together keep the limit."""
 
     def __init__(self, hosts: float, limit: float, depth: float, born: int) -> None:
         self.hosts, self.limit, self.depth, self.units, self.at = hosts, limit, depth, 0.0, born
+        self.started = False  # whether it is settled that the part starts full, or empty
         self.peers: dict[int, None] = {}  # other gateways heard to have tasks of the volume
-        self.asked = self.ask_due = self.all_due = born  # when some were asked, and when some or all may be again
+        self.asked = self.ask_due = self.all_due = born  # last; when some, or all, may be again
         self.pause, self.wish, self.got = 0, 0.0, 0.0  # between two times; asked for and got the last time
-        self.short: dict[Task, None] = {}  # tasks that wait for an answer
-        self.greeted = False  # whether it is settled that the part starts full, or empty
-        self.sent: deque[tuple[Line, float]] = deque()  # the last hand-offs: where, how much
-        self.by_line: dict[Line, float] = {}  # their units
-        self.told: deque[tuple[float, float]] = deque()  # of the last answers: units here, by all gateways
-        self.here = self.all = self.total = 0.0  # sums of those
-        self.told_at = born
+        self.short = dict[Task, None]()  # tasks that wait for units
+        self.sent, self.by_line = deque[tuple[Line, float]](), dict[Line, float]()  # of the last hand-offs
+        self.told = deque[tuple[float, float]]()  # of the last answers: units here, by all gateways
+        self.told_at, self.here, self.all, self.total = born, 0.0, 0.0, 0.0  # their sums
 
     def tell(self, units: float, outcome: Outcome, plan: Plan, now: int) -> None:
-        """Take in what an answer tells of the volume's use: through other gateways since the last one, or, where
-        it has the meter alone, by all of them in a period, taken to hold since the last one."""
+        """Take in the volume's use: what went through others since the last answer, or, with the meter alone,
+        what all did in its period, taken to hold since the last answer."""
         used = (outcome.used or 0) / 100 * plan.rate * min(now - self.told_at, STALE) / SECOND
-        here, all_ = units, used if outcome.elsewhere is None else units + outcome.elsewhere
-        self.told_at = now
-        self.told.append((here, all_))
+        self.told_at, by_all = now, used if outcome.elsewhere is None else units + outcome.elsewhere
+        self.told.append((units, by_all))
         was = self.told.popleft() if len(self.told) > LAST else (0.0, 0.0)
-        self.here, self.all = self.here + here - was[0], self.all + all_ - was[1]
+        self.here, self.all = self.here + units - was[0], self.all + by_all - was[1]
 
     def send(self, line: Line, units: float) -> None:
         self.sent.append((line, units))
@@ -512,44 +469,29 @@
                 del self.by_line[line]
 
     def part(self, usual: float) -> float:
-        """This gateway's part of the volume's use, as answers tell it; the even part weighs in as a usual
-        task. An even split starves the busy gateway, and idle ones keep the supply; the lead moves."""
+        """This gateway's part of the volume's use; the even part weighs in as a usual task."""
         return (self.here + usual / self.hosts) / (max(self.here, self.all) + usual)
 
     def fill(self, now: int, more: float = 0.0) -> None:
         self.units, self.at = min(self.units + self.limit * (now - self.at) + more, self.depth), now
 
-    def wait_for(self, task: Task, now: int) -> int:
-        """Tenths until the limit has the units of a first hand-off, 0 if it has them or there is none."""
-        if task.hand_offs or not self.limit:
-            return 0
-        self.fill(now)
-        return 0 if self.units >= task.units else int((task.units - self.units) / self.limit) + 1
-
 
 class Scheduler:
-    """All decisions of one gateway."""
-
     def __init__(self, facts: Facts, seed: int, desk: Desk) -> None:
         self.facts, self.desk = facts, desk
-        self.chance, self.born = random.Random(seed), desk.now
-        self.uniform, self.alone = self.chance.uniform, True
+        self.chance, self.born, self.new = random.Random(seed), desk.now, True  # new: as all others
         if facts.allowed.peers:
             desk.alarm(desk.now, lambda: desk.tell(None, Word(None, 0.0, False)))
         self.tightest = min(category.soft_limit for category in facts.categories)
         self.least, self.usual = max(facts.sizes.largest, 1.0), max(facts.sizes.usual, 1.0)
         self.nodes, self.by_shard = dict[Store, Node](), dict[int, Node]()
-        self.waits = Waits()
+        self.waits, self.keys, self.asks = Waits(), dict[int, KeyLine](), 0
         self.ranked, self.rank_due = list[Node](), 0
-        self.keys = dict[int, KeyLine]()
         self.extras = Extras(facts.budget) if facts.budget else None
         self.patience: dict[Category, deque[int]] = {}  # of the last tasks: time left when they came
-        self.asks = 0
         if facts.listing.must_ask:
             desk.watch()
 
-    # The list of stores
-
     def list_changed(self, stores: list[Store], confirmed: bool) -> None:
         if confirmed:
             self.asks = 0
@@ -580,8 +522,7 @@
                 self.desk.wake(task, Signal.MOVED)
 
     def list_failed(self) -> None:
-        """A call or the subscription failed: ask again, ever less often, at a time of our own."""
-        wait = int(self.uniform(0.5, 1.5) * SECOND * min(2**self.asks, 8))
+        wait = int(self.chance.uniform(0.5, 1.5) * SECOND * min(2**self.asks, 8))
         self.asks += 1
         self.desk.alarm(self.desk.now + wait, self.desk.watch)
 
@@ -591,15 +532,14 @@
         return sum(heard) / len(heard) if heard else self.least / (self.tightest * AIM_PART)
 
     def rank(self) -> None:
-        """Order the nodes for new objects by the time a task would spend there, failures counted in.
-        Renewed in step with time, but only while new objects come: most gateways see few of them."""
+        """Order the nodes for new objects by the time a task would spend there, failures counted in."""
         self.rank_due = self.desk.now + RANKING
 
         def dwell(node: Node) -> float:
             failing = node.ends.count(False) / max(len(node.ends), 1)
             return node.lag(self.usual) + node.held_tokens / node.rate + failing * self.tightest
         ready = [node for node in self.by_shard.values() if node.usable()]
-        self.ranked = sorted(ready, key=lambda node: (dwell(node), self.uniform(0, 1)))
+        self.ranked = sorted(ready, key=lambda node: (dwell(node), self.chance.uniform(0, 1)))
 
     def node_for(self, task: Task) -> Node | None:
         if task.shard is not None:
@@ -614,8 +554,7 @@
     def serve(self, task: Task) -> Generator[Want, Signal | Outcome | None, None]:
         """The ordinary path: find the node, wait for the turn, hand off, judge the outcome."""
         now = self.desk.now
-        state = self.state_of(task.volume)
-        aim = self.aim_of(task)
+        state, aim = self.state_of(task.volume), self.aim_of(task)
         if late := aim <= now:  # worth little any more: it goes only where nothing waits
             aim = min(now + task.category.soft_limit, task.cut_off)
         if self.extras:
@@ -630,12 +569,10 @@
                 line = self.line_of(node, task.volume)
                 latest = aim - int(min(node.lag(task.units) * MARGIN, (aim - now) * MOST_MARGIN))
                 wait = self.limit_wait(task, state)
-                if wait and (due := self.ask(task.volume, state)):
-                    state.short[task] = None
-                    wait = min(wait, due)
                 if self.desk.now + wait >= latest:
                     break
                 if wait:
+                    state.short[task] = None
                     yield Wait(self.desk.now + wait)
                     state.short.pop(task, None)
                     continue
@@ -648,15 +585,14 @@
                     break
                 legal = self.may_hand_off(task) and self.in_group(task, node.store)
                 if not legal or self.limit_wait(task, state):
-                    # Not legal any more, or the limit has too little left at the turn: charged before, a held
-                    # line could leave in one burst.
+                    # The limit is charged at the turn: charged before, a held line could leave in one burst.
                     node.recall(task)
                     continue
                 self.spend(task, line, state)
                 sent, outcome = self.desk.now, (yield HandOff(node.store, self.time_out(task, node, aim)))
                 assert isinstance(outcome, Outcome)
                 node.learn(task, outcome)
-                if outcome.how is How.DELIVERED and (outcome.elsewhere is not None or outcome.used is not None):
+                if outcome.how is How.DELIVERED and (outcome.elsewhere, outcome.used) != (None, None):
                     state.tell(task.units, outcome, task.volume.plan, self.desk.now)
                 if not outcome.never_ran:
                     task.may_have_run.append((node.store, sent))
@@ -673,17 +609,15 @@
             self.leave_key(task)
 
     def time_out(self, task: Task, node: Node, aim: int) -> int:
-        """When a harmless task is handed off again because its answer seems lost: only while answers are lost,
-        and if the second hand-off can be in time. 0: not before its cut-off."""
-        if task.hand_offs > 1 or task.category.repeat is not Repeat.HARMLESS or True not in self.waits.lost:
-            return 0
+        """After what time a harmless task goes again, if answers are lost and it can be in time, else 0."""
         lag = int(node.lag(task.units))
-        patience = max(int(PATIENCE * lag), self.tightest // 2)
-        return patience if self.desk.now + patience + lag * MARGIN < aim else 0
+        patience = max(PATIENCE * lag, self.tightest // 2)
+        early = task.hand_offs == 1 and task.category.repeat is Repeat.HARMLESS and True in self.waits.lost
+        return patience if early and self.desk.now + patience + lag * MARGIN < aim else 0
 
     def aim_of(self, task: Task) -> int:
-        """When the soft limit ends. The time left tells of a further try, or of a task that came while this
-        gateway stood still: the limit runs from the first try. Less than it may be a short patience."""
+        """When the soft limit ends. It runs from the first try: less time left than others had tells of a
+        further try, or a stall of this gateway; less than the limit may be a short patience."""
         times = self.patience.setdefault(task.category, deque(maxlen=SAMPLES))
         times.append(task.cut_off - self.desk.now)
         age = max(times) - times[-1] if times[-1] >= task.category.soft_limit else 0
@@ -715,15 +649,21 @@
             other.earn(other.reserve * units / total)
 
     def limit_wait(self, task: Task, state: VolumeState) -> int:
+        """Tenths until the limit has the units of a first hand-off, or others' may come. A part starts empty:
+        an earlier self may have spent it; but full where no gateway answered that it has run for long."""
         now = self.desk.now
-        if not state.greeted and now >= self.born + ASK:
-            state.greeted = True
-            state.fill(now, state.depth if self.facts.allowed.peers and self.alone else 0.0)
-        return state.wait_for(task, now)
+        if not state.started and now >= self.born + ASK:
+            state.started = True
+            state.fill(now, state.depth if self.facts.allowed.peers and self.new else 0.0)
+        if task.hand_offs or not state.limit:
+            return 0
+        state.fill(now)
+        wait = 0 if state.units >= task.units else int((task.units - state.units) / state.limit) + 1
+        return min(wait, self.ask(task.volume, state) or wait) if wait else 0
 
     def ask(self, volume: Volume, state: VolumeState) -> int:
-        """Ask some other gateways of the volume for units of its limit, more seldom while little comes, and all
-        gateways while some of the volume's are unknown. Tenths until their answers must be here, 0 if they are."""
+        """Ask some gateways of the volume for units of its limit, more seldom while little comes; all while
+        some of its own are unknown. Tenths until the answers must be here, 0 if they are."""
         now = self.desk.now
         if not self.facts.allowed.peers or state.hosts <= 1:
             return 0
@@ -731,42 +671,32 @@
             state.pause = ASK if 2 * state.got >= state.wish else min(2 * state.pause, SECOND)
             state.asked, state.ask_due, state.got = now, now + state.pause, 0.0
             state.wish = state.depth - state.units
-            some = self.chance.sample(list(state.peers), min(ASKED, len(state.peers)))
+            some: list[int | None] = [*self.chance.sample([*state.peers], min(ASKED, len(state.peers)))]
             if len(state.peers) < state.hosts - 1 and now >= state.all_due:
-                self.desk.tell(None, Word(volume, state.wish / (state.hosts - 1), False))
-                state.all_due = now + FORGET // 100
-            else:
-                for peer in some:
-                    self.desk.tell(peer, Word(volume, state.wish / len(some), False))
+                some, state.all_due = [None], now + ALL
+            for peer in some:
+                each = state.wish / (state.hosts - 1 if peer is None else len(some))
+                self.desk.tell(peer, Word(volume, each, False))
         return max(state.asked + ASK - now, 0)
 
     def heard(self, peer: int, word: Word) -> None:
-        """Another gateway gives units of a volume's limit, or asks for some: it gets up to half of what is here, and
-        nothing where no task of the volume came here: this gateway has no part of it as far as it knows."""
+        """Another gateway gives units of a limit, or asks and gets half of what is here at most, and nothing
+        where no task of the volume came: there may be no part here. Or it greets."""
         if word.volume is None:
-            if word.gift:
-                self.alone = False
-            elif self.desk.now >= self.born + NEW:
+            self.new = self.new and not word.gift
+            if not word.gift and self.desk.now >= self.born + NEW:
                 self.desk.tell(peer, Word(None, 0.0, True))
-            return
-        if word.volume.state is None:
-            return
-        state, now = self.state_of(word.volume), self.desk.now
-        known = peer in state.peers
-        state.peers[peer] = None
-        if word.gift:
-            state.got += word.units
-            state.fill(now, word.units)
-            for task in state.short:
-                self.desk.wake(task, Signal.MOVED)
-            return
-        state.fill(now)
-        gift = min(word.units, max(state.units, 0.0) / 2)
-        if gift >= 1 or not known:
-            state.units -= gift
-            self.desk.tell(peer, Word(word.volume, gift, True))
-
-    # Guards of the rules
+        elif (state := word.volume.state) is not None:
+            state.fill(self.desk.now, word.units if word.gift else 0.0)
+            gift = min(word.units, max(state.units, 0.0) / 2)
+            if word.gift:
+                state.got += word.units
+                for task in state.short:
+                    self.desk.wake(task, Signal.MOVED)
+            elif gift >= 1 or peer not in state.peers:
+                state.units -= gift
+                self.desk.tell(peer, Word(word.volume, gift, True))
+            state.peers[peer] = None
 
     def may_hand_off(self, task: Task) -> bool:
         """Whether a (further) hand-off is legal now, wherever it goes."""
--- a/tests/brain/test_brain.py
+++ b/tests/brain/test_brain.py
@@ -255,8 +255,10 @@
     (5.0, 0, 501), (5.0, 501, 0), (20.0, 10**6, 0), (20.1, 10**6, 11),
 ])
 def test_a_limit_starts_empty_and_never_gives_more_than_this_gateways_part(units, now, wait):
-    _, desk = scheduler([])
-    assert VolumeState(1.0, limit=0.01, depth=20.0, born=0).wait_for(task(desk, units=units), now) == wait
+    brain, desk = scheduler([])
+    state = VolumeState(1.0, limit=0.01, depth=20.0, born=desk.now)
+    desk.now += now
+    assert brain.limit_wait(task(desk, units=units), state) == wait
 
 
 @pytest.mark.parametrize("hosts, told, part", [
@@ -310,7 +312,7 @@
     for (_, desk), state in zip(made, states, strict=True):
         desk.now += 10_000
         state.fill(desk.now)
-        state.units, state.greeted = 6.0, True
+        state.units, state.started = 6.0, True
     states[0].units = 0.5
     wanted = task(made[0][1], units=8.0, volume=volumes[0])
     run = made[0][0].serve(wanted)
