--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -37,7 +37,7 @@
 
     try:
         made = load(settings)
-        facts_of(made, 0, 1)
+        facts_of(made, 0, len(made.peers.addresses) if made.peers else 1)
     except ScriptError as error:
         fail(error)
     typer.echo(f"{settings}: good: gateway {made.gateway.name}, {len(made.categories)} categories, "
@@ -45,6 +45,43 @@
                + (f", list at {made.listing.address} ({made.listing.mode})" if made.listing else ""))
 
 
+@app.command()
+def move(
+    old: Annotated[Path, typer.Argument(help="a settings script of gateways that keep to themselves", metavar="OLD")],
+    new: Annotated[Path, typer.Argument(help="the file to write; it must not be there", metavar="NEW")],
+    gateway: Annotated[list[str], typer.Option(help="HOST:PORT of each gateway, in the order of their numbers")],
+    tells: Annotated[str, typer.Option(help="what stores tell of a volume's use: node or fleet")] = "node",
+    dry_run: Annotated[bool, typer.Option("--dry-run", help="say what would be done, write nothing")] = False,
+) -> None:
+    """Write the counterpart of a settings script for gateways that talk, and list what it does not carry over."""
+    import msgspec
+
+    from tansykeel.settings.build import facts_of, load, text_of
+    from tansykeel.settings.move import left_behind, moved
+    from tansykeel.settings.script import ScriptError
+
+    if tells not in ("node", "fleet"):
+        fail(f"--tells: {tells!r}; legal: node or fleet")
+    if new.exists():
+        fail(f"{new}: is there already; legal: a file that is not")
+    try:
+        made = load(old)
+        counterpart = moved(made, tuple(gateway), tells)  # type: ignore[arg-type]
+        facts_of(counterpart, 0, len(gateway))
+    except (ScriptError, ValueError, msgspec.ValidationError) as error:
+        fail(f"{old}: {error}")
+    for line in left_behind(made, old.read_text(), tuple(gateway)):
+        typer.echo(f"not carried over: {line}")
+    if dry_run:
+        typer.echo(f"{new}: not written (--dry-run)")
+        return
+    try:
+        new.write_text(text_of(counterpart))
+    except OSError as error:
+        fail(f"{new}: cannot be written: {error.strerror}")
+    typer.echo(f"{new}: written for {len(gateway)} gateways; next: tansykeel check {new}")
+
+
 @app.command()
 def edge(
     settings: SettingsFile,
--- a/tansykeel/rehearse/day.py
+++ b/tansykeel/rehearse/day.py
@@ -26,6 +26,7 @@
     Part,
     PlanOf,
     Record,
+    PeersOf,
     RulesOf,
     Settings,
     SizesOf,
@@ -43,6 +44,7 @@
     stores: Count = 4
     zones: Count = 1
     shape: Shape = Shape()
+    talk: bool = False  # gateways pass on units of limits; on the emulator only, where addresses mean nothing
     list_mode: str = "push"
     list_late_s: Least0 = 0.3
     list_call_ms: Least0 = 1.0
@@ -325,5 +327,6 @@
     return Settings(
         gateway=msgspec.structs.replace(day.gateway, listen=listen), categories=day.categories, plans=tuple(plans),
         volumes=tuple(volumes), sizes=day.sizes, rules=rules,
+        peers=PeersOf(addresses=tuple(f"edge:{n + 1}" for n in range(fleet.edges))) if fleet.talk else None,
         listing=ListOf(address=list_address, mode=fleet.list_mode,  # type: ignore[arg-type]
                        drain_grace_ms=fleet.drain_grace_ms))
--- /dev/null
+++ b/tansykeel/settings/move.py
@@ -0,0 +1,58 @@
+"""From settings of gateways that keep to themselves to settings of gateways that talk: the counterpart of a script,
+and a list of what it could not carry over. Reads and writes no files."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from typing import Literal
+
+import msgspec
+
+from tansykeel.settings.build import PLURAL, faults_of
+from tansykeel.settings.records import PeersOf, Settings
+
+SINGLE = ("gateway", "listing", "sizes", "rules", "peers")
+CALLS = re.compile(rf"^({'|'.join((*SINGLE, *PLURAL, 'load'))})\(")
+
+
+def moved(old: Settings, addresses: tuple[str, ...], tells: Literal["node", "fleet"]) -> Settings:
+    """The counterpart: all of `old`, where the gateways listen, what stores tell of a volume's use.
+
+    Raises ValueError where the two do not fit, with what would be legal.
+    """
+    if old.peers is not None:
+        raise ValueError("peers: the file has them already; legal: a file of the old shape, without")
+    made = msgspec.structs.replace(old, peers=PeersOf(addresses=addresses),
+                                   rules=msgspec.structs.replace(old.rules, tells=tells))
+    made = msgspec.convert(msgspec.to_builtins(made), Settings)  # its fields' own checks, for new values too
+    if faults := list(faults_of(made)):
+        raise ValueError("; ".join(faults))
+    return made
+
+
+def left_behind(old: Settings, text: str, addresses: tuple[str, ...]) -> Iterator[str]:
+    """What the counterpart of `old`, written as `text`, does not have, or what does not work there as it stands."""
+    lines = [line.strip() for line in text.splitlines()]
+    if comments := sum("#" in line for line in lines):
+        yield f"comments: {comments} lines with one; the counterpart has none"
+    if any(not line.startswith("#") and not CALLS.match(line) and re.match(r"(for|def|if)\b|\w+\s*=", line)
+           for line in lines):
+        yield "loops, functions and names: written out, one call for each record"
+    if any(line.startswith("load(") for line in lines):
+        yield "load(): what it brought stands in the counterpart itself"
+    if old.gateway.listen not in addresses:
+        yield (f"gateway.listen: {old.gateway.listen} is not used any more: gateway N listens at number N of "
+               "peers.addresses")
+    hosts = {plan.name: 1 for plan in old.plans}
+    for volume in old.volumes:
+        through = volume.gateways or len(addresses)
+        hosts[volume.plan] = max(hosts[volume.plan], through)
+        if through > len(addresses):
+            yield (f"volume({volume.name!r}).gateways: {through}, with {len(addresses)} gateways; carried over, parts "
+                   "that nobody has are lost to it")
+    for plan in old.plans:
+        if plan.limit and plan.limit_depth < 2 * old.sizes.largest * hosts[plan.name]:
+            yield (f"plan({plan.name!r}).limit_depth: {plan.limit_depth:g}, carried over; it holds less than two of "
+                   f"the largest tasks for each gateway of a volume ({2 * old.sizes.largest * hosts[plan.name]:g}), so "
+                   "large tasks wait for units of others or are nacked")
--- a/tests/emulator/test_emulator.py
+++ b/tests/emulator/test_emulator.py
@@ -40,6 +40,16 @@
     return make
 
 
+def test_gateways_that_talk_use_more_of_a_limit_and_keep_it(world):
+    """Three gateways of each volume; surges ask for several times the limit, mostly through one gateway."""
+    thin = ("volumes('thin', count = 4, hosts = 3, stores = 2, limit = 0.8)\n"
+            "traffic(part = 0.6, surges = 0.6, mix = {'read': 0.7, 'write': 0.3})\n")
+    fleet = "fleet(edges = 3, stores = 3, zones = 3, cores = 2, unit_ms = 8, talk = {talk})\n"
+    served = [world(thin + fleet.format(talk=talk)).run() for talk in (False, True)]
+    assert all(verdict.kept for verdict in served)
+    assert served[1].answers["delivered"] > served[0].answers["delivered"]
+
+
 def test_of_two_events_in_one_tick_the_first_asked_for_goes_first():
     engine, seen = Engine(), []
     engine.at(START + 5, seen.append, "b")
--- a/tests/rehearse/test_day.py
+++ b/tests/rehearse/test_day.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from tansykeel.rehearse.conductor import RehearsalError
 from tansykeel.rehearse.day import VERBS, load_day, settings_of
 from tansykeel.rehearse.load import arrivals_of, mean_units
+from tansykeel.rehearse.play import play
 from tansykeel.settings.build import facts_of
 from tansykeel.settings.script import ScriptError
 
@@ -105,3 +107,9 @@
     shape = one.fleet.shape
     assert facts.cold.always_safe == pytest.approx(shape.fall_multiple * shape.cold_share * 200 * shape.fall_s)
     assert facts.plans[0].limit_depth >= 2 * facts.sizes.largest * 2 and len(made.volumes) == 6
+
+
+def test_gateways_that_talk_are_refused_on_sockets_with_a_reason(day, tmp_path):
+    with pytest.raises(RehearsalError, match="legal: --stage emulator"):
+        play(day(head=HEAD.replace("edges = 3", "edges = 3, talk = True")), 1, tmp_path / "left")
+    assert not (tmp_path / "left").exists()
