Time-outs are no samples while answers are lost; a part starts full only among others that start

A gateway whose fellows are down heard no answer to its greeting and took the fleet for new: it would have started full each time it came back. Every gateway answers now, and a part starts full only where another has just started too and none has run for long.

--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -276,7 +276,6 @@
             self.earn, self.full_earn = self.earn - oldest.earns, self.full_earn - oldest.earns
 
     def round(self) -> None:
-        """One scheduling round: reserved volumes first, then the others by equal slices and the bucket."""
         self.accrue()
         if self.held and self.usable():
             for line in list(self.holding):
@@ -384,9 +383,9 @@
             self.fell = self.desk.now + rest
 
     def learn(self, task: Task, outcome: Outcome) -> None:
-        now, cost = self.desk.now, cost_of(task)
-        sent = self.sent.pop(task)
-        lost = outcome.how is How.TIMED_OUT and sent < self.proof
+        now, cost, sent = self.desk.now, cost_of(task), self.sent.pop(task)
+        long = outcome.how is How.TIMED_OUT and outcome.lag >= PATIENCE * self.lag(task.units)
+        lost = long and sent < self.proof  # guards against short patience and slow nodes, which look like it
         self.waits.lost.append(lost)
         self.changes += 1
         if outcome.how is How.TIMED_OUT and not lost:
@@ -396,7 +395,7 @@
             self.heard, self.out, self.tokens_out = now, self.out - 1, self.tokens_out - cost
         if outcome.how not in (How.MOOT, How.CANCELLED):
             self.ends.append(outcome.how is How.DELIVERED)
-        if outcome.how is How.DELIVERED or outcome.how is How.TIMED_OUT and not lost:
+        if outcome.how is How.DELIVERED or outcome.how is How.TIMED_OUT and True not in self.waits.lost:
             self.proof = max(self.proof, sent if outcome.how is How.DELIVERED else 0)
             self.sample(outcome.lag, task.units)
             self.waits.put(self.store, now, self.queueing())
@@ -479,7 +478,8 @@
 class Scheduler:
     def __init__(self, facts: Facts, seed: int, desk: Desk) -> None:
         self.facts, self.desk = facts, desk
-        self.chance, self.born, self.new = random.Random(seed), desk.now, True  # new: as all others
+        self.chance, self.born = random.Random(seed), desk.now
+        self.new: bool | None = None  # whether all gateways are, where another has said so
         if facts.allowed.peers:
             desk.alarm(desk.now, lambda: desk.tell(None, Word(None, 0.0, False)))
         self.tightest = min(category.soft_limit for category in facts.categories)
@@ -649,12 +649,11 @@
             other.earn(other.reserve * units / total)
 
     def limit_wait(self, task: Task, state: VolumeState) -> int:
-        """Tenths until the limit has the units of a first hand-off, or others' may come. A part starts empty:
-        an earlier self may have spent it; but full where no gateway answered that it has run for long."""
+        """Tenths until the limit has a first hand-off's units. A part starts empty, in a new fleet full."""
         now = self.desk.now
-        if not state.started and now >= self.born + ASK:
+        if not state.started and self.new is not None and now >= self.born + ASK:
             state.started = True
-            state.fill(now, state.depth if self.facts.allowed.peers and self.new else 0.0)
+            state.fill(now, state.depth if self.new else 0.0)
         if task.hand_offs or not state.limit:
             return 0
         state.fill(now)
@@ -683,9 +682,10 @@
         """Another gateway gives units of a limit, or asks and gets half of what is here at most, and nothing
         where no task of the volume came: there may be no part here. Or it greets."""
         if word.volume is None:
-            self.new = self.new and not word.gift
-            if not word.gift and self.desk.now >= self.born + NEW:
-                self.desk.tell(peer, Word(None, 0.0, True))
+            if (long := self.desk.now >= self.born + NEW) is False:
+                self.new = self.new is not False and not word.units
+            if not word.gift:
+                self.desk.tell(peer, Word(None, float(long), True))
         elif (state := word.volume.state) is not None:
             state.fill(self.desk.now, word.units if word.gift else 0.0)
             gift = min(word.units, max(state.units, 0.0) / 2)
--- a/tansykeel/interface.py
+++ b/tansykeel/interface.py
@@ -188,7 +188,7 @@
 @dataclass(frozen=True, slots=True)
 class Word:
     """One gateway to another: units of a volume's limit, asked for or given. It may be lost, never doubled. Without
-    a volume it is a greeting at the start, answered (as a gift) by gateways that have run for long."""
+    a volume it is a greeting at the start, answered (as a gift) with 1 by gateways that have run for long, else 0."""
 
     volume: Volume | None
     units: float
--- a/tansykeel/protocol/frames.py
+++ b/tansykeel/protocol/frames.py
@@ -170,7 +170,7 @@
     """One gateway to another: units of a volume's limit, asked for or given."""
 
     sender: Annotated[int, Meta(ge=0, le=65535)]  # its number
-    volume: Name | None  # None: a greeting, or the answer of a gateway that has run for long
+    volume: Name | None  # None: a greeting, or its answer (1 unit: has run for long)
     units: Annotated[float, Meta(ge=0)]
     gift: bool
 
