--- a/benchmarks/edge_cost.py
+++ b/benchmarks/edge_cost.py
@@ -30,7 +30,8 @@
 from tansykeel.protocol.codec import Codec, Piece  # noqa: E402
 from tansykeel.protocol.frames import Answer, HandOffOf, Hello, OutcomeOf, TaskOf  # noqa: E402
 from tansykeel.settings.build import Script, facts_of, script  # noqa: E402
-from tansykeel.transport.link import Hub, Limits, Link, accept_all, connect, listening, run  # noqa: E402
+from tansykeel.transport.link import Hub, Limits, Link  # noqa: E402
+from tansykeel.transport.sockets import accept_all, connect, listening, run  # noqa: E402
 
 HZ = os.sysconf("SC_CLK_TCK")
 STORES, VOLUMES, CLIENTS = 4, 20, 3
--- a/tansykeel/benchlink/host.py
+++ b/tansykeel/benchlink/host.py
@@ -13,10 +13,6 @@
     Facts,
     How,
     Outcome,
-    Plan,
-    Repeat,
-    Scope,
-    Sizes,
     State,
     Store,
     Task,
@@ -24,13 +20,11 @@
     Word,
 )
 from tansykeel.runner import Runner
-from tansykeel.settings import facts as make
+from tansykeel.settings import given
 from tansykeel.settings.facts import TENTH
 from tansykeel.settings.facts import ceil as _ceil
 from tansykeel.settings.facts import floor as _floor
 
-REPEATS = {"idempotent": Repeat.HARMLESS, "deduplicated": Repeat.STAMPED, "at_most_once": Repeat.ONE_SHOT}
-SCOPES = {"all": Scope.ALL, "zone": Scope.ZONE, "cell": Scope.SHARD}
 STATES = {0: State.GONE, 1: State.READY, 2: State.DRAINING}
 HOWS = {
     100: How.DELIVERED,
@@ -51,72 +45,12 @@
 
 
 def read_facts(text: bytes) -> Facts:
-    """Turn the start-up settings into our records; what may be absent is absent here too."""
     try:
-        raw = json.loads(text)
+        return given.facts_of(json.loads(text))
+    except given.NotLegal as error:
+        raise wire.Malformed(str(error)) from error
     except ValueError as error:
         raise wire.Malformed(f"settings are not JSON: {error}") from error
-    if not isinstance(raw, dict):
-        raise wire.Malformed("settings are not a JSON object")
-    try:
-        return _facts(raw)
-    except KeyError as error:
-        raise wire.Malformed(f"settings lack {error}") from error
-    except (TypeError, ValueError, AttributeError) as error:
-        raise wire.Malformed(f"settings hold a value of the wrong kind: {error}") from error
-
-
-def _facts(raw: dict[str, Any]) -> Facts:
-    rules, limits, specifics = raw["Rules"], raw["Limits"], raw.get("Specifics") or {}
-    writes = specifics.get("ChangesData") or [False] * len(raw["Classes"])
-    categories = tuple(
-        make.category(
-            c["Name"], soft_limit=c["Objective"], cut_off=c["Deadline"], gain=c["Value"],
-            late_gain=c.get("LateWorth", 0.0), repeat=_lookup(REPEATS, c["Repeat"], "Repeat"),
-            scope=_lookup(SCOPES, c.get("KeyScope") or "cell", "KeyScope"), window=c.get("Window") or 0,
-            writes=bool(writes[i]), ordered=bool(c.get("SerialByKey")), stretch=c.get("AimStretch") or 0.0,
-        )
-        for i, c in enumerate(raw["Classes"])
-    )
-    plans = tuple(
-        Plan(
-            name=p["Name"], rate=p.get("Rate") or 0.0, reserve=p.get("FloorRate") or 0.0,
-            weight=p.get("Proportion") or 0.0, price=p.get("WorthFactor") or 0.0, limit=p.get("Limit") or 0.0,
-            limit_depth=p.get("CapDepth") or 0.0, limit_slack=p.get("Slack") or 0.0,
-        )
-        for p in raw.get("Plans") or ()
-    )
-    cold = make.cold_rule(
-        share=rules.get("ColdShare") or 0.0, warm_after=rules.get("Cold") or 0,
-        multiple=rules.get("FallMultiple") or 0.0, span=rules.get("OverloadFor") or 0,
-        always_safe=specifics.get("YoungLimit") or 0.0,
-    )
-    budget = make.budget_rule(span=rules.get("BudgetSpan") or 0, free=rules.get("MinExtra") or 0.0,
-                              share=rules.get("ExtraRatio") or 0.0)
-    return Facts(
-        gateways=raw["Siblings"],
-        me=raw["Me"],
-        zone=raw["Zone"],
-        categories=categories,
-        plans=plans,
-        sizes=Sizes(specifics.get("Largest") or 0.0, specifics.get("UsualUnits") or 0.0),
-        allowed=make.allowed(
-            hand_offs=limits["MostTries"], come_back=bool(limits.get("RetryAfter")),
-            longest_come_back=limits.get("MaxRetryAfter") or 0, copies=bool(limits.get("MayDuplicate")),
-            cancel=bool(limits.get("Cancel")), probes=bool(limits.get("Probes")),
-            peers=bool(limits.get("Peers")),
-        ),
-        listing=make.listing(
-            must_ask=raw["MembershipMode"] == "ask", ask_within=rules.get("AskWithin") or 0,
-            drain_grace=rules.get("StopSendingWithin") or 0,
-        ),
-        answer_grace=_floor(rules.get("GraceToAnswer") or 0),
-        cold=cold,
-        budget=budget,
-        key_rest=_ceil(rules.get("KeyQuiet") or 0),
-        report_fields=tuple((raw.get("Report") or {}).get("Fields") or ()),
-        tells_elsewhere=bool(specifics.get("TellsElsewhere")),
-    )
 
 
 class Instance:
--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -102,7 +102,7 @@
     from tansykeel.settings.build import facts_of, load
     from tansykeel.settings.script import ScriptError
     from tansykeel.transport.leash import leash
-    from tansykeel.transport.link import run
+    from tansykeel.transport.sockets import run
 
     if log not in ("json", "console"):
         fail(f"--log: {log!r}; legal: json or console")
@@ -151,7 +151,7 @@
 
     from tansykeel.standin.model import Shape
     from tansykeel.standin.store import Store
-    from tansykeel.transport.link import run
+    from tansykeel.transport.sockets import run
 
     try:
         like = msgspec.json.decode(shape.read_bytes(), type=Shape) if shape else Shape()
@@ -172,7 +172,7 @@
 ) -> None:
     """Run a stand-in list of stores; rows come as JSON lines on standard input, whose end ends it."""
     from tansykeel.standin.listing import ListService
-    from tansykeel.transport.link import run
+    from tansykeel.transport.sockets import run
 
     async def main() -> None:
         await ListService(record, late, call_ms).serve(listen, lambda port: say(event="ready", port=port))
@@ -183,7 +183,7 @@
 def load(plan: Annotated[Path, typer.Argument(help="what a rehearsal wrote for one of its client processes")]) -> None:
     """Play one client process of a rehearsal."""
     from tansykeel.rehearse.clients import play_file
-    from tansykeel.transport.link import run
+    from tansykeel.transport.sockets import run
 
     if not plan.is_file():
         fail(f"{plan}: no such file; legal: a client's file that a rehearsal wrote")
--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -1,24 +1,22 @@
 """What a gateway holds and owes, without I/O: the module's door, every task's memory, time-outs and one answer.
 
-Told of whatever comes in by the program (or by an emulator), it tells the module, and acts through a `Wire`. It
-decides nothing about routing, waiting or refusing: tasks that can't be held (no memory, stopping, bad names) are
-answered as `Scheduler.final` says. Times are whole tenths of a millisecond of one monotonic clock.
+Told of whatever comes in by a program (or by an emulator), it tells the module, and acts through a `Wire`. What a
+protocol says of a task is read by its `Intake`; the core knows no protocol. It decides nothing about routing, waiting
+or refusing: tasks that can't be held (no memory, stopping, bad names) are answered as `Scheduler.final` says. Times
+are whole tenths of a millisecond of one monotonic clock.
 """
 
 from __future__ import annotations
 
-import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Any, Protocol
 
 from tansykeel.brain import Scheduler
-from tansykeel.interface import BreakOff, Facts, How, Nack, Outcome, Plan, State, Store, Task, Volume, Want, Word
-from tansykeel.protocol.frames import Answer, HandOffOf, ListOf, ProtocolError, Share, TaskOf
+from tansykeel.interface import BreakOff, Facts, How, Nack, Outcome, State, Store, Task, Want, Word
 from tansykeel.runner import Run, Runner
-from tansykeel.settings.records import Settings
 
 DELIVERED, NACKED, BROKEN_OFF = 0, 1, 2
 MOST_GONE = 1_000  # stores that are gone and still known by name, the newest ones
@@ -26,13 +24,84 @@
 MS = 10  # tenths in a millisecond
 
 
+class StillHeld(ValueError):
+    """A client used the id of a task that it still waits for."""
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What a gateway holds at most: tasks, and bytes of bodies of all clients and of one."""
+
+    open_tasks: int
+    body_memory: int
+    client_memory: int
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """A client's request as the module will see it, by the protocol's front."""
+
+    task: Task
+    body: int  # bytes of its body still to come
+    memory: int  # bytes that it and its answer may hold
+    fault: str = ""  # why it can't be held, if it can't
+
+
+@dataclass(frozen=True, slots=True)
+class Final:
+    """A task's one answer. `result`: delivered 0, nacked 1, broken off 2; `come_back` in tenths, 0: not said."""
+
+    result: int
+    come_back: int = 0
+    shard: int = -1
+    reason: str = ""
+
+
+class RowOf(Protocol):
+    """A store as a list tells of it; `boot` is new with each of its starts, `age` in microseconds, 0: long past."""
+
+    @property
+    def name(self) -> str: ...
+    @property
+    def address(self) -> str: ...
+    @property
+    def zone(self) -> int: ...
+    @property
+    def shard(self) -> int: ...
+    @property
+    def state(self) -> str: ...  # ready, draining or gone
+    @property
+    def boot(self) -> int: ...
+    @property
+    def age(self) -> int: ...
+
+
+class UpdateOf(Protocol):
+    """The list, or what changed in it."""
+
+    @property
+    def full(self) -> bool: ...
+    @property
+    def version(self) -> int: ...
+    @property
+    def rows(self) -> Sequence[RowOf]: ...
+    @property
+    def failed(self) -> bool: ...
+
+
+class Intake(Protocol):
+    """Reads what a protocol's clients ask for."""
+
+    def asked(self, now: int, request: Any) -> Asked: ...
+
+
 @dataclass(eq=False, slots=True)
 class Held:
     """One task from its taking to its answer, and to the outcome of its last hand-off."""
 
     client: Any
-    id: int
-    request: TaskOf
+    id: Any
+    request: Any
     task: Task
     memory: int
     missing: int  # bytes of its body still to come
@@ -58,12 +127,12 @@
 class Wire(Protocol):
     """What the core needs of the sockets. None of these may call back into the core before it returns."""
 
-    def answer(self, held: Held, answer: Answer, body: list[bytes], sent: Callable[[], None]) -> None: ...
+    def answer(self, held: Held, final: Final, body: list[bytes], sent: Callable[[], None]) -> None: ...
     def hand_off(self, attempt: Attempt) -> None: ...
     def cancel(self, attempt: Attempt) -> None: ...
     def remind(self, at: int) -> None: ...
     def ask_list(self) -> None: ...
-    def tell_peer(self, peer: int | None, share: Share) -> None: ...  # None: all other gateways
+    def tell_peer(self, peer: int | None, word: Word) -> None: ...  # None: all other gateways
     def note(self, event: str, **fields: Any) -> None: ...
 
 
@@ -116,48 +185,45 @@
 
 
 class Core:
-    def __init__(self, settings: Settings, facts: Facts, seed: int, wire: Wire, now: int,
+    """`known` are the stores as they were last heard of, before a list confirms them."""
+
+    def __init__(self, facts: Facts, seed: int, wire: Wire, now: int, bounds: Bounds, intake: Intake,
+                 known: Iterable[RowOf] = (),
                  decide: Callable[[Facts, int, Runner], Decisions] = Scheduler) -> None:
-        self.settings, self.facts, self.wire = settings, facts, wire
+        self.facts, self.wire, self.bounds, self.intake = facts, wire, bounds, intake
         self.runner = Runner(self, now)
-        self.categories = {category.name: category for category in facts.categories}
-        plans: dict[str, Plan] = {plan.name: plan for plan in facts.plans}
-        self.volumes = {
-            volume.name: Volume(volume.name, plans[volume.plan], float(volume.gateways or facts.gateways))
-            for volume in settings.volumes
-        }
         self.stores: dict[str, Store] = {}
         self.addresses: dict[Store, str] = {}
         self.boots: dict[Store, int] = {}
-        self.held: dict[tuple[Any, int], Held] = {}
+        self.held: dict[tuple[Any, Any], Held] = {}
         self.coming: dict[int, deque[Held]] = {}  # by key, of ordered categories: not started, as they were taken
-        self.memory = Memory(settings.gateway.body_memory, settings.gateway.connection_memory)
+        self.memory = Memory(bounds.body_memory, bounds.client_memory)
         self.counts = Counts()
         self.stopping = False
         self.list_version = -1
         self.brain = decide(facts, seed, self.runner)
-        for row in settings.stores:
-            store = self.stores[row.name] = Store(row.name, row.zone, 0, row.shard, State.READY)
-            self.addresses[store] = row.address
+        self._rows(known)
         self.brain.list_changed(list(self.stores.values()), confirmed=False)
         self.runner.settle()
 
     # What clients say
 
-    def taken(self, now: int, client: Any, id: int, request: TaskOf) -> None:
-        """A task has come. Raises ProtocolError where the client uses the id of a task that it still waits for."""
+    def taken(self, now: int, client: Any, id: Any, request: Any) -> None:
+        """A task has come. Raises StillHeld where the client uses the id of a task that it still waits for."""
         self.runner.move(now)
         now = self.runner.now
         if (client, id) in self.held:
-            raise ProtocolError(f"TASK on stream {id}: a task with this id is still held")
-        held, fault = self._held(now, client, id, request)
+            raise StillHeld(f"task {id}: one with this id is still held")
+        asked = self.intake.asked(now, request)
+        held = Held(client, id, request, asked.task, 0, asked.body)
+        asked.task.handle = held
         self.counts.taken += 1
         self.held[client, id] = held
-        if fault or self.stopping or len(self.held) > self.settings.gateway.open_tasks:
-            return self._give_up(held, fault or ("stopping" if self.stopping else "too many open tasks"))
-        if not self.memory.take(client, request.size):
+        if asked.fault or self.stopping or len(self.held) > self.bounds.open_tasks:
+            return self._give_up(held, asked.fault or ("stopping" if self.stopping else "too many open tasks"))
+        if not self.memory.take(client, asked.memory):
             return self._give_up(held, "no memory for its body")
-        held.memory = request.size
+        held.memory = asked.memory
         if held.missing:  # guards against a body that never comes: the client is answered all the same
             self.runner.alarm(held.task.cut_off, partial(self._body_late, held))
             self.runner.settle()
@@ -166,7 +232,7 @@
         if not held.missing:
             self._whole(held)
 
-    def piece(self, now: int, client: Any, id: int, data: bytes) -> None:
+    def piece(self, now: int, client: Any, id: Any, data: bytes) -> None:
         """Bytes of a task's body; those of a task that has its answer already are let go."""
         held = self.held.get((client, id))
         if held is None or held.answered or held.started:
@@ -177,7 +243,7 @@
             self.runner.move(now)
             self._whole(held)
 
-    def left(self, now: int, client: Any, id: int) -> None:
+    def left(self, now: int, client: Any, id: Any) -> None:
         """The client gave the task up, or its body."""
         held = self.held.get((client, id))
         if held is None or held.answered:
@@ -208,8 +274,7 @@
         held.out.remove(attempt)
         self.counts.outcomes[how.value] = self.counts.outcomes.get(how.value, 0) + 1
         if how is How.DELIVERED and not held.answered:
-            self._answer(held, Answer(DELIVERED, 0, shard if shard >= 0 else attempt.store.shard,
-                                      body=sum(map(len, body or ()))), body or [])
+            self._answer(held, Final(DELIVERED, 0, shard if shard >= 0 else attempt.store.shard), body or [])
         told = Outcome(how, lag, held.answered, used if used >= 0 else None,
                        elsewhere if self.facts.tells_elsewhere else None, report)
         self.runner.outcome(held.task, told)
@@ -227,7 +292,7 @@
         self.runner.settle()
         return store.started > 0
 
-    def listed(self, now: int, update: ListOf) -> None:
+    def listed(self, now: int, update: UpdateOf) -> None:
         """The list, or a change to it. One older than what is known is not believed."""
         self.runner.move(now)
         if update.failed:
@@ -236,11 +301,7 @@
             return
         self.list_version = update.version
         rows = {row.name: row for row in update.rows}
-        for row in update.rows:
-            store = self.stores.setdefault(row.name, Store(row.name))
-            store.zone, store.shard, store.state = row.zone, row.shard, State(row.state)
-            self.addresses[store] = row.address
-            self._booted(store, row.boot, row.age)
+        self._rows(update.rows)
         if update.full:
             for name, store in self.stores.items():
                 if name not in rows:
@@ -259,13 +320,11 @@
         self.brain.list_failed()
         self.runner.settle()
 
-    def heard(self, now: int, share: Share) -> None:
-        """Another gateway's word. One on a volume that is not in the settings here is not acted on."""
+    def heard(self, now: int, sender: int, word: Word) -> None:
+        """Another gateway's word."""
         self.runner.move(now)
-        volume = self.volumes.get(share.volume) if share.volume is not None else None
-        if volume is not None or share.volume is None:
-            self.brain.heard(share.sender, Word(volume, share.units, share.gift))
-            self.runner.settle()
+        self.brain.heard(sender, word)
+        self.runner.settle()
 
     def tick(self, now: int) -> None:
         self.runner.move(now)
@@ -295,14 +354,6 @@
         self.runner.alarm(until, partial(self._timed_out, attempt))
         self.wire.hand_off(attempt)
 
-    def hand_off_of(self, attempt: Attempt, now: int) -> HandOffOf:
-        """What a store is told of a hand-off that leaves now."""
-        held, request, category = attempt.held, attempt.held.request, attempt.held.task.category
-        return HandOffOf(held.id, attempt.number, request.volume, request.category, request.key, request.size,
-                         held.task.units, request.shard, max(attempt.until - now, 0) * MICROS, request.mark,
-                         category.writes, category.repeat.value, category.scope.value, category.window * MICROS,
-                         request.body)
-
     def nack(self, task: Task, come_back: int) -> None:
         self._final(task.handle, Nack(come_back), "")
 
@@ -316,39 +367,19 @@
         self.wire.ask_list()
 
     def tell(self, peer: int | None, word: Word) -> None:
-        self.wire.tell_peer(peer, Share(self.facts.me, word.volume.handle if word.volume else None, word.units,
-                                         word.gift))
+        self.wire.tell_peer(peer, word)
 
     def note(self, text: str) -> None:
         self.wire.note("module", text=text)
 
     # Within
 
-    def _held(self, now: int, client: Any, id: int, request: TaskOf) -> tuple[Held, str]:
-        """The task as the module will see it, and what is wrong with it, if something is."""
-        volume, category = self.volumes.get(request.volume), self.categories.get(request.category)
-        gateway, sizes = self.settings.gateway, self.facts.sizes
-        units = max(math.ceil(request.size / gateway.unit_bytes), 1)
-        fault = ""
-        if volume is None:
-            fault = f"volume {request.volume!r} is not in the settings"
-        elif category is None:
-            fault = f"category {request.category!r} is not in the settings; legal: {', '.join(self.categories)}"
-        elif units > sizes.largest or request.size > gateway.largest_body:
-            most = min(int(sizes.largest * gateway.unit_bytes), gateway.largest_body)
-            fault = f"size {request.size}; legal: {most} bytes at most"
-        elif request.body not in ((request.size,) if category.writes else (0,)):
-            fault = f"body of {request.body} bytes; legal: {request.size if category.writes else 0}"
-        kind = category or next(iter(self.categories.values()))
-        patience = min(request.patience // MICROS, kind.cut_off)
-        # Answers are due a stall's length before the client gives up, but never in the first half of its patience.
-        spare = min(int(gateway.stall_allowance_ms * MS), patience // 2)
-        task = Task(None, kind, volume or next(iter(self.volumes.values()), Volume("", self.facts.plans[0])),
-                    float(units), None if request.shard < 0 else request.shard, request.key, now,
-                    now + patience - spare, request.again)
-        held = Held(client, id, request, task, 0, request.body)
-        task.handle = held
-        return held, fault
+    def _rows(self, rows: Iterable[RowOf]) -> None:
+        for row in rows:
+            store = self.stores.setdefault(row.name, Store(row.name))
+            store.zone, store.shard, store.state = row.zone, row.shard, State(row.state)
+            self.addresses[store] = row.address
+            self._booted(store, row.boot, row.age)
 
     def _whole(self, held: Held) -> None:
         """All of a task is here. One of an ordered category waits for those of its key that were taken before it.
@@ -395,17 +426,17 @@
         if held.answered:
             return
         if isinstance(want, Nack):
-            self._answer(held, Answer(NACKED, want.come_back * MICROS, reason=reason[:500]), [])
+            self._answer(held, Final(NACKED, want.come_back, reason=reason[:500]), [])
         else:
-            self._answer(held, Answer(BROKEN_OFF, reason=reason[:500]), [])
+            self._answer(held, Final(BROKEN_OFF, reason=reason[:500]), [])
         self._let_go(held)
 
-    def _answer(self, held: Held, answer: Answer, body: list[bytes]) -> None:
+    def _answer(self, held: Held, final: Final, body: list[bytes]) -> None:
         held.answered = True
-        count = ("delivered", "nacked", "broken_off")[answer.result]
+        count = ("delivered", "nacked", "broken_off")[final.result]
         setattr(self.counts, count, getattr(self.counts, count) + 1)
         memory, held.memory = held.memory, 0
-        self.wire.answer(held, answer, body, partial(self.memory.free, held.client, memory))
+        self.wire.answer(held, final, body, partial(self.memory.free, held.client, memory))
 
     def _let_go(self, held: Held) -> None:
         """Forget a task that has its answer and nothing out."""
--- a/tansykeel/edge/listing.py
+++ b/tansykeel/edge/listing.py
@@ -9,7 +9,8 @@
 from tansykeel.protocol.codec import Codec, Event, Frame
 from tansykeel.protocol.frames import Hello, ListAsk, ListOf, Row
 from tansykeel.settings.records import ListOf as ListSettings
-from tansykeel.transport.link import Hub, Link, connect
+from tansykeel.transport.link import Hub, Link
+from tansykeel.transport.sockets import connect
 
 CONNECT_WITHIN = 1.0  # seconds; a connection not made by then counts as a failed call
 
--- a/tansykeel/edge/peers.py
+++ b/tansykeel/edge/peers.py
@@ -10,7 +10,8 @@
 from tansykeel.protocol.codec import Codec
 from tansykeel.protocol.frames import Hello, Share
 from tansykeel.settings.records import PeersOf
-from tansykeel.transport.link import Hub, Link, connect
+from tansykeel.transport.link import Hub, Link
+from tansykeel.transport.sockets import connect
 
 MOST_WAITING = 64  # words to one gateway while its connection opens, and bytes of them while it does not read
 MOST_HELD = MOST_WAITING * 128
--- a/tansykeel/edge/program.py
+++ b/tansykeel/edge/program.py
@@ -11,29 +11,24 @@
 import structlog
 
 from tansykeel.brain import Scheduler
-from tansykeel.edge.core import Attempt, Core, Decisions, Held
+from tansykeel.edge.clock import Reminder, clock
+from tansykeel.edge.core import Attempt, Core, Decisions, Final, Held, StillHeld
 from tansykeel.edge.listing import Listing
+from tansykeel.edge.native import Native, answer_of, bounds_of, known_of
 from tansykeel.edge.peers import Peers
 from tansykeel.edge.stores import Stores
 from tansykeel.edge.trace import Trace
-from tansykeel.interface import Facts
+from tansykeel.interface import Facts, Word
 from tansykeel.protocol.codec import Codec, Event, Piece
-from tansykeel.protocol.frames import Answer, Cancel, Cut, Goodbye, Hello, Share, TaskOf
+from tansykeel.protocol.frames import Cancel, Cut, Goodbye, Hello, ProtocolError, Share, TaskOf
 from tansykeel.settings.records import Settings
-from tansykeel.transport.link import Hub, Limits, Link, accept_all, listening
+from tansykeel.transport.link import Hub, Limits, Link
+from tansykeel.transport.sockets import accept_all, listening
 
-TENTH = 100_000  # nanoseconds
-EPOCH = 10**9  # the clock's first tenth, so that no time that matters is 0 or less
-LATE = 20  # tenths by which a reminder shows that the process stood still
 SWEEP = 1.0  # seconds between looks at idle connections
 EXIT_FAILED = 70  # the module failed: everything held was answered, the process ends
 
 
-def clock() -> int:
-    """Whole tenths of a millisecond, monotonic."""
-    return time.monotonic_ns() // TENTH + EPOCH
-
-
 class Edge:
     """One gateway. `serve` runs it until SIGTERM; `ready` is called with its port once it takes tasks."""
 
@@ -46,13 +41,13 @@
         self.hello = Hello(1, "edge", f"{settings.gateway.name}-{facts.me}", self.boot, 0)
         self.hub = Hub(Limits(stall=settings.gateway.peer_stall_s))
         self.clients: set[Link] = set()
-        self._reminder: asyncio.TimerHandle | None = None
-        self._reminder_at = 0
+        self._reminder = Reminder(lambda now: self.core.tick(now))
         self._asked = False
         self.listing: Listing | None = None
         self.failed = False
         self.stopping = asyncio.Event()
-        self.core = Core(settings, facts, seed, self, clock(), decide)
+        self.native = Native(settings, facts)
+        self.core = Core(facts, seed, self, clock(), bounds_of(self.gateway), self.native, known_of(settings), decide)
         self.stores = Stores(self.core, self.hub, self.gateway, self.hello, clock)
         self.peers = Peers(settings.peers, facts.me, self.hub, self.hello) if settings.peers else None
 
@@ -99,19 +94,19 @@
 
     # Wire: what the core wants done
 
-    def answer(self, held: Held, answer: Answer, body: list[bytes], sent: Callable[[], None]) -> None:
+    def answer(self, held: Held, final: Final, body: list[bytes], sent: Callable[[], None]) -> None:
         link: Link = held.client
-        link.send(held.id, answer)
+        link.send(held.id, answer_of(final, body))
         if body:
             link.send_body(held.id, body, sent)
         else:
             sent()
         if self.trace:
-            self.trace.answered(held, answer)
+            self.trace.answered(held, final)
         self._logged += 1
         if self._logged % self.sample == 0:
             self.log.info("answered", task=held.id, volume=held.request.volume, category=held.request.category,
-                          result=answer.result, reason=answer.reason or None, hand_offs=held.task.hand_offs,
+                          result=final.result, reason=final.reason or None, hand_offs=held.task.hand_offs,
                           lag_ms=(self.core.runner.now - held.task.arrived) / 10, one_in=self.sample)
 
     def hand_off(self, attempt: Attempt) -> None:
@@ -123,40 +118,22 @@
         self.stores.cancel(attempt)
 
     def remind(self, at: int) -> None:
-        if self._reminder:
-            if at >= self._reminder_at:
-                return
-            self._reminder.cancel()
-        self._reminder_at = at
-        # Half a tenth on: it must not come before the tenth that it stands for.
-        self._reminder = asyncio.get_event_loop().call_later(max(at - clock() + 0.5, 0) / 10_000, self._remind, False)
+        self._reminder.set(at)
 
     def ask_list(self) -> None:
         self._asked = True  # the module may ask before the program runs
         if self.listing:
             self.listing.ask()
 
-    def tell_peer(self, peer: int | None, share: Share) -> None:
+    def tell_peer(self, peer: int | None, word: Word) -> None:
         if self.peers:
-            self.peers.tell(peer, share)
+            self.peers.tell(peer, self.native.share_of(word))
 
     def note(self, event: str, **fields: Any) -> None:
         self.log.info(event, **fields)
 
     # Within
 
-    def _remind(self, read_first: bool) -> None:
-        """Guards against a process that stood still: what came in meanwhile (a drain, a client's end) must be
-        known before held tasks are acted on, so sockets are read before a late reminder is carried out."""
-        self._reminder = None
-        now = clock()
-        if now < self._reminder_at:  # the loop's clock is not ours: a reminder that comes early is not lost
-            self.remind(self._reminder_at)
-        elif not read_first and now - self._reminder_at > LATE:
-            self._reminder = asyncio.get_event_loop().call_later(0.001, self._remind, True)
-        else:
-            self.core.tick(now)
-
     def _accept(self, sock: Any) -> None:
         link = Link(self.hub, sock, Codec("client", "peer"), self.hello, self._event, self._gone)
         self.clients.add(link)
@@ -169,12 +146,16 @@
             return
         match event.record:
             case TaskOf() as request:
-                self.core.taken(clock(), link, event.stream, request)
+                try:
+                    self.core.taken(clock(), link, event.stream, request)
+                except StillHeld as error:
+                    raise ProtocolError(f"TASK on stream {event.stream}: a task with this id is still held") from error
             case Cancel():
                 link.drop_body(event.stream)
                 self.core.left(clock(), link, event.stream)
             case Share() as share:
-                self.core.heard(clock(), share)
+                if word := self.native.word_of(share):
+                    self.core.heard(clock(), share.sender, word)
             case Cut():
                 self.core.left(clock(), link, event.stream)
 
--- a/tansykeel/edge/stores.py
+++ b/tansykeel/edge/stores.py
@@ -12,11 +12,13 @@
 from typing import Any
 
 from tansykeel.edge.core import Attempt, Core
+from tansykeel.edge.native import hand_off_of
 from tansykeel.interface import How, Store
 from tansykeel.protocol.codec import Codec, Event, Frame, Piece
 from tansykeel.protocol.frames import Cancel, Hello, OutcomeOf
 from tansykeel.settings.records import Gateway
-from tansykeel.transport.link import Hub, Link, connect
+from tansykeel.transport.link import Hub, Link
+from tansykeel.transport.sockets import connect
 
 HOWS = {how.value: how for how in (How.DELIVERED, How.ERROR, How.FULL, How.MOOT, How.CANCELLED)}
 
@@ -114,7 +116,7 @@
         seat.count += 1
         seat.out[seat.count] = attempt
         attempt.seat = seat, seat.count
-        request = self.stores.core.hand_off_of(attempt, self.stores.clock())
+        request = hand_off_of(attempt, self.stores.clock())
         seat.link.send(seat.count, request)
         if request.body:
             seat.link.send_body(seat.count, attempt.held.body)
--- a/tansykeel/edge/trace.py
+++ b/tansykeel/edge/trace.py
@@ -14,8 +14,7 @@
 from opentelemetry.sdk.trace.export import BatchSpanProcessor, ConsoleSpanExporter
 from opentelemetry.sdk.trace.sampling import TraceIdRatioBased
 
-from tansykeel.edge.core import Attempt, Held
-from tansykeel.protocol.frames import Answer
+from tansykeel.edge.core import Attempt, Final, Held
 
 MOST_OPEN = 50_000  # spans of tasks under way; beyond it new ones are not traced
 
@@ -38,10 +37,10 @@
         span = self._open.get(held) or self._begin(held, attempt.sent)
         span.add_event("handed off", {"store": str(attempt.store.handle), "number": attempt.number})
 
-    def answered(self, held: Held, answer: Answer) -> None:
+    def answered(self, held: Held, final: Final) -> None:
         span = self._open.pop(held, None) or self._begin(held, held.task.arrived)
         self._open.pop(held, None)
-        span.set_attribute("result", ("delivered", "nacked", "broken off")[answer.result])
+        span.set_attribute("result", ("delivered", "nacked", "broken off")[final.result])
         span.end()
 
     def end(self) -> None:
--- a/tansykeel/emulator/gateway.py
+++ b/tansykeel/emulator/gateway.py
@@ -7,9 +7,10 @@
 from typing import TYPE_CHECKING, Any
 
 from tansykeel.audit.records import Listed
-from tansykeel.edge.core import Attempt, Core, Held
-from tansykeel.interface import How, Store
-from tansykeel.protocol.frames import Answer, Hello, ListOf, Row, Share, TaskOf
+from tansykeel.edge.core import Attempt, Core, Final, Held
+from tansykeel.edge.native import Native, answer_of, bounds_of, hand_off_of, known_of
+from tansykeel.interface import How, Store, Word
+from tansykeel.protocol.frames import Hello, ListOf, Row, Share, TaskOf
 from tansykeel.standin.behaviour import Work
 from tansykeel.standin.book import Book
 
@@ -62,8 +63,10 @@
         self.from_list = Line()
         self.asked = False
         world = self.world
-        self.core = Core(world.settings, world.facts[self.index], world.seed * 1000 + self.index, self, self.clock(),
-                         world.decide)
+        facts = world.facts[self.index]
+        self.native = Native(world.settings, facts)
+        self.core = Core(facts, world.seed * 1000 + self.index, self, self.clock(), bounds_of(world.settings.gateway),
+                         self.native, known_of(world.settings), world.decide)
         if self.asked or world.day.fleet.list_mode == "push":
             self.ask_list()
 
@@ -118,13 +121,14 @@
         self.core.list_lost(self.clock())
 
     def share(self, share: Share) -> None:
-        self.core.heard(self.clock(), share)
+        if word := self.native.word_of(share):
+            self.core.heard(self.clock(), share.sender, word)
 
     # Wire: what the core wants done
 
-    def answer(self, held: Held, answer: Answer, body: list[bytes], sent: Callable[[], None]) -> None:
+    def answer(self, held: Held, final: Final, body: list[bytes], sent: Callable[[], None]) -> None:
         sent()
-        self.world.clients.answer_on_its_way(self, held.id, answer)
+        self.world.clients.answer_on_its_way(self, held.id, answer_of(final, body))
 
     def remind(self, at: int) -> None:
         if self.reminder and at >= self.reminder:
@@ -149,7 +153,8 @@
         self.asked = True
         self.engine.after(self.world.list_way(), self.world.list.ask, self, self.life)
 
-    def tell_peer(self, peer: int | None, share: Share) -> None:
+    def tell_peer(self, peer: int | None, word: Word) -> None:
+        share = self.native.share_of(word)
         for other in self.world.gateways if peer is None else [self.world.gateways[peer]]:
             if other.alive and other is not self:
                 self.engine.after(self.world.client_way(), other.tell, other.life, other.share, share)
@@ -185,7 +190,7 @@
 
     def _send(self, conn: Conn, attempt: Attempt) -> None:
         attempt.seat = conn
-        request = self.core.hand_off_of(attempt, self.clock())
+        request = hand_off_of(attempt, self.clock())
         work = conn.works[attempt] = Work((conn, attempt), self.name, request)
         way = self.world.way(self, conn.store) + self.world.wire_time(request.body)
         self.engine.at(conn.there.arrival(self.engine.now + way), conn.store.arrive, conn, work)
--- /dev/null
+++ b/tansykeel/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's front: its configuration, discovery, clients and stores over HTTP/1.1, around the edge's core."""
--- /dev/null
+++ b/tansykeel/platform/clients.py
@@ -0,0 +1,169 @@
+"""Clients' connections: requests one at a time, an error for what can't be read, and an end for what says nothing."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from typing import Protocol
+
+from tansykeel.http1 import codec
+from tansykeel.http1.codec import Malformed, Request, RequestReader
+from tansykeel.transport.stream import Stream
+
+UNASKED = 2.0  # seconds for a whole request, from the connection's start or the request's first byte
+IDLE = 30.0  # seconds after which a connection that asked before and idles is closed
+SPARED = 2.0  # seconds for which one that idles is kept though others need its place
+LINGER = 1.0  # seconds that a client which was told an error has to read it
+MOST_DRAINED = 256 << 10  # bytes read and let go meanwhile
+MOST_AHEAD = 80 << 10  # bytes read ahead of a request that is not answered yet
+STALL = 5.0  # seconds in which a client takes none of its answer
+
+ERRORS = {status: codec.answer(status, last=True) for status in codec.REASONS if status >= 400}
+
+
+class Handler(Protocol):
+    """Each call is answered by `Client.answer` or `Client.turn_away`, now or later."""
+
+    def request(self, client: Client, request: Request) -> None: ...
+    def client_left(self, client: Client) -> None: ...
+
+
+class Client:
+    """`open`: the id of its request that is not answered."""
+
+    __slots__ = ("owner", "stream", "reader", "since", "asked", "open", "ending", "drained", "_busy")
+
+    def __init__(self, owner: Clients, sock: socket.socket) -> None:
+        self.owner, self.reader = owner, RequestReader()
+        self.stream = Stream(sock, self._data, self._ended)
+        self.since = owner.now()  # when it began to idle, to send a request, or to be told an error
+        self.asked = 0
+        self.open: bytes | None = None
+        self.ending = self._busy = False
+        self.drained = 0
+        self.stream.read()
+
+    def answer(self, data: bytes, last: bool) -> None:
+        """The answer to its open request; `last`: the connection ends with it."""
+        self.open = None
+        self.since = self.owner.now()
+        self.stream.write(data)
+        if last:
+            self._linger()
+        elif self.reader.buffer and not self._busy:
+            self.owner.later(self._next)
+
+    def turn_away(self, status: int) -> None:
+        """Tell an error and end the connection."""
+        self.open = None
+        self.since = self.owner.now()
+        self.owner.turned_away += 1
+        self.stream.write(ERRORS[status])
+        self._linger()
+
+    def close(self) -> None:
+        self.owner.conns.pop(self, None)
+        self.stream.close()
+        if self.open is not None:
+            self.owner.handler.client_left(self)
+
+    def _linger(self) -> None:
+        """Guards against an error that a client which is still sending never reads: a close with bytes unread
+        would reset the connection, so it is closed in one direction and read for a while."""
+        self.ending = True
+        self.reader.buffer.clear()
+        if not self.stream.unsent:
+            self.stream.half_close()
+
+    def _data(self, data: bytes) -> None:
+        if self.ending:
+            self.drained += len(data)
+            if self.drained > MOST_DRAINED:
+                self.stream.read(False)
+            return
+        if self.open is None and not self.reader.partial:
+            self.since = self.owner.now()
+        self.reader.buffer += data
+        if self.open is None:
+            self._next()
+        elif len(self.reader.buffer) > MOST_AHEAD:
+            self.stream.read(False)
+
+    def _next(self) -> None:
+        """Take what is there, one request after the other's answer."""
+        self._busy = True
+        try:
+            while self.open is None and not self.ending and not self.stream.closed:
+                try:
+                    request = self.reader.next()
+                except Malformed as error:
+                    return self.turn_away(error.status)
+                if request is None:
+                    break
+                self.asked += 1
+                self.owner.handler.request(self, request)
+            if len(self.reader.buffer) <= MOST_AHEAD:
+                self.stream.read()
+        finally:
+            self._busy = False
+
+    def _ended(self, why: str) -> None:
+        self.close()
+
+    def look(self, now: float) -> None:
+        waited = now - self.since
+        if self.ending:
+            if waited > LINGER:
+                self.close()
+            elif not self.stream.unsent:
+                self.stream.half_close()
+        elif self.open is not None:
+            pass
+        elif self.stream.unsent:
+            if waited > STALL:
+                self.close()
+        elif self.reader.partial or not self.asked:
+            if waited > UNASKED:
+                self.turn_away(408)
+        elif waited > IDLE:
+            self.close()
+
+
+class Clients:
+    """All of them, `most` at once: who has said nothing makes room first, then who idles longest."""
+
+    def __init__(self, handler: Handler, most: int, now: Callable[[], float],
+                 later: Callable[[Callable[[], None]], object]) -> None:
+        self.handler, self.most, self.now, self.later = handler, most, now, later
+        self.conns: dict[Client, None] = {}
+        self.turned_away = self.no_room = 0
+
+    def accept(self, sock: socket.socket) -> None:
+        if len(self.conns) >= self.most and not self.make_room():
+            self.no_room += 1
+            sock.close()
+            return
+        self.conns[Client(self, sock)] = None
+
+    def make_room(self) -> bool:
+        now = self.now()
+        silent = next((c for c in self.conns if not c.asked and c.open is None and not c.ending), None)
+        ending = next((c for c in self.conns if c.ending), None)
+        idle = min((c for c in self.conns if c.open is None and not c.reader.partial and now - c.since > SPARED),
+                   key=lambda c: c.since, default=None)
+        for client in (silent, ending, idle):
+            if client:
+                client.close()
+                return True
+        return False
+
+    def look(self) -> None:
+        now = self.now()
+        for client in list(self.conns):
+            client.look(now)
+
+    def close_idle(self) -> None:
+        """End all that have no request open."""
+        for client in list(self.conns):
+            if client.open is None and not client.ending and not client.reader.partial:
+                client.close()
--- /dev/null
+++ b/tansykeel/platform/program.py
@@ -0,0 +1,232 @@
+"""One gateway on the platform: sockets around the core, signals, the log. Ends on SIGTERM, reads anew on SIGHUP."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import os
+import resource
+import signal
+import sys
+import time
+from collections.abc import Callable
+from socket import socket
+from typing import Any
+
+from tansykeel.edge.clock import Reminder, clock
+from tansykeel.edge.core import DELIVERED, NACKED, Attempt, Bounds, Core, Final, Held
+from tansykeel.http1 import codec
+from tansykeel.http1.codec import Malformed, Request
+from tansykeel.interface import Word
+from tansykeel.platform.clients import Client, Clients
+from tansykeel.platform.config import Config, Illegal, read
+from tansykeel.platform.discovery import Discovery, row_of
+from tansykeel.platform.intake import Reader
+from tansykeel.platform.stores import Stores
+from tansykeel.transport.sockets import accept_all, listening, run
+
+LOOK = 0.25  # seconds between looks at what idles, stalls or fell silent
+REPORT = 10.0  # seconds between lines of figures in the log
+SAMPLE = 500  # one answer of so many is logged
+ACCEPTS_ON = 0.6  # seconds after SIGTERM for which new connections still come
+ENDS_WITHIN = 3.3  # seconds after SIGTERM by which all is answered
+CLIENT_PART, STORE_PART = 0.5, 0.4  # of the descriptors that a process may hold
+BODY_PART = 0.125  # of the memory, for bodies
+USAGE = 2
+
+
+def log(event: str, **fields: Any) -> None:
+    """One line of JSON on standard output."""
+    sys.stdout.write(json.dumps({"at": round(time.time(), 3), "event": event} | fields, default=_plain) + "\n")
+    sys.stdout.flush()
+
+
+def _plain(value: Any) -> str:
+    return value.decode("latin-1") if isinstance(value, bytes) else str(value)
+
+
+class Gateway:
+    """The core's wire, and what clients' requests come to."""
+
+    def __init__(self, path: str, config: Config) -> None:
+        self.path, self.config = path, config
+        loop = asyncio.get_running_loop()
+        self.loop, limits = loop, config.file.limits
+        self.reminder = Reminder(lambda now: self.core.tick(now))
+        self.stopping = asyncio.Event()
+        self.open: dict[bytes, Client] = {}  # requests that are not answered, by id
+        self.answers = 0
+        self.asked = True  # the list is pushed, so it is followed from the start
+        self.discovery: Discovery | None = None
+        self.reader = Reader(config.facts)
+        bounds = Bounds(config.open_tasks, int(limits.memory_mb * 2**20 * BODY_PART), codec.MOST_BODY)
+        known = config.file.known
+        self.core = Core(config.facts, config.seed, self, clock(), bounds, self.reader,
+                         [row_of(member, config.zones) for member in known.members])
+        self.clients = Clients(self, int(limits.sockets * CLIENT_PART), loop.time, loop.call_soon)
+        self.stores = Stores(self.core, int(limits.sockets * STORE_PART), config.connect_within, config.idle_close,
+                             clock, loop.time, loop.call_later, log)
+        self.discovery = Discovery(self.core, config.file.discovery, config.zones, known.revision, clock, loop.time,
+                                   self.stores.listed, log)
+
+    async def serve(self, listener: socket) -> int:
+        """Take tasks until SIGTERM, answer what is held, return the exit code."""
+        loop, file = self.loop, self.config.file
+        loop.set_exception_handler(self._broken)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self.read_anew)
+        accepting = loop.create_task(accept_all(listener, self.clients.accept, self._pressure))
+        assert self.discovery is not None
+        self.discovery.ask()
+        log("ready", name=file.name, listen=file.listen, clients=self.clients.most, stores=self.stores.most,
+            memory_mb=file.limits.memory_mb, cores=file.limits.cores, known=len(self.core.stores),
+            open_tasks=self.core.bounds.open_tasks)
+        gc.freeze()
+        looking = loop.create_task(self._look())
+        await self.stopping.wait()
+        log("stopping", held=len(self.open))
+        end = loop.time() + ENDS_WITHIN
+        await asyncio.sleep(ACCEPTS_ON)
+        accepting.cancel()
+        await asyncio.sleep(0)
+        listener.close()
+        while (self.open or any(c.ending for c in self.clients.conns)) and loop.time() < end:
+            self.clients.close_idle()
+            await asyncio.sleep(0.02)
+        self.core.answer_all(clock())
+        looking.cancel()
+        self.discovery.end()
+        log("stopped", left_unanswered=len(self.open))
+        return 0
+
+    def read_anew(self) -> None:
+        """SIGHUP: discovery may have moved. All else is taken at the start only."""
+        try:
+            config = read(self.path)
+        except Illegal as error:
+            return log("configuration not taken", why=str(error))
+        if config.file.settings != self.config.file.settings:
+            log("other settings are taken at the next start only")
+        self.config = config
+        assert self.discovery is not None
+        self.discovery.move(config.file.discovery)
+
+    # What clients say
+
+    def request(self, client: Client, request: Request) -> None:
+        if request.target == b"/_health":
+            return client.answer(codec.answer(200, b"ok\n"), last=False)
+        try:
+            wanted = self.reader.wanted(request)
+            if wanted.id in self.open:
+                raise Malformed("the id of a request that is still open", 409)
+        except Malformed as error:
+            return client.turn_away(error.status)
+        client.open = wanted.id
+        self.open[wanted.id] = client
+        self.core.taken(clock(), client, wanted.id, wanted)
+
+    def client_left(self, client: Client) -> None:
+        assert client.open is not None
+        del self.open[client.open]
+        self.core.left(clock(), client, client.open)
+
+    # Wire: what the core wants done
+
+    def answer(self, held: Held, final: Final, body: list[bytes], sent: Callable[[], None]) -> None:
+        client: Client = held.client
+        sent()
+        if self.open.pop(held.id, None) is None:
+            return
+        last = self.stopping.is_set()
+        if final.result == DELIVERED:
+            data = codec.answer(200, body[0], last=last)
+        elif final.result == NACKED:
+            after = b"%.3f" % (final.come_back / 10_000) if final.come_back else b""
+            data = codec.answer(503, last=last, retry_after=after)
+        else:
+            data = codec.answer(500, last=last)
+        client.answer(data, last)
+        self.answers += 1
+        if self.answers % SAMPLE == 0:
+            log("answered", id=held.id, result=final.result, reason=final.reason, hand_offs=held.task.hand_offs,
+                lag_ms=(self.core.runner.now - held.task.arrived) / 10, one_in=SAMPLE)
+
+    def hand_off(self, attempt: Attempt) -> None:
+        self.stores.hand_off(attempt)
+
+    def cancel(self, attempt: Attempt) -> None:
+        self.stores.cancel(attempt)
+
+    def remind(self, at: int) -> None:
+        self.reminder.set(at)
+
+    def ask_list(self) -> None:
+        if self.discovery:
+            self.discovery.ask()
+
+    def tell_peer(self, peer: int | None, word: Word) -> None:
+        pass  # the platform has no way between gateways that its settings allow
+
+    def note(self, event: str, **fields: Any) -> None:
+        log(event, **fields)
+
+    # Within
+
+    async def _look(self) -> None:
+        report = self.loop.time() + REPORT
+        late = 0.0
+        while True:
+            due = self.loop.time() + LOOK
+            await asyncio.sleep(LOOK)
+            late = max(late, self.loop.time() - due)
+            self.clients.look()
+            self.stores.look()
+            assert self.discovery is not None
+            self.discovery.look()
+            if self.loop.time() >= report:
+                self._report(late)
+                report, late = self.loop.time() + REPORT, 0.0
+
+    def _report(self, late: float) -> None:
+        counts, use = self.core.counts, resource.getrusage(resource.RUSAGE_SELF)
+        log("figures", taken=counts.taken, delivered=counts.delivered, nacked=counts.nacked,
+            broken_off=counts.broken_off, left=counts.left, outcomes=counts.outcomes, held=len(self.core.held),
+            clients=len(self.clients.conns), turned_away=self.clients.turned_away, no_room=self.clients.no_room,
+            stores={str(p.store.handle): [len(p.seats), len(p.waiting)] for p in self.stores.pools.values()},
+            loop_late_ms=round(late * 1000, 1), cpu_s=round(use.ru_utime + use.ru_stime, 2),
+            most_memory_mb=use.ru_maxrss // 1024)
+
+    def _pressure(self) -> None:
+        """No descriptor is left: what idles goes."""
+        self.clients.make_room()
+        self.stores.close_idle()
+
+    def _broken(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """A handler failed: its connection has ended, the gateway goes on; each failure is logged with its cause."""
+        import traceback
+
+        error = context.get("exception")
+        log("failed", message=context.get("message"),
+            trace=traceback.format_exception(error)[-6:] if isinstance(error, BaseException) else None)
+
+
+async def _serve(path: str, config: Config, listener: socket) -> int:
+    return await Gateway(path, config).serve(listener)
+
+
+def main() -> int:
+    path = os.environ.get("EDGE_CONFIG", "")
+    try:
+        config = read(path)
+        listener = listening(config.file.listen)
+    except Illegal as error:
+        print(f"tansykeel: {error}", file=sys.stderr)
+        return USAGE
+    except OSError as error:
+        print(f"tansykeel: {path}: listen: {config.file.listen}: {error.strerror}; legal: a free address here",
+              file=sys.stderr)
+        return USAGE
+    return run(lambda: _serve(path, config, listener))
--- /dev/null
+++ b/tansykeel/platform/stores.py
@@ -0,0 +1,293 @@
+"""Connections to stores: one request at a time on each, kept warm, never one sent twice by the transport."""
+
+from __future__ import annotations
+
+import re
+from collections import deque
+from collections.abc import Callable
+
+from tansykeel.edge.core import Attempt, Core
+from tansykeel.http1 import codec
+from tansykeel.http1.codec import AnswerReader, Malformed
+from tansykeel.interface import How, State, Store
+from tansykeel.platform.intake import Wanted
+from tansykeel.transport.sockets import address_of, open_socket
+from tansykeel.transport.stream import Stream
+
+RESTED = 0.005  # seconds after an answer in which what does not belong to it would still come
+IDLE_PART = 0.8  # of a store's own limit, after which a connection that idles is closed here
+_FIGURE = re.compile(rb"[0-9]{1,6}(?:\.[0-9]{1,6})?")
+
+
+def figure(value: bytes | None, default: int) -> int:
+    """A figure that an answer tells; one that can't be read is left out."""
+    return round(float(value)) if value is not None and _FIGURE.fullmatch(value) else default
+
+
+class Seat:
+    """One connection to a store."""
+
+    __slots__ = ("pool", "stream", "address", "reader", "attempt", "up", "used", "idle_since", "expires")
+
+    def __init__(self, pool: Pool, address: str, now: float) -> None:
+        self.pool, self.address = pool, address
+        self.reader: AnswerReader | None = None
+        self.attempt: Attempt | None = None
+        self.up = self.used = False
+        self.idle_since, self.expires = now, now + pool.stores.connect_within
+        host = address_of(address)
+        self.stream = Stream(open_socket(host), self._data, self._ended)
+        try:
+            self.stream.connect(host, self._opened)
+        except OSError:
+            self.stream.close()
+            raise
+
+    def send(self, attempt: Attempt, now: int) -> None:
+        wanted: Wanted = attempt.held.request
+        request, left = wanted.request, max(attempt.until - now, 0) / 10_000
+        self.attempt, attempt.seat, self.reader = attempt, self, AnswerReader()
+        self.stream.write(codec.request(request.method, request.target, self.address.encode(),
+                                        b"X-Txn: %s\r\nX-Remaining: %.4f\r\n" % (request.fields[b"x-txn"], left),
+                                        request.body))
+
+    def _opened(self) -> None:
+        self.up = True
+        self.pool.opened(self)
+
+    def _data(self, data: bytes) -> None:
+        if self.reader is None or self.attempt is None or self.stream.unsent:
+            # What comes unasked, or before the request is whole, belongs to nothing.
+            return self._broken("bytes that answer nothing")
+        self.reader.buffer += data
+        try:
+            answer = self.reader.next()
+        except Malformed as error:
+            return self._broken(str(error))
+        if answer is None:
+            return
+        attempt, self.attempt = self.attempt, None
+        lasts, self.reader, self.used = answer.lasts and not self.reader.buffer, None, True
+        if lasts:
+            self.pool.rest(self)
+        else:
+            self.close()
+        self.pool.stores.answered(attempt, answer)
+
+    def _broken(self, why: str) -> None:
+        """A spoilt answer: what was asked may have run, and the connection is of no further use."""
+        attempt, self.attempt = self.attempt, None
+        self.close()
+        if attempt:
+            self.pool.stores.spoilt(attempt, why)
+
+    def _ended(self, why: str) -> None:
+        attempt, self.attempt = self.attempt, None
+        unsent = bool(self.stream.unsent)
+        self.close()
+        if not self.up:
+            self.pool.failed()
+        elif attempt:
+            # Not whole at the store: it never ran. On a connection used before that tells nothing of the store.
+            never = How.MOOT if self.used else How.NO_CONNECTION
+            self.pool.stores.outcome(attempt, never if unsent else How.RESET)
+
+    def close(self) -> None:
+        self.stream.close()
+        self.pool.closed(self)
+
+
+class Pool:
+    """All connections to one store. Hand-offs that wait for one have not been sent."""
+
+    def __init__(self, stores: Stores, store: Store) -> None:
+        self.stores, self.store = stores, store
+        self.seats: dict[Seat, None] = {}
+        self.idle: list[Seat] = []  # the one used last at the end
+        self.waiting: deque[tuple[Attempt, int]] = deque()  # with the store's start as it was known
+
+    def hand_off(self, attempt: Attempt) -> None:
+        if seat := self._rested():
+            seat.send(attempt, self.stores.clock())
+            return
+        self.waiting.append((attempt, self.store.started))
+        self.open()
+
+    def open(self) -> None:
+        """Another connection, if more wait than are being opened, and if there is room for one."""
+        opening = sum(not seat.up for seat in self.seats)
+        if opening >= len(self.waiting) or self.stores.core.addresses.get(self.store) is None:
+            return
+        if not self.stores.room():
+            self.stores.starving[self] = None
+            return
+        try:
+            self.seats[Seat(self, self.stores.core.addresses[self.store], self.stores.now())] = None
+        except (OSError, ValueError) as error:
+            self.stores.note("no connection", store=self.store.handle, why=str(error))
+            self.stores.later(self.failed)
+
+    def opened(self, seat: Seat) -> None:
+        if not self._serve(seat):
+            seat.idle_since = self.stores.now()
+            self.idle.append(seat)
+
+    def rest(self, seat: Seat) -> None:
+        """A connection whose answer has come: for who waits here, else for who can't open one elsewhere."""
+        seat.idle_since = self.stores.now()
+        self.idle.append(seat)
+        if self.waiting:
+            self.stores.after(RESTED, self.feed)
+        elif self.stores.starving:
+            seat.close()
+
+    def feed(self) -> None:
+        """Give rested connections to who waits."""
+        while self.waiting and (seat := self._rested()):
+            if not self._serve(seat):
+                self.idle.append(seat)
+
+    def cancel(self, attempt: Attempt) -> None:
+        for entry in self.waiting:
+            if entry[0] is attempt:
+                self.waiting.remove(entry)
+                self.stores.later_outcome(attempt, How.CANCELLED)
+                return
+        seat = attempt.seat
+        if isinstance(seat, Seat) and seat.attempt is attempt:
+            seat.attempt = None
+            seat.close()
+            self.stores.later_outcome(attempt, How.CANCELLED)
+
+    def failed(self) -> None:
+        """A connection that could not be made: who waits longest is told."""
+        while self.waiting:
+            attempt = self.waiting.popleft()[0]
+            if not attempt.over:
+                self.stores.outcome(attempt, How.NO_CONNECTION)
+                break
+        if self.waiting:
+            self.open()
+
+    def closed(self, seat: Seat) -> None:
+        self.seats.pop(seat, None)
+        if seat in self.idle:
+            self.idle.remove(seat)
+        self.stores.freed()
+
+    def listed(self) -> None:
+        """Guards against what was granted before a drain or a new start was heard of: it is decided anew."""
+        if self.store.state is not State.READY or any(started != self.store.started for _, started in self.waiting):
+            waiting, self.waiting = self.waiting, deque()
+            for attempt, _ in waiting:
+                self.stores.outcome(attempt, How.MOOT)
+        address = self.stores.core.addresses.get(self.store)
+        if self.store.state is State.GONE or any(seat.address != address for seat in self.seats):
+            for seat in list(self.idle):
+                seat.close()
+
+    def look(self, now: float) -> None:
+        for seat in [seat for seat in self.seats if not seat.up and now >= seat.expires]:
+            seat.close()
+            self.failed()
+        for seat in [seat for seat in self.idle if now - seat.idle_since >= self.stores.idle_close * IDLE_PART]:
+            seat.close()
+
+    def _rested(self) -> Seat | None:
+        """The warmest connection on which nothing more can come; any that idles where no other may be opened."""
+        now = self.stores.now()
+        full = not self.stores.room(make=False)
+        for seat in reversed(self.idle):
+            if now - seat.idle_since >= RESTED or full:
+                self.idle.remove(seat)
+                if seat.stream.quiet():
+                    return seat
+                seat.close()
+                return self._rested()
+        return None
+
+    def _serve(self, seat: Seat) -> bool:
+        while self.waiting:
+            attempt = self.waiting.popleft()[0]
+            if not attempt.over:
+                seat.send(attempt, self.stores.clock())
+                return True
+        return False
+
+
+class Stores:
+    """All connections of this gateway to stores, `most` at once."""
+
+    def __init__(self, core: Core, most: int, connect_within: float, idle_close: float, clock: Callable[[], int],
+                 now: Callable[[], float], after: Callable[[float, Callable[[], None]], object],
+                 note: Callable[..., None]) -> None:
+        self.core, self.most, self.connect_within, self.idle_close = core, most, connect_within, idle_close
+        self.clock, self.now, self.after, self.note = clock, now, after, note
+        self.pools: dict[Store, Pool] = {}
+        self.starving: dict[Pool, None] = {}
+
+    def hand_off(self, attempt: Attempt) -> None:
+        if attempt.store not in self.pools:
+            self.pools[attempt.store] = Pool(self, attempt.store)
+        self.pools[attempt.store].hand_off(attempt)
+
+    def cancel(self, attempt: Attempt) -> None:
+        self.pools[attempt.store].cancel(attempt)
+
+    def room(self, make: bool = True) -> bool:
+        """Whether another connection may be opened; to make room the one that idles longest is closed."""
+        if sum(len(pool.seats) for pool in self.pools.values()) < self.most:
+            return True
+        idle = [seat for pool in self.pools.values() for seat in pool.idle]
+        if idle and make:
+            min(idle, key=lambda seat: seat.idle_since).close()
+            return True
+        return False
+
+    def freed(self) -> None:
+        if self.starving:
+            pool = next(iter(self.starving))
+            del self.starving[pool]
+            self.later(pool.open)
+
+    def listed(self) -> None:
+        for store, pool in list(self.pools.items()):
+            pool.listed()
+            if store.state is State.GONE and not pool.seats and not pool.waiting:
+                del self.pools[store]
+
+    def look(self) -> None:
+        now = self.now()
+        for store, pool in list(self.pools.items()):
+            pool.look(now)
+            if store.state is State.GONE and not pool.seats and not pool.waiting:
+                del self.pools[store]
+
+    def close_idle(self) -> None:
+        for pool in self.pools.values():
+            for seat in list(pool.idle):
+                seat.close()
+
+    def later(self, call: Callable[[], None]) -> None:
+        self.after(0, call)
+
+    def later_outcome(self, attempt: Attempt, how: How) -> None:
+        self.after(0, lambda: self.outcome(attempt, how))
+
+    def outcome(self, attempt: Attempt, how: How) -> None:
+        self.core.outcome(self.clock(), attempt, how)
+
+    def spoilt(self, attempt: Attempt, why: str) -> None:
+        self.note("spoilt answer", store=attempt.store.handle, why=why)
+        self.outcome(attempt, How.ERROR)
+
+    def answered(self, attempt: Attempt, answer: codec.Answer) -> None:
+        fields = answer.fields
+        if answer.status == 200:
+            how = How.DELIVERED
+        elif answer.status in (503, 504) and fields.get(b"x-turned-away") == b"1":
+            how = How.FULL
+        else:
+            how = How.ERROR
+        self.core.outcome(self.clock(), attempt, how, body=[answer.body], used=figure(fields.get(b"x-meter"), -1),
+                          elsewhere=figure(fields.get(b"x-delta"), 0))
--- a/tansykeel/rehearse/clients.py
+++ b/tansykeel/rehearse/clients.py
@@ -22,7 +22,8 @@
 from tansykeel.settings.records import CategoryOf
 from tansykeel.standin import content
 from tansykeel.transport.leash import leash
-from tansykeel.transport.link import Hub, Limits, Link, connect
+from tansykeel.transport.link import Hub, Limits, Link
+from tansykeel.transport.sockets import connect
 
 RECONNECT = 0.2  # seconds between tries to reach an edge
 CONNECT_WITHIN = 0.5
--- a/tansykeel/standin/listing.py
+++ b/tansykeel/standin/listing.py
@@ -15,7 +15,8 @@
 from tansykeel.protocol.frames import MOST_ROWS, Hello, ListAsk, ListOf, Row
 from tansykeel.standin.book import Book
 from tansykeel.standin.control import commands
-from tansykeel.transport.link import Hub, Limits, Link, accept_all, listening
+from tansykeel.transport.link import Hub, Limits, Link
+from tansykeel.transport.sockets import accept_all, listening
 
 
 class ListService:
--- a/tansykeel/standin/store.py
+++ b/tansykeel/standin/store.py
@@ -23,7 +23,8 @@
 from tansykeel.standin.behaviour import Behaviour, Work
 from tansykeel.standin.control import commands
 from tansykeel.standin.model import NEVER, Shape
-from tansykeel.transport.link import Hub, Limits, Link, accept_all, listening
+from tansykeel.transport.link import Hub, Limits, Link
+from tansykeel.transport.sockets import accept_all, listening
 
 MAP_SIZE = 4 << 30  # sparse: what lmdb may grow to
 FLUSH = 0.2  # seconds between writes of the record
--- a/tansykeel/transport/link.py
+++ b/tansykeel/transport/link.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -22,8 +21,6 @@
 SPARE = 32  # large buffers kept for the next to borrow
 BATCH = 256 << 10  # bytes handed to the socket at once
 SWEEP = 0.25  # seconds between looks at stalled peers
-PRESSURE_REST = 0.05  # seconds before the next accept when no descriptor was left
-OUT_OF_FILES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 @dataclass(frozen=True, slots=True)
@@ -210,68 +207,3 @@
                     self.read_on("it does not read")
         except OSError as error:
             self.abort(error.strerror or type(error).__name__)
-
-
-def address_of(text: str) -> tuple[str, int]:
-    """host:port. Raises ValueError."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or int(port) > 65535:
-        raise ValueError(f"address {text!r}; legal: host:port")
-    return host.strip("[]"), int(port)
-
-
-async def connect(address: str, timeout: float) -> socket.socket:
-    """A connected socket. Raises OSError (also when no descriptor is left) or TimeoutError."""
-    host, port = address_of(address)
-    sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.setblocking(False)
-        async with asyncio.timeout(timeout):
-            await asyncio.get_running_loop().sock_connect(sock, (host, port))
-    except BaseException:
-        sock.close()
-        raise
-    return sock
-
-
-def listening(address: str, backlog: int = 1024) -> socket.socket:
-    """A listening socket; port 0 takes a free one. Raises OSError."""
-    host, port = address_of(address)
-    sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        sock.bind((host, port))
-        sock.listen(backlog)
-    except BaseException:
-        sock.close()
-        raise
-    sock.setblocking(False)
-    return sock
-
-
-async def accept_all(listener: socket.socket, take: Callable[[socket.socket], None],
-                     pressure: Callable[[], None] = lambda: None) -> None:
-    """Hand over each connection that comes, until cancelled.
-
-    Out of descriptors it calls `pressure`, which may close what idles, and rests: guards against a loop that spins
-    on a listening socket which stays readable.
-    """
-    loop = asyncio.get_running_loop()
-    while True:
-        try:
-            sock, _ = await loop.sock_accept(listener)
-        except OSError as error:
-            if error.errno in OUT_OF_FILES:
-                pressure()
-                await asyncio.sleep(PRESSURE_REST)
-            elif listener.fileno() < 0:
-                return
-            continue
-        take(sock)
-
-
-def run(main: Callable[[], object]) -> None:
-    """Run a program's coroutine on uvloop."""
-    import uvloop
-
-    uvloop.run(main())  # type: ignore[arg-type]
--- /dev/null
+++ b/tansykeel/transport/stream.py
@@ -0,0 +1,132 @@
+"""One connection as a stream of bytes, for protocols without hello and frames: read and written as the socket is ready.
+
+No tasks and no buffers of its own while it idles. What is handed to `write` leaves at once where the socket takes it;
+`unsent` tells what has not left yet, for whoever must know whether a last byte was written.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
+from typing import Any
+
+READ = 64 << 10  # bytes read at once
+
+
+class Stream:
+    """`on_data(bytes)` for what comes; `on_end(why)` once, when the peer ends it or it breaks, not after `close`."""
+
+    def __init__(self, sock: socket.socket, on_data: Callable[[bytes], None], on_end: Callable[[str], None]) -> None:
+        self.sock, self.on_data, self.on_end = sock, on_data, on_end
+        self.closed = False
+        self.unsent = bytearray()
+        self._loop = asyncio.get_running_loop()
+        self._on_open: Callable[[], None] | None = None
+        self._reading = False
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def connect(self, address: tuple[str, int], on_open: Callable[[], None]) -> None:
+        """Begin to connect; `on_open` once it is up, `on_end` where it fails. Raises OSError where it can't begin."""
+        self._on_open = on_open
+        with contextlib.suppress(BlockingIOError):
+            self.sock.connect(address)
+        self._loop.add_writer(self.sock, self._guarded, self._connected)
+
+    def read(self, on: bool = True) -> None:
+        if on != self._reading and not self.closed:
+            self._reading = on
+            if on:
+                self._loop.add_reader(self.sock, self._guarded, self._readable)
+            else:
+                self._loop.remove_reader(self.sock)
+
+    def write(self, data: bytes) -> None:
+        """Send; what the socket does not take now follows as it can. A break shows in `on_end`, later."""
+        if self.closed:
+            return
+        if not self.unsent:
+            try:
+                data = data[self.sock.send(data):]
+            except (BlockingIOError, InterruptedError):
+                pass
+            except OSError as error:
+                self.unsent += data  # it was not written
+                self._loop.call_soon(self._end, error.strerror or type(error).__name__)
+                return
+            if not data:
+                return
+            self._loop.add_writer(self.sock, self._guarded, self._writable)
+        self.unsent += data
+
+    def quiet(self) -> bool:
+        """Whether nothing has come that was not read, not even an end."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            pass
+        return False
+
+    def half_close(self) -> None:
+        """Say that nothing more will be sent."""
+        if not self.closed:
+            try:
+                self.sock.shutdown(socket.SHUT_WR)
+            except OSError as error:
+                self._loop.call_soon(self._end, error.strerror or type(error).__name__)
+
+    def close(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        self._loop.remove_reader(self.sock)
+        self._loop.remove_writer(self.sock)
+        self.sock.close()
+
+    def _guarded(self, step: Callable[[], None]) -> None:
+        """Guards the program against a handler that fails: this connection ends, all others go on."""
+        try:
+            step()
+        except Exception as error:
+            context: dict[str, Any] = {"message": "a connection's handler failed", "exception": error}
+            self._loop.call_exception_handler(context)
+            self._end("a handler failed")
+
+    def _end(self, why: str) -> None:
+        if not self.closed:
+            self.close()
+            self.on_end(why)
+
+    def _connected(self) -> None:
+        self._loop.remove_writer(self.sock)
+        if error := self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            return self._end(f"error {error} on connecting")
+        assert self._on_open is not None
+        self.read()
+        self._on_open()
+
+    def _readable(self) -> None:
+        try:
+            data = self.sock.recv(READ)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
+            return self._end(error.strerror or type(error).__name__)
+        if not data:
+            return self._end("closed by the peer")
+        self.on_data(data)
+
+    def _writable(self) -> None:
+        try:
+            sent = self.sock.send(self.unsent)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
+            return self._end(error.strerror or type(error).__name__)
+        del self.unsent[:sent]
+        if not self.unsent:
+            self._loop.remove_writer(self.sock)
--- a/tests/broken_edge.py
+++ b/tests/broken_edge.py
@@ -13,7 +13,7 @@
 from tansykeel.edge.program import Edge
 from tansykeel.settings.build import facts_of, load
 from tansykeel.transport.leash import leash
-from tansykeel.transport.link import run
+from tansykeel.transport.sockets import run
 
 
 def answers_twice(facts):
--- a/tests/edge/test_peers.py
+++ b/tests/edge/test_peers.py
@@ -10,7 +10,8 @@
 
 from tansykeel.edge.program import Edge
 from tansykeel.settings.build import facts_of
-from tansykeel.transport.link import Hub, Limits, listening
+from tansykeel.transport.link import Hub, Limits
+from tansykeel.transport.sockets import listening
 
 DELIVERED, NACKED = 0, 1
 UNITS = 4096  # bytes in a unit
@@ -58,7 +59,7 @@
 
 
 def units_of(edge):
-    return edge.core.volumes["w"].state.units
+    return edge.native.volumes["w"].state.units
 
 
 def test_a_gateway_that_has_spent_its_part_serves_with_units_of_the_other():
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -20,7 +20,8 @@
     chunk_head,
 )
 from tansykeel.settings.build import Script, facts_of, script
-from tansykeel.transport.link import Hub, Limits, Link, accept_all, connect, listening
+from tansykeel.transport.link import Hub, Limits, Link
+from tansykeel.transport.sockets import accept_all, connect, listening
 
 BASE = """
 gateway("edge", peer_stall_s = {stall}, body_memory = {memory}, connection_memory = {memory}, largest_body = 1 << 20,
--- a/tests/transport/test_link.py
+++ b/tests/transport/test_link.py
@@ -10,7 +10,8 @@
 
 from tansykeel.protocol.codec import Codec, Frame, Piece
 from tansykeel.protocol.frames import Answer, Error, Hello, TaskOf, pack
-from tansykeel.transport.link import Hub, Limits, Link, accept_all, connect, listening
+from tansykeel.transport.link import Hub, Limits, Link
+from tansykeel.transport.sockets import accept_all, connect, listening
 
 HELLO = Hello(1, "edge", "e")
 DEFAULT = Limits()
