--- /dev/null
+++ b/tests/platform/test_gateway.py
@@ -0,0 +1,303 @@
+"""The platform's gateway on loopback: what its clients and stores see in each hard case."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+from platform_stage import VOLUME, List, Store, asking, configuration, ok, play, staged, until
+
+from tansykeel.http1 import codec
+from tansykeel.platform.clients import Clients
+from tansykeel.platform.config import Illegal, read
+
+
+def test_a_task_goes_all_the_way_unchanged(tmp_path):
+    async def go():
+        store = Store("s0", 0, lambda request: ok(request.body[::-1] or b"read", b"X-Meter: 40\r\nX-Delta: 3\r\n"))
+        async with staged(tmp_path, store) as stage:
+            client = await stage.client()
+            assert (await client.ask(1)).body == b"read"
+            answer = await client.ask(2, body=b"abc", path=b"/api/" + VOLUME + b"/00000000000000ff?x=1%20")
+            assert (answer.status, answer.body) == (200, b"cba")
+            got = store.got[1]
+            assert (got.method, got.target, got.body) == (b"PUT", b"/api/" + VOLUME + b"/00000000000000ff?x=1%20", b"abc")
+            assert got.fields[b"x-txn"] == b"%016x" % 2 and 0 < float(got.fields[b"x-remaining"]) < 2.5
+            assert len(store.writers) == 1 or len(store.writers) == 2  # a rested connection is used again
+    play(go())
+
+
+def test_it_is_ready_and_serves_with_only_what_it_knew(tmp_path):
+    async def go():
+        async with staged(tmp_path, Store("s0", 0), list_=List(silent=True)) as stage:
+            client = await stage.client()
+            client.writer.write(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert (await client.answer()).status == 200
+            assert (await client.ask(1)).status == 200
+    play(go())
+
+
+@pytest.mark.parametrize("changes, status", [
+    (dict(x_lane="none"), 400), (dict(x_storage_class="none"), 400), (dict(x_txn="xyz"), 400), (dict(x_txn=None), 400),
+    (dict(x_remaining="nan"), 400), (dict(x_remaining="inf"), 400), (dict(x_remaining="-1"), 400),
+    (dict(x_remaining="1e3"), 400), (dict(x_remaining=None), 400), (dict(x_extent="units=0,shard=0,hosts=1"), 400),
+    (dict(x_extent="units=9,shard=0,hosts=1"), 400), (dict(x_extent="units=2,shard=-2,hosts=1"), 400),
+    (dict(x_extent=None), 400), (dict(path=b"/api/xx/yy"), 404), (dict(method=b"POST"), 405),
+    (dict(x_lane="write"), 405), (dict(body=b"x", x_lane="read"), 405),
+    (dict(content_length="60000000"), 413), (dict(transfer_encoding="chunked", content_length="3"), 400)])
+def test_what_can_t_be_a_task_gets_an_error_and_no_store_hears_of_it(tmp_path, changes, status):
+    async def go():
+        store = Store("s0", 0)
+        async with staged(tmp_path, store) as stage:
+            client = await stage.client()
+            assert (await client.ask(1, **changes)).status == status
+            assert await client.ended() and not store.got and not stage.gateway.open
+    play(go())
+
+
+def test_an_error_reaches_a_client_that_is_still_sending(tmp_path):
+    async def go():
+        async with staged(tmp_path, Store("s0", 0)) as stage:
+            client = await stage.client()
+            client.writer.write(asking(1, content_length="60000000") + b"x" * (8 << 20))
+            assert (await client.answer()).status == 413
+            await until(lambda: not stage.gateway.clients.conns)
+    play(go())
+
+
+def test_the_id_of_an_open_request_is_refused_and_the_first_lives_on(tmp_path):
+    async def go():
+        store = Store("s0", 0, lambda request: None)
+        async with staged(tmp_path, store) as stage:
+            first, second = await stage.client(), await stage.client()
+            first.writer.write(asking(7))
+            await until(lambda: store.got)
+            assert (await second.ask(7)).status == 409 and len(store.got) == 1
+            store.writers[0].write(ok())
+            assert (await first.answer()).status == 200
+    play(go())
+
+
+@pytest.mark.parametrize("first, hand_offs", [
+    (b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", 2), (b"", 2), (b"\x00noise\r\n\r\n", 2),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxxx", 2),
+    (b"HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", 2),
+    (b"HTTP/1.1 100 C\r\n\r\n" + ok(), 1), (ok(fields=b"X-Meter: many\r\nX-Delta: -4\r\nX-Pressure: {\r\n"), 1)])
+def test_a_spoilt_answer_is_a_failed_hand_off_and_a_good_one_counts(tmp_path, first, hand_offs):
+    async def go():
+        store = Store("s0", 0, lambda request: first if len(store.got) == 1 else ok())
+        async with staged(tmp_path, store) as stage:
+            answer = await (await stage.client()).ask(1)
+            assert (answer.status, answer.body, len(store.got)) == (200, b"data", hand_offs)
+            assert {request.fields[b"x-txn"] for request in store.got} == {b"%016x" % 1}
+    play(go())
+
+
+@pytest.mark.parametrize("behind", [ok(b"copy"), b"noise"])
+@pytest.mark.parametrize("at_once", [True, False])
+def test_more_than_an_answer_is_never_passed_on_and_ends_the_connection(tmp_path, behind, at_once):
+    """Guards against a second copy read as the answer to the next request."""
+    async def go():
+        store = Store("s0", 0, lambda request: ok(request.fields[b"x-txn"]) + (behind if at_once else b""))
+        async with staged(tmp_path, store) as stage:
+            client = await stage.client()
+            for id in range(1, 4):
+                assert (await client.ask(id)).body == b"%016x" % id
+                if not at_once:
+                    writer = store.writers[-1]
+                    writer.write(behind)
+                    await until(lambda: not any(pool.idle for pool in stage.gateway.stores.pools.values()))
+            assert len(store.writers) == 3
+    play(go())
+
+
+def test_a_client_that_leaves_ends_its_hand_off(tmp_path):
+    async def go():
+        store = Store("s0", 0, lambda request: None)
+        async with staged(tmp_path, store) as stage:
+            client = await stage.client()
+            client.writer.write(asking(1))
+            await until(lambda: store.got)
+            client.writer.close()
+            await until(lambda: not stage.gateway.core.held and not stage.gateway.open)
+            assert stage.gateway.core.counts.outcomes == {"cancelled": 1}
+            await until(lambda: not stage.gateway.stores.pools[stage.gateway.core.stores["s0"]].seats)
+    play(go())
+
+
+def test_a_store_that_refuses_connections_never_ran_anything(tmp_path):
+    async def go():
+        store = Store("s0", 0)
+        async with staged(tmp_path, store) as stage:
+            await store.stop()
+            store.server.close()
+            await store.server.wait_closed()
+            answer = await (await stage.client()).ask(1, x_remaining="0.8")
+            assert answer.status == 503
+            assert set(stage.gateway.core.counts.outcomes) == {"no connection"}
+    play(go())
+
+
+def test_what_waits_for_a_connection_is_decided_anew_when_its_store_drains(tmp_path):
+    async def go():
+        store, other = Store("s0", 0), Store("s1", 0)
+        async with staged(tmp_path, store, list_=List()) as stage:
+            await other.start()
+            gateway, client = stage.gateway, await stage.client()
+            await until(lambda: gateway.core.list_version >= 0)
+            gateway.stores.room = lambda make=True: False  # as if no descriptor were left
+            client.writer.write(asking(1))
+            await until(lambda: any(pool.waiting for pool in gateway.stores.pools.values()))
+            del gateway.stores.room
+            stage.list.tell([store.row(phase="Terminating"), other.row()])
+            assert (await client.answer()).status == 200 and not store.got and len(other.got) == 1
+            await other.stop()
+    play(go())
+
+
+def test_the_list_is_followed_in_pieces_and_older_versions_are_not_believed(tmp_path):
+    async def go():
+        store, other = Store("s0", 0), Store("s1", 0)
+        async with staged(tmp_path, store) as stage:
+            await other.start()
+            await until(lambda: stage.gateway.core.list_version == 5)
+            assert stage.list.asked == ["/catalog/members?stream=1&index=1"]
+            stage.list.tell([store.row(phase="Gone"), other.row()])
+            await until(lambda: stage.gateway.core.list_version == 6)
+            stage.list.revision = 2
+            stage.list.tell([store.row()], full=True)
+            stage.list.revision = 8
+            stage.list.tell([other.row(locality="elsewhere")])
+            await until(lambda: stage.gateway.core.list_version == 9)
+            assert stage.gateway.core.stores["s0"].state.value == "gone"
+            assert (await (await stage.client()).ask(1)).status == 200 and other.got and not store.got
+            await other.stop()
+    play(go())
+
+
+def test_on_sighup_discovery_moves_and_the_old_watch_is_let_go_once_the_new_one_speaks(tmp_path):
+    async def go():
+        async with staged(tmp_path, Store("s0", 0)) as stage:
+            gateway = stage.gateway
+            await until(lambda: gateway.core.list_version == 5)
+            gateway.path = str(tmp_path / "missing.json")
+            gateway.read_anew()  # a file that can't be read changes nothing
+            assert len(gateway.discovery.watches) == 1
+            gateway.path = str(stage.path)
+            moved = await List().start()
+            moved.revision, moved.rows = 9, stage.list.rows
+            configuration(tmp_path, moved.address)
+            gateway.read_anew()
+            assert len(gateway.discovery.watches) == 2
+            await until(lambda: gateway.core.list_version == 9)
+            assert [watch.host.decode() for watch in gateway.discovery.watches] == [moved.address]
+            assert moved.asked == ["/catalog/members?stream=1&index=5"]
+            await moved.stop()
+    play(go())
+
+
+def test_sigterm_serves_on_for_a_while_says_so_and_ends(tmp_path):
+    async def go():
+        store = Store("s0", 0, lambda request: None if request.fields[b"x-txn"] == b"%016x" % 1 else ok())
+        async with staged(tmp_path, store) as stage:
+            held, kept = await stage.client(), await stage.client()
+            assert (await kept.ask(2)).lasts
+            held.writer.write(asking(1, x_remaining="1.0"))
+            await until(lambda: len(store.got) == 2)
+            stage.gateway.stopping.set()
+            late = await stage.client()  # still taken
+            answer = await late.ask(3)
+            assert answer.status == 200 and not answer.lasts
+            assert await kept.ended()
+            assert (await held.answer()).status == 503
+            assert await stage.serving == 0
+    play(go())
+
+
+def test_connections_that_say_nothing_make_room_for_those_that_ask(tmp_path):
+    async def go():
+        async with staged(tmp_path, Store("s0", 0)) as stage:
+            clients: Clients = stage.gateway.clients
+            clients.most = 6
+            usual = await stage.client()
+            assert (await usual.ask(1)).status == 200
+            for _ in range(30):
+                await stage.client()
+            last = await stage.client()
+            assert (await last.ask(2)).status == 200 and (await usual.ask(3)).status == 200
+            assert len(clients.conns) <= 6 and clients.no_room == 0
+    play(go())
+
+
+def test_silence_and_half_requests_end_in_time(tmp_path, monkeypatch):
+    monkeypatch.setattr("tansykeel.platform.clients.UNASKED", 0.1)
+
+    async def go():
+        async with staged(tmp_path, Store("s0", 0)) as stage:
+            silent, half = await stage.client(), await stage.client()
+            half.writer.write(asking(1, body=b"abc")[:-1])
+            assert (await silent.answer()).status == 408 and (await half.answer()).status == 408
+            assert await half.ended()
+    play(go())
+
+
+def test_requests_sent_ahead_are_answered_in_order(tmp_path):
+    async def go():
+        store = Store("s0", 0, lambda request: ok(request.fields[b"x-txn"]))
+        async with staged(tmp_path, store) as stage:
+            client = await stage.client()
+            client.writer.write(b"".join(asking(id) for id in range(1, 30)))
+            assert [(await client.answer()).body for _ in range(1, 30)] == [b"%016x" % id for id in range(1, 30)]
+    play(go())
+
+
+def test_ever_new_stores_clients_and_volumes_leave_nothing_behind(tmp_path, monkeypatch):
+    monkeypatch.setattr("tansykeel.platform.intake.MOST_VOLUMES", 10)
+    monkeypatch.setattr("tansykeel.edge.core.MOST_GONE", 3)
+
+    async def go():
+        async with staged(tmp_path, known=False) as stage:
+            gateway = stage.gateway
+            await until(lambda: gateway.core.list_version >= 0)
+            for turn in range(12):
+                store = await Store(f"s{turn}", 0).start()
+                stage.list.tell([store.row()], full=True)
+                await until(lambda name=store.name: name in gateway.core.stores)
+                for id in range(4):
+                    client = await stage.client()
+                    path = b"/api/%016x/%016x" % (turn * 4 + id, id)
+                    assert (await client.ask(turn * 4 + id + 1, path=path)).status == 200
+                    client.writer.close()
+                await store.stop()
+            stage.list.tell([], full=True)
+            await until(lambda: not gateway.clients.conns and not gateway.stores.pools)
+            assert len(gateway.reader.volumes) == 10 and len(gateway.core.stores) == 3
+            assert not gateway.core.held and not gateway.open and not gateway.core.memory.by_client
+    play(go())
+
+
+@pytest.mark.parametrize("change, says", [
+    ({"listen": 5}, "listen"), ({"discovery": "nowhere"}, "discovery: address 'nowhere'; legal: host:port"),
+    ({"settings": {}}, "settings lack"), ({"seed": "zz"}, "legal: hex digits"), ({"limits": {"sockets": 3}}, "sockets"),
+    ({"known": {"revision": 1, "complete": True, "members": [{"id": "x"}]}}, "host_port")])
+def test_a_configuration_that_can_t_be_used_gives_one_clear_error(tmp_path, change, says):
+    path = configuration(tmp_path, "127.0.0.1:9")
+    path.write_text(json.dumps(json.loads(path.read_text()) | change))
+    with pytest.raises(Illegal) as caught:
+        read(str(path))
+    assert says in str(caught.value) and str(path) in str(caught.value) and "\n" not in str(caught.value)
+
+
+def test_a_failure_in_one_connection_ends_only_that_one(tmp_path):
+    async def go():
+        async with staged(tmp_path, Store("s0", 0)) as stage:
+            gateway, (first, second) = stage.gateway, (await stage.client(), await stage.client())
+            wanted, gateway.reader.wanted = gateway.reader.wanted, None
+            first.writer.write(asking(1))
+            assert await first.ended()
+            gateway.reader.wanted = wanted
+            assert (await second.ask(2)).status == 200
+            await asyncio.sleep(0)
+            assert codec.MOST_BODY and len(gateway.clients.conns) == 1
+    play(go())
--- /dev/null
+++ b/tests/platform_stage.py
@@ -0,0 +1,202 @@
+"""The platform's gateway in the test's own loop, with stand-ins for its stores, discovery and clients around it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+
+from tansykeel.http1 import codec
+from tansykeel.platform.config import read
+from tansykeel.platform.program import Gateway
+from tansykeel.transport.sockets import listening
+
+SETTINGS = {
+    "Classes": [{"Deadline": 3e9, "Name": "read", "Objective": 6e8, "Repeat": "idempotent", "Value": 2.0},
+                {"Deadline": 6e9, "Name": "write", "Objective": 75e7, "Repeat": "idempotent", "Value": 2.0}],
+    "Limits": {"MostTries": 3, "Cancel": True, "DialTimeout": 25e7, "IdleClose": 15e9},
+    "Rules": {}, "Siblings": 1, "Me": 0, "Zone": 0, "MembershipMode": "push", "Dcs": ["a"],
+    "Plans": [{"Name": "basic", "Rate": 1000.0}],
+    "Specifics": {"Largest": 8, "UsualUnits": 2.0, "ChangesData": [False, True], "TellsElsewhere": True},
+}
+VOLUME, DATA = b"00000003b4d60021", b"7f3a9c21e0b4d655"
+
+
+def ok(body=b"data", fields=b""):
+    return b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s" % (fields, len(body), body)
+
+
+class Port:
+    """A server whose `talk(reader, writer)` runs for each connection."""
+
+    async def start(self):
+        self.writers = []
+        self.server = await asyncio.start_server(self._talk, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def _talk(self, reader, writer):
+        self.writers.append(writer)
+        with suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            await self.talk(reader, writer)
+        writer.close()
+
+    async def stop(self):
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+class Store(Port):
+    """A store; `reply(request)` gives the bytes to answer with, None to say nothing, b'' to reset."""
+
+    def __init__(self, name, shard, reply=lambda request: ok()):
+        self.name, self.shard, self.reply = name, shard, reply
+        self.got, self.phase, self.since = [], "Ready", 0
+
+    async def talk(self, reader, writer):
+        requests = codec.RequestReader()
+        while data := await reader.read(65536):
+            requests.buffer += data
+            while (request := requests.next()) is not None:
+                self.got.append(request)
+                answer = self.reply(request)
+                if answer == b"":
+                    return writer.transport.abort()
+                if answer is not None:
+                    writer.write(answer)
+
+    def row(self, **changes):
+        return {"id": self.name, "host_port": self.address, "locality": "a", "flavor": "m", "cell": self.shard,
+                "phase": self.phase, "size": 1.0, "up_since_ms": self.since} | changes
+
+
+class List(Port):
+    """Discovery; `tell` sends a line to whoever watches."""
+
+    def __init__(self, silent=False):
+        self.silent, self.revision, self.rows, self.asked = silent, 5, [], []
+
+    async def talk(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.asked.append(head.split(b" ")[1].decode())
+        if not self.silent:
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            self.line(writer, self.rows, True)
+        await reader.read()
+
+    def line(self, writer, rows, full):
+        line = json.dumps({"revision": self.revision, "complete": full, "members": rows}).encode() + b"\n"
+        for part in (line[:7], line[7:]):
+            writer.write(b"%x\r\n%s\r\n" % (len(part), part))
+
+    def tell(self, rows, full=False):
+        self.revision += 1
+        for writer in self.writers:
+            self.line(writer, rows, full)
+
+
+class Asker:
+    """A client's connection."""
+
+    def __init__(self, reader, writer):
+        self.reader, self.writer, self.answers = reader, writer, codec.AnswerReader()
+
+    async def answer(self):
+        """The next answer; None where the connection ends without one."""
+        self.answers._fields = None
+        while (answer := self.answers.next()) is None:
+            try:
+                data = await self.reader.read(65536)
+            except OSError:
+                return None
+            if not data:
+                return None
+            self.answers.buffer += data
+        return answer
+
+    async def ended(self):
+        with suppress(OSError):
+            return await self.reader.read(1) == b""
+        return True
+
+    async def ask(self, *arguments, **changes):
+        self.writer.write(asking(*arguments, **changes))
+        return await self.answer()
+
+
+def asking(id=1, method=b"GET", body=b"", path=b"/api/" + VOLUME + b"/" + DATA, **changes):
+    fields = {"host": "origin.svc", "x-txn": f"{id:016x}", "x-lane": "write" if body else "read",
+              "x-storage-class": "basic", "x-remaining": "2.5", "x-extent": "units=2,shard=0,hosts=1"}
+    fields |= {name.replace("_", "-"): value for name, value in changes.items()}
+    lines = [f"{name}: {value}".encode() for name, value in fields.items() if value is not None]
+    if body:
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"%s %s HTTP/1.1\r\n%s\r\n\r\n%s" % (b"PUT" if body else method, path, b"\r\n".join(lines), body)
+
+
+class Stage:
+    def __init__(self, gateway, list_, path):
+        self.gateway, self.list, self.path = gateway, list_, path
+        self.port = 0
+        self.askers = []
+
+    async def client(self):
+        asker = Asker(*await asyncio.open_connection("127.0.0.1", self.port))
+        self.askers.append(asker)
+        return asker
+
+
+def configuration(tmp_path: Path, discovery: str, known=(), **changes):
+    file = {"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+            "known": {"revision": 1, "complete": True, "members": list(known)}, "settings": SETTINGS} | changes
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(file))
+    return path
+
+
+@asynccontextmanager
+async def staged(tmp_path, *stores, list_=None, known=True, **changes):
+    list_ = await (list_ or List()).start()
+    for store in stores:
+        await store.start()
+        if known:
+            list_.rows.append(store.row())
+    path = configuration(tmp_path, list_.address, list_.rows if known else (), **changes)
+    listener = listening("127.0.0.1:0")
+    gateway = Gateway(str(path), read(str(path)))
+    stage = Stage(gateway, list_, path)
+    stage.port = listener.getsockname()[1]
+    stage.serving = asyncio.create_task(gateway.serve(listener))
+    try:
+        yield stage
+    finally:
+        stage.serving.cancel()
+        for asker in stage.askers:
+            asker.writer.transport.abort()
+        for client in list(gateway.clients.conns):
+            client.close()
+        gateway.discovery.end()
+        for pool in gateway.stores.pools.values():
+            for seat in list(pool.seats):
+                seat.close()
+        listener.close()
+        for part in (list_, *stores):
+            await part.stop()
+
+
+async def until(so, seconds=5.0):
+    end = time.monotonic() + seconds
+    while not so():
+        assert time.monotonic() < end, "it did not come to be so"
+        await asyncio.sleep(0.005)
+
+
+def play(coroutine, seconds=20):
+    async def bounded():
+        async with asyncio.timeout(seconds):
+            await coroutine
+    asyncio.run(bounded())
