Answers of up to 1 MiB are whole answers; clients that came once leave no row behind

A probe in the log showed lengths of 130,000 to 400,000 whose bodies start like any other answer's: whole answers, larger than the protocol's page says. Requests keep the bound of 64 KiB; answers get 1 MiB each and a quarter of the memory together.

A test that drives many clients through found Memory.by_client growing by a row for each client (Memory.take with nothing to take): mended in the core, for the native front too.

--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -158,6 +158,8 @@
         self.by_client: dict[Any, int] = {}
 
     def take(self, client: Any, size: int) -> bool:
+        if not size:  # guards against a row for each client that ever came, with nothing in it
+            return True
         mine = self.by_client.get(client, 0)
         if self.used + size > self.most or mine + size > self.most_each:
             return False
--- a/tansykeel/http1/codec.py
+++ b/tansykeel/http1/codec.py
@@ -11,7 +11,8 @@
 from dataclasses import dataclass
 
 MOST_HEAD = 8 << 10  # bytes of a start line and its fields
-MOST_BODY = 64 << 10  # bytes of a body
+MOST_BODY = 64 << 10  # bytes of a request's body
+MOST_ANSWER = 1 << 20  # bytes of an answer's: stores send more than they are said to
 MOST_INTERIM = 8  # 1xx answers ahead of one
 MOST_CHUNK_LINE = 64  # bytes of a chunk's size line
 END = b"\r\n\r\n"
@@ -80,7 +81,7 @@
     return lines[0], fields
 
 
-def _length(fields: Fields) -> int | None:
+def _length(fields: Fields, most: int) -> int | None:
     """Bytes of the body; None: it comes in chunks. Raises Malformed where the framing can't be sure."""
     length, coding = fields.get(b"content-length"), fields.get(b"transfer-encoding")
     if coding is not None:
@@ -93,8 +94,8 @@
         return 0
     if not _LENGTH.fullmatch(length):
         raise Malformed("a content-length that is no number")
-    if int(length) > MOST_BODY:
-        raise Malformed(f"a body of more than {MOST_BODY} bytes", 413)
+    if int(length) > most:
+        raise Malformed(f"a body of {int(length)} bytes; legal: {most} at most", 413)
     return int(length)
 
 
@@ -143,6 +144,8 @@
 class _Reader:
     """What both readers share: the head, then the body by length or in chunks."""
 
+    most = MOST_BODY
+
     def __init__(self) -> None:
         self.buffer = bytearray()
         self._scanned = 0
@@ -152,6 +155,11 @@
         self._chunks = Chunks()
         self._body = bytearray()
 
+    @property
+    def size(self) -> int:
+        """Bytes held of what is not whole."""
+        return len(self.buffer) + len(self._body)
+
     @property
     def partial(self) -> bool:
         """Whether a message has begun and is not whole."""
@@ -179,8 +187,8 @@
             del self.buffer[:self._length]
             return body
         self._body += self._chunks.take(self.buffer)
-        if len(self._body) > MOST_BODY:
-            raise Malformed(f"a body of more than {MOST_BODY} bytes", 413)
+        if len(self._body) > self.most:
+            raise Malformed(f"a body of more than {self.most} bytes", 413)
         if not self._chunks.ended:
             return None
         body, self._body, self._chunks = bytes(self._body), bytearray(), Chunks()
@@ -217,12 +225,14 @@
             raise Malformed("no host")
         if b"expect" in fields:
             raise Malformed("an expectation", 417)
-        self._length = _length(fields)
+        self._length = _length(fields, self.most)
 
 
 class AnswerReader(_Reader):
     """The answer to one request; what is left in `buffer` after it does not belong to it."""
 
+    most = MOST_ANSWER
+
     def __init__(self) -> None:
         super().__init__()
         self._interim = 0
@@ -251,7 +261,7 @@
         if self._fields is None:
             if not self._next_head():
                 return None
-            if _length(self._fields or {}) is not None:
+            if _length(self._fields or {}, self.most) is not None:
                 raise Malformed("a stream that does not come in chunks")
         return self._status(), self._chunks.take(self.buffer)
 
@@ -271,7 +281,7 @@
             return 0
         if b"content-length" not in fields and b"transfer-encoding" not in fields:
             raise Malformed("an answer without a length")
-        return _length(fields)
+        return _length(fields, self.most)
 
 
 REASONS = {
--- a/tansykeel/platform/clients.py
+++ b/tansykeel/platform/clients.py
@@ -157,6 +157,10 @@
                 return True
         return False
 
+    def unsent(self) -> int:
+        """Bytes of answers that clients have not taken yet."""
+        return sum(len(client.stream.unsent) for client in self.conns)
+
     def look(self) -> None:
         now = self.now()
         for client in list(self.conns):
--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -32,7 +32,7 @@
 ACCEPTS_ON = 0.6  # seconds after SIGTERM for which new connections still come
 ENDS_WITHIN = 3.3  # seconds after SIGTERM by which all is answered
 CLIENT_PART, STORE_PART = 0.5, 0.4  # of the descriptors that a process may hold
-BODY_PART = 0.125  # of the memory, for bodies
+BODY_PART, ANSWER_PART = 0.125, 0.25  # of the memory, for requests' bodies and for answers
 USAGE = 2
 
 
@@ -65,8 +65,9 @@
         self.core = Core(config.facts, config.seed, self, clock(), bounds, self.reader,
                          [row_of(member, config.zones) for member in known.members])
         self.clients = Clients(self, int(limits.sockets * CLIENT_PART), loop.time, loop.call_soon)
-        self.stores = Stores(self.core, int(limits.sockets * STORE_PART), config.connect_within, config.idle_close,
-                             clock, loop.time, loop.call_later, log)
+        self.stores = Stores(self.core, int(limits.sockets * STORE_PART), int(limits.memory_mb * 2**20 * ANSWER_PART),
+                             self.clients.unsent, config.connect_within, config.idle_close, clock, loop.time,
+                             loop.call_later, log)
         self.discovery = Discovery(self.core, config.file.discovery, config.zones, known.revision, clock, loop.time,
                                    self.stores.listed, log)
 
--- a/tansykeel/platform/stores.py
+++ b/tansykeel/platform/stores.py
@@ -60,6 +60,8 @@
             # What comes unasked, or before the request is whole, belongs to nothing.
             return self._broken("bytes that answer nothing")
         self.reader.buffer += data
+        if self.reader.size > codec.MOST_BODY and self.pool.stores.held_bytes() > self.pool.stores.most_bytes:
+            return self._broken("no memory for an answer so large")
         try:
             answer = self.reader.next()
         except Malformed as error:
@@ -216,11 +218,12 @@
 
 
 class Stores:
-    """All connections of this gateway to stores, `most` at once."""
+    """All connections of this gateway to stores, `most` at once; answers hold `most_bytes`, those not taken too."""
 
-    def __init__(self, core: Core, most: int, connect_within: float, idle_close: float, clock: Callable[[], int],
-                 now: Callable[[], float], after: Callable[[float, Callable[[], None]], object],
-                 note: Callable[..., None]) -> None:
+    def __init__(self, core: Core, most: int, most_bytes: int, unsent: Callable[[], int], connect_within: float,
+                 idle_close: float, clock: Callable[[], int], now: Callable[[], float],
+                 after: Callable[[float, Callable[[], None]], object], note: Callable[..., None]) -> None:
+        self.most_bytes, self.unsent = most_bytes, unsent
         self.core, self.most, self.connect_within, self.idle_close = core, most, connect_within, idle_close
         self.clock, self.now, self.after, self.note = clock, now, after, note
         self.pools: dict[Store, Pool] = {}
@@ -234,6 +237,11 @@
     def cancel(self, attempt: Attempt) -> None:
         self.pools[attempt.store].cancel(attempt)
 
+    def held_bytes(self) -> int:
+        """Of answers: what has come and is not whole, and what clients have not taken yet."""
+        seats = (seat for pool in self.pools.values() for seat in pool.seats)
+        return self.unsent() + sum(seat.reader.size for seat in seats if seat.reader)
+
     def room(self, make: bool = True) -> bool:
         """Whether another connection may be opened; to make room the one that idles longest is closed."""
         if sum(len(pool.seats) for pool in self.pools.values()) < self.most:
