After SIGTERM requests are taken for 2.7 s on the connections that clients hold

The logs show that the gateway ended 0.7 s after SIGTERM, while the platform starts the next process 4.4 s after it in any case; a client whose volume has no other gateway had nobody to ask.

Checked by a probe of what comes each half second: requests come for 1.0 s after SIGTERM (132, 125, 52, then 0), then none until the new process is ready 4.7 s after the signal, on 48 connections that stay open. So ACCEPTS_ON of 0.6 s in platform/program.py cut off four tenths of a second; what fails after that is out of the gateway's reach.

--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -29,8 +29,8 @@
 LOOK = 0.25  # seconds between looks at what idles, stalls or fell silent
 REPORT = 10.0  # seconds between lines of figures in the log
 SAMPLE = 500  # one answer of so many is logged
-ACCEPTS_ON = 0.6  # seconds after SIGTERM for which new connections still come
-ENDS_WITHIN = 3.3  # seconds after SIGTERM by which all is answered
+SERVES_ON = 2.7  # seconds after SIGTERM for which requests are taken: clients have no other way than what they hold
+ENDS_WITHIN = 3.4  # seconds after SIGTERM by which all is answered: the platform kills 3.7 s after it at the soonest
 CLIENT_PART, STORE_PART = 0.5, 0.4  # of the descriptors that a process may hold
 BODY_PART, ANSWER_PART = 0.125, 0.25  # of the memory, for requests' bodies and for answers
 USAGE = 2
@@ -55,6 +55,7 @@
         self.loop, limits = loop, config.file.limits
         self.reminder = Reminder(lambda now: self.core.tick(now))
         self.stopping = asyncio.Event()
+        self.closing = False  # each answer is its connection's last
         self.open: dict[bytes, Client] = {}  # requests that are not answered, by id
         self.answers = 0
         self.asked = True  # the list is pushed, so it is followed from the start
@@ -89,7 +90,8 @@
         await self.stopping.wait()
         log("stopping", held=len(self.open))
         end = loop.time() + ENDS_WITHIN
-        await asyncio.sleep(ACCEPTS_ON)
+        await asyncio.sleep(SERVES_ON)
+        self.closing = True
         accepting.cancel()
         await asyncio.sleep(0)
         listener.close()
@@ -141,7 +143,7 @@
         sent()
         if self.open.pop(held.id, None) is None:
             return
-        last = self.stopping.is_set()
+        last = self.closing
         if final.result == DELIVERED:
             data = codec.answer(200, body[0], last=last)
         elif final.result == NACKED:
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -210,20 +210,24 @@
     play(go())
 
 
-def test_sigterm_serves_on_for_a_while_says_so_and_ends(tmp_path):
+def test_sigterm_serves_on_for_a_while_then_closes_what_idles_and_answers_what_it_holds(tmp_path, monkeypatch):
+    monkeypatch.setattr("tansykeel.platform.program.SERVES_ON", 0.4)
+    monkeypatch.setattr("tansykeel.platform.program.ENDS_WITHIN", 0.8)
+
     async def go():
         store = Store("s0", 0, lambda request: None if request.fields[b"x-txn"] == b"%016x" % 1 else ok())
         async with staged(tmp_path, store) as stage:
             held, kept = await stage.client(), await stage.client()
             assert (await kept.ask(2)).lasts
-            held.writer.write(asking(1, x_remaining="1.0"))
+            held.writer.write(asking(1))
             await until(lambda: len(store.got) == 2)
             stage.gateway.stopping.set()
             late = await stage.client()  # still taken
             answer = await late.ask(3)
-            assert answer.status == 200 and not answer.lasts
-            assert await kept.ended()
-            assert (await held.answer()).status == 503
+            assert answer.status == 200 and answer.lasts and not stage.gateway.closing
+            assert await kept.ended() and stage.gateway.closing
+            answer = await held.answer()
+            assert answer.status == 503 and not answer.lasts
             assert await stage.serving == 0
     play(go())
 
