One lost answer tells of more for 10 s, not for the last 24 outcomes of all nodes

Change: Waits.lost holds until when answers count as being lost, 10 s after the last one found so. Tests of the two uses follow.

--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -41,7 +41,7 @@
 RANKING = 500  # the ranking for new objects is renewed every 50 ms
 EVEN = 0.2  # part of what a cold node bears that gateways share evenly, the rest by past use
 FORGET = 600 * SECOND  # lines and nodes that nothing was sent for are let go after this
-PATIENCE = 4  # times the lag of a task after which its answer counts as lost, where answers are
+PATIENCE, LOSING = 4, 10 * SECOND  # times the lag after which an answer can be lost; while one tells of more
 NEW = 2 * SECOND  # gateways that started within this of each other are a new fleet
 ASK = 800  # gateways asked for units of a limit have answered after 80 ms or will not
 ASKED, ALL = 6, 6 * SECOND  # so many are asked at once; all gateways at most once in a while
@@ -119,7 +119,7 @@
     def __init__(self) -> None:
         self.seen: dict[Store, tuple[int, float]] = {}  # the newest last
         self.newest, self.changes, self.known = -STALE, 0, (-1, -1, 0.0)
-        self.lost: deque[bool] = deque(maxlen=SAMPLES)  # of the last hand-offs, whether an answer was lost
+        self.lost = 0  # until when one lost answer tells of more
 
     def put(self, store: Store, now: int, wait: float) -> None:
         self.seen.pop(store, None)
@@ -386,8 +386,7 @@
         now, cost, sent = self.desk.now, cost_of(task), self.sent.pop(task)
         long = outcome.how is How.TIMED_OUT and outcome.lag >= PATIENCE * self.lag(task.units)
         lost = long and sent < self.proof  # guards against short patience and slow nodes, which look like it
-        self.waits.lost.append(lost)
-        self.changes += 1
+        self.changes, self.waits.lost = self.changes + 1, now + LOSING if lost else self.waits.lost
         if outcome.how is How.TIMED_OUT and not lost:
             # Guards against work that goes on at the store after its client left: it stays on the books.
             self.desk.alarm(now + self.tightest, lambda: self.release(cost))
@@ -395,7 +394,7 @@
             self.heard, self.out, self.tokens_out = now, self.out - 1, self.tokens_out - cost
         if outcome.how not in (How.MOOT, How.CANCELLED):
             self.ends.append(outcome.how is How.DELIVERED)
-        if outcome.how is How.DELIVERED or outcome.how is How.TIMED_OUT and True not in self.waits.lost:
+        if outcome.how is How.DELIVERED or outcome.how is How.TIMED_OUT and now >= self.waits.lost:
             self.proof = max(self.proof, sent if outcome.how is How.DELIVERED else 0)
             self.sample(outcome.lag, task.units)
             self.waits.put(self.store, now, self.queueing())
@@ -610,10 +609,11 @@
 
     def time_out(self, task: Task, node: Node, aim: int) -> int:
         """After what time a harmless task goes again, if answers are lost and it can be in time, else 0."""
-        if task.hand_offs != 1 or task.category.repeat is not Repeat.HARMLESS or True not in self.waits.lost:
+        now, sure = self.desk.now, task.category.repeat is Repeat.HARMLESS
+        if task.hand_offs != 1 or not sure or now >= self.waits.lost:
             return 0
         patience = max(PATIENCE * (lag := int(node.lag(task.units))), self.tightest // 2)
-        return patience if self.desk.now + patience + lag * MARGIN < aim else 0
+        return patience if now + patience + lag * MARGIN < aim else 0
 
     def aim_of(self, task: Task) -> int:
         """When the soft limit ends. It runs from the first try: less time left than others had tells of a
--- a/tests/brain/test_brain.py
+++ b/tests/brain/test_brain.py
@@ -405,7 +405,8 @@
     desk.now += 5_000
     assert node.queueing() == 0.0  # the node is not silent: it answered what was sent later
     node.learn(first, outcome(How.TIMED_OUT, 5_100))
-    assert (node.rate, list(node.lags), node.out) == (rate, lags, 0) and True in brain.waits.lost
+    assert (node.rate, list(node.lags), node.out) == (rate, lags, 0)
+    assert desk.now < brain.waits.lost <= desk.now + 10 * 10_000
 
 
 @pytest.mark.parametrize("lost, samples", [(False, 1), (True, 0)])
@@ -416,7 +417,7 @@
     node.hold(brain.line_of(node, sent.volume), sent)
     desk.now += 100
     node.round()
-    brain.waits.lost.append(lost)
+    brain.waits.lost = desk.now + lost
     node.learn(sent, outcome(How.TIMED_OUT, 5_000))
     assert len(node.lags) == samples
 
@@ -429,7 +430,7 @@
     at = store()
     brain, desk = scheduler([at])
     heard(brain.nodes[at], 100, 100, 100)
-    brain.waits.lost.append(lost)
+    brain.waits.lost = desk.now + lost
     sent = task(desk, category=category)
     sent.hand_offs = hand_offs
     assert (0 < brain.time_out(sent, brain.nodes[at], desk.now + 2_500) < 2_000) is soon
