A crowd no longer shuts out clients: room in constant time, answers due 100 ms early

Found by two probes: (1) a sampled profile had half of a saturated processor in make_room, which looked at all connections for each new one; (2) each lost request was a client that closed at the end of its time, while the answer due 20 ms before it came late. Found beside it by reading: room could be made with a connection whose answer had not left whole.

Change: who is silent and who rests stand in order, so that room is made in constant time; a connection is idle only once its answer has left; answers are due 100 ms before a client's time is up; clients get what stores (three tenths) and 32 others leave of the descriptors; a silent watch is opened again once in 3 s and not at each look.

--- a/tansykeel/platform/clients.py
+++ b/tansykeel/platform/clients.py
@@ -12,7 +12,8 @@
 
 UNASKED = 2.0  # seconds for a whole request, from the connection's start or the request's first byte
 IDLE = 30.0  # seconds after which a connection that asked before and idles is closed
-SPARED = 2.0  # seconds for which one that idles is kept though there is a crowd or others need its place
+SPARED = 2.0  # seconds for which one that idles is kept though there is a crowd
+BRIEF = 0.25  # seconds for which one is kept, silent or idle, though others need its place
 CROWD = 0.25  # part of all connections that may be held from which there is a crowd
 LINGER = 1.0  # seconds that a client which was told an error has to read it
 MOST_DRAINED = 256 << 10  # bytes read and let go meanwhile
@@ -44,10 +45,16 @@
         self.drained = 0
         self.stream.read()
 
+    @property
+    def idle(self) -> bool:
+        """Whether it has had its answers whole and has not begun to ask again."""
+        return self.open is None and not (self.ending or self.stream.unsent or self.reader.partial)
+
     def answer(self, data: bytes, last: bool) -> None:
         """The answer to its open request; `last`: the connection ends with it."""
         self.open = None
         self.since = self.owner.now()
+        self.owner.resting[self] = None
         self.stream.write(data)
         if last:
             self._linger()
@@ -63,7 +70,8 @@
         self._linger()
 
     def close(self) -> None:
-        self.owner.conns.pop(self, None)
+        for held in (self.owner.conns, self.owner.silent, self.owner.resting):
+            held.pop(self, None)
         self.stream.close()
         if self.open is not None:
             self.owner.handler.client_left(self)
@@ -72,6 +80,8 @@
         """Guards against an error that a client which is still sending never reads: a close with bytes unread
         would reset the connection, so it is closed in one direction and read for a while."""
         self.ending = True
+        self.owner.resting.pop(self, None)
+        self.owner.silent[self] = None
         self.reader.buffer.clear()
         if not self.stream.unsent:
             self.stream.half_close()
@@ -102,6 +112,8 @@
                 if request is None:
                     break
                 self.asked += 1
+                self.owner.silent.pop(self, None)
+                self.owner.resting.pop(self, None)
                 self.owner.handler.request(self, request)
             if len(self.reader.buffer) <= MOST_AHEAD:
                 self.stream.read()
@@ -131,12 +143,14 @@
 
 
 class Clients:
-    """All of them, `most` at once: who has said nothing makes room first, then who idles longest."""
+    """All of them, `most` at once: who has said nothing for a while makes room first, then who idles longest."""
 
     def __init__(self, handler: Handler, most: int, now: Callable[[], float],
                  later: Callable[[Callable[[], None]], object]) -> None:
         self.handler, self.most, self.now, self.later = handler, most, now, later
         self.conns: dict[Client, None] = {}
+        self.silent: dict[Client, None] = {}  # of them, without a whole request or told an error, the oldest first
+        self.resting: dict[Client, None] = {}  # had an answer, the one longest ago first
         self.turned_away = self.no_room = 0
 
     def accept(self, sock: socket.socket) -> None:
@@ -144,19 +158,22 @@
             self.no_room += 1
             sock.close()
             return
-        self.conns[Client(self, sock)] = None
+        client = Client(self, sock)
+        self.conns[client] = self.silent[client] = None
 
     def make_room(self) -> bool:
-        now = self.now()
-        silent = next((c for c in self.conns if not c.asked and c.open is None and not c.ending), None)
-        ending = next((c for c in self.conns if c.ending), None)
-        idle = min((c for c in self.conns if c.open is None and not c.reader.partial and now - c.since > SPARED),
-                   key=lambda c: c.since, default=None)
-        for client in (silent, ending, idle):
-            if client:
+        """Guards against a crowd that is silent or stays: not against one that asks. A client that has only just
+        connected has its request on the way."""
+        silent = next(iter(self.silent), None)
+        idle = next((client for client in self.resting if client.idle), None)
+        before = self.now() - BRIEF
+        for client in (silent, idle):
+            if client and client.since <= before:
                 client.close()
                 return True
-        return False
+        if silent:
+            silent.close()
+        return silent is not None
 
     def crowded(self) -> bool:
         """Guards against clients that ask once and stay for good: they take the connections that the others need."""
@@ -174,5 +191,5 @@
     def close_idle(self) -> None:
         """End all that have no request open."""
         for client in list(self.conns):
-            if client.open is None and not client.ending and not client.reader.partial:
+            if client.idle:
                 client.close()
--- a/tansykeel/platform/discovery.py
+++ b/tansykeel/platform/discovery.py
@@ -106,6 +106,7 @@
         self.core, self.address, self.zones, self.revision = core, address, zones, revision
         self.clock, self.now, self.changed, self.note = clock, now, changed, note
         self.watches: list[Watch] = []  # the newest last; an older one goes once a newer one speaks
+        self.opened = 0.0  # when a watch was last tried
         self.over = False
 
     def ask(self) -> None:
@@ -122,7 +123,8 @@
 
     def look(self) -> None:
         """Guards against a watch that fell silent without an end: another is opened beside it, once in a while."""
-        if self.watches and self.now() - max(watch.heard for watch in self.watches) > SILENT:
+        newest = max((watch.heard for watch in self.watches), default=self.now())
+        if self.now() - max(newest, self.opened) > SILENT:
             self.note("discovery is silent")
             for watch in self.watches[:-1]:
                 watch.stream.close()
@@ -157,6 +159,7 @@
         self.watches.clear()
 
     def _open(self) -> None:
+        self.opened = self.now()
         try:
             self.watches.append(Watch(self, self.address))
         except OSError as error:
--- a/tansykeel/platform/intake.py
+++ b/tansykeel/platform/intake.py
@@ -13,7 +13,7 @@
 from tansykeel.settings.facts import TENTH
 
 MOST_VOLUMES = 4_096  # volumes known at once; the one not asked for longest is let go
-SPARE = 200  # tenths before a client's time is up at which its answer is due, so that it can still be written
+SPARE = 1_000  # tenths before a client's time is up at which its answer is due, though the processor be busy
 TENTHS = 10**9 / TENTH  # in a second
 
 _PATH = re.compile(rb"/(?:[^?#]*/)?([0-9A-Fa-f]{16})/([0-9A-Fa-f]{16})(?:\?[^#]*)?")
--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -32,7 +32,7 @@
 SAMPLE = 500  # one answer of so many is logged
 SERVES_ON = 2.7  # seconds after SIGTERM for which requests are taken: clients have no other way than what they hold
 ENDS_WITHIN = 3.4  # seconds after SIGTERM by which all is answered: the platform kills 3.7 s after it at the soonest
-CLIENT_PART, STORE_PART = 0.5, 0.4  # of the descriptors that a process may hold
+STORE_PART, OTHERS = 0.3, 32  # of the descriptors that a process may hold; what is left is for clients
 BODY_PART, ANSWER_PART = 0.125, 0.25  # of the memory, for requests' bodies and for answers
 USAGE = 2
 
@@ -66,8 +66,9 @@
         known = config.file.known
         self.core = Core(config.facts, config.seed, self, clock(), bounds, self.reader,
                          [row_of(member, config.zones) for member in known.members])
-        self.clients = Clients(self, int(limits.sockets * CLIENT_PART), loop.time, loop.call_soon)
-        self.stores = Stores(self.core, int(limits.sockets * STORE_PART), int(limits.memory_mb * 2**20 * ANSWER_PART),
+        for_stores = int(limits.sockets * STORE_PART)
+        self.clients = Clients(self, limits.sockets - for_stores - OTHERS, loop.time, loop.call_soon)
+        self.stores = Stores(self.core, for_stores, int(limits.memory_mb * 2**20 * ANSWER_PART),
                              self.clients.unsent, config.connect_within, config.idle_close, clock, loop.time,
                              loop.call_later, log)
         self.discovery = Discovery(self.core, config.file.discovery, config.zones, known.revision, clock, loop.time,
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 import time
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
@@ -143,8 +144,13 @@
         self.port = 0
         self.askers = []
 
-    async def client(self):
-        asker = Asker(*await asyncio.open_connection("127.0.0.1", self.port))
+    async def client(self, receive=0):
+        sock = socket.socket()
+        if receive:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", self.port))
+        asker = Asker(*await asyncio.open_connection(sock=sock))
         self.askers.append(asker)
         return asker
 
