Nodes that are gone are let go after 30 s; closing clients, unended bodies, broken waits

Change in the module: nodes that are gone are let go 30 s after they were last heard (LEFT); what they did is with the node that took the shard over.

--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -40,7 +40,7 @@
 STALE = 2 * SECOND  # samples of an overload count this long, and a node's rate for new nodes
 RANKING = 500  # the ranking for new objects is renewed every 50 ms
 EVEN = 0.2  # part of what a cold node bears that gateways share evenly, the rest by past use
-FORGET = 600 * SECOND  # lines and nodes that nothing was sent for are let go after this
+FORGET, LEFT = 600 * SECOND, 30 * SECOND  # lines that nothing was sent for are let go after this; nodes gone
 PATIENCE, LOSING = 4, 10 * SECOND  # times the lag after which an answer can be lost; while one tells of more
 NEW = 2 * SECOND  # gateways that started within this of each other are a new fleet
 ASK = 800  # gateways asked for units of a limit have answered after 80 ms or will not
@@ -504,7 +504,7 @@
                 if past and past.lags:
                     past.before = None  # else each node would keep all that ever held its shard
         for node in [n for n in self.nodes.values() if n.store.state is State.GONE]:
-            if not node.out and not node.held and self.desk.now - node.heard >= FORGET:
+            if not node.out and not node.held and self.desk.now - node.heard >= LEFT:
                 del self.nodes[node.store]
                 self.waits.seen.pop(node.store, None)
         self.by_shard = {}
--- a/tansykeel/http1/codec.py
+++ b/tansykeel/http1/codec.py
@@ -43,6 +43,11 @@
     fields: Fields  # names in lower case
     body: bytes
 
+    @property
+    def lasts(self) -> bool:
+        """Whether the client wants the connection to stay open after its answer."""
+        return not _says(self.fields, b"connection", b"close")
+
 
 @dataclass(eq=False, slots=True)
 class Answer:
--- a/tansykeel/platform/clients.py
+++ b/tansykeel/platform/clients.py
@@ -95,7 +95,13 @@
         if self.open is None and not self.reader.partial:
             self.since = self.owner.now()
         self.reader.buffer += data
-        if self.open is None:
+        if self.reader.size > codec.MOST_HEAD and self.owner.unread() > self.owner.most_bytes:
+            # Guards against many that send large bodies and never end them: the memory is not theirs alone.
+            if self.open is None:
+                self.turn_away(503)
+            else:
+                self.close()
+        elif self.open is None:
             self._next()
         elif len(self.reader.buffer) > MOST_AHEAD:
             self.stream.read(False)
@@ -143,11 +149,14 @@
 
 
 class Clients:
-    """All of them, `most` at once: who has said nothing for a while makes room first, then who idles longest."""
+    """All of them, `most` at once, with `most_bytes` of requests that are not taken yet.
+
+    Who has said nothing for a while makes room first, then who idles longest.
+    """
 
-    def __init__(self, handler: Handler, most: int, now: Callable[[], float],
+    def __init__(self, handler: Handler, most: int, most_bytes: int, now: Callable[[], float],
                  later: Callable[[Callable[[], None]], object]) -> None:
-        self.handler, self.most, self.now, self.later = handler, most, now, later
+        self.handler, self.most, self.most_bytes, self.now, self.later = handler, most, most_bytes, now, later
         self.conns: dict[Client, None] = {}
         self.silent: dict[Client, None] = {}  # of them, without a whole request or told an error, the oldest first
         self.resting: dict[Client, None] = {}  # had an answer, the one longest ago first
@@ -179,6 +188,10 @@
         """Guards against clients that ask once and stay for good: they take the connections that the others need."""
         return len(self.conns) > self.most * CROWD
 
+    def unread(self) -> int:
+        """Bytes of requests that are not whole, or wait behind another."""
+        return sum(client.reader.size for client in self.conns)
+
     def unsent(self) -> int:
         """Bytes of answers that clients have not taken yet."""
         return sum(len(client.stream.unsent) for client in self.conns)
--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -22,7 +22,7 @@
 from tansykeel.platform.clients import Client, Clients
 from tansykeel.platform.config import Config, Illegal, read
 from tansykeel.platform.discovery import Discovery, row_of
-from tansykeel.platform.intake import Reader
+from tansykeel.platform.intake import Reader, Wanted
 from tansykeel.platform.stores import Stores
 from tansykeel.transport.sockets import accept_all, listening, run
 
@@ -67,7 +67,8 @@
         self.core = Core(config.facts, config.seed, self, clock(), bounds, self.reader,
                          [row_of(member, config.zones) for member in known.members])
         for_stores = int(limits.sockets * STORE_PART)
-        self.clients = Clients(self, limits.sockets - for_stores - OTHERS, loop.time, loop.call_soon)
+        self.clients = Clients(self, limits.sockets - for_stores - OTHERS, bounds.body_memory, loop.time,
+                               loop.call_soon)
         self.stores = Stores(self.core, for_stores, int(limits.memory_mb * 2**20 * ANSWER_PART),
                              self.clients.unsent, config.connect_within, config.idle_close, clock, loop.time,
                              loop.call_later, log)
@@ -122,7 +123,8 @@
 
     def request(self, client: Client, request: Request) -> None:
         if request.target == b"/_health":
-            return client.answer(codec.answer(200, b"ok\n"), last=False)
+            last = self.closing or not request.lasts
+            return client.answer(codec.answer(200, b"ok\n", last=last), last)
         try:
             wanted = self.reader.wanted(request)
             if wanted.id in self.open:
@@ -145,7 +147,8 @@
         sent()
         if self.open.pop(held.id, None) is None:
             return
-        last = self.closing
+        wanted: Wanted = held.request
+        last = self.closing or not wanted.request.lasts
         if final.result == DELIVERED:
             data = codec.answer(200, body[0], last=last)
         elif final.result == NACKED:
--- a/tansykeel/platform/stores.py
+++ b/tansykeel/platform/stores.py
@@ -192,6 +192,8 @@
         self.seats.pop(seat, None)
         if seat in self.idle:
             self.idle.remove(seat)
+        if self.waiting:
+            self.stores.later(self.open)
         self.stores.freed()
 
     def listed(self) -> None:
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -344,6 +344,44 @@
     play(go())
 
 
+def test_a_client_that_says_close_is_answered_and_closed(tmp_path):
+    async def go():
+        async with staged(tmp_path, Store("s0", 0)) as stage:
+            client = await stage.client()
+            answer = await client.ask(1, connection="close")
+            assert answer.status == 200 and not answer.lasts and await client.ended()
+    play(go())
+
+
+def test_large_bodies_that_never_end_are_turned_away_once_they_fill_the_memory(tmp_path):
+    async def go():
+        store = Store("s0", 0)
+        async with staged(tmp_path, store) as stage:
+            stage.gateway.clients.most_bytes = 100_000
+            first, second = await stage.client(), await stage.client()
+            for client in (first, second):
+                client.writer.write(asking(1, body=b"x" * 60_000)[:-1])
+            answers = [asyncio.create_task(client.answer()) for client in (first, second)]
+            done, waiting = await asyncio.wait(answers, return_when=asyncio.FIRST_COMPLETED)
+            assert [task.result().status for task in done] == [503] and len(waiting) == 1
+            (first if answers[0] in waiting else second).writer.write(b"x")
+            assert (await waiting.pop()).status == 200 and len(store.got) == 1
+    play(go())
+
+
+def test_what_waits_gets_a_connection_though_the_one_it_waited_for_breaks(tmp_path):
+    """Guards against a hand-off left behind in a pool that may open no second connection."""
+    async def go():
+        store = Store("s0", 0, lambda request: ok())
+        async with staged(tmp_path, store) as stage:
+            stage.gateway.stores.most = 1
+            store.reply = lambda request: b"" if len(store.got) == 1 else ok()
+            clients = [await stage.client() for _ in range(3)]
+            answers = await asyncio.gather(*(client.ask(id) for id, client in enumerate(clients, 1)))
+            assert [answer.status for answer in answers] == [200, 200, 200]
+    play(go())
+
+
 def test_requests_sent_ahead_are_answered_in_order(tmp_path):
     async def go():
         store = Store("s0", 0, lambda request: ok(request.fields[b"x-txn"]))
