An answer that is its connection's last keeps its place until it has left whole

Change in platform/clients.py: who has bytes left to take is closed only after 5 s in which it takes them, the second to read an error counts from when it has left, and a client with an open request is not read from instead of closed.

--- a/tansykeel/platform/clients.py
+++ b/tansykeel/platform/clients.py
@@ -33,7 +33,8 @@
 class Client:
     """`open`: the id of its request that is not answered."""
 
-    __slots__ = ("owner", "stream", "reader", "since", "asked", "open", "ending", "drained", "_busy")
+    __slots__ = ("owner", "stream", "reader", "since", "asked", "open", "ending", "closed_half", "drained",
+                 "_busy")
 
     def __init__(self, owner: Clients, sock: socket.socket) -> None:
         self.owner, self.reader = owner, RequestReader()
@@ -41,7 +42,7 @@
         self.since = owner.now()  # when it began to idle, to send a request, or to be told an error
         self.asked = 0
         self.open: bytes | None = None
-        self.ending = self._busy = False
+        self.ending = self.closed_half = self._busy = False
         self.drained = 0
         self.stream.read()
 
@@ -84,7 +85,11 @@
         self.owner.silent[self] = None
         self.reader.buffer.clear()
         if not self.stream.unsent:
-            self.stream.half_close()
+            self._half_close()
+
+    def _half_close(self) -> None:
+        self.closed_half = True
+        self.stream.half_close()
 
     def _data(self, data: bytes) -> None:
         if self.ending:
@@ -95,16 +100,15 @@
         if self.open is None and not self.reader.partial:
             self.since = self.owner.now()
         self.reader.buffer += data
-        if self.reader.size > codec.MOST_HEAD and self.owner.unread() > self.owner.most_bytes:
-            # Guards against many that send large bodies and never end them: the memory is not theirs alone.
-            if self.open is None:
-                self.turn_away(503)
-            else:
-                self.close()
-        elif self.open is None:
+        # Guards against many that send large bodies and never end them: the memory is not theirs alone.
+        crammed = self.reader.size > codec.MOST_HEAD and self.owner.unread() > self.owner.most_bytes
+        if self.open is not None:
+            if crammed or len(self.reader.buffer) > MOST_AHEAD:
+                self.stream.read(False)
+        elif crammed:
+            self.turn_away(503)
+        else:
             self._next()
-        elif len(self.reader.buffer) > MOST_AHEAD:
-            self.stream.read(False)
 
     def _next(self) -> None:
         """Take what is there, one request after the other's answer."""
@@ -131,16 +135,17 @@
 
     def look(self, now: float) -> None:
         waited = now - self.since
-        if self.ending:
-            if waited > LINGER:
-                self.close()
-            elif not self.stream.unsent:
-                self.stream.half_close()
-        elif self.open is not None:
+        if self.open is not None:
             pass
         elif self.stream.unsent:
             if waited > STALL:
                 self.close()
+        elif self.ending:
+            if not self.closed_half:
+                self.since = now  # it has all of its answer from now on
+                self._half_close()
+            elif waited > LINGER:
+                self.close()
         elif self.reader.partial or not self.asked:
             if waited > UNASKED:
                 self.turn_away(408)
@@ -173,7 +178,7 @@
     def make_room(self) -> bool:
         """Guards against a crowd that is silent or stays: not against one that asks. A client that has only just
         connected has its request on the way."""
-        silent = next(iter(self.silent), None)
+        silent = next((client for client in self.silent if not client.stream.unsent), None)
         idle = next((client for client in self.resting if client.idle), None)
         before = self.now() - BRIEF
         for client in (silent, idle):
