--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -9,7 +9,6 @@
 import pytest
 from platform_stage import VOLUME, List, Store, asking, configuration, ok, play, staged, until
 
-from tansykeel.http1 import codec
 from tansykeel.platform.clients import Clients
 from tansykeel.platform.config import Illegal, read
 
@@ -26,7 +25,9 @@
             assert (got.method, got.body) == (b"PUT", b"abc")
             assert got.target == b"/api/" + VOLUME + b"/00000000000000ff?x=1%20"
             assert got.fields[b"x-txn"] == b"%016x" % 2 and 0 < float(got.fields[b"x-remaining"]) < 2.5
-            assert len(store.writers) == 1 or len(store.writers) == 2  # a rested connection is used again
+            await asyncio.sleep(0.02)
+            conns = len(store.writers)
+            assert (await client.ask(3)).status == 200 and len(store.writers) == conns  # a rested one is used again
     play(go())
 
 
@@ -441,6 +442,5 @@
             assert await first.ended()
             gateway.reader.wanted = wanted
             assert (await second.ask(2)).status == 200
-            await asyncio.sleep(0)
-            assert codec.MOST_BODY and len(gateway.clients.conns) == 1
+            assert len(gateway.clients.conns) == 1
     play(go())
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -107,7 +107,6 @@
 
     async def answer(self):
         """The next answer; None where the connection ends without one."""
-        self.answers._fields = None
         while (answer := self.answers.next()) is None:
             try:
                 data = await self.reader.read(65536)
