A task that is over keeps its request: an outcome that comes late is checked against it

At fault is the line in Core._let_go that set held.request to None to save memory: edge/stores.py holds a hand-off until its outcome comes, also after a time-out, and compares that with the request's size.

Change: the line is taken back.

--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -447,7 +447,6 @@
             if not held.started and held.task.key in self.coming:
                 self._whole(held)  # whoever waited for its body goes on
             held.body.clear()
-            held.request = None  # its reminders may keep the rest until its cut-off
             if held.memory:
                 self.memory.free(held.client, held.memory)
                 held.memory = 0
