Read over: pools of stores that are gone are dropped in one place, a field nobody read is gone

Stores.listed and Stores.look dropped them with the same lines; look does it each 250 ms. Gateway.asked was never read.

--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -59,7 +59,6 @@
         self.closing = False  # each answer is its connection's last
         self.open: dict[bytes, Client] = {}  # requests that are not answered, by id
         self.answers = 0
-        self.asked = True  # the list is pushed, so it is followed from the start
         self.discovery: Discovery | None = None
         self.reader = Reader(config.facts)
         bounds = Bounds(config.open_tasks, int(limits.memory_mb * 2**20 * BODY_PART), codec.MOST_BODY)
--- a/tansykeel/platform/stores.py
+++ b/tansykeel/platform/stores.py
@@ -279,10 +279,8 @@
             self.later(pool.open)
 
     def listed(self) -> None:
-        for store, pool in list(self.pools.items()):
+        for pool in list(self.pools.values()):
             pool.listed()
-            if store.state is State.GONE and not pool.seats and not pool.waiting:
-                del self.pools[store]
 
     def dead_after(self, idled: float) -> None:
         """Guards against connections that are dropped unseen while they idle: each costs its task a hand-off."""
