Cold stores get the part they bear of what is asked of them, not of past use

Every task given up on was logged with its reason in a probe: from second 10 to 30 11,332 of 14,350 were held for a young store's credit. Cause: Young.room dealt four fifths by past use, and Node.pace knows of none after a restart of the gateway, so that only a fifth of the safe units over 200 gateways was left. Ruled out: processor time, room for connections, stores turning away.

Now each first try earns the part that the store bears, within what its volume is sized for.

--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -9,7 +9,7 @@
 import random
 from bisect import bisect_left, insort
 from collections import deque
-from collections.abc import Callable, Generator, Iterable
+from collections.abc import Generator, Iterable
 from heapq import heappop, heappush
 from itertools import takewhile
 
@@ -18,8 +18,7 @@
     Signal, State, Store, Task, Volume, Wait, Want, Word,
 )
 
-SECOND = 10_000
-ROUND = 100  # a round every 10 ms (design)
+SECOND, ROUND = 10_000, 100  # a round every 10 ms (design)
 LONG = 10 * ROUND  # at most so long is a round put off that would find no room at a cold node
 RESET = SECOND  # the bucket is emptied once a second (design)
 DEFICIT = 50.0  # tokens that a reserved volume may sink below nothing (paper)
@@ -39,7 +38,7 @@
 SAMPLES, LATEST = 24, 4  # outcomes that a node's figures are worked out from; those that tell of its queue
 STALE = 2 * SECOND  # samples of an overload count this long, and a node's rate for new nodes
 RANKING = 500  # the ranking for new objects is renewed every 50 ms
-EVEN = 0.2  # part of what a cold node bears that gateways share evenly, the rest by past use
+EVEN = 0.2  # part of what a cold node bears that gateways share evenly, the rest goes by what is asked
 FORGET, LEFT = 600 * SECOND, 30 * SECOND  # lines that nothing was sent for are let go after this; nodes gone
 PATIENCE, LOSING = 4, 10 * SECOND  # times the lag after which an answer can be lost; while one tells of more
 NEW = 2 * SECOND  # gateways that started within this of each other are a new fleet
@@ -58,6 +57,7 @@
         self.earns = self.balance = self.tokens = 0.0  # earns: this gateway's and node's part of the reserve
         self.at, self.paid = node.accrued, 0.0  # up to when balance and tokens are worked out
         self.full_at, self.clear_at = 0, 0.0  # when its balance is full; after which slices it owes nothing
+        self.asked_at, self.sized = 0, 0.0  # when a first try last came; units that the volume is sized for
 
     def earn(self, earns: float) -> None:
         if self.node.lines.get(self.volume) is self:
@@ -76,35 +76,34 @@
 
 
 class Young:
-    """Keeps what all send to a store that has just started within what it surely bears: a part evenly, the
-    rest by past use, for it starts with a known share of that. Tasks go when paid, the first by number."""
+    """Keeps what all send to a store that has just started within what it surely bears: some of that evenly,
+    and the part of what is asked of it that it bears, for it starts with a known share of its power."""
 
     def __init__(self, rule: ColdRule, gateways: int, me: int, largest: float) -> None:
         self.rule, self.largest = rule, largest
-        self.even, self.phase = rule.always_safe / max(gateways, 1), (me + 0.5) / max(gateways, 1)
+        self.even, self.phase = EVEN * rule.always_safe / max(gateways, 1), (me + 0.5) / max(gateways, 1)
         self.due = self.suspected = 0  # when the last task will find room; when it may have started
-        self.since, self.at, self.past, self.credit = -rule.warm_after - rule.span, 0, 0.0, 0.0
+        self.since, self.at, self.credit = -rule.warm_after - rule.span, 0, 0.0
 
-    def room(self, store: Store, now: int, units: float, pace: Callable[[], float], clear: bool) -> bool:
+    def bears(self, store: Store, now: int) -> float:
+        """What it bears by now, as a part of what it does when warm; 0 if it is."""
         age = now - (started := max(store.started, self.suspected))
         if started <= 0 or age >= self.rule.warm_after + self.rule.span:
-            return True
+            return 0.0
         if started > self.since + self.rule.span:  # the list and the store tell of one start a little apart
-            if started > self.since + self.rule.warm_after:  # else what it did when last warm still holds
-                self.past = pace() * self.rule.span
             self.at, self.credit = started, 0.0
         self.since = started
         # The power at the start of the window bounds the whole window, for power never sinks on the way up.
         since = max(age - self.rule.span, 0) / max(self.rule.warm_after, 1)
         grown = 1 + since * (1 / self.rule.share - 1) if self.rule.share > 0 else 1.0
-        part = (EVEN * self.even + (1 - EVEN) * self.rule.multiple * self.rule.share * self.past) * grown
-        if clear:  # all together send it less than its power, which is that much under what it bears
-            part *= self.rule.multiple
-        self.credit = min(self.credit + part * (now - self.at) / self.rule.span, self.largest)
-        self.at = now
-        short = units * self.phase - self.credit
-        self.due = now + int(min(short * self.rule.span / max(part, 1e-9), LONG)) if short > 0 else 0
-        return short <= 0
+        evenly, self.at = self.even * grown * (now - self.at) / self.rule.span, now
+        self.credit = min(self.credit + evenly, self.largest)
+        return max(self.rule.multiple * self.rule.share * grown, 1e-9)
+
+    def room(self, store: Store, now: int, units: float) -> bool:
+        warm, short = not self.bears(store, now), units * self.phase - self.credit
+        self.due = now + int(min(short * self.rule.span / max(self.even, 1e-9), LONG)) if short > 0 else 0
+        return warm or short <= 0
 
 
 def left(seen: Iterable[tuple[int, float]], now: int, limit: int) -> list[float]:
@@ -136,13 +135,13 @@
 
 
 class Node:
-    """One store as this gateway sees it; `before` held its shard until now."""
+    """One store as this gateway sees it."""
 
     def __init__(self, store: Store, desk: Desk, rate: float, least: float, usual: float, tightest: int,
-                 young: Young | None, waits: Waits, gateways: int, before: Node | None) -> None:
+                 young: Young | None, waits: Waits, gateways: int) -> None:
         self.store, self.desk, self.young, self.waits = store, desk, young, waits
         self.rate, self.least, self.usual, self.tightest = rate, least, usual, tightest
-        self.floor, self.before = LEAST_RATE * usual / tightest / max(gateways, 1), before
+        self.floor = LEAST_RATE * usual / tightest / max(gateways, 1)
         self.lines, self.holding = dict[Volume, Line](), list[Line]()  # holding: with held tasks, in order
         # Of the others: those whose balance is full (each has `has` for a token it earns), when more will be,
         # those that held a task lately, those in debt, and the slices after which they owe nothing.
@@ -168,8 +167,7 @@
         self.unit = times[len(times) // 4]  # tenths that a unit takes here when nothing waits
 
     def queueing(self) -> float:
-        """Time that the last hand-offs spent waiting; without fresh ones the middle of the others (design:
-        average), for a node judged too slow gets no tasks that could tell."""
+        """Time that the last hand-offs waited; without fresh ones the middle of others (design: average)."""
         now = self.desk.now
         if self.seen != (seen := (now, self.changes, self.waits.changes)):
             self.seen = seen
@@ -198,13 +196,6 @@
         least = self.least if self.gap() >= 0 and not self.troubles else 0.0
         return max(self.rate * self.tightest * AIM_PART, least)
 
-    def pace(self) -> float:
-        """Units a tenth that this gateway had done here, or at the store that held the shard before."""
-        if not self.lags:
-            return self.before.pace() if self.before else 0.0
-        since = self.lags[0][0] if len(self.lags) == SAMPLES else self.born
-        return sum(units for _, _, units in self.lags) / max(self.desk.now - since, SECOND)
-
     def usable(self) -> bool:
         return self.store.state is State.READY and self.desk.now >= self.resting
 
@@ -214,8 +205,19 @@
         if self.out and self.tokens_out + cost > self.bound():
             self.starved = True
             return False
-        clear = bool(self.lags) and self.lags[-1][0] >= self.desk.now - FRESH and self.gap() > 0
-        return not self.young or self.young.room(self.store, self.desk.now, task.units, self.pace, clear)
+        return not self.young or self.young.room(self.store, self.desk.now, task.units)
+
+    def asked(self, line: Line, units: float, rate: float) -> None:
+        """A first try has come. For a young store it counts within what its volume was sized for, `rate`."""
+        if self.young and (part := self.young.bears(self.store, self.desk.now)):
+            most = max(rate * self.young.rule.span, self.young.largest)
+            line.sized = min(line.sized + rate * (self.desk.now - line.asked_at), most)
+            line.asked_at, counts = self.desk.now, min(units, line.sized)
+            line.sized -= counts
+            # With no queue there all send it less than its power, which is that much under what it bears.
+            clear = bool(self.lags) and self.lags[-1][0] >= self.desk.now - FRESH and self.gap() > 0
+            earned = (1 - EVEN) * part * counts * (self.young.rule.multiple if clear else 1)
+            self.young.credit = min(self.young.credit + earned, self.young.largest)
 
     def hold(self, line: Line, task: Task) -> None:
         if not line.held:
@@ -434,8 +436,7 @@
 
 
 class VolumeState:
-    """A volume over all nodes, and this gateway's part of its limit. Units passed on are gone at the giver
-    before they come, and no part grows past its depth: all parts together keep the limit."""
+    """A volume over all nodes, and its limit's part here; units passed on are gone before they come."""
 
     def __init__(self, hosts: float, limit: float, depth: float, born: int) -> None:
         self.hosts, self.limit, self.depth, self.units, self.at = hosts, limit, depth, 0.0, born
@@ -444,13 +445,13 @@
         self.asked = self.ask_due = self.all_due = born  # last; when some, or all, may be again
         self.pause, self.wish, self.got = 0, 0.0, 0.0  # between asks; what the last was for, and brought
         self.short = dict[Task, None]()  # tasks that wait for units
+        self.shards = dict[int, None]()  # that first tries came for
         self.sent, self.by_line = deque[tuple[Line, float]](), dict[Line, float]()  # of the last hand-offs
         self.told = deque[tuple[float, float]]()  # of the last answers: units here, by all gateways
         self.told_at, self.here, self.all, self.total = born, 0.0, 0.0, 0.0  # their sums
 
     def tell(self, units: float, outcome: Outcome, plan: Plan, now: int) -> None:
-        """Take in the volume's use: what went through others since the last answer, or, with the meter alone,
-        what all did in its period, taken to hold since the last answer."""
+        """Take in the volume's use: through others since the last answer, or by the meter, through all."""
         used = (outcome.used or 0) / 100 * plan.rate * min(now - self.told_at, STALE) / SECOND
         self.told_at, by_all = now, used if outcome.elsewhere is None else units + outcome.elsewhere
         self.told.append((units, by_all))
@@ -498,11 +499,8 @@
         for store in stores:
             if store not in self.nodes and store.state is not State.GONE:
                 young = Young(cold, gateways, self.facts.me, self.least) if cold else None
-                past = next((n for n in reversed(self.nodes.values()) if n.store.shard == store.shard), None)
                 self.nodes[store] = Node(store, self.desk, self.average_rate(), self.least, self.usual,
-                                         self.tightest, young, self.waits, gateways, past)
-                if past and past.lags:
-                    past.before = None  # else each node would keep all that ever held its shard
+                                         self.tightest, young, self.waits, gateways)
         for node in [n for n in self.nodes.values() if n.store.state is State.GONE]:
             if not node.out and not node.held and self.desk.now - node.heard >= LEFT:
                 del self.nodes[node.store]
@@ -558,7 +556,7 @@
             aim = min(now + task.category.soft_limit, task.cut_off)
         if self.extras:
             self.extras.taken.append(now)
-        node, line = None, None
+        node, line, first = None, None, not task.again and task.shard is not None
         try:
             in_turn = not (task.category.ordered and task.key) or (yield from self.turn_on_key(task, aim))
             while in_turn and self.may_hand_off(task):
@@ -566,6 +564,10 @@
                 if node is None or not self.in_group(task, node.store) or late and not node.free():
                     break
                 line = self.line_of(node, task.volume)
+                if first:
+                    first, state.shards[node.store.shard] = False, None
+                    rate = task.volume.plan.rate / SECOND * state.part(self.usual) / len(state.shards)
+                    node.asked(line, task.units, rate)
                 latest = aim - int(min(node.lag(task.units) * MARGIN, (aim - now) * MOST_MARGIN))
                 wait = self.limit_wait(task, state)
                 if self.desk.now + wait >= latest:
@@ -661,8 +663,7 @@
         return min(wait, self.ask(task.volume, state) or wait) if wait else 0
 
     def ask(self, volume: Volume, state: VolumeState) -> int:
-        """Ask some gateways of the volume for units of its limit, more seldom while little comes; all while
-        some of its own are unknown. Tenths until the answers must be here, 0 if they are."""
+        """Ask some gateways of the volume for units, all while some are unknown; how long that may take."""
         now = self.desk.now
         if not self.facts.allowed.peers or state.hosts <= 1:
             return 0
