The emulator's parts stand on a scene and ways: no imports in a circle any more

Five files of the emulator imported each other in one circle, hidden behind TYPE_CHECKING. Gateways that talk would have tightened it. The network and the connections are in ways.py, what all parts stand on in scene.py; the ends see each other as protocols, and only the world knows all of them.

--- a/tansykeel/emulator/clients.py
+++ b/tansykeel/emulator/clients.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from tansykeel.audit.records import Gave, Got, Sent
-from tansykeel.emulator.gateway import Gateway, Line
+from tansykeel.emulator.gateway import Gateway
+from tansykeel.emulator.scene import Scene
+from tansykeel.emulator.ways import GatewayEnd, Line
 from tansykeel.protocol.frames import Answer, TaskOf
 from tansykeel.rehearse.habits import DELIVERED, LOST, Habits
 from tansykeel.rehearse.load import RETRIES, Arrival, stream
 from tansykeel.settings.records import CategoryOf
 
-if TYPE_CHECKING:
-    from tansykeel.emulator.world import World
-
 VANISH_AFTER = 20_000  # microseconds from a vanishing client's task to its end
 
 
@@ -27,11 +24,11 @@
 
 
 class Clients:
-    def __init__(self, world: World) -> None:
-        self.world, self.engine = world, world.engine
-        self.habits = Habits(world.day.clients, stream(world.seed, RETRIES, 0))
-        self.categories = {c.name: c for c in world.day.categories}
-        self.grace = int(world.day.rules.answer_grace_ms * 1000)
+    def __init__(self, scene: Scene, fleet: list[Gateway]) -> None:
+        self.scene, self.engine, self.fleet = scene, scene.engine, fleet
+        self.habits = Habits(scene.day.clients, stream(scene.seed, RETRIES, 0))
+        self.categories = {c.name: c for c in scene.day.categories}
+        self.grace = int(scene.day.rules.answer_grace_ms * 1000)
         self.open: dict[int, Try] = {}
         self.there: dict[tuple[str, str], Line] = {}
         self.made = 0
@@ -45,21 +42,21 @@
         patience = min(int(arrival.patience * 1e6), left)
         self.made += 1
         task = 1 << 40 | self.made
-        edges = map(self.world.gateways.__getitem__, arrival.edges) if patience > 0 else ()
+        edges = map(self.fleet.__getitem__, arrival.edges) if patience > 0 else ()
         gateway = next((g for g in edges if g.alive), None)
-        self.world.record(Sent(now, task, arrival.mark, tries, "client-0", gateway.name if gateway else "",
+        self.scene.record(Sent(now, task, arrival.mark, tries, "client-0", gateway.name if gateway else "",
                                arrival.volume, arrival.category, arrival.key, float(arrival.units), arrival.shard,
                                max(patience, 0)))
         if gateway is None:
-            self.world.record(Gave(now, task, "no edge"))
+            self.scene.record(Gave(now, task, "no edge"))
             return
-        size = arrival.units * self.world.day.gateway.unit_bytes
+        size = arrival.units * self.scene.day.gateway.unit_bytes
         request = TaskOf(arrival.volume, arrival.category, arrival.key, size, arrival.shard, patience, arrival.mark,
                          tries > 0, size if category.writes else 0)
         vanishes = arrival.vanishes and tries == 0
-        client = f"vanishing-{task}" if vanishes else f"client-{arrival.key % self.world.day.clients.connections}"
+        client = f"vanishing-{task}" if vanishes else f"client-{arrival.key % self.scene.day.clients.connections}"
         line = self.there.setdefault((client, gateway.name), Line()) if not vanishes else Line()
-        way = self.world.client_way() + self.world.wire_time(request.body)
+        way = self.scene.ways.client() + self.scene.ways.wire_time(request.body)
         self.engine.at(line.arrival(now + way), gateway.tell, gateway.life, gateway.task, client, task, request,
                        not vanishes)
         if vanishes:
@@ -69,21 +66,21 @@
         self.engine.after(patience + self.grace, self._patience_over, task)
 
     def _vanish(self, gateway: Gateway, life: int, client: str, task: int) -> None:
-        self.world.record(Gave(self.engine.now, task, "vanished"))
-        self.engine.after(self.world.client_way(), gateway.tell, life, gateway.client_gone, client)
+        self.scene.record(Gave(self.engine.now, task, "vanished"))
+        self.engine.after(self.scene.ways.client(), gateway.tell, life, gateway.client_gone, client)
 
-    def answer_on_its_way(self, gateway: Gateway, task: int, answer: Answer) -> None:
+    def answer_on_its_way(self, gateway: GatewayEnd, task: int, answer: Answer) -> None:
         held = self.open.get(task)
         size = 0
         if held and answer.result == DELIVERED and not held.category.writes:
-            size = held.arrival.units * self.world.day.gateway.unit_bytes
-        self.engine.after(self.world.client_way() + self.world.wire_time(size), self._answered, gateway,
+            size = held.arrival.units * self.scene.day.gateway.unit_bytes
+        self.engine.after(self.scene.ways.client() + self.scene.ways.wire_time(size), self._answered, gateway,
                           gateway.life, task, answer)
 
-    def _answered(self, gateway: Gateway, life: int, task: int, answer: Answer) -> None:
+    def _answered(self, gateway: GatewayEnd, life: int, task: int, answer: Answer) -> None:
         if gateway.life != life:
             return  # the connection ended before it came through
-        self.world.record(Got(self.engine.now, task, answer.result, answer.come_back, False, answer.reason))
+        self.scene.record(Got(self.engine.now, task, answer.result, answer.come_back, False, answer.reason))
         held = self.open.pop(task, None)
         if held is None:
             return  # too late, or a second one: the audit judges
@@ -92,19 +89,19 @@
         else:
             self._again(held, answer.result, answer.come_back / 1e6)
 
-    def edge_lost(self, gateway: Gateway) -> None:
+    def edge_lost(self, gateway: GatewayEnd) -> None:
         for task in [task for task, held in self.open.items() if held.gateway is gateway]:
             held = self.open.pop(task)
-            self.world.record(Gave(self.engine.now, task, "edge lost"))
+            self.scene.record(Gave(self.engine.now, task, "edge lost"))
             self._again(held, LOST, 0.0)
 
     def _patience_over(self, task: int) -> None:
         held = self.open.pop(task, None)
         if held is None:
             return
-        self.world.record(Gave(self.engine.now, task, "patience"))
+        self.scene.record(Gave(self.engine.now, task, "patience"))
         gateway = held.gateway
-        self.engine.after(self.world.client_way(), gateway.tell, held.life, gateway.cancelled, held.client, task)
+        self.engine.after(self.scene.ways.client(), gateway.tell, held.life, gateway.cancelled, held.client, task)
 
     def _again(self, held: Try, result: int, come_back: float) -> None:
         wait = self.habits.again(held.category, held.tries, result, come_back)
--- a/tansykeel/emulator/gateway.py
+++ b/tansykeel/emulator/gateway.py
@@ -4,51 +4,27 @@
 
 from collections import deque
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from tansykeel.audit.records import Listed
 from tansykeel.edge.core import Attempt, Core, Final, Held
 from tansykeel.edge.native import Native, answer_of, bounds_of, hand_off_of, known_of
-from tansykeel.interface import How, Store, Word
+from tansykeel.emulator.scene import Scene
+from tansykeel.emulator.ways import Conn, GatewayEnd, Line, StoreEnd
+from tansykeel.interface import How, Word
 from tansykeel.protocol.frames import Hello, ListOf, Row, Share, TaskOf
 from tansykeel.standin.behaviour import Work
 from tansykeel.standin.book import Book
 
-if TYPE_CHECKING:
-    from tansykeel.emulator.stores import SimStore
-    from tansykeel.emulator.world import World
-
 TENTH = 100  # microseconds
 
 
-class Line:
-    """One direction of a connection: what is sent first arrives first."""
-
-    __slots__ = ("last",)
-
-    def __init__(self) -> None:
-        self.last = 0
-
-    def arrival(self, moment: int) -> int:
-        self.last = max(self.last + 1, moment)
-        return self.last
-
-
-class Conn:
-    """A gateway's connection to a store, which the module knows as `known`; `life` tells whose it was."""
-
-    def __init__(self, gateway: Gateway, store: SimStore, known: Store) -> None:
-        self.gateway, self.store, self.known, self.life = gateway, store, known, gateway.life
-        self.up = self.lost = self.dropped = False  # lost: the gateway knows; dropped: at the store's end
-        self.waiting: deque[Attempt] = deque()
-        self.works: dict[Attempt, Work] = {}
-        self.there, self.back = Line(), Line()
-
-
 class Gateway:
-    def __init__(self, world: World, index: int) -> None:
-        self.world, self.index, self.name = world, index, f"edge-{index}"
-        self.engine = world.engine
+    """`fleet` holds all gateways of the day, by their index."""
+
+    def __init__(self, scene: Scene, index: int, fleet: list[Gateway]) -> None:
+        self.scene, self.index, self.name, self.fleet = scene, index, f"edge-{index}", fleet
+        self.engine = scene.engine
         self.life = 0
         self.alive = self.stalled = False
         self.start()
@@ -57,17 +33,17 @@
         """Start, or start again with nothing known but the settings and the list."""
         self.life += 1
         self.alive, self.stalled = True, False
-        self.conns: dict[SimStore, Conn] = {}
+        self.conns: dict[StoreEnd, Conn] = {}
         self.backlog: list[tuple[Callable[..., Any], tuple[Any, ...]]] = []
         self.reminder, self.ticket = 0, 0
         self.from_list = Line()
         self.asked = False
-        world = self.world
-        facts = world.facts[self.index]
-        self.native = Native(world.settings, facts)
-        self.core = Core(facts, world.seed * 1000 + self.index, self, self.clock(), bounds_of(world.settings.gateway),
-                         self.native, known_of(world.settings), world.decide)
-        if self.asked or world.day.fleet.list_mode == "push":
+        scene = self.scene
+        facts = scene.facts[self.index]
+        self.native = Native(scene.settings, facts)
+        self.core = Core(facts, scene.seed * 1000 + self.index, self, self.clock(), bounds_of(scene.settings.gateway),
+                         self.native, known_of(scene.settings), scene.decide)
+        if self.asked or scene.day.fleet.list_mode == "push":
             self.ask_list()
 
     def clock(self) -> int:
@@ -79,8 +55,8 @@
         self.life += 1
         for conn in self.conns.values():
             conn.lost = True
-            self.engine.after(self.world.way(self, conn.store), conn.store.dropped, conn)
-        self.world.clients.edge_lost(self)
+            self.engine.after(self.scene.ways.to_store(self, conn.store), conn.store.dropped, conn)
+        self.scene.clients.edge_lost(self)
 
     # What comes in
 
@@ -106,7 +82,7 @@
     def task(self, client: str, id: int, request: TaskOf, body: bool) -> None:
         self.core.taken(self.clock(), client, id, request)
         if body and request.body:
-            self.core.piece(self.clock(), client, id, self.world.blank(request.body))
+            self.core.piece(self.clock(), client, id, self.scene.blank(request.body))
 
     def cancelled(self, client: str, id: int) -> None:
         self.core.left(self.clock(), client, id)
@@ -128,7 +104,7 @@
 
     def answer(self, held: Held, final: Final, body: list[bytes], sent: Callable[[], None]) -> None:
         sent()
-        self.world.clients.answer_on_its_way(self, held.id, answer_of(final, body))
+        self.scene.clients.answer_on_its_way(self, held.id, answer_of(final, body))
 
     def remind(self, at: int) -> None:
         if self.reminder and at >= self.reminder:
@@ -151,26 +127,26 @@
 
     def ask_list(self) -> None:
         self.asked = True
-        self.engine.after(self.world.list_way(), self.world.list.ask, self, self.life)
+        self.engine.after(self.scene.ways.to_list(), self.scene.list.ask, self, self.life)
 
     def tell_peer(self, peer: int | None, word: Word) -> None:
         share = self.native.share_of(word)
-        for other in self.world.gateways if peer is None else [self.world.gateways[peer]]:
+        for other in self.fleet if peer is None else [self.fleet[peer]]:
             if other.alive and other is not self:
-                self.engine.after(self.world.client_way(), other.tell, other.life, other.share, share)
+                self.engine.after(self.scene.ways.client(), other.tell, other.life, other.share, share)
 
     def note(self, event: str, **fields: Any) -> None:
-        self.world.notes.append(f"{self.name} {event} {fields}")
+        self.scene.notes.append(f"{self.name} {event} {fields}")
 
     def hand_off(self, attempt: Attempt) -> None:
-        store = self.world.by_address[self.core.addresses[attempt.store]]
+        store = self.scene.store_at(self.core.addresses[attempt.store])
         conn = self.conns.get(store)
         if conn is None or conn.lost:
             conn = self.conns[store] = Conn(self, store, attempt.store)
             conn.waiting.append(attempt)
-            way = self.world.way(self, store)
+            way = self.scene.ways.to_store(self, store)
             self.engine.after(2 * way, store.reached, conn, way)
-            timeout = int(self.world.settings.gateway.connect_timeout_ms * 1000)
+            timeout = int(self.scene.settings.gateway.connect_timeout_ms * 1000)
             self.engine.after(timeout, self.tell, self.life, self._connect_over, conn)
         elif not conn.up:
             conn.waiting.append(attempt)
@@ -185,14 +161,14 @@
                     other.waiting.remove(attempt)
                     self.engine.after(0, self.tell, self.life, self._outcome, attempt, How.CANCELLED)
         elif not conn.lost and attempt in conn.works:
-            way = self.world.way(self, conn.store)
+            way = self.scene.ways.to_store(self, conn.store)
             self.engine.at(conn.there.arrival(self.engine.now + way), conn.store.cancel, conn, attempt)
 
     def _send(self, conn: Conn, attempt: Attempt) -> None:
         attempt.seat = conn
         request = hand_off_of(attempt, self.clock())
         work = conn.works[attempt] = Work((conn, attempt), self.name, request)
-        way = self.world.way(self, conn.store) + self.world.wire_time(request.body)
+        way = self.scene.ways.to_store(self, conn.store) + self.scene.ways.wire_time(request.body)
         self.engine.at(conn.there.arrival(self.engine.now + way), conn.store.arrive, conn, work)
 
     # What stores say
@@ -241,23 +217,23 @@
 class SimList:
     """The list's service: the stand-in's book, told over simulated connections."""
 
-    def __init__(self, world: World) -> None:
-        self.world, self.engine = world, world.engine
-        self.book = Book(world.day.fleet.list_late_s, world.day.fleet.list_call_ms / 1000)
-        self.watchers: dict[Gateway, int] = {}
+    def __init__(self, scene: Scene) -> None:
+        self.scene, self.engine = scene, scene.engine
+        self.book = Book(scene.day.fleet.list_late_s, scene.day.fleet.list_call_ms / 1000)
+        self.watchers: dict[GatewayEnd, int] = {}
 
     def now(self) -> float:
         return self.engine.now / 1e6
 
-    def ask(self, gateway: Gateway, life: int) -> None:
-        now, way = self.now(), self.world.list_way()
+    def ask(self, gateway: GatewayEnd, life: int) -> None:
+        now, way = self.now(), self.scene.ways.to_list()
         ready = self.book.asked(now) if now >= self.book.gone_until else None
         if ready is None:
             self.engine.after(way, gateway.tell, life, gateway.list_lost)
         else:
             self.engine.at(int(ready * 1e6), self._answer, gateway, life)
 
-    def _answer(self, gateway: Gateway, life: int) -> None:
+    def _answer(self, gateway: GatewayEnd, life: int) -> None:
         if gateway.life == life and self.now() >= self.book.gone_until:
             self.watchers[gateway] = life
             self._send(gateway, True, self.book.all_rows(self.now()))
@@ -271,20 +247,20 @@
         for gateway in list(self.watchers):
             self._send(gateway, False, told)
 
-    def _send(self, gateway: Gateway, full: bool, rows: tuple[Row, ...]) -> None:
+    def _send(self, gateway: GatewayEnd, full: bool, rows: tuple[Row, ...]) -> None:
         life = self.watchers[gateway]
         if life != gateway.life:
             del self.watchers[gateway]
             return
         seen = tuple((row.name, row.state, row.boot) for row in rows)
-        self.world.record(Listed(self.engine.now, gateway.name, full, seen))
+        self.scene.record(Listed(self.engine.now, gateway.name, full, seen))
         update = ListOf(full, self.book.version, rows)
-        moment = gateway.from_list.arrival(self.engine.now + self.world.list_way())
+        moment = gateway.from_list.arrival(self.engine.now + self.scene.ways.to_list())
         self.engine.at(moment, gateway.tell, life, gateway.listed, update)
 
     def trouble(self, verb: str, for_s: float, detail: dict[str, Any]) -> None:
         self.book.trouble(verb, self.now(), for_s, detail)
         if verb == "list_gone":
             for gateway, life in self.watchers.items():
-                self.engine.after(self.world.list_way(), gateway.tell, life, gateway.list_lost)
+                self.engine.after(self.scene.ways.to_list(), gateway.tell, life, gateway.list_lost)
             self.watchers.clear()
--- a/tansykeel/emulator/oracle.py
+++ b/tansykeel/emulator/oracle.py
@@ -9,17 +9,16 @@
 
 from collections import defaultdict
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 from tansykeel.baselines import SendAtOnce
 from tansykeel.brain import Extras
+from tansykeel.emulator.engine import Engine
+from tansykeel.emulator.gateway import Gateway
+from tansykeel.emulator.stores import SimStore
 from tansykeel.interface import Desk, Facts, HandOff, How, Outcome, Repeat, Signal, State, Store, Task, Wait
+from tansykeel.rehearse.day import Day
 from tansykeel.runner import Run
 
-if TYPE_CHECKING:
-    from tansykeel.emulator.stores import SimStore
-    from tansykeel.emulator.world import World
-
 SECOND = 10_000
 AHEAD = 2  # hand-offs out at a store beyond one for each core: what covers the way
 LOOK = 50  # tenths after which a task whose store is not to be had looks again
@@ -38,8 +37,8 @@
 class Eye:
     """What is true of a world: shared by all gateways of it, and by no other world."""
 
-    def __init__(self, world: World) -> None:
-        self.world = world
+    def __init__(self, day: Day, engine: Engine, gateways: list[Gateway], stores: dict[str, SimStore]) -> None:
+        self.day, self.engine, self.gateways, self.stores = day, engine, gateways, stores  # stores: by address
         self.out: dict[SimStore, int] = defaultdict(int)
         self.waiting: dict[SimStore, list[Seat]] = defaultdict(list)
         self.used: dict[object, tuple[int, float]] = {}  # by volume's name: its second, units sent in it
@@ -50,7 +49,7 @@
 
     def power(self, store: SimStore) -> float:
         """Part of its full power that a store has now; none while it stands still."""
-        now = self.world.engine.now / 1000
+        now = self.engine.now / 1000
         model = store.behaviour.model
         shut = max(store.refuse_until, store.silent_until) / 1000
         if now < max(model.paused_until, shut) or any(model.faults.get(f, now, 0.0) for f in ("stand", "full")):
@@ -85,7 +84,7 @@
         """Whether a task that went out now could still come back within its soft limit."""
         shape = store.behaviour.shape
         work = seat.task.units * shape.unit_ms * (shape.write_cost if seat.task.category.writes else 1.0)
-        way = self.world.day.fleet.way_ms
+        way = self.day.fleet.way_ms
         return now + int((work * (1 - shape.noise) / self.power(store) + 2 * way) * 10) < seat.aim
 
     def rank(self, seat: Seat, now: int) -> tuple[float, float, int]:
@@ -95,14 +94,14 @@
         plan, worth = task.volume.plan, task.category.gain * task.volume.plan.price
         beyond = units + task.units > plan.reserve
         if task.category.writes:
-            worth /= self.world.day.fleet.shape.write_cost
+            worth /= self.day.fleet.shape.write_cost
         if not beyond:
             return -worth, 0.0, seat.aim
-        return -worth * self.world.day.load.share_worth, max(units - plan.reserve, 0.0) / plan.weight, seat.aim
+        return -worth * self.day.load.share_worth, max(units - plan.reserve, 0.0) / plan.weight, seat.aim
 
     def pass_on(self, store: SimStore) -> None:
         """Whoever is next at a store has its turn, at whichever gateway it waits."""
-        now = self.world.engine.now // 100
+        now = self.engine.now // 100
         line = self.waiting[store]
         while line and self.room(store):
             fit = [seat for seat in line if self.legal(seat.task, now) and self.in_time(store, seat, now)]
@@ -131,21 +130,20 @@
 
     def turn(self, task: Task) -> None:
         """The gateway may be another than the one whose event led to this: it is told by an event of its own."""
-        gateway = self.eye.world.gateways[self.facts.me]
+        gateway = self.eye.gateways[self.facts.me]
         self.desk.wake(task, Signal.TURN)
         gateway.engine.after(0, gateway.tell, gateway.life, self.look)
 
     def look(self) -> None:
-        gateway = self.eye.world.gateways[self.facts.me]
+        gateway = self.eye.gateways[self.facts.me]
         gateway.core.runner.move(gateway.clock())
         gateway.core.runner.settle()
 
     def true_store(self, task: Task) -> tuple[Store, SimStore] | None:
         """The store for a task, if the list tells of the one that is there; the emptiest for a new object."""
-        world = self.eye.world
-        addresses = world.gateways[self.facts.me].core.addresses
+        addresses = self.eye.gateways[self.facts.me].core.addresses
         listed = [store for store in self.by_shard.values() if task.shard in (None, store.shard)]
-        there = [(store, world.by_address[addresses[store]]) for store in listed]
+        there = [(store, self.eye.stores[addresses[store]]) for store in listed]
         found = [(store, true) for store, true in there if store.state is State.READY and true.listening]
         return min(found, key=lambda pair: self.eye.out[pair[1]] + len(self.eye.waiting[pair[1]]), default=None)
 
--- a/tansykeel/emulator/stores.py
+++ b/tansykeel/emulator/stores.py
@@ -3,38 +3,36 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from tansykeel.edge.core import Attempt
-from tansykeel.emulator.gateway import Conn
+from tansykeel.emulator.scene import Scene
+from tansykeel.emulator.ways import Conn
 from tansykeel.interface import How
 from tansykeel.protocol.frames import Hello
 from tansykeel.standin.behaviour import Behaviour, Work
 from tansykeel.standin.model import NEVER
 
-if TYPE_CHECKING:
-    from tansykeel.emulator.world import World
-
 HOWS = {how.value: how for how in How}
 
 
 class SimStore:
-    def __init__(self, world: World, name: str, index: int, cold: bool) -> None:
-        self.world, self.engine, self.name, self.index = world, world.engine, name, index
-        self.zone = world.day.fleet.zone_of(index)
+    def __init__(self, scene: Scene, name: str, index: int, cold: bool) -> None:
+        self.scene, self.engine, self.name, self.index = scene, scene.engine, name, index
+        self.zone = scene.day.fleet.zone_of(index)
         self.address = f"{name}:1"
         self.alive, self.listening = True, True
         self.refuse_until = self.silent_until = 0
         self.conns: dict[Conn, None] = {}
         self.due, self.ticket = NEVER, 0
-        draw = world.stream_of_store(index)
-        self.behaviour = Behaviour(name, index, self.zone, world.day.fleet.shape, draw.random, draw.standard_normal,
-                                   world.marks, lambda: self.engine.now, world.record, self._tell)
+        draw = scene.stream_of_store(index)
+        self.behaviour = Behaviour(name, index, self.zone, scene.day.fleet.shape, draw.random, draw.standard_normal,
+                                   scene.marks, lambda: self.engine.now, scene.record, self._tell)
         self.boot(cold)
 
     def boot(self, cold: bool) -> None:
         self.listening = True
-        self.behaviour.boot(self.world.new_boot(), cold)
+        self.behaviour.boot(self.scene.new_boot(), cold)
         self.started = self.engine.now if cold else 0
 
     def down(self) -> None:
@@ -46,7 +44,7 @@
     def cut(self) -> None:
         for conn in list(self.conns):
             self._drop(conn)
-            way = self.world.way(conn.gateway, self)
+            way = self.scene.ways.to_store(conn.gateway, self)
             self.engine.at(conn.back.arrival(self.engine.now + way), conn.gateway.tell, conn.life,
                            conn.gateway.reset, conn)
 
@@ -97,7 +95,7 @@
             return
         request = work.request
         size = 0 if request.writes or how != "delivered" else request.size
-        way = self.world.way(conn.gateway, self) + self.world.wire_time(size)
+        way = self.scene.ways.to_store(conn.gateway, self) + self.scene.ways.wire_time(size)
         self.engine.at(conn.back.arrival(self.engine.now + way), conn.gateway.tell, conn.life, conn.gateway.told, conn,
                        attempt, HOWS[how], self.index, self.behaviour.model.load(), elsewhere)
 
--- a/tansykeel/emulator/world.py
+++ b/tansykeel/emulator/world.py
@@ -3,67 +3,51 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Callable
 from functools import cached_property
 from pathlib import Path
 from typing import Any
 
 import msgspec
-import numpy
 
 from tansykeel.audit.join import Passed, join
-from tansykeel.audit.records import AnyRecord, Killed, Record, Recorder, Stood
+from tansykeel.audit.records import Killed, Recorder, Stood
 from tansykeel.audit.records import Trouble as TroubleRecord
 from tansykeel.audit.report import Verdict, judge
 from tansykeel.brain import Scheduler
-from tansykeel.edge.core import Decisions
 from tansykeel.emulator.clients import Clients
-from tansykeel.emulator.engine import START, Engine
+from tansykeel.emulator.engine import START
 from tansykeel.emulator.gateway import Gateway, SimList
 from tansykeel.emulator.oracle import Eye, TrueView
+from tansykeel.emulator.scene import Decide, Scene
 from tansykeel.emulator.stores import SimStore
-from tansykeel.interface import Facts
-from tansykeel.rehearse.day import LOAD, VERBS, Day, Trouble, settings_of
+from tansykeel.rehearse.day import LOAD, VERBS, Day, Trouble
 from tansykeel.rehearse.load import CHANCE, arrivals_of, stream
 from tansykeel.rehearse.troubles import Steps, steps_of
-from tansykeel.settings.build import facts_of
-from tansykeel.standin.behaviour import KeptMarks
 
-STORES, NETWORK = 3 * 10**6, 4 * 10**6  # streams beside those of `rehearse.load`
 AFTER = 2.0  # seconds past the longest cut-off in which a day must have come to its end
 MOST_EVENTS = 400  # of the engine for each task, and MOST_BASE more: a day that needs more does not end
 MOST_BASE = 50_000_000
-BANDWIDTH = 1_000  # bytes in a microsecond
-LIST_WAY = 200  # microseconds one way between a gateway and the list
-JITTERS = 4_096  # draws of the network made at once
 
-Decide = Callable[..., Decisions]
-
-
-class World:
+class World(Scene):
     """`decide` makes each gateway's decisions; a baseline may stand in the module's place."""
 
     def __init__(self, day: Day, seed: int, decide: Decide = Scheduler) -> None:
-        self.day, self.seed = day, seed
-        self.decide: Decide = Eye(self) if decide is TrueView else decide
-        self.engine = Engine()
-        self.records: list[AnyRecord] = []
-        self.notes: list[str] = []
-        self.settings = settings_of(day, "list:1", "edge:1")
-        self.facts: list[Facts] = [facts_of(self.settings, n, day.fleet.edges) for n in range(day.fleet.edges)]
-        self.marks = KeptMarks()
-        self.boots = 0
-        self._network, self._jitter, self._drawn = stream(seed, NETWORK), [0.0], 0
+        super().__init__(day, seed)
         self._chance = stream(seed, CHANCE)
-        self._blank: dict[int, bytes] = {}
         self.silent_s = day.fleet.silent_s
         self.stopped: dict[int, int] = {}
         self.by_address: dict[str, SimStore] = {}
-        self.list = SimList(self)
-        self.clients = Clients(self)
+        self.gateways: list[Gateway] = []
+        self.decide = Eye(day, self.engine, self.gateways, self.by_address) if decide is TrueView else decide
+        self.list: SimList = SimList(self)
+        self.clients: Clients = Clients(self, self.gateways)
         self.stores = [self._store(f"store-{n}", n, cold=False) for n in range(day.fleet.stores)]
         self._list(*self.stores)
-        self.gateways = [Gateway(self, n) for n in range(day.fleet.edges)]
+        for index in range(day.fleet.edges):
+            self.gateways.append(Gateway(self, index, self.gateways))
+
+    def store_at(self, address: str) -> SimStore:
+        return self.by_address[address]
 
     def run(self) -> Verdict:
         """Play the day to its end and judge it. Raises RuntimeError where it does not come to an end."""
@@ -109,9 +93,6 @@
             recorder.add(record)
         recorder.close()
 
-    def record(self, record: Record) -> None:
-        self.records.append(record)  # type: ignore[arg-type]
-
     def digest(self) -> str:
         """Of all that passed, in its order: the same for one script, seed and module, wherever it is played."""
         made = hashlib.sha256()
@@ -120,41 +101,6 @@
             made.update(encode(record))
         return made.hexdigest()
 
-    # Network and streams
-
-    def _spread(self) -> float:
-        """Of one way: none to twice the mean, mostly near it."""
-        if self._drawn == len(self._jitter):
-            self._jitter = (0.5 + self._network.random(JITTERS)).tolist()
-            self._drawn = 0
-        self._drawn += 1
-        return self._jitter[self._drawn - 1]
-
-    def way(self, gateway: Gateway, store: SimStore) -> int:
-        """Microseconds one way between a gateway and a store."""
-        fleet = self.day.fleet
-        far = fleet.zones > 1 and gateway.index % fleet.zones != store.zone
-        return int((fleet.cross_ms if far else fleet.way_ms) * 1000 * self._spread())
-
-    def client_way(self) -> int:
-        return int(self.day.fleet.way_ms * 1000 * self._spread())
-
-    def list_way(self) -> int:
-        return LIST_WAY
-
-    def wire_time(self, size: int) -> int:
-        return size // BANDWIDTH
-
-    def blank(self, size: int) -> bytes:
-        return self._blank.setdefault(size, bytes(size))
-
-    def stream_of_store(self, index: int) -> numpy.random.Generator:
-        return stream(self.seed, STORES, index, self.boots)
-
-    def new_boot(self) -> int:
-        self.boots += 1
-        return self.boots
-
     # Stage: what troubles can do
 
     def _cause(self, trouble: Trouble) -> None:
