A cut link is no longer taken for a restart once the store answers and no start is told

Cause: Young.suspected, set by two failed connections, was never taken back, so a warm store got what a cold one bears for all the time of warming. Ruled out: a start told by the list (the probe tells suspected from told).

--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -41,7 +41,7 @@
 EVEN = 0.2  # part of what a cold node bears that gateways share evenly, the rest goes by what is asked
 FORGET, LEFT = 600 * SECOND, 30 * SECOND  # lines that nothing was sent for are let go after this; nodes gone
 PATIENCE, LOSING = 4, 10 * SECOND  # times the lag after which an answer can be lost; while one tells of more
-NEW = 2 * SECOND  # gateways that started within this of each other are a new fleet
+NEW, TOLD = 2 * SECOND, 6 * SECOND  # gateways started within this are a new fleet; a start is told by then
 ASK = 800  # gateways asked for units of a limit have answered after 80 ms or will not
 ASKED, ALL = 6, 6 * SECOND  # so many are asked at once; all gateways at most once in a while
 PAUSE = 2_000  # rest of a node that cannot be reached, grows with every failure in a row
@@ -85,9 +85,11 @@
         self.due = self.suspected = 0  # when the last task will find room; when it may have started
         self.since, self.at, self.credit = -rule.warm_after - rule.span, 0, 0.0
 
-    def bears(self, store: Store, now: int) -> float:
+    def bears(self, store: Store, now: int, proof: int) -> float:
         """What it bears by now, as a part of what it does when warm; 0 if it is."""
-        age = now - (started := max(store.started, self.suspected))
+        # Guards against a cut link taken for a restart: it answers, and no start was told when it had to be.
+        doubt = proof <= self.suspected or now < self.suspected + TOLD
+        age = now - (started := max(store.started, self.suspected if doubt else 0))
         if started <= 0 or age >= self.rule.warm_after + self.rule.span:
             return 0.0
         if started > self.since + self.rule.span:  # the list and the store tell of one start a little apart
@@ -100,8 +102,8 @@
         self.credit = min(self.credit + evenly, self.largest)
         return max(self.rule.multiple * self.rule.share * grown, 1e-9)
 
-    def room(self, store: Store, now: int, units: float) -> bool:
-        warm, short = not self.bears(store, now), units * self.phase - self.credit
+    def room(self, store: Store, now: int, units: float, proof: int) -> bool:
+        warm, short = not self.bears(store, now, proof), units * self.phase - self.credit
         self.due = now + int(min(short * self.rule.span / max(self.even, 1e-9), LONG)) if short > 0 else 0
         return warm or short <= 0
 
@@ -205,11 +207,11 @@
         if self.out and self.tokens_out + cost > self.bound():
             self.starved = True
             return False
-        return not self.young or self.young.room(self.store, self.desk.now, task.units)
+        return not self.young or self.young.room(self.store, self.desk.now, task.units, self.proof)
 
     def asked(self, line: Line, units: float, rate: float) -> None:
         """A first try has come. For a young store it counts within what its volume was sized for, `rate`."""
-        if self.young and (part := self.young.bears(self.store, self.desk.now)):
+        if self.young and (part := self.young.bears(self.store, self.desk.now, self.proof)):
             most = max(rate * self.young.rule.span, self.young.largest)
             line.sized = min(line.sized + rate * (self.desk.now - line.asked_at), most)
             line.asked_at, counts = self.desk.now, min(units, line.sized)
@@ -424,8 +426,7 @@
 
 class Extras:  # further hand-offs within the stated budget of every window
     def __init__(self, rule: BudgetRule) -> None:
-        self.rule = rule
-        self.taken, self.extras = deque[int](), deque[int]()
+        self.rule, self.taken, self.extras = rule, deque[int](), deque[int]()
 
     def room(self, now: int) -> bool:
         while self.taken and self.taken[0] <= now - self.rule.span + 1:  # rounding never in our favour
@@ -618,8 +619,8 @@
         return patience if now + patience + lag * MARGIN < aim else 0
 
     def aim_of(self, task: Task) -> int:
-        """When the soft limit ends. It runs from the first try: less time left than others had tells of a
-        further try, or a stall of this gateway; less than the limit may be a short patience."""
+        """When the soft limit ends, from the first try on: who has less time left than others, but more than
+        that limit, tries again or met a stall."""
         times = self.patience.setdefault(task.category, deque(maxlen=SAMPLES))
         times.append(task.cut_off - self.desk.now)
         age = max(times) - times[-1] if times[-1] >= task.category.soft_limit else 0
@@ -680,8 +681,7 @@
         return max(state.asked + ASK - now, 0)
 
     def heard(self, peer: int, word: Word) -> None:
-        """Another gateway gives units of a limit, or asks and gets half of what is here at most, and nothing
-        where no task of the volume came: there may be no part here. Or it greets."""
+        """Another gateway gives units, asks for some (half at most; none where no task came) or greets."""
         if word.volume is None:
             if not (long := self.desk.now >= self.born + NEW):
                 self.new = self.new is not False and not word.units
--- a/tests/brain/test_brain.py
+++ b/tests/brain/test_brain.py
@@ -136,7 +136,7 @@
     sent = 0.0
     for now in range(start, start + COLD.span, 100):
         for young in every:
-            while young.room(at, now, units):
+            while young.room(at, now, units, 0):
                 young.credit -= units
                 sent += units
     return sent
@@ -146,7 +146,7 @@
 def test_a_young_store_gets_a_fifth_evenly(gateways, age, part):
     young, at, start = Young(COLD, gateways, 0, 1.0), store(started=1_000), 1_000 + age
     assert part - 1.0 <= sent_in_a_span([young], at, start, 0.1) <= part + 1.5
-    assert young.room(at, 1_000 + 190_000, 1e6)
+    assert young.room(at, 1_000 + 190_000, 1e6, 0)
 
 
 def asked_of(brain, desk, node, volume, units=2.0, shard=0):
@@ -168,7 +168,7 @@
     node = brain.nodes[at]
     if clear:
         heard(node, 100, 100)
-    node.young.room(at, desk.now, 8.0)
+    node.young.room(at, desk.now, 8.0, 0)
     node.out = 99  # nothing leaves
     earned = asked_of(brain, desk, node, Volume("v", replace(PLAN, rate=100.0)))
     assert earned == pytest.approx(2.0 * part, rel=0.01)
@@ -179,7 +179,7 @@
     at = store(started=999_000)
     brain, desk = scheduler([at], cold=replace(COLD, always_safe=0.0), gateways=4)
     node, volume = brain.nodes[at], Volume("v", replace(PLAN, rate=4.0), gateways=2.0)
-    node.young.room(at, desk.now, 8.0)
+    node.young.room(at, desk.now, 8.0, 0)
     node.young.largest, node.out = 1e9, 99
     again = task(desk)
     again.again = True
@@ -212,10 +212,10 @@
 def test_credit_stays_where_one_start_is_told_twice(again, credit):
     """Guards against the list and the store that tell of one start a little apart: credit would begin anew."""
     young, at = Young(COLD, 1, 0, 8.0), store(started=500_000)
-    young.room(at, 509_000, 1.0)
+    young.room(at, 509_000, 1.0, 0)
     young.credit = 5.0
     at.started += again
-    young.room(at, 509_000 + again, 1.0)
+    young.room(at, 509_000 + again, 1.0, 0)
     assert (young.credit >= 5.0) is credit
 
 
@@ -242,7 +242,7 @@
     at = store(started=999_000)
     brain, desk = scheduler([at], cold=ColdRule(0.2, 180_000, 2.5, 10_000, 8.0))
     node = brain.nodes[at]
-    node.young.room(at, desk.now, 2.0)
+    node.young.room(at, desk.now, 2.0, 0)
     node.young.credit = 2.0 * node.young.phase - 0.03
     again = task(desk)
     again.again = True  # it earns nothing
@@ -261,7 +261,7 @@
     brain, desk = scheduler([at], cold=ColdRule(0.2, 180_000, 2.5, 10_000, 8.0))
     desk.now = 505_000
     node = brain.nodes[at]
-    node.young.room(at, desk.now, 8.0)
+    node.young.room(at, desk.now, 8.0, 0)
     assert node.young.credit > 0
     for _ in range(2):
         sent = task(desk)
@@ -572,10 +572,30 @@
         sent = task(desk)
         node.sent[sent] = desk.now
         node.learn(sent, outcome(how))
-    assert node.young.room(at, desk.now, 4.1) is room
+    assert node.young.room(at, desk.now, 4.1, 0) is room
     assert node.usable() is (hows[0] is How.RESET)
 
 
+def test_a_store_that_answers_and_of_which_no_start_was_told_had_not_started():
+    """Guards against a cut link that leaves a warm store with what a cold one gets, for all the time of warming."""
+    at = store()
+    brain, desk = scheduler([at], cold=ColdRule(0.2, 180_000, 2.5, 10_000, 8.0))
+    node, failed = brain.nodes[at], desk.now
+    for how in (How.NO_CONNECTION, How.NO_CONNECTION):
+        sent = task(desk)
+        node.sent[sent] = desk.now
+        node.learn(sent, outcome(how))
+    assert not node.young.room(at, failed + 60_000, 1e6, node.proof)  # it has not answered
+    desk.now += 10_000
+    sent = task(desk)
+    node.sent[sent] = desk.now
+    node.learn(sent, outcome(How.DELIVERED))
+    assert not node.young.room(at, failed + 59_999, 1e6, node.proof)  # a start may still be told
+    assert node.young.room(at, failed + 60_000, 1e6, node.proof)
+    at.started = failed - 100  # it was told
+    assert not node.young.room(at, failed + 60_000, 1e6, node.proof)
+
+
 def test_a_node_out_of_date_is_judged_well_again():
     at = store()
     brain, desk = scheduler([at])
