Read over: fields nobody reads, state that follows from other state and twins are gone

Agreement: started was read by nobody, told followed from ended, a proposal's number from the view; what voters are asked is made in one place, and that only voters' words count is asked in one. Liveness: when a probe was sent was read by nobody, how late a reminder is was worked out twice. Watchers: one way to do what is due, one for medians. One check of ranges for the command line. Module: a node's birth was read only by the pace that went with past use.

--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -153,7 +153,7 @@
         self.earn = self.full_earn = self.has = self.paid = 0.0  # paid: all slices so far, of one line
         self.count = self.notes = self.first = 0  # first: where the next round of slices starts
         self.bucket, self.out, self.tokens_out, self.held, self.held_tokens = 0.0, 0, 0.0, 0, 0.0
-        self.born = self.heard = self.accrued = self.reset_at = desk.now
+        self.heard = self.accrued = self.reset_at = desk.now
         self.sent: dict[Task, int] = {}  # hand-offs out, in order, with their times
         self.grants: deque[tuple[int, float]] = deque(maxlen=SAMPLES)  # the last hand-offs: when, tokens
         self.lags: deque[tuple[int, int, float]] = deque(maxlen=SAMPLES)  # when, lag, units
--- a/tansykeel/cli/fleet.py
+++ b/tansykeel/cli/fleet.py
@@ -12,6 +12,12 @@
 MOST_GATEWAYS = 5
 
 
+def legal(name: str, value: float, least: float, most: float | None = None) -> None:
+    """Raises Exit with one clear error where an option is out of its range."""
+    if value < least or most is not None and value > most:
+        fail(f"--{name} {value}: legal: {least} " + ("at least" if most is None else f"to {most}"))
+
+
 @app.callback()
 def fleet() -> None:
     """Gateways that know each other."""
@@ -32,8 +38,7 @@
 
     for name, value, least, most in (("gateways", gateways, 2, 2_000), ("seconds", seconds, 6, 3_600),
                                      ("loss", loss, 0, 0.9), ("stalled", stalled, 0, 0.9), ("dead", dead, 0, 6)):
-        if not least <= value <= most:
-            fail(f"--{name} {value}: legal: {least} to {most}")
+        legal(name, value, least, most)
     if dead >= gateways:
         fail(f"--dead {dead}: legal: fewer than the {gateways} gateways")
     seen = watched(Trial(gateways, seconds, loss, stalled, dead=dead), seed)
@@ -68,12 +73,11 @@
     from tansykeel.fleet.search import search as every_order
     from tansykeel.fleet.views import Agreement
 
-    if not 2 <= gateways <= MOST_GATEWAYS:
-        fail(f"--gateways {gateways}: legal: 2 to {MOST_GATEWAYS}")
-    for name, value in (("states", states), ("crashes", crashes), ("restarts", restarts), ("proposals", proposals),
-                        ("forms", forms), ("ticks", ticks), ("events", events)):
-        if value < (name == "states"):
-            fail(f"--{name} {value}: legal: {int(name == 'states')} at least")
+    legal("gateways", gateways, 2, MOST_GATEWAYS)
+    legal("states", states, 1)
+    for name, value in (("crashes", crashes), ("restarts", restarts), ("proposals", proposals), ("forms", forms),
+                        ("ticks", ticks), ("events", events)):
+        legal(name, value, 0)
     first = agreed(tuple("abcde"[:gateways]), SMALL, Agreement)
     bounds = Bounds(ticks, proposals, crashes, restarts, forms, events, states)
     for how, found in (("every order, deepest first", every_order(first, bounds, seed)),
--- a/tansykeel/emulator/watching.py
+++ b/tansykeel/emulator/watching.py
@@ -11,7 +11,7 @@
 import numpy
 
 from tansykeel.emulator.engine import START, Engine
-from tansykeel.fleet.keeper import Any, Keeper, Place
+from tansykeel.fleet.keeper import Keeper, Place, Said
 from tansykeel.fleet.liveness import SECOND, Pace, Seems
 from tansykeel.fleet.views import Member, Terms
 from tansykeel.rehearse.load import stream
@@ -96,27 +96,27 @@
         for name in self.names:
             self._arm(name)
         span = trial.seconds * 10**6
-        first = self.first
         for n in range(trial.dead):
-            self.engine.at(first + n * span // 6, self._die, self.names[-1 - n])
-        self.engine.at(first, self._sample)
+            self.engine.at(self.first + n * span // 6, self._die, self.names[-1 - n])
+        self.engine.at(self.first, self._sample)
         for name in sorted(self.stalls):
-            self._stall_at(first + int(self.chance.random() * 10**7), name)
-        if not self.engine.run(first + span, MOST_EVENTS):
+            self._stall_at(self.first + int(self.chance.random() * 10**7), name)
+        if not self.engine.run(self.first + span, MOST_EVENTS):
             raise RuntimeError(f"{trial} did not end within {MOST_EVENTS} events")
-        took = numpy.array([at - self.died[dead] for dead, by in self.known.items() for at in by.values()]) / SECOND
-        gone = numpy.array([at - self.died[dead] for dead, by in self.without.items() for at in by.values()]) / SECOND
         hours = trial.gateways * trial.seconds / 3600
         pairs = len(self.died) * (trial.gateways - len(self.died))
         heard = sum(name not in self.died for by in self.known.values() for name in by)
-        return Seen(float(numpy.median(took)) if len(took) else 0.0,
-                    float(numpy.quantile(took, 0.99)) if len(took) else 0.0, pairs - heard,
+        return Seen(*self._since_death(self.known), pairs - heard,
                     len(self.suspicions) / hours, len(self.deaths) / hours,
                     self.bytes / trial.gateways / (trial.seconds / 2),
-                    float(numpy.median(gone)) if len(gone) else 0.0,
-                    float(numpy.quantile(gone, 0.99)) if len(gone) else 0.0, len(self.numbers), float(self.most),
+                    *self._since_death(self.without), len(self.numbers), float(self.most),
                     sum(self.sums) / len(self.sums) if self.sums else 0.0)
 
+    def _since_death(self, by_dead: dict[str, dict[str, int]]) -> tuple[float, float]:
+        """Seconds from a death until other gateways' times, their median and 99th; 0 where there are none."""
+        took = [(at - self.died[dead]) / SECOND for dead, by in by_dead.items() for at in by.values()]
+        return (float(numpy.median(took)), float(numpy.quantile(took, 0.99))) if took else (0.0, 0.0)
+
     def _arm(self, name: str) -> None:
         self.engine.at(max(self.all[name].due() * TENTH, self.engine.now + TENTH), self._tick, name)
 
@@ -126,12 +126,10 @@
         if (until := self.until.get(name, 0)) > self.engine.now:
             self.engine.at(until + 1, self._tick, name)
             return
-        if self.now() >= self.all[name].due():
-            self._send(name, self.all[name].tick(self.now(), self.wall_ms()))
-            self._look(name)
+        self._do_due(name)
         self._arm(name)
 
-    def _send(self, name: str, words: list[tuple[str, Any]]) -> None:
+    def _send(self, name: str, words: list[tuple[str, Said]]) -> None:
         sender = self.all[name].me
         for to, word in words:
             if self.engine.now >= self.half:
@@ -140,7 +138,7 @@
                 way = int(self.trial.way_ms * 1000 * (0.5 + self.chance.random()))
                 self.engine.after(way, self._arrive, to, sender, word)
 
-    def _arrive(self, to: str, sender: Member, word: Any) -> None:
+    def _arrive(self, to: str, sender: Member, word: Said) -> None:
         if to in self.died:
             return
         if (until := self.until.get(to, 0)) > self.engine.now:
@@ -152,7 +150,11 @@
 
     def _due(self, name: str) -> None:
         """A probe made on another's word may be due before this gateway's own next reminder."""
-        if name not in self.died and self.until.get(name, 0) <= self.engine.now and self.now() >= self.all[name].due():
+        if name not in self.died and self.until.get(name, 0) <= self.engine.now:
+            self._do_due(name)
+
+    def _do_due(self, name: str) -> None:
+        if self.now() >= self.all[name].due():
             self._send(name, self.all[name].tick(self.now(), self.wall_ms()))
             self._look(name)
 
--- a/tansykeel/fleet/keeper.py
+++ b/tansykeel/fleet/keeper.py
@@ -26,8 +26,8 @@
     weight: int = 1
 
 
-Any = Word | Message
-Sent = tuple[str, Any]
+Said = Word | Message
+Sent = tuple[str, Said]
 
 
 class Keeper:
@@ -62,7 +62,7 @@
             sent += self._change(now, wall_ms)
         return sent
 
-    def heard(self, now: int, sender: Member, message: Any) -> list[Sent]:
+    def heard(self, now: int, sender: Member, message: Said) -> list[Sent]:
         # Guards against one that starts anew and learns of no other's life, for that news was told long ago.
         self.liveness.met(now, sender.name, sender.incarnation)
         if isinstance(message, Ping | Ack | Try | NoAnswer):
--- a/tansykeel/fleet/liveness.py
+++ b/tansykeel/fleet/liveness.py
@@ -104,7 +104,6 @@
     """One gateway's turn to be pinged; `asked_for`: whose helper this is, and under which number."""
 
     other: Other
-    sent: int
     due: int
     helped: bool = False
     silent: int = 0  # helpers that have said nothing yet
@@ -146,7 +145,7 @@
     def tick(self, now: int) -> list[Sent]:
         late = now - self.due()
         if late > self.pace.answer:
-            return self._slept(now)
+            return self._slept(now, late)
         sent: list[Sent] = []
         for seq, probe in [(s, p) for s, p in self.probes.items() if now >= p.due]:
             sent += self._unanswered(now, seq, probe)
@@ -188,19 +187,18 @@
 
     # Within
 
-    def _slept(self, now: int) -> list[Sent]:
+    def _slept(self, now: int, late: int) -> list[Sent]:
         """Guards against a gateway that stood still and finds all its probes overdue: it was not they who were away."""
         self._doubts(self.pace.doubts)
-        slept = now - self.due()
         self.probes.clear()
-        self.ends = {other: end + slept for other, end in self.ends.items()}
+        self.ends = {other: end + late for other, end in self.ends.items()}
         self.next_ping = now + 1
         return []
 
     def _ping(self, now: int, other: Other, asked_for: tuple[str, int] | None) -> Sent:
         self.seq += 1
         wait = self.pace.answer * (1 if asked_for else 1 + self.doubt)
-        self.probes[self.seq] = Probe(other, now, now + wait, asked_for=asked_for)
+        self.probes[self.seq] = Probe(other, now + wait, asked_for=asked_for)
         return other.name, Ping(self.seq, self._news(other.name))
 
     def _unanswered(self, now: int, seq: int, probe: Probe) -> list[Sent]:
--- a/tansykeel/fleet/views.py
+++ b/tansykeel/fleet/views.py
@@ -168,7 +168,8 @@
 
 @dataclass(slots=True)
 class Proposal:
-    number: int
+    """For the successor of the present view; it goes with that."""
+
     ballot: Ballot
     view: View
     promises: set[Member] = field(default_factory=set)
@@ -176,12 +177,16 @@
     accepted: set[Member] = field(default_factory=set)
     asking: bool = False  # past the promises: the view is settled and acceptance asked for
 
+    def word(self, number: int) -> Prepare | Accept:
+        """What the voters of view `number` are asked now."""
+        return Accept(number, self.ballot, self.view) if self.asking else Prepare(number, self.ballot)
+
 
 class Agreement:
     """One gateway's side of it. Each call gives what is to be sent; whatever is lost is asked for again by `renew`."""
 
     def __init__(self, me: Member, names: tuple[str, ...], terms: Terms, now: int) -> None:
-        self.me, self.names, self.terms, self.started = me, names, terms, now
+        self.me, self.names, self.terms = me, names, terms
         self.view: View | None = None
         self.active = False  # no lease on an earlier view can count any more
         self.was = Fraction(0)  # its part of the view that decided the present one
@@ -190,7 +195,6 @@
         self.ends = now  # the same for earlier views; what an earlier life granted binds no one but that life
         self.grants: dict[Member, int] = {}  # of the present view: until when each counts here
         self.ended: dict[Member, int] = {}  # by member: under which number nothing is granted any more
-        self.told = 0  # the number up to which all others were told that grants are over
         self.promised, self.accepted = NONE, NONE  # for the successor of the present view
         self.next: View | None = None
         self.formed: View | None = None  # the formed view with the highest number that was taken up
@@ -203,6 +207,11 @@
     def number(self) -> int:
         return self.view.number if self.view else 0
 
+    @property
+    def latest(self) -> int:
+        """The highest number that it followed or took up."""
+        return max(self.number, self.formed.number if self.formed else 0)
+
     def leased(self, now: int) -> bool:
         """Whether a majority of the view grants this gateway its part now."""
         if self.view is None or self.me not in self.view.members:
@@ -233,10 +242,8 @@
             self.turns = (self.turns + 1) % len(others)
             sent.append((others[self.turns], Ask(self.number, now)))
         sent += self._end_grants(now)
-        if (proposal := self.proposal) and self.view:
-            word = (Accept(proposal.number, proposal.ballot, proposal.view) if proposal.asking
-                    else Prepare(proposal.number, proposal.ballot))
-            sent += self._to(self.view.voters, word)
+        if self.proposal and self.view:
+            sent += self._to(self.view.voters, self.proposal.word(self.number))
         if self.forming:
             sent += self._to(self.forming[0].members, Form(self.forming[0]))
         return sent
@@ -253,9 +260,8 @@
             return []
         ballot = max(self.promised[0], self.proposal.ballot[0] if self.proposal else 0) + 1, self.me.name
         voters = voters_of(chosen, self.terms.voters, self.view.voters)
-        self.proposal = Proposal(self.number, ballot, View(self.number + 1, chosen, voters, self.view.voters))
-        word = Prepare(self.number, ballot)
-        return self._to(self.view.voters, word) + self._to_self(now, word)
+        self.proposal = Proposal(ballot, View(self.number + 1, chosen, voters, self.view.voters))
+        return self._put(now, self.proposal, self.view)
 
     def form(self, now: int, members: Iterable[Member], stamp: int) -> list[Sent]:
         """Ask all names of the settings to take up a view of them all; `stamp` is the wall clock's, in milliseconds.
@@ -266,8 +272,7 @@
         chosen = tuple(sorted(members))
         if tuple(member.name for member in chosen) != tuple(sorted(self.names)) or self.me not in chosen:
             return []
-        number = max(stamp, self.number + 1, (self.formed.number if self.formed else 0) + 1)
-        view = View(number, chosen, voters_of(chosen, self.terms.voters))
+        view = View(max(stamp, self.latest + 1), chosen, voters_of(chosen, self.terms.voters))
         if not self._takes_up(now, view):
             return []
         self.formed, self.forming = view, (view, {self.me})
@@ -305,13 +310,14 @@
             return [(sender.name, Ask(self.number, now))]  # which will be refused, with the view that is missed here
         if self.view is None or sender not in self.view.members:
             return []
+        if isinstance(message, Grant | Promise | Accepted) and sender not in self.view.voters:
+            return []
         match message:
             case Ask():
                 return self._grant(now, sender, message)
             case Grant(_, at, active):
-                if sender in self.view.voters:
-                    self.grants[sender] = max(self.grants.get(sender, 0), at + self.terms.holds())
-                    self.active = self.active or active
+                self.grants[sender] = max(self.grants.get(sender, 0), at + self.terms.holds())
+                self.active = self.active or active
                 return []
             case Prepare() | Accept():
                 answer = self._vote(message)
@@ -335,10 +341,10 @@
     def key(self) -> tuple[object, ...]:
         """All that decides what it will do: equal for two that can't be told apart."""
         asked = self.proposal
-        proposal = asked and (asked.number, asked.ballot, asked.view, frozenset(asked.promises), asked.highest,
+        proposal = asked and (asked.ballot, asked.view, frozenset(asked.promises), asked.highest,
                               frozenset(asked.accepted), asked.asking)
-        return (self.me, self.started, self.view, self.active, self.bound, self.ends, frozenset(self.grants.items()),
-                frozenset(self.ended.items()), self.told, self.was, self.turns, self.promised, self.accepted, self.next,
+        return (self.me, self.view, self.active, self.bound, self.ends, frozenset(self.grants.items()),
+                frozenset(self.ended.items()), self.was, self.turns, self.promised, self.accepted, self.next,
                 self.formed, proposal, self.forming and (self.forming[0], frozenset(self.forming[1])))
 
     # Within
@@ -346,10 +352,11 @@
     def _to(self, members: Iterable[Member], message: Message) -> list[Sent]:
         return [(member.name, message) for member in members if member.name != self.me.name]
 
-    def _to_self(self, now: int, message: Message) -> list[Sent]:
-        """Its own vote, without a way, if it has one."""
-        sent = []
-        for _, answer in self.heard(now, self.me, message):
+    def _put(self, now: int, proposal: Proposal, view: View) -> list[Sent]:
+        """Ask the voters of the present view; its own vote, if it has one, is there without a way."""
+        word = proposal.word(view.number)
+        sent = self._to(view.voters, word)
+        for _, answer in self.heard(now, self.me, word):
             sent += self.heard(now, self.me, answer)
         return sent
 
@@ -376,20 +383,17 @@
         proposal, view = self.proposal, self.view
         if proposal is None or view is None or proposal.asking or promise.ballot != proposal.ballot:
             return []
-        if sender not in view.voters:
-            return []
         if promise.view and promise.accepted > proposal.highest:
             proposal.highest, proposal.view = promise.accepted, promise.view
         proposal.promises.add(sender)
         if len(proposal.promises) < majority(view.voters):
             return []
         proposal.asking = True
-        word = Accept(proposal.number, proposal.ballot, proposal.view)
-        return self._to(view.voters, word) + self._to_self(now, word)
+        return self._put(now, proposal, view)
 
     def _accepted(self, now: int, sender: Member, accepted: Accepted) -> list[Sent]:
         proposal, view = self.proposal, self.view
-        if proposal is None or view is None or accepted.ballot != proposal.ballot or sender not in view.voters:
+        if proposal is None or view is None or accepted.ballot != proposal.ballot:
             return []
         proposal.accepted.add(sender)
         if len(proposal.accepted) < majority(view.voters):
@@ -401,10 +405,9 @@
 
     def _takes_up(self, now: int, view: View) -> bool:
         """A formed view: by who is in it, knows of nothing later, and has no working view to lose."""
-        latest = max(self.number, self.formed.number if self.formed else 0)
         # Guards against a formed view that never counts, for a member of it died before it ended its grants.
         works = self.active and self.leased(now)
-        return self.me in view.members and view.number > latest and not works
+        return self.me in view.members and view.number > self.latest and not works
 
     def _all_formed(self, now: int) -> list[Sent]:
         if self.forming is None or len(self.forming[1]) < len(self.names):
@@ -428,12 +431,12 @@
 
     def _end_grants(self, now: int) -> list[Sent]:
         """Once all that was granted for earlier views is over: say so. Repeated, for words get lost."""
-        if self.view is None or self.active and self.told >= self.number:
+        said = self.ended.get(self.me, 0) >= self.number
+        if self.view is None or self.active and said:
             return []
-        if self.told < self.number:
+        if not said:
             if now < self.ends:
                 return []
-            self.told = self.number
             self.ended[self.me] = self.number
             self._look()
         enders, _ = self.view.enders()
