Gateways on sockets watch each other and agree on views, over one connection a pair

peers(agree = True) runs the keeper of tansykeel/fleet on the program's clock: a new record WATCH on the frames there are, one connection a pair (of two opened at once that of the lower number stays), an outbox a gateway with bounded lines by urgency that drops what is too late. A gateway that ends says so, so that nobody waits until it is missed. 'tansykeel fleet status' asks a running gateway (records FLEET_ASK, FLEET_TOLD). View, lease and suspicions are structured log events.

--- a/tansykeel/audit/join.py
+++ b/tansykeel/audit/join.py
@@ -10,6 +10,7 @@
     AnyRecord,
     Arrived,
     Began,
+    Counted,
     Ended,
     Fell,
     Gave,
@@ -18,6 +19,7 @@
     Lagged,
     Listed,
     Ran,
+    Said,
     Sent,
     Stood,
     Told,
@@ -85,6 +87,8 @@
         self.killed: dict[str, list[int]] = defaultdict(list)
         self.lagged: dict[str, list[Lagged]] = defaultdict(list)
         self.troubles: list[Trouble] = []
+        self.counted: list[Counted] = []
+        self.said: list[Said] = []
 
     def stood_at(self, edge: str, at: int, slack: int) -> Stood | None:
         """The stop of an edge's process that covers a moment, if one does; `slack` microseconds after it count too."""
@@ -117,6 +121,10 @@
                 passed.killed[record.edge].append(record.at)
             case Trouble():
                 passed.troubles.append(record)
+            case Counted():
+                passed.counted.append(record)
+            case Said():
+                passed.said.append(record)
     open_at: dict[tuple[str, int, int], HandOff] = {}
     for record in records:
         match record:
--- a/tansykeel/audit/records.py
+++ b/tansykeel/audit/records.py
@@ -154,8 +154,30 @@
     edge: str
 
 
+class Counted(Record):
+    """A gateway's own word for what it counts as its part of any whole, until a moment (0: for good, it is safe)."""
+
+    edge: str
+    life: int
+    view: int
+    part: int  # over `whole`
+    whole: int
+    until: int
+
+
+class Said(Record):
+    """A word of one gateway to another, seen between the two: when it came by, and when it went on, 0 for never."""
+
+    passed: int
+    edge: str
+    life: int
+    hearer: str
+    what: str
+    word: bytes
+
+
 AnyRecord = (Sent | Got | Gave | Lagged | Up | Arrived | Began | Ran | Told | Ended | Fell | Listed | Trouble | Stood
-             | Killed)
+             | Killed | Counted | Said)
 
 
 class Recorder:
--- a/tansykeel/cli/fleet.py
+++ b/tansykeel/cli/fleet.py
@@ -6,7 +6,7 @@
 
 import typer
 
-from tansykeel.cli.words import BROKEN, fail
+from tansykeel.cli.words import BROKEN, NOT_PLAYED, fail
 
 app = typer.Typer(no_args_is_help=True, help="Gateways that know each other.")
 MOST_GATEWAYS = 5
@@ -23,6 +23,39 @@
     """Gateways that know each other."""
 
 
+@app.command()
+def status(
+    address: Annotated[str, typer.Argument(help="where a running gateway listens", metavar="HOST:PORT")],
+    json_: Annotated[bool, typer.Option("--json", help="for machines")] = False,
+    timeout: Annotated[float, typer.Option(help="seconds")] = 5.0,
+) -> None:
+    """What a running gateway believes of its fleet: view, lease, part, who seems to be there, connections.
+
+    Exit code 1 where it holds no lease: it has its safe part alone. 3 where it does not answer.
+    """
+    import asyncio
+    import json
+
+    import msgspec
+
+    from tansykeel.cli.show import fellows
+    from tansykeel.edge.ask import NotTold, ask
+
+    legal("timeout", timeout, 0.1, 600)
+    try:
+        told = asyncio.run(ask(address, timeout))
+    except NotTold as error:
+        fail(f"{address}: {error}", NOT_PLAYED)
+    if json_:
+        names = told.__struct_fields__
+        rows = [dict(zip(other.__struct_fields__, msgspec.to_builtins(other), strict=True)) for other in told.others]
+        typer.echo(json.dumps(dict(zip(names, msgspec.to_builtins(told), strict=True)) | {"others": rows}))
+    else:
+        fellows(told)
+    if not told.leased:
+        raise typer.Exit(BROKEN)
+
+
 @app.command()
 def watch(
     gateways: Annotated[int, typer.Option(help="2 to 2,000")] = 50,
--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -95,6 +95,7 @@
     metrics: Annotated[int, typer.Option(help="port for metrics on loopback, 0: none")] = 0,
     send_at_once: Annotated[bool, typer.Option(hidden=True)] = False,
     leashed: Annotated[bool, typer.Option(help="end with standard input, as with SIGTERM", hidden=True)] = False,
+    record: Annotated[Path | None, typer.Option(help="file for the parts it counts on", hidden=True)] = None,
 ) -> None:
     """Run a gateway until SIGTERM."""
     from tansykeel.baselines import SendAtOnce
@@ -122,7 +123,8 @@
         if trace:
             from tansykeel.edge.trace import Trace
             tracing = Trace(f"{made.gateway.name}-{number}", trace, trace_share)
-        program = Edge(made, facts, seed, tracing, max(sample, 1), SendAtOnce if send_at_once else Scheduler)
+        program = Edge(made, facts, seed, tracing, max(sample, 1), SendAtOnce if send_at_once else Scheduler,
+                       recorder_of(record) if record else None)
         if metrics:
             from tansykeel.cli.metrics import serve
             serve(program, metrics)
@@ -136,6 +138,18 @@
     raise typer.Exit(code)
 
 
+def recorder_of(path: Path) -> Callable[..., None]:
+    """Writes down at once what a gateway counts on: guards against a kill that takes the last of it along."""
+    from tansykeel.audit.records import Counted, Recorder
+
+    recorder = Recorder(path)
+
+    def counted(at: int, edge: str, life: int, number: int, part: Any, until: int) -> None:
+        recorder.add(Counted(at, edge, life, number, part.numerator, part.denominator, until))
+        recorder.flush()
+    return counted
+
+
 @app.command()
 def store(
     name: Annotated[str, typer.Option()],
--- a/tansykeel/cli/show.py
+++ b/tansykeel/cli/show.py
@@ -8,6 +8,7 @@
 from rich.table import Table
 
 from tansykeel.audit.report import Verdict
+from tansykeel.protocol.frames import FleetTold
 from tansykeel.rehearse.day import load_day
 from tansykeel.rehearse.play import folders
 from tansykeel.settings.script import ScriptError
@@ -51,3 +52,22 @@
     if verdict.service < verdict.least_service:
         console.print(f"[red]service {verdict.service:.3f} is under {verdict.least_service:.3f}[/red], "
                       "which good looks like")
+
+
+def fellows(told: FleetTold) -> None:
+    """What one gateway believes of its fleet."""
+    console = Console()
+    lease = f"lease for {told.leased / 1e6:.1f} s more" if told.leased else "no lease: its safe part alone"
+    view = f"view {told.number}{'' if told.active else ' (not active yet)'}" if told.number else "no view yet"
+    console.print(f"[bold]{told.name}[/bold]: {view}, {lease}, part {told.part:.4f} of any whole, doubts itself: "
+                  f"{told.doubt}", highlight=False)
+    rows = Table("gateway", "zone", "in view", "seems", "for, s", "suspected by", "link", "waiting", "dropped", box=None)
+    there = {name: life for name, life in told.members}
+    for other in told.others:
+        here = there.get(other.name)
+        member = "no" if here is None else "voter" if other.name in told.voters else "yes"
+        if here is not None and here != other.life:
+            member += " (an earlier life)"
+        rows.add_row(other.name, str(other.zone), member, other.seems, f"{other.since / 1e6:.1f}",
+                     ", ".join(other.suspected_by), other.link, str(other.waiting), str(other.dropped))
+    console.print(rows)
--- /dev/null
+++ b/tansykeel/edge/fellows.py
@@ -0,0 +1,142 @@
+"""A running gateway among its fellows: the keeper on the program's clock and connections, and what is logged of it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from fractions import Fraction
+from random import Random
+from typing import Any
+
+from tansykeel.edge.clock import EPOCH, Reminder, clock
+from tansykeel.edge.peers import Peers
+from tansykeel.fleet.keeper import Keeper, Place, Said
+from tansykeel.fleet.liveness import Pace, Seems
+from tansykeel.fleet.outbox import Urgency
+from tansykeel.fleet.views import Member, Terms, View
+from tansykeel.fleet.words import number_of, packed, unpacked, urgency_of
+from tansykeel.protocol.frames import Fellow, FleetTold, Hello, ProtocolError, Watch
+from tansykeel.settings.records import PeersOf
+
+MS, MICROS = 10, 100  # tenths in a millisecond, microseconds in a tenth
+SEEMS = {Seems.ALIVE: "alive", Seems.SUSPECT: "suspect", Seems.DEAD: "dead"}
+Counted = Callable[[int, str, int, int, Fraction, int], None]  # at, who, life, view, part, until; microseconds
+
+
+def names_of(name: str, settings: PeersOf) -> list[str]:
+    return [f"{name}-{number}" for number in range(len(settings.addresses))]
+
+
+def keeper_of(settings: PeersOf, names: list[str], me: int, life: int, chance: Random, now: int) -> Keeper:
+    """The keeper that the settings ask for; times in tenths. Pings are answered within a third of their pace."""
+    places = {name: Place(settings.zones[n] if settings.zones else 0, settings.weights[n] if settings.weights else 1)
+              for n, name in enumerate(names)}
+    ping = int(settings.ping_ms * MS)
+    pace = Pace(period=ping, answer=max(ping * 3 // 10, 1), steady=2 * ping, forgives=60 * ping)
+    return Keeper(names[me], places, life, pace, Terms(int(settings.lease_ms * MS), settings.drift), chance, now)
+
+
+class Fellows:
+    """`counted` hears of each change of what this gateway counts as its own."""
+
+    def __init__(self, settings: PeersOf, names: list[str], me: int, hello: Hello, seed: int, peers: Peers, log: Any,
+                 wall_ms: Callable[[], int], counted: Counted | None = None) -> None:
+        self.names, self.peers, self.log, self.wall_ms, self.counted = names, peers, log, wall_ms, counted
+        self.numbers = {name: number for number, name in enumerate(names)}
+        self.keeper = keeper_of(settings, names, me, hello.boot, Random(f"{seed} {hello.boot}"), clock())
+        self.reminder = Reminder(self._tick)
+        self.seems = dict.fromkeys(names, Seems.ALIVE)
+        self.view: View | None = None
+        self.leased = self.ended = False
+        self.told: tuple[int, Fraction, int] | None = None
+
+    def start(self) -> None:
+        self._done(clock(), [])
+
+    def leave(self) -> None:
+        self._done(clock(), self.keeper.leave(clock()))
+
+    def end(self) -> None:
+        self.ended = True
+
+    def heard(self, hello: Hello, watch: Watch) -> None:
+        """A word of the gateway that said this hello. Raises ProtocolError for one that is none."""
+        if self.ended or hello.name not in self.numbers or hello.name == self.keeper.me.name:
+            return
+        try:
+            word = unpacked(watch.what, watch.word)
+        except ValueError as error:
+            raise ProtocolError(f"WATCH: {error}") from None
+        place, now = self.keeper.places[hello.name], clock()
+        self._done(now, self.keeper.heard(now, Member(hello.name, hello.boot, place.zone, place.weight), word))
+
+    def told_of(self) -> FleetTold:
+        """What this gateway believes, for an operator."""
+        now, keeper = clock(), self.keeper
+        agreement, view = keeper.agreement, keeper.agreement.view
+        others = []
+        for other in keeper.liveness.others.values():
+            peer = self.peers.by_name[other.name]
+            others.append(Fellow(
+                other.name, keeper.places[other.name].zone, SEEMS[other.seems] if other.life else "unseen",  # type: ignore[arg-type]
+                (now - other.since) * MICROS, other.life, tuple(sorted(other.suspected_by)),
+                peer.state(), len(peer.outbox), sum(peer.outbox.dropped.values())))  # type: ignore[arg-type]
+        return FleetTold(
+            keeper.me.name, keeper.me.incarnation, agreement.number, agreement.active,
+            max(agreement.until() - now, 0) * MICROS, float(agreement.part(now)), keeper.liveness.doubt,
+            tuple((m.name, m.incarnation) for m in view.members) if view else (),
+            tuple(v.name for v in view.voters) if view else (), tuple(others))
+
+    # Within
+
+    def _tick(self, now: int) -> None:
+        if self.ended:
+            return
+        sent: list[tuple[str, Said]] = []
+        if now >= self.keeper.due():
+            sent = self.keeper.tick(now, self.wall_ms())
+        self._done(now, sent)
+
+    def _done(self, now: int, sent: list[tuple[str, Said]]) -> None:
+        self._look(now)
+        for name, word in sent:
+            self.peers.tell(self.numbers[name], urgency_of(word), Watch(*packed(word)))
+        self.reminder.set(max(self.keeper.due(), now + 1))
+
+    def _look(self, now: int) -> None:
+        """Say what changed since it was looked at last."""
+        agreement = self.keeper.agreement
+        if agreement.view is not self.view:
+            self._followed(self.view, agreement.view)
+            self.view = agreement.view
+        if (leased := agreement.leased(now)) is not self.leased:
+            self.leased = leased
+            self.log.info("lease", held=leased, view=agreement.number, part=float(agreement.part(now)))
+        for other in self.keeper.liveness.others.values():
+            if other.seems is not self.seems[other.name]:
+                self.seems[other.name] = other.seems
+                self.log.info("seems", other=other.name, now=SEEMS[other.seems],
+                              suspected_by=sorted(other.suspected_by) or None, view=agreement.number)
+                if other.seems is Seems.DEAD:
+                    self.peers.by_name[other.name].drop("it is called dead")
+        told = agreement.number, agreement.part(now), agreement.until() if leased else 0
+        if self.counted and told != self.told:
+            self.told = told
+            self.counted((now - EPOCH) * MICROS, self.keeper.me.name, self.keeper.me.incarnation, told[0], told[1],
+                         max(told[2] - EPOCH, 0) * MICROS)
+
+    def _followed(self, before: View | None, view: View | None) -> None:
+        """Guards against words of an older view that wait still: their receivers would refuse them."""
+        assert view is not None
+        for peer in self.peers.others.values():
+            peer.outbox.drop(Urgency.PROMISE, lambda watch: self._older(watch, view.number))
+        was, now = set(before.members if before else ()), set(view.members)
+        left = {member.name: SEEMS[self.seems[member.name]] for member in was - now if member.name in self.seems}
+        cause = "formed by all" if not view.electors else "agreed" if before and view.number == before.number + 1 \
+            else "missed some"
+        self.log.info("view", number=view.number, cause=cause, members=len(now),
+                      joined=sorted(member.name for member in now - was), left=left or None,
+                      voters=[voter.name for voter in view.voters])
+
+    def _older(self, watch: Watch, number: int) -> bool:
+        of = number_of(unpacked(watch.what, watch.word))
+        return of is not None and of < number
--- a/tansykeel/edge/peers.py
+++ b/tansykeel/edge/peers.py
@@ -1,75 +1,140 @@
-"""Words to other gateways: one connection to each, opened with the first word. What can't be sent soon is lost, and
-the module counts on that: what a gateway gave is gone there, whether it arrives or not."""
+"""Words to other gateways: one connection a pair, opened with the first word by whoever has something to say.
+
+What can't be sent soon is lost, and everything that is said counts on that: what a gateway gave is gone there, whether
+it arrives or not, and what is promised is asked for again. Two that open a connection at once keep that of the lower
+number.
+"""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable, Iterable
+from typing import Any
 
 import msgspec
 
-from tansykeel.protocol.codec import Codec
-from tansykeel.protocol.frames import Hello, Share
+from tansykeel.edge.clock import clock
+from tansykeel.fleet.outbox import Bound, Outbox, Urgency
+from tansykeel.protocol.codec import Codec, Event, Frame
+from tansykeel.protocol.frames import Fields, Hello
 from tansykeel.settings.records import PeersOf
 from tansykeel.transport.link import Hub, Link
 from tansykeel.transport.sockets import connect
 
-MOST_WAITING = 64  # words to one gateway while its connection opens, and bytes of them while it does not read
-MOST_HELD = MOST_WAITING * 128
+SECOND = 10_000
+BOUNDS = {Urgency.LIVENESS: Bound(64, SECOND // 2), Urgency.PROMISE: Bound(64, 2 * SECOND),
+          Urgency.HINT: Bound(64, SECOND)}
+MOST_HELD = 16 << 10  # bytes that a connection holds unsent; words beyond wait, so that the urgent overtake the rest
+PUMP = 0.01  # seconds between looks at a connection that is full
+REST = 0.2  # seconds until a gateway that could not be reached is tried again
 
 
 class Peer:
     """One other gateway."""
 
-    def __init__(self, peers: Peers, address: str) -> None:
-        self.peers, self.address = peers, address
+    def __init__(self, peers: Peers, number: int, address: str) -> None:
+        self.peers, self.number, self.address = peers, number, address
         self.link: Link | None = None
+        self.dialled = False  # whether the connection was opened here
         self.opening: asyncio.Task[None] | None = None
-        self.waiting: list[Share] = []
+        self.pumping: asyncio.TimerHandle | None = None
+        self.tried = 0.0
+        self.outbox = Outbox(BOUNDS)
+
+    def tell(self, urgency: Urgency, record: Fields) -> None:
+        self.outbox.put(clock(), urgency, record)
+        self._pump()
+
+    def state(self) -> str:
+        return "up" if self._up() else "opening" if self.opening else "none"
+
+    def came(self, link: Link) -> None:
+        """It opened a connection to this gateway."""
+        mine = self.link if self._up() else None
+        if mine is not None and self.dialled and self.peers.me < self.number:
+            return  # it will take up that one instead, and close its own
+        if mine is not None and mine is not link:
+            mine.close()
+        self.link, self.dialled = link, False
+        self._pump()
 
-    def tell(self, share: Share) -> None:
+    def drop(self, why: str) -> None:
+        """Guards against a connection whose other end is gone and never said so: the next word opens another."""
         if self.link is not None and not self.link.lost:
-            if self.link.outgoing.held < MOST_HELD:
-                self.link.send(0, share)
+            self.link.abort(why)
+        self.link = None
+
+    def end(self) -> None:
+        if self.opening:
+            self.opening.cancel()
+        if self.pumping:
+            self.pumping.cancel()
+        if self.link is not None and not self.link.lost:
+            self.link.close()
+
+    def _up(self) -> bool:
+        return self.link is not None and not self.link.lost and not self.link.closing
+
+    def _pump(self) -> None:
+        self.pumping = None
+        if self._up():
+            assert self.link is not None
+            while self.link.outgoing.held < MOST_HELD and (record := self.outbox.take(clock())) is not None:
+                self.link.send(0, record)
+            if self.outbox:
+                self._pump_in(PUMP)
             return
-        if len(self.waiting) < MOST_WAITING:
-            self.waiting.append(share)
-        if self.opening is None:
-            self.opening = asyncio.get_running_loop().create_task(self._open())
+        if self.opening is None and self.outbox:
+            loop = asyncio.get_running_loop()
+            if loop.time() < self.tried + REST:
+                return self._pump_in(REST)
+            self.tried = loop.time()
+            self.opening = loop.create_task(self._open())
+
+    def _pump_in(self, seconds: float) -> None:
+        if self.pumping is None:
+            self.pumping = asyncio.get_running_loop().call_later(seconds, self._pump)
 
     async def _open(self) -> None:
-        words: list[Share] = []
         try:
             sock = await connect(self.address, self.peers.settings.connect_timeout_ms / 1000)
-            self.link = Link(self.peers.hub, sock, Codec("edge"), self.peers.hello, lambda link, event: None,
-                             lambda link, why: None)
-            words = self.waiting
         except (OSError, ValueError):
-            pass  # it is down, or its address wrong: the words are lost
+            return  # it is down, or its address wrong: the words wait until they are too late
         finally:
-            self.waiting, self.opening = [], None
-        for share in words:
-            self.tell(share)
+            self.opening = None
+        if self._up():  # it opened one meanwhile
+            sock.close()
+        else:
+            self.link, self.dialled = self.peers.link(sock), True
+        self._pump()
 
 
 class Peers:
-    """All other gateways, by number."""
+    """All other gateways, by number. `on_word(link, record)` for what they say on connections that were opened here."""
 
-    def __init__(self, settings: PeersOf, me: int, hub: Hub, hello: Hello) -> None:
-        self.settings, self.hub = settings, hub
+    def __init__(self, settings: PeersOf, names: Iterable[str], me: int, hub: Hub, hello: Hello,
+                 on_word: Callable[[Link, Any], None]) -> None:
+        self.settings, self.me, self.hub, self.on_word = settings, me, hub, on_word
         self.hello = msgspec.structs.replace(hello, role="peer")
-        self.others = {number: Peer(self, address) for number, address in enumerate(settings.addresses) if number != me}
+        self.others = {number: Peer(self, number, address) for number, address in enumerate(settings.addresses)
+                       if number != me}
+        self.by_name = {name: self.others[number] for number, name in enumerate(names) if number != me}
 
-    def tell(self, peer: int | None, share: Share) -> None:
-        if peer is not None:
-            if peer in self.others:
-                self.others[peer].tell(share)
-            return
-        for other in self.others.values():
-            other.tell(share)
+    def tell(self, peer: int | None, urgency: Urgency, record: Fields) -> None:
+        for other in self.others.values() if peer is None else filter(None, [self.others.get(peer)]):
+            other.tell(urgency, record)
+
+    def came(self, link: Link, hello: Hello) -> None:
+        if (other := self.by_name.get(hello.name)) is not None:
+            other.came(link)
+
+    def link(self, sock: Any) -> Link:
+        return Link(self.hub, sock, Codec("edge"), self.hello, self._event, lambda link, why: None)
 
     def end(self) -> None:
         for other in self.others.values():
-            if other.opening:
-                other.opening.cancel()
-            if other.link and not other.link.lost:
-                other.link.close()
+            other.end()
+
+    def _event(self, link: Link, event: Event) -> None:
+        if isinstance(event, Frame) and not isinstance(event.record, Hello):
+            self.on_word(link, event.record)
--- a/tansykeel/edge/program.py
+++ b/tansykeel/edge/program.py
@@ -13,14 +13,26 @@
 from tansykeel.brain import Scheduler
 from tansykeel.edge.clock import Reminder, clock
 from tansykeel.edge.core import Attempt, Core, Decisions, Final, Held, StillHeld
+from tansykeel.edge.fellows import Counted, Fellows, names_of
 from tansykeel.edge.listing import Listing
 from tansykeel.edge.native import Native, answer_of, bounds_of, known_of
 from tansykeel.edge.peers import Peers
 from tansykeel.edge.stores import Stores
 from tansykeel.edge.trace import Trace
+from tansykeel.fleet.outbox import Urgency
 from tansykeel.interface import Facts, Word
 from tansykeel.protocol.codec import Codec, Event, Piece
-from tansykeel.protocol.frames import Cancel, Cut, Goodbye, Hello, ProtocolError, Share, TaskOf
+from tansykeel.protocol.frames import (
+    Cancel,
+    Cut,
+    FleetAsk,
+    Goodbye,
+    Hello,
+    ProtocolError,
+    Share,
+    TaskOf,
+    Watch,
+)
 from tansykeel.settings.records import Settings
 from tansykeel.transport.link import Hub, Limits, Link
 from tansykeel.transport.sockets import accept_all, listening
@@ -33,7 +45,8 @@
     """One gateway. `serve` runs it until SIGTERM; `ready` is called with its port once it takes tasks."""
 
     def __init__(self, settings: Settings, facts: Facts, seed: int, trace: Trace | None = None,
-                 sample: int = 100, decide: Callable[..., Decisions] = Scheduler) -> None:
+                 sample: int = 100, decide: Callable[..., Decisions] = Scheduler,
+                 counted: Counted | None = None) -> None:
         self.settings, self.gateway = settings, settings.gateway
         self.log = structlog.get_logger().bind(gateway=f"{settings.gateway.name}-{facts.me}")
         self.trace, self.sample, self._logged = trace, sample, 0
@@ -49,7 +62,14 @@
         self.native = Native(settings, facts)
         self.core = Core(facts, seed, self, clock(), bounds_of(self.gateway), self.native, known_of(settings), decide)
         self.stores = Stores(self.core, self.hub, self.gateway, self.hello, clock)
-        self.peers = Peers(settings.peers, facts.me, self.hub, self.hello) if settings.peers else None
+        self.peers: Peers | None = None
+        self.fellows: Fellows | None = None
+        if settings.peers:
+            names = names_of(settings.gateway.name, settings.peers)
+            self.peers = Peers(settings.peers, names, facts.me, self.hub, self.hello, self._word)
+            if settings.peers.agree:
+                self.fellows = Fellows(settings.peers, names, facts.me, self.hello, seed, self.peers, self.log,
+                                       lambda: time.time_ns() // 1_000_000, counted)
 
     async def serve(self, ready: Callable[[int], None] = lambda port: None) -> int:
         """Take tasks until SIGTERM, then answer what is held and return the exit code."""
@@ -66,12 +86,16 @@
             if self._asked or self.settings.listing.mode == "push":
                 self.listing.ask()
         port = listener.getsockname()[1]
+        if self.fellows:
+            self.fellows.start()
         self.log.info("ready", port=port)
         ready(port)
         await self.stopping.wait()
         self.log.info("stopping", held=len(self.core.held))
         accepting.cancel()
         self.core.stop()
+        if self.fellows:
+            self.fellows.leave()
         await asyncio.sleep(0)
         listener.close()
         for link in list(self.clients):
@@ -84,6 +108,8 @@
         sweeping.cancel()
         if self.listing:
             self.listing.end()
+        if self.fellows:
+            self.fellows.end()
         if self.peers:
             self.peers.end()
         await self.hub.stop()
@@ -127,7 +153,7 @@
 
     def tell_peer(self, peer: int | None, word: Word) -> None:
         if self.peers:
-            self.peers.tell(peer, self.native.share_of(word))
+            self.peers.tell(peer, Urgency.HINT, self.native.share_of(word))
 
     def note(self, event: str, **fields: Any) -> None:
         self.log.info(event, **fields)
@@ -153,11 +179,30 @@
             case Cancel():
                 link.drop_body(event.stream)
                 self.core.left(clock(), link, event.stream)
-            case Share() as share:
-                if word := self.native.word_of(share):
-                    self.core.heard(clock(), share.sender, word)
+            case Hello() as hello:
+                if self.peers and hello.role == "peer":
+                    self.peers.came(link, hello)
+            case Share() | Watch() as word:
+                self._word(link, word)
             case Cut():
                 self.core.left(clock(), link, event.stream)
+            case FleetAsk():
+                if self.fellows is None:
+                    raise ProtocolError("FLEET_ASK: this gateway agrees with no others; legal: one whose settings have "
+                                        "peers(agree = True)")
+                link.send(event.stream, self.fellows.told_of())
+
+    def _word(self, link: Link, word: Any) -> None:
+        """Another gateway says something, on whichever connection there is."""
+        match word:
+            case Share():
+                if told := self.native.word_of(word):
+                    self.core.heard(clock(), word.sender, told)
+            case Watch():
+                if self.fellows and link.peer:
+                    self.fellows.heard(link.peer, word)
+            case Goodbye():
+                link.close()  # it ends, and would not take what is said to it any more
 
     def _gone(self, link: Link, why: str) -> None:
         self.clients.discard(link)
--- a/tansykeel/fleet/keeper.py
+++ b/tansykeel/fleet/keeper.py
@@ -58,6 +58,8 @@
             sent += self.liveness.tick(now)
         if now >= self.next_renewal:
             self.next_renewal = now + self.terms.lease // RENEWS
+            if self.liveness.leaving:  # what it holds runs out; as a voter it goes on to grant
+                return sent
             sent += self.agreement.renew(now)
             sent += self._change(now, wall_ms)
         return sent
@@ -69,6 +71,10 @@
             return list(self.liveness.heard(now, sender.name, message))
         return list(self.agreement.heard(now, sender, message))
 
+    def leave(self, now: int) -> list[Sent]:
+        """This gateway ends soon: say so, ask for no lease any more."""
+        return list(self.liveness.leave(now))
+
     # Within
 
     def _member(self, name: str, life: int) -> Member:
--- a/tansykeel/fleet/liveness.py
+++ b/tansykeel/fleet/liveness.py
@@ -115,6 +115,7 @@
         self.me, self.life, self.pace, self.chance = me, life, pace, chance
         self.others = {name: Other(name, since=now) for name in names if name != me}
         self.denials = self.doubt = self.seq = 0
+        self.leaving = False
         self.order: list[Other] = []
         self.probes: dict[int, Probe] = {}
         self.next_ping = now + chance.randrange(max(pace.period, 1))  # a fleet that starts at once is no herd
@@ -185,6 +186,11 @@
         if name in self.others and life > self.others[name].life:
             self._take(now, News(name, Seems.ALIVE, life, 0))
 
+    def leave(self, now: int) -> list[Sent]:
+        """Tell those that seem to be there that this gateway ends: nobody needs to wait until it is missed."""
+        self.leaving = True
+        return [self._ping(now, other, None) for other in self.others.values() if other.seems is Seems.ALIVE]
+
     # Within
 
     def _slept(self, now: int, late: int) -> list[Sent]:
@@ -241,6 +247,8 @@
     def _take(self, now: int, news: News) -> None:
         """News of a gateway, old or new: what is later of its lives, then its denials, then the worse word, holds."""
         if news.name == self.me:
+            if self.leaving:
+                return
             if news.seems is not Seems.ALIVE and (news.life, news.denials) >= (self.life, self.denials):
                 self.denials = max(self.denials, news.denials) + 1 if news.life == self.life else self.denials + 1
                 self._doubts(1)
@@ -284,6 +292,8 @@
         def order(told: tuple[News, int]) -> tuple[bool, int]:
             # Guards against denials that come too late: a fleet that starts has hundreds of greetings to tell.
             return told[0].seems is Seems.ALIVE and not told[0].denials, told[1]
+        if self.leaving:  # guards against its own farewell that is crowded out, or told too often to go on
+            return (News(self.me, Seems.DEAD, self.life, self.denials, self.me),)
         first = sorted(self.telling.values(), key=order)[:self.pace.news]
         for news, times in first:
             if times + 1 >= most:
--- a/tansykeel/fleet/views.py
+++ b/tansykeel/fleet/views.py
@@ -212,11 +212,16 @@
         """The highest number that it followed or took up."""
         return max(self.number, self.formed.number if self.formed else 0)
 
+    def until(self) -> int:
+        """When a majority of the view does not grant this gateway its part any more, unless it grants it anew."""
+        if self.view is None or self.me not in self.view.members:
+            return NEVER
+        needed = majority(self.view.voters)
+        return sorted(self.grants.values(), reverse=True)[needed - 1] if len(self.grants) >= needed else NEVER
+
     def leased(self, now: int) -> bool:
         """Whether a majority of the view grants this gateway its part now."""
-        if self.view is None or self.me not in self.view.members:
-            return False
-        return sum(until > now for until in self.grants.values()) >= majority(self.view.voters)
+        return self.until() > now
 
     def part(self, now: int) -> Fraction:
         """Of any whole, what this gateway may count as its own now: at least its even part of the safe ones."""
--- /dev/null
+++ b/tansykeel/fleet/words.py
@@ -0,0 +1,44 @@
+"""A keeper's words as bytes, for whatever carries them: each by its kind's name and its fields."""
+
+from __future__ import annotations
+
+from typing import cast
+
+import msgspec
+
+from tansykeel.fleet.keeper import Said
+from tansykeel.fleet.liveness import Ack, NoAnswer, Ping, Try, Word
+from tansykeel.fleet.outbox import Urgency
+from tansykeel.fleet.views import Accept, Accepted, Ask, Decided, Done, Form, Formed, Grant, Prepare, Promise
+
+KINDS = {kind.__name__: kind for kind in (Ping, Ack, Try, NoAnswer, Ask, Grant, Prepare, Promise, Accept, Accepted,
+                                          Form, Formed, Decided, Done)}
+DECODERS = {name: msgspec.msgpack.Decoder(kind) for name, kind in KINDS.items()}
+MOST = 60 << 10  # bytes of one word: a view of 1,000 gateways, told with its voters, and some to spare
+
+
+def packed(word: Said) -> tuple[str, bytes]:
+    return type(word).__name__, msgspec.msgpack.encode(word)
+
+
+def unpacked(what: str, data: bytes) -> Said:
+    """Raises ValueError for what is no word."""
+    if what not in DECODERS:
+        raise ValueError(f"word {what!r}; legal: {', '.join(KINDS)}")
+    if len(data) > MOST:
+        raise ValueError(f"word {what!r}: {len(data)} bytes; legal: {MOST} at most")
+    try:
+        return cast(Said, DECODERS[what].decode(data))
+    except msgspec.DecodeError as error:
+        raise ValueError(f"word {what!r}: {error}") from None
+
+
+def urgency_of(word: Said) -> Urgency:
+    return Urgency.LIVENESS if isinstance(word, Word) else Urgency.PROMISE
+
+
+def number_of(word: Said) -> int | None:
+    """Of the view that a word of the agreement is about; None for those of liveness."""
+    if isinstance(word, Word):
+        return None
+    return word.view.number if isinstance(word, Form | Formed | Decided) else word.number
--- a/tansykeel/protocol/frames.py
+++ b/tansykeel/protocol/frames.py
@@ -45,6 +45,9 @@
     GOODBYE = 13
     CUT = 14
     SHARE = 15
+    WATCH = 16
+    FLEET_ASK = 17
+    FLEET_TOLD = 18
 
 
 U64 = Annotated[int, Meta(ge=0, le=2**63 - 1)]
@@ -59,7 +62,7 @@
 
 class Hello(Fields):
     version: Annotated[int, Meta(ge=0, le=65535)]
-    role: Name  # client, edge, store or list
+    role: Name  # client, edge, store, list or peer: a gateway to another
     name: Name
     boot: U64 = 0  # a new one each time the process starts
     age: U64 = 0  # microseconds since then
@@ -175,11 +178,52 @@
     gift: bool
 
 
+class Watch(Fields):
+    """One gateway to another that agrees with it on views: a word of `fleet.words`. Who says it, and in which of its
+    lives, is told by the connection's hello."""
+
+    what: Name
+    word: Annotated[bytes, Meta(max_length=MOST_FIELDS - 1024)]
+
+
+class FleetAsk(Fields):
+    """A client asks a gateway what it believes of its fleet."""
+
+
+class Fellow(Fields):
+    """Another gateway, as the one that was asked sees it."""
+
+    name: Name
+    zone: U64
+    seems: Literal["alive", "suspect", "dead", "unseen"]
+    since: U64  # microseconds
+    life: U64
+    suspected_by: tuple[Name, ...]
+    link: Literal["up", "opening", "none"]
+    waiting: U64  # words that wait for the connection
+    dropped: U64  # words that were too late, or for which there was no room, since the start
+
+
+class FleetTold(Fields):
+    """What a gateway believes of its fleet. `part`: of any whole, what it may count as its own now."""
+
+    name: Name
+    life: U64
+    number: U64  # of the view, 0: none yet
+    active: bool
+    leased: U64  # microseconds that its lease has left, 0: none
+    part: Annotated[float, Meta(ge=0, le=1)]
+    doubt: U64  # how much it doubts itself, 0: not at all
+    members: tuple[tuple[Name, U64], ...]  # name and life
+    voters: tuple[Name, ...]
+    others: tuple[Fellow, ...]
+
+
 RECORDS: dict[Kind, type[Fields]] = {
     Kind.HELLO: Hello, Kind.ERROR: Error, Kind.TASK: TaskOf, Kind.ANSWER: Answer, Kind.CANCEL: Cancel,
     Kind.HAND_OFF: HandOffOf, Kind.OUTCOME: OutcomeOf, Kind.PROBE: Probe, Kind.PROBED: Probed,
     Kind.LIST_ASK: ListAsk, Kind.LIST: ListOf, Kind.GOODBYE: Goodbye, Kind.CUT: Cut,
-    Kind.SHARE: Share,
+    Kind.SHARE: Share, Kind.WATCH: Watch, Kind.FLEET_ASK: FleetAsk, Kind.FLEET_TOLD: FleetTold,
 }
 KIND_OF = {record: kind for kind, record in RECORDS.items()}
 DECODERS = {kind: msgspec.msgpack.Decoder(record) for kind, record in RECORDS.items()}
--- a/tansykeel/settings/build.py
+++ b/tansykeel/settings/build.py
@@ -149,6 +149,9 @@
             yield f"store({store.name!r}).shard: {store.shard} is held by {other!r} too; legal: a shard of its own"
     if made.peers and len(set(made.peers.addresses)) < len(made.peers.addresses):
         yield "peers.addresses: an address stands there twice; legal: one for each gateway, by its number"
+    for field, given in (("zones", made.peers.zones), ("weights", made.peers.weights)) if made.peers else ():
+        if given and made.peers and len(given) != len(made.peers.addresses):
+            yield f"peers.{field}: {len(given)} for {len(made.peers.addresses)} addresses; legal: one for each, or none"
     if made.sizes.usual > made.sizes.largest:
         yield f"sizes.usual: {made.sizes.usual:g} is not legal; legal: {made.sizes.largest:g} (largest) or less"
     if made.gateway.largest_body > made.gateway.connection_memory:
--- a/tansykeel/settings/records.py
+++ b/tansykeel/settings/records.py
@@ -87,10 +87,20 @@
 
 
 class PeersOf(Record):
-    """Where the gateways listen, by number: they pass on units of limits to each other."""
+    """Where the gateways listen, by number: they pass on units of limits to each other.
+
+    With `agree` they also watch each other and agree on who is there; `lease_ms` is how long a part of a whole is
+    granted for, `ping_ms` how often one of the others is looked at, `drift` by how much any clock may be off.
+    """
 
     addresses: Annotated[tuple[Address, ...], Meta(min_length=2, max_length=1_000)]
     connect_timeout_ms: Above = 250.0
+    agree: bool = False
+    zones: tuple[Index, ...] = ()  # by number; none: all in one
+    weights: tuple[Count, ...] = ()  # by number; none: all alike
+    lease_ms: Annotated[float, Meta(ge=200, le=600_000)] = 4_000.0
+    ping_ms: Annotated[float, Meta(ge=50, le=60_000)] = 1_000.0
+    drift: Annotated[float, Meta(ge=0, le=0.2)] = 0.01
 
 
 class SizesOf(Record):
--- a/tests/edge/test_peers.py
+++ b/tests/edge/test_peers.py
@@ -6,12 +6,11 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from stage import Client, FakeStore, deliver, play, settings_with
+from stage import Client, FakeStore, deliver, free_address, play, settings_with
 
 from tansykeel.edge.program import Edge
 from tansykeel.settings.build import facts_of
 from tansykeel.transport.link import Hub, Limits
-from tansykeel.transport.sockets import listening
 
 DELIVERED, NACKED = 0, 1
 UNITS = 4096  # bytes in a unit
@@ -19,13 +18,6 @@
 THIN = 'plan("thin", rate = 100, limit = 0.0001, limit_depth = 600)\nvolume("w", plan = "thin", gateways = 2)\n'
 
 
-def free_address():
-    sock = listening("127.0.0.1:0")
-    address = f"127.0.0.1:{sock.getsockname()[1]}"
-    sock.close()
-    return address
-
-
 class At:
     """Where a client goes."""
 
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -206,6 +206,13 @@
     assert not stage.edge.failed, "the gateway's own code failed"
 
 
+def free_address():
+    sock = listening("127.0.0.1:0")
+    address = f"127.0.0.1:{sock.getsockname()[1]}"
+    sock.close()
+    return address
+
+
 def play(coroutine, seconds=40):
     async def bounded():
         async with asyncio.timeout(seconds):
