--- a/tansykeel/cli/show.py
+++ b/tansykeel/cli/show.py
@@ -61,7 +61,8 @@
     view = f"view {told.number}{'' if told.active else ' (not active yet)'}" if told.number else "no view yet"
     console.print(f"[bold]{told.name}[/bold]: {view}, {lease}, part {told.part:.4f} of any whole, doubts itself: "
                   f"{told.doubt}", highlight=False)
-    rows = Table("gateway", "zone", "in view", "seems", "for, s", "suspected by", "link", "waiting", "dropped", box=None)
+    rows = Table("gateway", "zone", "in view", "seems", "for, s", "suspected by", "link", "waiting", "dropped",
+                 box=None)
     there = {name: life for name, life in told.members}
     for other in told.others:
         here = there.get(other.name)
