--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -420,13 +420,13 @@
 
 
 class KeyLine:  # tasks of ordered categories that carry one key, in the order taken
-    def __init__(self) -> None:
-        self.tasks, self.rests_until = deque[Task](), 0
+    def __init__(self, rests_until: int) -> None:
+        self.tasks, self.rests_until = deque[Task](), rests_until
 
 
-class Extras:  # further hand-offs within the stated budget of every window
-    def __init__(self, rule: BudgetRule) -> None:
-        self.rule, self.taken, self.extras = rule, deque[int](), deque[int]()
+class Extras:  # further hand-offs within each window's budget; an earlier life may just have made its few
+    def __init__(self, rule: BudgetRule, now: int) -> None:
+        self.rule, self.taken, self.extras = rule, deque[int](), deque([now] * int(rule.free))
 
     def room(self, now: int) -> bool:
         while self.taken and self.taken[0] <= now - self.rule.span + 1:  # rounding never in our favour
@@ -488,7 +488,7 @@
         self.nodes, self.by_shard = dict[Store, Node](), dict[int, Node]()
         self.waits, self.keys, self.asks = Waits(), dict[int, KeyLine](), 0
         self.ranked, self.rank_due = list[Node](), 0
-        self.extras = Extras(facts.budget) if facts.budget else None
+        self.extras = Extras(facts.budget, desk.now) if facts.budget else None
         self.patience: dict[Category, deque[int]] = {}  # of the last tasks: time left when they came
         if facts.listing.must_ask:
             desk.watch()
@@ -725,7 +725,7 @@
 
     def turn_on_key(self, task: Task, aim: int) -> Generator[Want, Signal | Outcome | None, bool]:
         """Wait until the task is first on its key and the key has rested; False if that comes too late."""
-        line = self.keys.setdefault(task.key, KeyLine())
+        line = self.keys.setdefault(task.key, KeyLine(self.born + self.facts.key_rest))  # of an earlier life
         line.tasks.append(task)
         while line.tasks[0] is not task or self.desk.now < line.rests_until:
             if self.desk.now >= aim:
--- a/tansykeel/cli/fleet.py
+++ b/tansykeel/cli/fleet.py
@@ -63,22 +63,26 @@
     loss: Annotated[float, typer.Option(help="part of all messages that is lost")] = 0.0,
     stalled: Annotated[float, typer.Option(help="part of the gateways that stand still for 3 s every 10 s")] = 0.0,
     dead: Annotated[int, typer.Option(help="gateways killed one after the other")] = 3,
+    back: Annotated[float, typer.Option(help="seconds after which the dead start again; 0: they stay away")] = 0.0,
     seed: int = 1,
 ) -> None:
     """How soon a death is known in a fleet that watches over itself and the view is without it, what is suspected
     wrongly, and how much of a whole the parts make up. Exit code 1 if that is ever more than the whole."""
-    from tansykeel.emulator.watching import Trial, watched
+    from tansykeel.emulator.watching import Trial, watchers
 
     for name, value, least, most in (("gateways", gateways, 2, 2_000), ("seconds", seconds, 6, 3_600),
-                                     ("loss", loss, 0, 0.9), ("stalled", stalled, 0, 0.9), ("dead", dead, 0, 6)):
+                                     ("loss", loss, 0, 0.9), ("stalled", stalled, 0, 0.9), ("dead", dead, 0, 6),
+                                     ("back", back, 0, 600)):
         legal(name, value, least, most)
     if dead >= gateways:
         fail(f"--dead {dead}: legal: fewer than the {gateways} gateways")
-    seen = watched(Trial(gateways, seconds, loss, stalled, dead=dead), seed)
+    world = watchers(Trial(gateways, seconds, loss, stalled, dead=dead, back_s=back), seed)
+    seen = world.play()
     typer.echo(f"{gateways} gateways, {loss:.0%} lost, {stalled:.0%} stalled (simulated): a death is known after "
                f"{seen.known_median_s:.1f} s (median), {seen.known_99_s:.1f} s (99th), {seen.unknown} never; wrong an "
                f"hour and gateway: {seen.wrong_suspicions_an_hour:.2f} suspicions, "
-               f"{seen.wrong_deaths_an_hour:.2f} deaths; {seen.bytes_a_second:.0f} bytes a second and gateway; "
+               f"{seen.wrong_deaths_an_hour:.2f} deaths; {seen.bytes_a_second:.0f} bytes and "
+               f"{world.cpu_us():.0f} us of CPU a second and gateway; "
                f"{seen.views} views, without the dead after {seen.without_median_s:.1f} s (median), "
                f"{seen.without_99_s:.1f} s (99th); parts make up {seen.mean_of_whole:.3f} of the whole in the mean, "
                f"{seen.most_of_whole:.3f} at most")
@@ -119,3 +123,58 @@
             typer.echo(f"{how}: {found.law}\n" + "\n".join(f"  {line}" for line in found.trace))
             raise typer.Exit(BROKEN)
         typer.echo(f"{how}: {found.states} states, {'all there are' if found.whole else 'not all'}; no law broken")
+
+
+@app.command()
+def chaos(
+    name: Annotated[str, typer.Argument(help="a rehearsal whose troubles are drawn, or its script")] = "chaos",
+    seeds: Annotated[str, typer.Option(help="as 1-20 or 1,3,5")] = "1-20",
+    stage: Annotated[str, typer.Option(help="emulator: simulated time; or sockets")] = "emulator",
+    cores: Annotated[int, typer.Option(help="emulator: days played at once, 0: as many as there are cores")] = 0,
+    cut: Annotated[int, typer.Option(help="days to cut the first bad one down with, at most")] = 40,
+    set_: Annotated[list[str] | None, typer.Option("--set", help="NAME=VALUE for a param of the script")] = None,
+) -> None:
+    """Play days of drawn troubles and judge each; cut the first that breaks a rule down to a small script.
+
+    Exit code 1 where a rule broke, 3 where a day could not be played.
+    """
+    from tansykeel.cli.words import params_of, seeds_of
+    from tansykeel.emulator.hunt import Judged, hunted, play_on
+    from tansykeel.rehearse.chaos import cut_down, drawn, script_of
+    from tansykeel.rehearse.conductor import RehearsalError
+    from tansykeel.rehearse.play import day_of
+    from tansykeel.settings.script import ScriptError
+
+    if stage not in ("emulator", "sockets"):
+        fail(f"--stage: {stage!r}; legal: emulator or sockets")
+    legal("cores", cores, 0, 1_000)
+    legal("cut", cut, 0, 1_000)
+    wanted = seeds_of(seeds)
+    try:
+        day = day_of(name, None, params_of(set_ or []))
+    except ScriptError as error:
+        fail(error)
+    if day.chaos is None:
+        fail(f"{name}: draws no troubles; legal: a script with chaos(...)")
+    bad: list[Judged] = []
+    played, service, counted, tasks = 0, 0.0, 0.0, 0
+    try:
+        for one in hunted(day, wanted, stage, cores):
+            played, tasks = played + 1, tasks + one.tasks
+            service, counted = service + one.service, counted + one.counted_mean
+            if one.broken:
+                bad.append(one)
+                typer.echo(f"seed {one.seed}: {', '.join(one.broken)}: {one.what}")
+        typer.echo(f"{played} days of drawn troubles ({'simulated' if stage == 'emulator' else 'stand-ins on loopback'}"
+                   f"): {len(bad)} broke a rule; {tasks} tasks, service {service / played:.3f} and "
+                   f"{counted / played:.3f} of any whole counted on, in the mean")
+        if bad and cut:
+            first = min(bad, key=lambda one: one.seed)
+            least = cut_down(drawn(day, first.seed),
+                             lambda less: bool(set(play_on(less, first.seed, stage).broken) & set(first.broken)), cut)
+            typer.echo(f"seed {first.seed} cut down to {len(least.troubles)} troubles:")
+            typer.echo("\n".join(f"  {line}" for line in script_of(least.troubles)))
+    except RehearsalError as error:
+        fail(error, NOT_PLAYED)
+    if bad:
+        raise typer.Exit(BROKEN)
--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -238,6 +238,7 @@
 ) -> None:
     """Play a bad day through real processes on loopback and judge it; exit 0 only if no rule broke."""
     from tansykeel.cli.show import listed_days, table
+    from tansykeel.rehearse.chaos import drawn
     from tansykeel.rehearse.play import AT_ONCE, EDGE, day_of, play
     from tansykeel.settings.script import ScriptError
 
@@ -250,7 +251,7 @@
     if digest and stage != "emulator":
         fail("--digest: sockets have none, time is real there; legal: with --stage emulator")
     try:
-        day = day_of(name, seconds, params_of(set_ or []))
+        day = drawn(day_of(name, seconds, params_of(set_ or [])), seed)
     except ScriptError as error:
         fail(error)
     passed = ""
--- a/tansykeel/edge/fellows.py
+++ b/tansykeel/edge/fellows.py
@@ -111,7 +111,7 @@
         if (leased := agreement.leased(now)) is not self.leased:
             self.leased = leased
             self.log.info("lease", held=leased, view=agreement.number, part=float(agreement.part(now)))
-        for other in self.keeper.liveness.others.values():
+        for other in self.keeper.liveness.changes():
             if other.seems is not self.seems[other.name]:
                 self.seems[other.name] = other.seems
                 self.log.info("seems", other=other.name, now=SEEMS[other.seems],
--- /dev/null
+++ b/tansykeel/emulator/hunt.py
@@ -0,0 +1,55 @@
+"""Plays many days of drawn troubles, over all cores in simulated time or one after the other on sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from itertools import islice
+from multiprocessing import get_context
+from os import cpu_count
+from typing import NamedTuple
+
+from tansykeel.audit.report import Verdict
+from tansykeel.emulator.world import World
+from tansykeel.rehearse.chaos import drawn
+from tansykeel.rehearse.day import Day
+from tansykeel.rehearse.play import play
+
+AHEAD = 2  # days handed out for each core before the first of them ends
+
+
+class Judged(NamedTuple):
+    """What matters of a verdict where there are thousands. `what`: the first break."""
+
+    seed: int
+    broken: tuple[str, ...]
+    what: str
+    service: float
+    counted_mean: float
+    tasks: int
+
+
+def play_on(day: Day, seed: int, stage: str) -> Judged:
+    """Play a day whose troubles are drawn already. Raises RehearsalError on sockets."""
+    verdict: Verdict = World(day, seed).run() if stage == "emulator" else play(day, seed, None)
+    first = verdict.breaks[0]["what"] if verdict.breaks else ""
+    return Judged(seed, tuple(rule for rule, count in verdict.rules.items() if count), first, verdict.service,
+                  verdict.counted_mean or 0.0, verdict.tasks)
+
+
+def _drawn_and_played(day: Day, seed: int) -> Judged:
+    return play_on(drawn(day, seed), seed, "emulator")
+
+
+def hunted(day: Day, seeds: Sequence[int], stage: str, cores: int) -> Iterator[Judged]:
+    """Each seed's day, in the order of the seeds."""
+    if stage != "emulator":
+        yield from (play_on(drawn(day, seed), seed, stage) for seed in seeds)
+        return
+    cores = cores or cpu_count() or 1
+    with ProcessPoolExecutor(cores, get_context("spawn")) as pool:
+        left = iter(seeds)
+        out = [pool.submit(_drawn_and_played, day, seed) for seed in islice(left, AHEAD * cores)]
+        while out:
+            yield out.pop(0).result()
+            out += [pool.submit(_drawn_and_played, day, seed) for seed in islice(left, 1)]
--- a/tansykeel/emulator/oracle.py
+++ b/tansykeel/emulator/oracle.py
@@ -126,7 +126,7 @@
     def __init__(self, eye: Eye, facts: Facts, seed: int, desk: Desk) -> None:
         super().__init__(facts, seed, desk)
         self.eye = eye
-        self.extras = Extras(facts.budget) if facts.budget else None
+        self.extras = Extras(facts.budget, desk.now) if facts.budget else None
 
     def turn(self, task: Task) -> None:
         """The gateway may be another than the one whose event led to this: it is told by an event of its own."""
--- a/tansykeel/emulator/watching.py
+++ b/tansykeel/emulator/watching.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from fractions import Fraction
 from random import Random
+from time import process_time
 
 import msgspec
 import numpy
@@ -76,6 +77,8 @@
         self.without: dict[str, dict[str, int]] = {}
         self.numbers: set[int] = set()
         self.most, self.sums = Fraction(0), list[float]()
+        self.whole = Fraction(0)  # the sum of what is believed
+        self.spent = 0.0  # CPU seconds in the keepers, in the second half
         self.believed = dict.fromkeys(self.names, Fraction(0))  # what each counted when it was last looked at
         self.seed, self.pace, self.terms = seed, pace, terms
         self.places = {name: Place(n % trial.zones) for n, name in enumerate(self.names)}
@@ -112,6 +115,10 @@
                     *self._since_death(self.without), len(self.numbers), float(self.most),
                     sum(self.sums) / len(self.sums) if self.sums else 0.0)
 
+    def cpu_us(self) -> float:
+        """Microseconds of this machine's CPU that a keeper took in a second, in the mean; not the same twice."""
+        return self.spent * 1e6 / self.trial.gateways / (self.trial.seconds / 2)
+
     def _since_death(self, by_dead: dict[str, dict[str, int]]) -> tuple[float, float]:
         """Seconds from a death until other gateways' times, their median and 99th; 0 where there are none."""
         took = [(at - self.died[dead]) / SECOND for dead, by in by_dead.items() for at in by.values()]
@@ -144,7 +151,10 @@
         if (until := self.until.get(to, 0)) > self.engine.now:
             self.engine.at(until + 2, self._arrive, to, sender, word)  # it waits in the socket
             return
-        self._send(to, self.all[to].heard(self.now(), sender, word))
+        begun = process_time()
+        sent = self.all[to].heard(self.now(), sender, word)
+        self._spent(begun)
+        self._send(to, sent)
         self._look(to)
         self.engine.at(max(self.all[to].due() * TENTH, self.engine.now + 1), self._due, to)
 
@@ -155,14 +165,21 @@
 
     def _do_due(self, name: str) -> None:
         if self.now() >= self.all[name].due():
-            self._send(name, self.all[name].tick(self.now(), self.wall_ms()))
+            begun = process_time()
+            sent = self.all[name].tick(self.now(), self.wall_ms())
+            self._spent(begun)
+            self._send(name, sent)
             self._look(name)
 
+    def _spent(self, begun: float) -> None:
+        if self.engine.now >= self.half:
+            self.spent += process_time() - begun
+
     def _look(self, name: str) -> None:
         """What this gateway has come to believe of others since it was looked at."""
         believes, counted = self.seen[name], self.engine.now >= self.first
         self._audit(name)
-        for other in self.all[name].liveness.others.values():
+        for other in self.all[name].liveness.changes():
             if believes.get(other.name) is other.seems:
                 continue
             believes[other.name] = other.seems
@@ -175,9 +192,11 @@
     def _audit(self, name: str) -> None:
         """Parts shrink by themselves and grow only at what a gateway does, so the sum is judged then."""
         one, now = self.all[name], self.now()
-        self.believed[name] = one.part(now)
-        if sum(self.believed.values()) > self.most:
-            self._all_parts()
+        if (part := one.part(now)) != self.believed[name]:
+            self.whole += part - self.believed[name]
+            self.believed[name] = part
+            if self.whole > self.most:
+                self._all_parts()
         view = one.agreement.view
         if view and one.agreement.active:
             self.numbers.add(view.number)
@@ -189,11 +208,12 @@
     def _all_parts(self) -> None:
         for name, one in self.all.items():
             self.believed[name] = one.part(self.now()) if name not in self.died else Fraction(0)
-        self.most = max(self.most, sum(self.believed.values(), Fraction(0)))
+        self.whole = sum(self.believed.values(), Fraction(0))
+        self.most = max(self.most, self.whole)
 
     def _sample(self) -> None:
         self._all_parts()
-        self.sums.append(float(sum(self.believed.values())))
+        self.sums.append(float(self.whole))
         self.engine.after(500_000, self._sample)
 
     def _die(self, name: str) -> None:
@@ -214,6 +234,10 @@
         self.engine.at(moment, stall)
 
 
-def watched(trial: Trial, seed: int, pace: Pace | None = None, terms: Terms | None = None) -> Seen:
+def watchers(trial: Trial, seed: int, pace: Pace | None = None, terms: Terms | None = None) -> Watchers:
+    return Watchers(trial, seed, pace or Pace(), terms or Terms(lease=4 * SECOND))
+
+
+def watched(trial: Trial, seed: int) -> Seen:
     """Play a trial. Raises RuntimeError where it does not come to an end."""
-    return Watchers(trial, seed, pace or Pace(), terms or Terms(lease=4 * SECOND)).play()
+    return watchers(trial, seed).play()
--- a/tansykeel/fleet/liveness.py
+++ b/tansykeel/fleet/liveness.py
@@ -116,6 +116,7 @@
         self.others = {name: Other(name, since=now) for name in names if name != me}
         self.denials = self.doubt = self.seq = 0
         self.leaving = False
+        self.changed: dict[Other, None] = {}  # who seems otherwise since `changes` was called
         self.order: list[Other] = []
         self.probes: dict[int, Probe] = {}
         self.next_ping = now + chance.randrange(max(pace.period, 1))  # a fleet that starts at once is no herd
@@ -137,6 +138,11 @@
         found = [o.name for o in self.others.values() if o.seems is Seems.ALIVE and o.life and long_enough(o)]
         return sorted([self.me, *found])
 
+    def changes(self) -> list[Other]:
+        """Who came to seem otherwise since this was called last: a large fleet need not be looked through."""
+        changed, self.changed = list(self.changed), {}
+        return changed
+
     def due(self) -> int:
         """When `tick` must be called next."""
         return min([self.next_ping, *(probe.due for probe in self.probes.values()), *self.ends.values()])
@@ -267,6 +273,7 @@
         came_back = other.seems is Seems.DEAD and news.seems is Seems.ALIVE
         if other.seems is not news.seems or news.life != other.life:
             other.since = now
+            self.changed[other] = None
         if came_back or news.seems is Seems.DEAD and other.seems is not Seems.DEAD:
             other.falls = [*other.falls[-7:], now]
         other.life, other.denials, other.seems = news.life, news.denials, news.seems
--- a/tansykeel/rehearse/day.py
+++ b/tansykeel/rehearse/day.py
@@ -124,6 +124,15 @@
     line: str = ""
 
 
+class Chaos(Record):
+    """Troubles drawn from the seed: so many, each beginning within that time."""
+
+    least: Count = 3
+    most: Annotated[int, Meta(ge=1, le=50)] = 8
+    after_s: Least0 = 2.0
+    until_s: Above = 10.0
+
+
 class Day(Record):
     name: Name
     says: str
@@ -138,6 +147,7 @@
     troubles: tuple[Trouble, ...]
     gateway: Gateway
     least_service: Part = 0.0  # good looks like this service, or better
+    chaos: Chaos | None = None
 
     def capacity(self) -> float:
         """Units a second that all stores can do."""
@@ -215,7 +225,8 @@
         kept = {verb: base[verb] for verb in ("category", "sizes", "rules", "cold", "budget", "gateway")}
         return kept | {
             "day": self._day, "fleet": self._fleet, "clients": self._part("clients", Clients),
-            "traffic": self._part("traffic", Load), "volumes": self._volumes, "param": self._param,
+            "traffic": self._part("traffic", Load), "chaos": self._part("chaos", Chaos),
+            "volumes": self._volumes, "param": self._param,
         } | {verb: self._trouble(verb) for verb in VERBS}
 
     def _param(self, name: str, usual: Any) -> Any:
@@ -323,7 +334,11 @@
             clients=self.parts.get("clients", Clients()), load=load, categories=categories,
             volumes=tuple(self.volumes), sizes=self.base.single.get("sizes", SizesOf(largest=8.0, usual=1.8)),
             rules=self.base.single.get("rules", RulesOf()), troubles=tuple(sorted(self.troubles, key=lambda t: t.at)),
-            gateway=self.base.single.get("gateway", Gateway(name="edge")))
+            gateway=self.base.single.get("gateway", Gateway(name="edge")), chaos=self.parts.get("chaos"))
+        if made.chaos and not (made.chaos.least <= made.chaos.most and made.chaos.after_s <= made.chaos.until_s
+                               < head.seconds and fleet.agree):
+            raise ScriptError(f"{where}: chaos: legal: least up to most, after_s up to until_s, which is under "
+                              f"{head.seconds:g}, with fleet(agree = True)")
         if not categories:
             raise ScriptError(f"{where}: category: none; legal: one category(name, ...) or more")
         return made
