--- a/tansykeel/audit/rules.py
+++ b/tansykeel/audit/rules.py
@@ -210,7 +210,8 @@
     span, jitter = rule.span * TENTH, SLACK / 5
     taken: dict[str, list[int]] = defaultdict(list)
     for seen in passed.tasks.values():
-        taken[seen.sent.edge].append(seen.sent.at)
+        stood = passed.stood_at(seen.sent.edge, seen.sent.at, 0)  # what came meanwhile is taken when it goes on
+        taken[seen.sent.edge].append(stood.until if stood else seen.sent.at)
     extras: dict[str, list[int]] = defaultdict(list)
     for hand_off in passed.hand_offs:
         if hand_off.number:
--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -424,16 +424,16 @@
         self.tasks, self.rests_until = deque[Task](), rests_until
 
 
-class Extras:  # further hand-offs within each window's budget; an earlier life may just have made its few
+class Extras:  # further hand-offs within each window's budget; an earlier life may have used up the first
     def __init__(self, rule: BudgetRule, now: int) -> None:
-        self.rule, self.taken, self.extras = rule, deque[int](), deque([now] * int(rule.free))
+        self.rule, self.taken, self.extras, self.opens = rule, deque[int](), deque[int](), now + rule.span
 
     def room(self, now: int) -> bool:
         while self.taken and self.taken[0] <= now - self.rule.span + 1:  # rounding never in our favour
             self.taken.popleft()
         while self.extras and self.extras[0] < now - self.rule.span - 1:
             self.extras.popleft()
-        return len(self.extras) + 1 <= self.rule.free + self.rule.share * len(self.taken)
+        return now > self.opens and len(self.extras) + 1 <= self.rule.free + self.rule.share * len(self.taken)
 
 
 class VolumeState:
--- a/tansykeel/emulator/world.py
+++ b/tansykeel/emulator/world.py
@@ -165,7 +165,7 @@
 
     def stop_edge(self, index: int) -> bool:
         gateway = self.gateways[index]
-        if not gateway.alive or gateway.stalled:
+        if not gateway.alive or gateway.stalled or index in self.stopped:
             return False
         self.stopped[index] = self.engine.now
         gateway.stall()
--- a/tansykeel/fleet/liveness.py
+++ b/tansykeel/fleet/liveness.py
@@ -82,7 +82,8 @@
     most: float = 6.0
     sharers: int = 3  # who suspect too, after which a suspicion lasts the least time
     doubts: int = 8  # the most that a gateway doubts itself
-    news: int = 6  # told with one message
+    news: int = 6  # told with one message; where more wait, an eighth of them, `crowd` at most
+    crowd: int = 64
     repeats: float = 3.0  # times the logarithm of the size, each is told
     steady: int = 2 * SECOND  # who is alive for so long, and as much again for each fall lately, counts as steady
     forgives: int = 60 * SECOND  # a fall is forgotten after this
@@ -126,10 +127,6 @@
 
     # What it says
 
-    def alive(self) -> list[str]:
-        """Who is not called dead, this gateway too."""
-        return sorted([self.me, *(o.name for o in self.others.values() if o.seems is not Seems.DEAD)])
-
     def steady(self, now: int) -> list[str]:
         """Who may be taken into a view: alive for long enough, and longer the more often it fell lately."""
         def long_enough(other: Other) -> bool:
@@ -303,7 +300,9 @@
             return told[0].seems is Seems.ALIVE and not told[0].denials, told[1]
         if self.leaving:  # guards against its own farewell that is crowded out, or told too often to go on
             return (News(self.me, Seems.DEAD, self.life, self.denials, self.me),)
-        first = sorted(self.telling.values(), key=order)[:self.pace.news]
+        # Guards against a fleet that starts, or loses a third, and knows itself after minutes: a crowd of news.
+        told_now = max(self.pace.news, min(len(self.telling) // 8, self.pace.crowd))
+        first = sorted(self.telling.values(), key=order)[:told_now]
         for news, times in first:
             if times + 1 >= most:
                 del self.telling[news.name]
--- a/tests/audit/test_rules.py
+++ b/tests/audit/test_rules.py
@@ -137,6 +137,14 @@
     assert broken(*records) == set((rule or "").split())
 
 
+def test_tasks_that_came_while_a_gateway_stood_count_as_taken_when_it_goes_on():
+    waited = [r for n in range(2, 12) for r in (sent(n, at=8 * S + n), got(n, 10 * S + 50, 1))]
+    further = [sent(1), got(1, 10 * S + 90, 1)]
+    further += [r for n in range(3) for r in (came(1, 10 * S + n * 9, n), told(1, 10 * S + n * 9 + 1, "error", n))]
+    assert broken(*waited, *further) == {"budget"}
+    assert broken(*waited, *further, Stood(7 * S, "e0", 10 * S)) == set()
+
+
 def test_each_task_counts_once_by_what_became_of_it():
     passed = join([*WELL, sent(2), got(2, 11 * S, 1), sent(3), got(3, 11 * S, 2), sent(4), Gave(11 * S, 4, "vanished"),
                    sent(5), Gave(11 * S, 5, "edge lost")])
