--- a/tansykeel/cli/fleet.py
+++ b/tansykeel/cli/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import Annotated
 
 import typer
@@ -64,6 +65,7 @@
     stalled: Annotated[float, typer.Option(help="part of the gateways that stand still for 3 s every 10 s")] = 0.0,
     dead: Annotated[int, typer.Option(help="gateways killed one after the other")] = 3,
     back: Annotated[float, typer.Option(help="seconds after which the dead start again; 0: they stay away")] = 0.0,
+    plot: Annotated[Path | None, typer.Option(help="folder for a picture of what they count on together")] = None,
     seed: int = 1,
 ) -> None:
     """How soon a death is known in a fleet that watches over itself and the view is without it, what is suspected
@@ -86,6 +88,13 @@
                f"{seen.views} views, without the dead after {seen.without_median_s:.1f} s (median), "
                f"{seen.without_99_s:.1f} s (99th); parts make up {seen.mean_of_whole:.3f} of the whole in the mean, "
                f"{seen.most_of_whole:.3f} at most")
+    if plot:
+        from tansykeel.emulator.plots import draw_parts
+
+        if not plot.is_dir():
+            fail(f"--plot {plot}: no such folder; legal: one that is there")
+        for path in draw_parts(world, plot):
+            typer.echo(str(path))
     if seen.most_of_whole > 1:
         raise typer.Exit(BROKEN)
 
--- a/tansykeel/emulator/plots.py
+++ b/tansykeel/emulator/plots.py
@@ -16,6 +16,7 @@
 from tansykeel.audit.join import Passed  # noqa: E402
 from tansykeel.audit.report import law_of  # noqa: E402
 from tansykeel.audit.service import count  # noqa: E402
+from tansykeel.emulator.watching import SAMPLE, Watchers  # noqa: E402
 from tansykeel.emulator.world import World  # noqa: E402
 from tansykeel.standin.model import borne  # noqa: E402
 
@@ -44,6 +45,21 @@
     return made
 
 
+def draw_parts(world: Watchers, out: Path) -> list[Path]:
+    """How much of a whole the gateways counted on over time, with deaths and returns; the files written."""
+    figure, axes = plt.subplots(figsize=(9, 4))
+    axes.plot([n * SAMPLE / 1e6 for n in range(len(world.sums))], world.sums, drawstyle="steps-post")
+    axes.axhline(1.0, color="red", linewidth=0.8)
+    for at, what in world.marks:
+        axes.axvline(at, color="grey", linestyle=":")
+        axes.annotate(what, (at, 0.05), rotation=90, fontsize=7)
+    axes.set(ylim=(0, 1.05), xlabel="s", ylabel="part of a whole that all count on together",
+             title=f"{world.trial.gateways} gateways (simulated), {world.trial.loss:.0%} of messages lost")
+    made = saved(figure, out, f"parts-{world.trial.gateways}")
+    plt.close(figure)
+    return made
+
+
 FIGURES = {"service": "service", "p99": "99th percentile of lag, ms", "cold_most": "most sent to a cold store, of safe"}
 
 
--- a/tansykeel/emulator/watching.py
+++ b/tansykeel/emulator/watching.py
@@ -20,6 +20,7 @@
 TENTH = 100  # microseconds
 WATCHING = 5 * 10**6  # the stream of chance, beside those of `rehearse.load`
 SETTLE_S, MET = 20, 4  # seconds, and gateways met in one, until all know each other and things are counted
+SAMPLE = 500_000  # microseconds between looks at the sum of all parts
 HEADER = 28  # bytes that a datagram has beside what is told
 MOST_EVENTS = 50_000_000
 
@@ -78,6 +79,7 @@
         self.numbers: set[int] = set()
         self.most, self.sums = Fraction(0), list[float]()
         self.whole = Fraction(0)  # the sum of what is believed
+        self.marks: list[tuple[float, str]] = []  # seconds from when things are counted: who died, or came back
         self.spent = 0.0  # CPU seconds in the keepers, in the second half
         self.believed = dict.fromkeys(self.names, Fraction(0))  # what each counted when it was last looked at
         self.seed, self.pace, self.terms = seed, pace, terms
@@ -214,14 +216,20 @@
     def _sample(self) -> None:
         self._all_parts()
         self.sums.append(float(self.whole))
-        self.engine.after(500_000, self._sample)
+        self.engine.after(SAMPLE, self._sample)
+
+    def seconds(self) -> float:
+        """Since things are counted."""
+        return (self.engine.now - self.first) / 1e6
 
     def _die(self, name: str) -> None:
+        self.marks.append((self.seconds(), f"{name} dies"))
         self.died[name], self.known[name], self.without[name] = self.now(), {}, {}
         if self.trial.back_s:
             self.engine.after(int(self.trial.back_s * 1e6), self._back, name)
 
     def _back(self, name: str) -> None:
+        self.marks.append((self.seconds(), f"{name} is back"))
         del self.died[name], self.known[name], self.without[name]
         self.all[name] = self._keeper(name)
         self._arm(name)
