A limit's part follows the agreed view; clients of rehearsals heed a goodbye

fleet/parts.py: how many even parts' time a span was worth, through changes of the view and leases that ran out; the module's VolumeState earns by it (desk.parts, even where nothing is agreed) and holds no more than its part of the depth. For volumes that all gateways have; views do not tell how a volume of some of them is shared.

--- a/tansykeel/brain.py
+++ b/tansykeel/brain.py
@@ -14,8 +14,8 @@
 from itertools import takewhile
 
 from tansykeel.interface import (
-    BreakOff, BudgetRule, Category, ColdRule, Desk, Facts, HandOff, How, Nack, Outcome, Plan, Repeat, Scope,
-    Signal, State, Store, Task, Volume, Wait, Want, Word,
+    BreakOff, BudgetRule, Category, ColdRule, Desk, EvenParts, Facts, HandOff, How, Nack, Outcome, Parts,
+    Plan, Repeat, Scope, Signal, State, Store, Task, Volume, Wait, Want, Word,
 )
 
 SECOND, ROUND = 10_000, 100  # a round every 10 ms (design)
@@ -119,8 +119,7 @@
 
     def __init__(self) -> None:
         self.seen: dict[Store, tuple[int, float]] = {}  # the newest last
-        self.newest, self.changes, self.known = -STALE, 0, (-1, -1, 0.0)
-        self.lost = 0  # until when one lost answer tells of more
+        self.newest, self.changes, self.known, self.lost = -STALE, 0, (-1, -1, 0.0), 0  # lost: until when
 
     def put(self, store: Store, now: int, wait: float) -> None:
         self.seen.pop(store, None)
@@ -439,14 +438,13 @@
 class VolumeState:
     """A volume over all nodes, and its limit's part here; units passed on are gone before they come."""
 
-    def __init__(self, hosts: float, limit: float, depth: float, born: int) -> None:
+    def __init__(self, hosts: float, limit: float, depth: float, born: int, parts: Parts) -> None:
         self.hosts, self.limit, self.depth, self.units, self.at = hosts, limit, depth, 0.0, born
-        self.started = False  # whether it is settled that the part starts full, or empty
+        self.parts, self.started = parts, False  # started: it is settled that the part starts full, or empty
         self.peers: dict[int, None] = {}  # other gateways heard to have tasks of the volume
         self.asked = self.ask_due = self.all_due = born  # last; when some, or all, may be again
         self.pause, self.wish, self.got = 0, 0.0, 0.0  # between asks; what the last was for, and brought
-        self.short = dict[Task, None]()  # tasks that wait for units
-        self.shards = dict[int, None]()  # that first tries came for
+        self.short, self.shards = dict[Task, None](), dict[int, None]()  # who waits for units; of first tries
         self.sent, self.by_line = deque[tuple[Line, float]](), dict[Line, float]()  # of the last hand-offs
         self.told = deque[tuple[float, float]]()  # of the last answers: units here, by all gateways
         self.told_at, self.here, self.all, self.total = born, 0.0, 0.0, 0.0  # their sums
@@ -473,7 +471,8 @@
         return (self.here + usual / self.hosts) / (max(self.here, self.all) + usual)
 
     def fill(self, now: int, more: float = 0.0) -> None:
-        self.units, self.at = min(self.units + self.limit * (now - self.at) + more, self.depth), now
+        span, most = self.parts.earned(self.at, now)
+        self.units, self.at = min(self.units + self.limit * span + more, self.depth * most), now
 
 
 class Scheduler:
@@ -637,7 +636,8 @@
         if volume.state is None:
             plan, hosts = volume.plan, volume.gateways if volume.gateways >= 1 else self.facts.gateways
             rate, depth = plan.limit / SECOND / hosts, plan.limit_depth / hosts
-            volume.state = VolumeState(hosts, rate, depth, self.born)
+            parts = self.desk.parts if hosts == self.facts.gateways else EvenParts()  # views divide among all
+            volume.state = VolumeState(hosts, rate, depth, self.born, parts)
         return volume.state
 
     def spend(self, task: Task, line: Line, state: VolumeState) -> None:
--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -15,7 +15,7 @@
 from typing import Any, Protocol
 
 from tansykeel.brain import Scheduler
-from tansykeel.interface import BreakOff, Facts, How, Nack, Outcome, State, Store, Task, Want, Word
+from tansykeel.interface import BreakOff, Facts, How, Nack, Outcome, Parts, State, Store, Task, Want, Word
 from tansykeel.runner import Run, Runner
 
 DELIVERED, NACKED, BROKEN_OFF = 0, 1, 2
@@ -191,9 +191,9 @@
 
     def __init__(self, facts: Facts, seed: int, wire: Wire, now: int, bounds: Bounds, intake: Intake,
                  known: Iterable[RowOf] = (),
-                 decide: Callable[[Facts, int, Runner], Decisions] = Scheduler) -> None:
+                 decide: Callable[[Facts, int, Runner], Decisions] = Scheduler, parts: Parts | None = None) -> None:
         self.facts, self.wire, self.bounds, self.intake = facts, wire, bounds, intake
-        self.runner = Runner(self, now)
+        self.runner = Runner(self, now, parts)
         self.stores: dict[str, Store] = {}
         self.addresses: dict[Store, str] = {}
         self.boots: dict[Store, int] = {}
--- a/tansykeel/edge/program.py
+++ b/tansykeel/edge/program.py
@@ -61,8 +61,6 @@
         self.failed = False
         self.stopping = asyncio.Event()
         self.native = Native(settings, facts)
-        self.core = Core(facts, seed, self, clock(), bounds_of(self.gateway), self.native, known_of(settings), decide)
-        self.stores = Stores(self.core, self.hub, self.gateway, self.hello, clock)
         self.peers: Peers | None = None
         self.fellows: Fellows | None = None
         if settings.peers:
@@ -71,6 +69,9 @@
             if settings.peers.agree:
                 self.fellows = Fellows(settings.peers, names, facts.me, self.hello, seed, self.peers, self.log,
                                        lambda: time.time_ns() // 1_000_000, counted)
+        self.core = Core(facts, seed, self, clock(), bounds_of(self.gateway), self.native, known_of(settings), decide,
+                         self.fellows.keeper.parts if self.fellows else None)
+        self.stores = Stores(self.core, self.hub, self.gateway, self.hello, clock)
 
     async def serve(self, ready: Callable[[int], None] = lambda port: None) -> int:
         """Take tasks until SIGTERM, then answer what is held and return the exit code."""
--- a/tansykeel/emulator/gateway.py
+++ b/tansykeel/emulator/gateway.py
@@ -49,12 +49,12 @@
         scene = self.scene
         facts = scene.facts[self.index]
         self.native = Native(scene.settings, facts)
+        self.fellow = Fellow(self) if scene.settings.peers and scene.settings.peers.agree else None
         self.core = Core(facts, scene.seed * 1000 + self.index, self, self.clock(), bounds_of(scene.settings.gateway),
-                         self.native, known_of(scene.settings), scene.decide)
+                         self.native, known_of(scene.settings), scene.decide,
+                         self.fellow.keeper.parts if self.fellow else None)
         if self.asked or scene.day.fleet.list_mode == "push":
             self.ask_list()
-        if scene.settings.peers and scene.settings.peers.agree:
-            self.fellow = Fellow(self)
 
     def end(self) -> None:
         """Told to end: it takes no more, says so to its fellows, answers what it holds and is gone."""
--- a/tansykeel/fleet/keeper.py
+++ b/tansykeel/fleet/keeper.py
@@ -12,7 +12,8 @@
 from random import Random
 
 from tansykeel.fleet.liveness import Ack, Liveness, NoAnswer, Pace, Ping, Seems, Try, Word
-from tansykeel.fleet.views import Agreement, Decided, Member, Message, Terms
+from tansykeel.fleet.parts import Parts
+from tansykeel.fleet.views import SAFE, Agreement, Decided, Member, Message, Terms
 
 RENEWS = 3  # times in a lease that it is asked for anew
 SILENT = 2  # leases without a working view after which a gateway tries to form one with all others
@@ -39,6 +40,8 @@
         self.liveness = Liveness(name, places, life, pace, chance, now)
         self.agreement = Agreement(self._member(name, life), tuple(sorted(places)), terms, now)
         self.next_renewal, self.lacking, self.differs = now, now, -1  # since when: no working view; others are wanted
+        self.parts = Parts(len(places), SAFE / len(places), now)  # for whatever earns by its part of a whole
+        self.counted: tuple[int, Fraction, int] | None = None
         self.taught: dict[str, tuple[int, int]] = {}  # which view others were told of last, and when
         self.number = 0  # of the view that was there when last looked at
 
@@ -59,6 +62,27 @@
         return min(self.next_renewal, self.liveness.due())
 
     def tick(self, now: int, wall_ms: int) -> list[Sent]:
+        sent = self._tick(now, wall_ms)
+        self._count(now)
+        return sent
+
+    def heard(self, now: int, sender: Member, message: Said) -> list[Sent]:
+        sent = self._heard(now, sender, message)
+        self._count(now)
+        return sent
+
+    def leave(self, now: int) -> list[Sent]:
+        """This gateway ends soon: say so, ask for no lease any more."""
+        return list(self.liveness.leave(now))
+
+    # Within
+
+    def _count(self, now: int) -> None:
+        if (counted := self.counts(now)) != self.counted:
+            self.counted = counted
+            self.parts.put(now, counted[1], counted[2])
+
+    def _tick(self, now: int, wall_ms: int) -> list[Sent]:
         sent: list[Sent] = []
         if now >= self.liveness.due():
             sent += self.liveness.tick(now)
@@ -70,19 +94,13 @@
             sent += self._change(now, wall_ms)
         return sent
 
-    def heard(self, now: int, sender: Member, message: Said) -> list[Sent]:
+    def _heard(self, now: int, sender: Member, message: Said) -> list[Sent]:
         # Guards against one that starts anew and learns of no other's life, for that news was told long ago.
         self.liveness.met(now, sender.name, sender.incarnation)
         if isinstance(message, Ping | Ack | Try | NoAnswer):
             return list(self.liveness.heard(now, sender.name, message))
         return self._once(now, self.agreement.heard(now, sender, message))
 
-    def leave(self, now: int) -> list[Sent]:
-        """This gateway ends soon: say so, ask for no lease any more."""
-        return list(self.liveness.leave(now))
-
-    # Within
-
     def _once(self, now: int, answers: list[tuple[str, Message]]) -> list[Sent]:
         """Guards against the same view told for each of hundreds of late words of one that slept: once is enough until
         it would ask again."""
--- a/tansykeel/fleet/liveness.py
+++ b/tansykeel/fleet/liveness.py
@@ -82,7 +82,7 @@
     most: float = 6.0
     sharers: int = 3  # who suspect too, after which a suspicion lasts the least time
     doubts: int = 8  # the most that a gateway doubts itself
-    news: int = 6  # told with one message; where more wait, an eighth of them, `crowd` at most
+    news: int = 6  # told with one message; where more wait, a third of them, `crowd` at most
     crowd: int = 64
     repeats: float = 3.0  # times the logarithm of the size, each is told
     steady: int = 2 * SECOND  # who is alive for so long, and as much again for each fall lately, counts as steady
@@ -301,7 +301,7 @@
         if self.leaving:  # guards against its own farewell that is crowded out, or told too often to go on
             return (News(self.me, Seems.DEAD, self.life, self.denials, self.me),)
         # Guards against a fleet that starts, or loses a third, and knows itself after minutes: a crowd of news.
-        told_now = max(self.pace.news, min(len(self.telling) // 8, self.pace.crowd))
+        told_now = max(self.pace.news, min(len(self.telling) // 3, self.pace.crowd))
         first = sorted(self.telling.values(), key=order)[:told_now]
         for news, times in first:
             if times + 1 >= most:
--- a/tansykeel/interface.py
+++ b/tansykeel/interface.py
@@ -229,10 +229,26 @@
 Want = HandOff | Wait | Nack | BreakOff
 
 
+class Parts(Protocol):
+    """How this gateway's part of what all gateways divide stands to an even one."""
+
+    def earned(self, since: int, now: int) -> tuple[float, float]:
+        """What the time since then was worth in tenths of an even part, and how many even parts count now."""
+        ...
+
+
+class EvenParts:
+    """Where nothing else is agreed."""
+
+    def earned(self, since: int, now: int) -> tuple[float, float]:
+        return now - since, 1.0
+
+
 class Desk(Protocol):
     """What the module can ask of the runner beside what tasks yield."""
 
     now: int
+    parts: Parts
 
     def wake(self, task: Task, signal: Signal) -> None: ...
     def alarm(self, at: int, call: Callable[[], None]) -> None: ...
--- a/tansykeel/rehearse/clients.py
+++ b/tansykeel/rehearse/clients.py
@@ -14,8 +14,8 @@
 import msgspec
 
 from tansykeel.audit.records import Gave, Got, Lagged, Recorder, Sent, now_us
-from tansykeel.protocol.codec import Codec, Event, Piece
-from tansykeel.protocol.frames import Answer, Cancel, Hello, TaskOf
+from tansykeel.protocol.codec import Codec, Event, Frame, Piece
+from tansykeel.protocol.frames import Answer, Cancel, Goodbye, Hello, TaskOf
 from tansykeel.rehearse.day import Day
 from tansykeel.rehearse.habits import DELIVERED, LOST, Habits
 from tansykeel.rehearse.load import RETRIES, Arrival, arrivals_of, stream
@@ -53,24 +53,29 @@
         self.link: Link | None = None
         self.open: dict[int, Try] = {}
         self.keep = True
+        self.told_off = False  # the edge said that it takes no further tasks
 
     @property
     def up(self) -> bool:
-        return self.link is not None and not self.link.lost and not self.link.closing
+        return self.link is not None and not self.link.lost and not self.link.closing and not self.told_off
 
     async def stay_connected(self) -> None:
         while self.keep:
-            if not self.up:
+            if self.link is None or self.link.lost or self.link.closing:
                 try:
                     sock = await connect(self.address, CONNECT_WITHIN)
                 except (OSError, TimeoutError):
                     await asyncio.sleep(RECONNECT)
                     continue
                 self.link = Link(self.clients.hub, sock, Codec("edge"), self.clients.hello, self._event, self._lost)
+                self.told_off = False
             await asyncio.sleep(RECONNECT)
 
     def _event(self, link: Link, event: Event) -> None:
         held = self.open.get(event.stream)
+        if isinstance(event, Frame) and isinstance(event.record, Goodbye):
+            self.told_off = True
+            return
         if held is None:
             if not isinstance(event, Piece) and isinstance(answer := event.record, Answer):
                 self.clients.answered_again(answer, event.stream)
--- a/tansykeel/rehearse/conductor.py
+++ b/tansykeel/rehearse/conductor.py
@@ -92,6 +92,7 @@
         self.draw = stream(seed, CHANCE)
         self.silent_s = day.fleet.silent_s
         self.stopped: dict[int, tuple[int, Child]] = {}
+        self.starting: set[int] = set()
         self.relay: Child | None = None
         self.between: dict[str, int] = {}  # the relay's port for each pair, as from-to
         self.tasks: set[asyncio.Future[None]] = set()
@@ -327,8 +328,13 @@
         await edge.process.wait()
 
     async def start_edge(self, index: int) -> None:
-        if index not in self.edges or self.edges[index].process.returncode is not None:
-            self.edges[index] = await self._edge(index)
+        gone = index not in self.edges or self.edges[index].process.returncode is not None
+        if gone and index not in self.starting:  # guards against two troubles that start it at once
+            self.starting.add(index)
+            try:
+                self.edges[index] = await self._edge(index)
+            finally:
+                self.starting.discard(index)
 
     async def end_edge(self, index: int) -> None:
         """Tell it to end and wait until it has; one that stands still goes on later, and ends then."""
--- a/tansykeel/runner.py
+++ b/tansykeel/runner.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Generator
 from functools import partial
 
-from tansykeel.interface import BreakOff, Door, HandOff, Nack, Outcome, Signal, Task, Wait, Want, Word
+from tansykeel.interface import BreakOff, Door, EvenParts, HandOff, Nack, Outcome, Parts, Signal, Task, Wait, Want, Word
 
 Run = Generator[Want, "Signal | Outcome | None", None]
 
@@ -15,8 +15,8 @@
 class Runner:
     """One instance's desk. The clock moves only when `move` is called with a batch's time."""
 
-    def __init__(self, door: Door, now: int) -> None:
-        self.now = now
+    def __init__(self, door: Door, now: int, parts: Parts | None = None) -> None:
+        self.now, self.parts = now, parts or EvenParts()
         self._door = door
         self._runs: dict[Task, Run] = {}
         self._waits: dict[Task, int] = {}
--- a/tests/brain/test_brain.py
+++ b/tests/brain/test_brain.py
@@ -318,7 +318,7 @@
 ])
 def test_a_limit_starts_empty_and_never_gives_more_than_this_gateways_part(units, now, wait):
     brain, desk = scheduler([])
-    state = VolumeState(1.0, limit=0.01, depth=20.0, born=desk.now)
+    state = VolumeState(1.0, limit=0.01, depth=20.0, born=desk.now, parts=desk.parts)
     desk.now += now
     assert brain.limit_wait(task(desk, units=units), state) == wait
 
@@ -838,3 +838,14 @@
     assert next(run).until == desk.now + 700
     desk.now += 700
     assert isinstance(run.send(Signal.TIME), Wait) and desk.woken[-1][1] is Signal.TURN  # it is its node's turn now
+
+
+def test_a_limit_is_earned_by_the_part_that_counts_and_a_smaller_one_holds_less():
+    class Half:
+        def earned(self, since, now):
+            return (now - since) / 2, 0.5
+    state = VolumeState(1.0, limit=0.01, depth=20.0, born=0, parts=Half())
+    state.fill(1_000)
+    assert state.units == 5.0
+    state.fill(100_000)
+    assert state.units == 10.0  # of 20 for all
--- a/tests/fleet/test_liveness.py
+++ b/tests/fleet/test_liveness.py
@@ -121,7 +121,7 @@
     watcher.heard(0, "g1", Ping(1, tuple(News(f"g{n}", Seems.ALIVE, 1, 0) for n in range(2, 50))))
     watcher.heard(0, "g1", Ping(2, (News("a", Seems.SUSPECT, 1, 0, "g1"),)))
     (_, ack), = watcher.heard(0, "g2", Ping(3))
-    assert ack.news[0] == News("a", Seems.ALIVE, 1, 1) and len(ack.news) == watcher.pace.news
+    assert ack.news[0] == News("a", Seems.ALIVE, 1, 1) and len(ack.news) == len(watcher.others) // 3  # in a crowd
 
 
 def test_a_suspicion_that_others_share_lasts_shorter():
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -9,6 +9,7 @@
 from tansykeel.interface import (
     Allowed,
     Category,
+    EvenParts,
     Facts,
     How,
     Listing,
@@ -33,7 +34,7 @@
     """A desk that notes what it is asked and moves only when told."""
 
     def __init__(self) -> None:
-        self.now = 1_000_000
+        self.now, self.parts = 1_000_000, EvenParts()
         self.woken: list[tuple[Task, Signal]] = []
         self.alarms: list[tuple[int, Callable[[], None]]] = []
         self.watches = 0
