--- a/tansykeel/cli/fleet.py
+++ b/tansykeel/cli/fleet.py
@@ -60,7 +60,7 @@
 @app.command()
 def watch(
     gateways: Annotated[int, typer.Option(help="2 to 2,000")] = 50,
-    seconds: Annotated[int, typer.Option(help="of simulated time, after 20 s to get to know each other")] = 120,
+    seconds: Annotated[int, typer.Option(help="of simulated time, after 20 s or more to get to know each other")] = 120,
     loss: Annotated[float, typer.Option(help="part of all messages that is lost")] = 0.0,
     stalled: Annotated[float, typer.Option(help="part of the gateways that stand still for 3 s every 10 s")] = 0.0,
     dead: Annotated[int, typer.Option(help="gateways killed one after the other")] = 3,
--- a/tansykeel/emulator/watching.py
+++ b/tansykeel/emulator/watching.py
@@ -19,7 +19,7 @@
 
 TENTH = 100  # microseconds
 WATCHING = 5 * 10**6  # the stream of chance, beside those of `rehearse.load`
-SETTLE_S, MET = 20, 4  # seconds, and gateways met in one, until all know each other and things are counted
+SETTLE_S, MET, SOME = 20, 4, 30  # seconds, and gateways met in one, until all know each other; the last ones take long
 SAMPLE = 500_000  # microseconds between looks at the sum of all parts
 HEADER = 28  # bytes that a datagram has beside what is told
 MOST_EVENTS = 50_000_000
@@ -39,7 +39,7 @@
 
     @property
     def settle_s(self) -> int:
-        return max(SETTLE_S, self.gateways // MET)
+        return max(SETTLE_S, min(self.gateways // 2, SOME), self.gateways // MET)
 
 
 @dataclass(frozen=True, slots=True)
