--- a/tansykeel/emulator/gateway.py
+++ b/tansykeel/emulator/gateway.py
@@ -14,8 +14,9 @@
 from tansykeel.edge.native import Native, answer_of, bounds_of, hand_off_of, known_of
 from tansykeel.emulator.scene import Scene
 from tansykeel.emulator.ways import Conn, GatewayEnd, Line, StoreEnd
-from tansykeel.fleet import keeper as fleet_words
 from tansykeel.fleet.keeper import Keeper
+from tansykeel.fleet.keeper import Said as FleetWord
+from tansykeel.fleet.keeper import Sent as FleetSent
 from tansykeel.fleet.views import Member
 from tansykeel.fleet.words import packed
 from tansykeel.interface import How, Word
@@ -124,7 +125,7 @@
     def list_lost(self) -> None:
         self.core.list_lost(self.clock())
 
-    def word(self, sender: Member, word: fleet_words.Said) -> None:
+    def word(self, sender: Member, word: FleetWord) -> None:
         if self.fellow:
             self.fellow.heard(sender, word)
 
@@ -260,7 +261,7 @@
         self.told: tuple[int, Fraction, int] | None = None
         self._arm()
 
-    def heard(self, sender: Member, word: fleet_words.Said) -> None:
+    def heard(self, sender: Member, word: FleetWord) -> None:
         self._say(self.keeper.heard(self.gateway.clock(), sender, word))
         self._arm()
 
@@ -281,7 +282,7 @@
             self._say(self.keeper.tick(now, self.engine.now // 1_000))
             self._arm()
 
-    def _say(self, sent: list[fleet_words.Sent]) -> None:
+    def _say(self, sent: list[FleetSent]) -> None:
         me, now, scene = self.gateway, self.engine.now, self.scene
         told = self.keeper.counts(me.clock())
         if told != self.told:
