Read over: twins of the fleet's code brought together, figures worked out once

No behaviour was meant to change.

- Lease terms and the keeper are made from settings in one place (settings/fleet.py) for gateway, emulator and audit; the emulator no longer imports the gateway's sockets for it.
A gateway's name is made in one place (Gateway.named).
- What a gateway counts on was worked out up to three times a word; the keeper keeps it, as of its last step, and gateway and emulator take it from there.
On sockets a lease that ran out is written down with the keeper's next step, no longer at a reminder before it; its end stood in the record already.
- A script's literals are written by one function: lists in a printed script have no blanks now.
- The rest is smaller: one step of a watched gateway, shares of a claim, a look-up keyed twice, a wrapper with arguments that nobody gave, children known by their index and not by parsing names.
The head of oneway.star said late where the words are lost.

--- a/examples/rehearsals/oneway.star
+++ b/examples/rehearsals/oneway.star
@@ -1,4 +1,4 @@
-# Words of one gateway reach two others late, theirs reach it at once: who is away is a matter of opinion.
+# Words of one gateway to two others are lost, theirs reach it: who is away is a matter of opinion.
 load("_fellows.star", "fellows")
 day("oneway", seconds = 16, says = "a one-way cut of a gateway's words: parts stay under the whole, rules kept", least_service = 0.4)
 fellows()
--- a/tansykeel/audit/fleet.py
+++ b/tansykeel/audit/fleet.py
@@ -15,6 +15,7 @@
 from tansykeel.audit.join import Passed
 from tansykeel.audit.records import Counted, Said
 from tansykeel.audit.rules import SLACK, Break
+from tansykeel.fleet.keeper import Said as FleetWord
 from tansykeel.fleet.views import (
     SAFE,
     Accepted,
@@ -43,7 +44,7 @@
     edge: str
     life: int
     hearer: str
-    word: object
+    word: FleetWord
 
 
 class FleetLaw(NamedTuple):
@@ -74,7 +75,7 @@
     """A gateway grants and votes for no view after it was heard to know a later one."""
     known: dict[tuple[str, int], tuple[int, int]] = {}  # by life: the latest number and since when
     for seen in law.words:
-        number, who = number_of(seen.word), (seen.edge, seen.life)  # type: ignore[arg-type]
+        number, who = number_of(seen.word), (seen.edge, seen.life)
         if number is None:
             continue
         latest, since = known.get(who, (0, 0))
@@ -91,7 +92,7 @@
 
     def __init__(self, law: FleetLaw) -> None:
         self.views: dict[int, View] = {}
-        asked: dict[tuple[str, int, int, int], int] = {}
+        asked: dict[tuple[str, int, int], tuple[int, int]] = {}  # by whom, for which view, its stamp: life, and when
         self.grants: dict[tuple[str, int, int, str, int], list[tuple[int, int]]] = defaultdict(list)
         holds = law.terms.holds() * TENTH
         for seen in law.words:
@@ -99,15 +100,13 @@
                 case Decided(view) | Form(view) | Formed(view):
                     self.views.setdefault(view.number, view)
                 case Ask(number, stamp):
-                    asked.setdefault((seen.edge, number, seen.life, stamp), seen.at)
-        lives = {(edge, number, stamp): (life, at) for (edge, number, life, stamp), at in asked.items()}
+                    asked.setdefault((seen.edge, number, stamp), (seen.life, seen.at))
         for seen in law.words:
-            if isinstance(seen.word, Grant) and seen.passed:
-                of = lives.get((seen.hearer, seen.word.number, seen.word.at))
-                if of is not None:
-                    life, at = of
-                    line = self.grants[seen.hearer, life, seen.word.number, seen.edge, seen.life]
-                    line.append((seen.passed, at + holds))
+            if not isinstance(seen.word, Grant) or not seen.passed:
+                continue
+            if (of := asked.get((seen.hearer, seen.word.number, seen.word.at))) is not None:
+                life, at = of
+                self.grants[seen.hearer, life, seen.word.number, seen.edge, seen.life].append((seen.passed, at + holds))
         for line in self.grants.values():  # what counts at a moment is the longest of those that came before
             line.sort()
             longest = 0
@@ -135,13 +134,13 @@
     """No part without the leases for it, and never more than the whole together."""
     safe, leases = SAFE / law.gateways, Leases(law)
     for one in passed.counted:
-        if Fraction(one.part, one.whole) <= safe:
+        if one.share <= safe:
             continue
         view = leases.views.get(one.view)
         most = safe + sum((view.part(m) for m in view.members if (m.name, m.incarnation) == (one.edge, one.life)),
                           Fraction(0)) if view else safe
-        if Fraction(one.part, one.whole) > most:
-            yield Break("parts", f"{one.edge} counted {float(Fraction(one.part, one.whole)):.4f} of the whole by view "
+        if one.share > most:
+            yield Break("parts", f"{one.edge} counted {float(one.share):.4f} of the whole by view "
                         f"{one.view}, which gives it {float(most):.4f}")
         held = leases.until(one.edge, one.life, one.view, one.at)
         if one.until > held + CLOCKS:
@@ -159,7 +158,7 @@
         while kills and kills[-1][0] < one.at:
             now.pop(kills.pop()[1], None)
         now[one.edge], at = one, one.at
-        held = {edge: Fraction(it.part, it.whole) for edge, it in now.items() if it.until > at or not it.until}
+        held = {edge: it.share for edge, it in now.items() if it.until > at or not it.until}
         whole = sum((held.get(edge, safe) for edge in names), Fraction(0)) + safe * (law.gateways - len(names))
         if whole > 1:
             most = ", ".join(f"{edge} {float(part):.4f}" for edge, part in sorted(held.items()) if part > safe)
@@ -183,7 +182,7 @@
             until = after.at if after else end
             until = min([until, *(at for at in passed.killed.get(edge, []) if at > one.at)])
             leased = min(until, one.until) if one.until else until
-            total += float(Fraction(one.part, one.whole)) * max(leased - one.at, 0)
+            total += float(one.share) * max(leased - one.at, 0)
             total += float(safe) * max(until - max(leased, one.at), 0)
     return total / max(end - events[0].at, 1)
 
--- a/tansykeel/audit/records.py
+++ b/tansykeel/audit/records.py
@@ -9,6 +9,7 @@
 import struct
 import time
 from collections.abc import Iterator
+from fractions import Fraction
 from pathlib import Path
 from typing import Any
 
@@ -164,6 +165,10 @@
     whole: int
     until: int
 
+    @property
+    def share(self) -> Fraction:
+        return Fraction(self.part, self.whole)
+
 
 class Said(Record):
     """A word of one gateway to another, seen between the two: when it came by, and when it went on, 0 for never."""
--- a/tansykeel/audit/report.py
+++ b/tansykeel/audit/report.py
@@ -13,12 +13,11 @@
 from tansykeel.audit.join import Passed, TaskSeen, read_folder
 from tansykeel.audit.rules import RULES, Break, Law, cold_margins
 from tansykeel.audit.service import count
-from tansykeel.fleet.views import Terms
 from tansykeel.rehearse.day import Day, peers_of, settings_of
 from tansykeel.settings.build import facts_of
+from tansykeel.settings.fleet import terms_of
 
 ANSWERS = ("delivered", "nacked", "broken_off")
-MS = 10  # tenths
 MOST_BREAKS = 50  # that a report names, of each rule
 QUANTILES = {"p50": 50.0, "p90": 90.0, "p99": 99.0, "p999": 99.9}
 LONGEST = 120_000_000  # microseconds that a histogram tells apart
@@ -113,7 +112,7 @@
     peers = peers_of(day, ())
     if peers is None or not peers.agree:
         return None
-    return FleetLaw(day.fleet.edges, Terms(int(peers.lease_ms * MS), peers.drift), words_of(passed))
+    return FleetLaw(day.fleet.edges, terms_of(peers), words_of(passed))
 
 
 def worst(by_second: dict[int, tuple[float, float]], span: int) -> float:
--- a/tansykeel/cli/fleet.py
+++ b/tansykeel/cli/fleet.py
@@ -48,9 +48,8 @@
     except NotTold as error:
         fail(f"{address}: {error}", NOT_PLAYED)
     if json_:
-        names = told.__struct_fields__
-        rows = [dict(zip(other.__struct_fields__, msgspec.to_builtins(other), strict=True)) for other in told.others]
-        typer.echo(json.dumps(dict(zip(names, msgspec.to_builtins(told), strict=True)) | {"others": rows}))
+        rows = [msgspec.structs.asdict(other) for other in told.others]
+        typer.echo(json.dumps(msgspec.structs.asdict(told) | {"others": rows}))
     else:
         fellows(told)
     if not told.leased:
@@ -70,7 +69,7 @@
 ) -> None:
     """How soon a death is known in a fleet that watches over itself and the view is without it, what is suspected
     wrongly, and how much of a whole the parts make up. Exit code 1 if that is ever more than the whole."""
-    from tansykeel.emulator.watching import Trial, watchers
+    from tansykeel.emulator.watching import Trial, Watchers
 
     for name, value, least, most in (("gateways", gateways, 2, 2_000), ("seconds", seconds, 6, 3_600),
                                      ("loss", loss, 0, 0.9), ("stalled", stalled, 0, 0.9), ("dead", dead, 0, 6),
@@ -78,7 +77,7 @@
         legal(name, value, least, most)
     if dead >= gateways:
         fail(f"--dead {dead}: legal: fewer than the {gateways} gateways")
-    world = watchers(Trial(gateways, seconds, loss, stalled, dead=dead, back_s=back), seed)
+    world = Watchers(Trial(gateways, seconds, loss, stalled, dead=dead, back_s=back), seed)
     seen = world.play()
     typer.echo(f"{gateways} gateways, {loss:.0%} lost, {stalled:.0%} stalled (simulated): a death is known after "
                f"{seen.known_median_s:.1f} s (median), {seen.known_99_s:.1f} s (99th), {seen.unknown} never; wrong an "
@@ -149,6 +148,8 @@
 
     Exit code 1 where a rule broke, 3 where a day could not be played.
     """
+    from statistics import fmean
+
     from tansykeel.cli.words import params_of, seeds_of
     from tansykeel.emulator.hunt import Judged, hunted, play_on
     from tansykeel.rehearse.chaos import cut_down, drawn, script_of
@@ -167,18 +168,17 @@
         fail(error)
     if day.chaos is None:
         fail(f"{name}: draws no troubles; legal: a script with chaos(...)")
-    bad: list[Judged] = []
-    played, service, counted, tasks = 0, 0.0, 0.0, 0
+    judged: list[Judged] = []
     try:
         for one in hunted(day, wanted, stage, cores):
-            played, tasks = played + 1, tasks + one.tasks
-            service, counted = service + one.service, counted + one.counted_mean
+            judged.append(one)
             if one.broken:
-                bad.append(one)
                 typer.echo(f"seed {one.seed}: {', '.join(one.broken)}: {one.what}")
-        typer.echo(f"{played} days of drawn troubles ({'simulated' if stage == 'emulator' else 'stand-ins on loopback'}"
-                   f"): {len(bad)} broke a rule; {tasks} tasks, service {service / played:.3f} and "
-                   f"{counted / played:.3f} of any whole counted on, in the mean")
+        bad = [one for one in judged if one.broken]
+        where = "simulated" if stage == "emulator" else "stand-ins on loopback"
+        typer.echo(f"{len(judged)} days of drawn troubles ({where}): {len(bad)} broke a rule; "
+                   f"{sum(one.tasks for one in judged)} tasks, service {fmean(one.service for one in judged):.3f} and "
+                   f"{fmean(one.counted_mean for one in judged):.3f} of any whole counted on, in the mean")
         if bad and cut:
             first = min(bad, key=lambda one: one.seed)
             least = cut_down(drawn(day, first.seed),
--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -122,7 +122,7 @@
         tracing = None
         if trace:
             from tansykeel.edge.trace import Trace
-            tracing = Trace(f"{made.gateway.name}-{number}", trace, trace_share)
+            tracing = Trace(made.gateway.named(number), trace, trace_share)
         program = Edge(made, facts, seed, tracing, max(sample, 1), SendAtOnce if send_at_once else Scheduler,
                        recorder_of(record) if record else None)
         if metrics:
--- a/tansykeel/edge/fellows.py
+++ b/tansykeel/edge/fellows.py
@@ -9,32 +9,20 @@
 
 from tansykeel.edge.clock import EPOCH, Reminder, clock
 from tansykeel.edge.peers import Peers
-from tansykeel.fleet.keeper import Keeper, Place, Said
-from tansykeel.fleet.liveness import Pace, Seems
+from tansykeel.fleet.keeper import Said
+from tansykeel.fleet.liveness import Seems
 from tansykeel.fleet.outbox import Urgency
-from tansykeel.fleet.views import Member, Terms, View
+from tansykeel.fleet.views import Member, View
 from tansykeel.fleet.words import number_of, packed, unpacked, urgency_of
 from tansykeel.protocol.frames import Fellow, FleetTold, Hello, ProtocolError, Watch
+from tansykeel.settings.fleet import keeper_of
 from tansykeel.settings.records import PeersOf
 
-MS, MICROS = 10, 100  # tenths in a millisecond, microseconds in a tenth
+MICROS = 100  # microseconds in a tenth
 SEEMS = {Seems.ALIVE: "alive", Seems.SUSPECT: "suspect", Seems.DEAD: "dead"}
 Counted = Callable[[int, str, int, int, Fraction, int], None]  # at, who, life, view, part, until; microseconds
 
 
-def names_of(name: str, settings: PeersOf) -> list[str]:
-    return [f"{name}-{number}" for number in range(len(settings.addresses))]
-
-
-def keeper_of(settings: PeersOf, names: list[str], me: int, life: int, chance: Random, now: int) -> Keeper:
-    """The keeper that the settings ask for; times in tenths. Pings are answered within a third of their pace."""
-    places = {name: Place(settings.zones[n] if settings.zones else 0, settings.weights[n] if settings.weights else 1)
-              for n, name in enumerate(names)}
-    ping = int(settings.ping_ms * MS)
-    pace = Pace(period=ping, answer=max(ping * 3 // 10, 1), steady=2 * ping, forgives=60 * ping)
-    return Keeper(names[me], places, life, pace, Terms(int(settings.lease_ms * MS), settings.drift), chance, now)
-
-
 class Fellows:
     """`counted` hears of each change of what this gateway counts as its own."""
 
@@ -118,11 +106,10 @@
                               suspected_by=sorted(other.suspected_by) or None, view=agreement.number)
                 if other.seems is Seems.DEAD:
                     self.peers.by_name[other.name].drop("it is called dead")
-        told = self.keeper.counts(now)
-        if self.counted and told != self.told:
-            self.told = told
-            self.counted((now - EPOCH) * MICROS, self.keeper.me.name, self.keeper.me.incarnation, told[0], told[1],
-                         max(told[2] - EPOCH, 0) * MICROS)
+        if self.counted and self.keeper.counted != self.told:
+            self.told = number, part, until = self.keeper.counted
+            self.counted((now - EPOCH) * MICROS, self.keeper.me.name, self.keeper.me.incarnation, number, part,
+                         max(until - EPOCH, 0) * MICROS)
 
     def _followed(self, before: View | None, view: View | None) -> None:
         """Guards against words of an older view that wait still: their receivers would refuse them."""
--- a/tansykeel/edge/program.py
+++ b/tansykeel/edge/program.py
@@ -13,7 +13,7 @@
 from tansykeel.brain import Scheduler
 from tansykeel.edge.clock import Reminder, clock
 from tansykeel.edge.core import Attempt, Core, Decisions, Final, Held, StillHeld
-from tansykeel.edge.fellows import Counted, Fellows, names_of
+from tansykeel.edge.fellows import Counted, Fellows
 from tansykeel.edge.listing import Listing
 from tansykeel.edge.native import Native, answer_of, bounds_of, known_of
 from tansykeel.edge.peers import Peers
@@ -49,10 +49,10 @@
                  sample: int = 100, decide: Callable[..., Decisions] = Scheduler,
                  counted: Counted | None = None) -> None:
         self.settings, self.gateway = settings, settings.gateway
-        self.log = structlog.get_logger().bind(gateway=f"{settings.gateway.name}-{facts.me}")
+        self.log = structlog.get_logger().bind(gateway=self.gateway.named(facts.me))
         self.trace, self.sample, self._logged = trace, sample, 0
         self.boot = time.time_ns() & (2**62 - 1)
-        self.hello = Hello(1, "edge", f"{settings.gateway.name}-{facts.me}", self.boot, 0)
+        self.hello = Hello(1, "edge", self.gateway.named(facts.me), self.boot, 0)
         self.hub = Hub(Limits(stall=settings.gateway.peer_stall_s))
         self.clients: set[Link] = set()
         self._reminder = Reminder(lambda now: self.core.tick(now))
@@ -64,7 +64,7 @@
         self.peers: Peers | None = None
         self.fellows: Fellows | None = None
         if settings.peers:
-            names = names_of(settings.gateway.name, settings.peers)
+            names = settings.names()
             self.peers = Peers(settings.peers, names, facts.me, self.hub, self.hello, self._word)
             if settings.peers.agree:
                 self.fellows = Fellows(settings.peers, names, facts.me, self.hello, seed, self.peers, self.log,
--- a/tansykeel/emulator/experiments.py
+++ b/tansykeel/emulator/experiments.py
@@ -8,12 +8,8 @@
 
 import hashlib
 import json
-import os
-import threading
 import time
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
-from concurrent.futures import FIRST_COMPLETED, ProcessPoolExecutor, wait
-from multiprocessing import get_context
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -21,6 +17,7 @@
 import msgspec
 
 from tansykeel.emulator.compare import Interval, grid, interval
+from tansykeel.emulator.cores import spread
 from tansykeel.emulator.versions import decide_of
 from tansykeel.emulator.world import World
 from tansykeel.rehearse.play import day_of, path_of
@@ -32,8 +29,6 @@
     tasks bigint, delivered bigint, nacked bigint, broken_off bigint, cold_most double, p50 double, p99 double,
     edges bigint, stores bigint, wall_s double, verdict varchar)
 """
-LOOK = 0.5  # seconds
-AHEAD = 2  # days handed to the pool for each core before the first of them ends
 
 
 class Differs(Exception):
@@ -173,30 +168,6 @@
     return len(todo)
 
 
-def end_with(parent: int) -> None:
-    """Guards against days that play on after whoever asked for them was killed: this process ends within LOOK."""
-    def look() -> None:
-        while os.getppid() == parent:
-            time.sleep(LOOK)
-        os._exit(1)
-    threading.Thread(target=look, daemon=True).start()
-
-
 def over_cores(jobs: Sequence[Job], cores: int) -> Iterator[Played]:
-    """Play days in processes of their own, `cores` at a time (0: as many as there are); each as it ends."""
-    if not jobs:
-        return
-    cores = cores or os.cpu_count() or 1
-    with ProcessPoolExecutor(cores, get_context("spawn"), end_with, (os.getpid(),)) as pool:
-        running = {pool.submit(play, job) for job in jobs[:cores * AHEAD]}
-        rest = iter(jobs[cores * AHEAD:])
-        try:
-            while running:
-                ended, running = wait(running, return_when=FIRST_COMPLETED)
-                for future in ended:
-                    yield future.result()
-                    if (following := next(rest, None)) is not None:
-                        running.add(pool.submit(play, following))
-        except BaseException:
-            pool.shutdown(wait=False, cancel_futures=True)
-            raise
+    """Play days in processes of their own; each as it ends."""
+    return spread(play, jobs, cores)
--- a/tansykeel/emulator/gateway.py
+++ b/tansykeel/emulator/gateway.py
@@ -10,7 +10,6 @@
 
 from tansykeel.audit.records import Counted, Listed, Said
 from tansykeel.edge.core import Attempt, Core, Final, Held
-from tansykeel.edge.fellows import keeper_of, names_of
 from tansykeel.edge.native import Native, answer_of, bounds_of, hand_off_of, known_of
 from tansykeel.emulator.scene import Scene
 from tansykeel.emulator.ways import Conn, GatewayEnd, Line, StoreEnd
@@ -21,6 +20,7 @@
 from tansykeel.fleet.words import packed
 from tansykeel.interface import How, Word
 from tansykeel.protocol.frames import HEAD_BYTES, Hello, ListOf, Row, Share, TaskOf
+from tansykeel.settings.fleet import keeper_of
 from tansykeel.standin.behaviour import Work
 from tansykeel.standin.book import Book
 
@@ -254,9 +254,10 @@
         self.gateway, self.scene, self.engine, self.life = gateway, gateway.scene, gateway.engine, gateway.life
         settings = self.scene.settings
         assert settings.peers is not None
-        self.names = names_of(settings.gateway.name, settings.peers)
+        names = settings.names()
+        self.numbers = {name: number for number, name in enumerate(names)}
         chance = Random(f"{self.scene.seed} {gateway.index} {gateway.life}")
-        self.keeper: Keeper = keeper_of(settings.peers, self.names, gateway.index, self.engine.now, chance,
+        self.keeper: Keeper = keeper_of(settings.peers, names, gateway.index, self.engine.now, chance,
                                         gateway.clock())
         self.told: tuple[int, Fraction, int] | None = None
         self._arm()
@@ -284,13 +285,12 @@
 
     def _say(self, sent: list[FleetSent]) -> None:
         me, now, scene = self.gateway, self.engine.now, self.scene
-        told = self.keeper.counts(me.clock())
-        if told != self.told:
-            self.told, until = told, told[2] * TENTH
-            scene.record(Counted(now, me.name, self.keeper.me.incarnation, told[0], told[1].numerator,
-                                 told[1].denominator, until))
+        if self.keeper.counted != self.told:
+            self.told = number, part, until = self.keeper.counted
+            scene.record(Counted(now, me.name, self.keeper.me.incarnation, number, part.numerator, part.denominator,
+                                 until * TENTH))
         for name, word in sent:
-            to = self.names.index(name)
+            to = self.numbers[name]
             what, data = packed(word)
             out = scene.faults.passes(now, (me.index, to), HEAD_BYTES + len(data), scene.ways.client())
             for passed in out or [0]:
--- a/tansykeel/emulator/hunt.py
+++ b/tansykeel/emulator/hunt.py
@@ -3,20 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Sequence
-from concurrent.futures import ProcessPoolExecutor
-from itertools import islice
-from multiprocessing import get_context
-from os import cpu_count
 from typing import NamedTuple
 
 from tansykeel.audit.report import Verdict
+from tansykeel.emulator.cores import spread
 from tansykeel.emulator.world import World
 from tansykeel.rehearse.chaos import drawn
 from tansykeel.rehearse.day import Day
 from tansykeel.rehearse.play import play
 
-AHEAD = 2  # days handed out for each core before the first of them ends
-
 
 class Judged(NamedTuple):
     """What matters of a verdict where there are thousands. `what`: the first break."""
@@ -37,8 +32,9 @@
                   verdict.counted_mean or 0.0, verdict.tasks)
 
 
-def _drawn_and_played(day: Day, seed: int) -> Judged:
-    return play_on(drawn(day, seed), seed, "emulator")
+def _drawn_and_played(job: tuple[int, Day, int]) -> tuple[int, Judged]:
+    number, day, seed = job
+    return number, play_on(drawn(day, seed), seed, "emulator")
 
 
 def hunted(day: Day, seeds: Sequence[int], stage: str, cores: int) -> Iterator[Judged]:
@@ -46,10 +42,10 @@
     if stage != "emulator":
         yield from (play_on(drawn(day, seed), seed, stage) for seed in seeds)
         return
-    cores = cores or cpu_count() or 1
-    with ProcessPoolExecutor(cores, get_context("spawn")) as pool:
-        left = iter(seeds)
-        out = [pool.submit(_drawn_and_played, day, seed) for seed in islice(left, AHEAD * cores)]
-        while out:
-            yield out.pop(0).result()
-            out += [pool.submit(_drawn_and_played, day, seed) for seed in islice(left, 1)]
+    early: dict[int, Judged] = {}  # ended before one whose seed comes first
+    due = 0
+    for number, judged in spread(_drawn_and_played, [(n, day, seed) for n, seed in enumerate(seeds)], cores):
+        early[number] = judged
+        while due in early:
+            yield early.pop(due)
+            due += 1
--- a/tansykeel/emulator/watching.py
+++ b/tansykeel/emulator/watching.py
@@ -3,18 +3,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from fractions import Fraction
 from random import Random
 from time import process_time
 
-import msgspec
 import numpy
 
 from tansykeel.emulator.engine import START, Engine
-from tansykeel.fleet.keeper import Keeper, Place, Said
+from tansykeel.fleet.keeper import Keeper, Place, Said, Sent
 from tansykeel.fleet.liveness import SECOND, Pace, Seems
 from tansykeel.fleet.views import Member, Terms
+from tansykeel.fleet.words import packed
 from tansykeel.rehearse.load import stream
 
 TENTH = 100  # microseconds
@@ -23,6 +24,7 @@
 SAMPLE = 500_000  # microseconds between looks at the sum of all parts
 HEADER = 28  # bytes that a datagram has beside what is told
 MOST_EVENTS = 50_000_000
+PACE, TERMS = Pace(), Terms(lease=4 * SECOND)
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +65,7 @@
 
 
 class Watchers:
-    def __init__(self, trial: Trial, seed: int, pace: Pace, terms: Terms) -> None:
+    def __init__(self, trial: Trial, seed: int, pace: Pace = PACE, terms: Terms = TERMS) -> None:
         self.trial, self.engine, self.chance = trial, Engine(), stream(seed, WATCHING)
         self.names = [f"edge-{n}" for n in range(trial.gateways)]
         self.bytes = 0  # in the second half, when the news of the start have been told
@@ -142,7 +144,7 @@
         sender = self.all[name].me
         for to, word in words:
             if self.engine.now >= self.half:
-                self.bytes += HEADER + len(msgspec.msgpack.encode(word))
+                self.bytes += HEADER + len(packed(word)[1])
             if self.chance.random() >= self.trial.loss:
                 way = int(self.trial.way_ms * 1000 * (0.5 + self.chance.random()))
                 self.engine.after(way, self._arrive, to, sender, word)
@@ -153,11 +155,7 @@
         if (until := self.until.get(to, 0)) > self.engine.now:
             self.engine.at(until + 2, self._arrive, to, sender, word)  # it waits in the socket
             return
-        begun = process_time()
-        sent = self.all[to].heard(self.now(), sender, word)
-        self._spent(begun)
-        self._send(to, sent)
-        self._look(to)
+        self._step(to, lambda: self.all[to].heard(self.now(), sender, word))
         self.engine.at(max(self.all[to].due() * TENTH, self.engine.now + 1), self._due, to)
 
     def _due(self, name: str) -> None:
@@ -167,15 +165,16 @@
 
     def _do_due(self, name: str) -> None:
         if self.now() >= self.all[name].due():
-            begun = process_time()
-            sent = self.all[name].tick(self.now(), self.wall_ms())
-            self._spent(begun)
-            self._send(name, sent)
-            self._look(name)
+            self._step(name, lambda: self.all[name].tick(self.now(), self.wall_ms()))
 
-    def _spent(self, begun: float) -> None:
+    def _step(self, name: str, step: Callable[[], list[Sent]]) -> None:
+        """What a gateway does, the time that it takes, and what comes of it."""
+        begun = process_time()
+        sent = step()
         if self.engine.now >= self.half:
             self.spent += process_time() - begun
+        self._send(name, sent)
+        self._look(name)
 
     def _look(self, name: str) -> None:
         """What this gateway has come to believe of others since it was looked at."""
@@ -242,10 +241,6 @@
         self.engine.at(moment, stall)
 
 
-def watchers(trial: Trial, seed: int, pace: Pace | None = None, terms: Terms | None = None) -> Watchers:
-    return Watchers(trial, seed, pace or Pace(), terms or Terms(lease=4 * SECOND))
-
-
 def watched(trial: Trial, seed: int) -> Seen:
     """Play a trial. Raises RuntimeError where it does not come to an end."""
-    return watchers(trial, seed).play()
+    return Watchers(trial, seed).play()
--- a/tansykeel/fleet/keeper.py
+++ b/tansykeel/fleet/keeper.py
@@ -41,7 +41,7 @@
         self.agreement = Agreement(self._member(name, life), tuple(sorted(places)), terms, now)
         self.next_renewal, self.lacking, self.differs = now, now, -1  # since when: no working view; others are wanted
         self.parts = Parts(len(places), SAFE / len(places), now)  # for whatever earns by its part of a whole
-        self.counted: tuple[int, Fraction, int] | None = None
+        self.counted = self.counts(now)  # as of its last step
         self.taught: dict[str, tuple[int, int]] = {}  # which view others were told of last, and when
         self.number = 0  # of the view that was there when last looked at
 
@@ -55,8 +55,8 @@
 
     def counts(self, now: int) -> tuple[int, Fraction, int]:
         """The view that it counts by, its part, and until when that holds if nothing more is heard (0: for good)."""
-        leased = self.agreement.leased(now)
-        return self.agreement.number, self.part(now), self.agreement.until() if leased else 0
+        until = self.agreement.until()
+        return self.agreement.number, self.part(now), until if until > now else 0
 
     def due(self) -> int:
         return min(self.next_renewal, self.liveness.due())
@@ -73,6 +73,7 @@
 
     def leave(self, now: int) -> list[Sent]:
         """This gateway ends soon: say so, ask for no lease any more."""
+        self._count(now)
         return list(self.liveness.leave(now))
 
     # Within
--- a/tansykeel/fleet/liveness.py
+++ b/tansykeel/fleet/liveness.py
@@ -293,13 +293,13 @@
 
     def _news(self, to: str) -> tuple[News, ...]:
         """What is told with a message: first what was told least; to one that is suspected, that it is."""
+        if self.leaving:  # guards against its own farewell that is crowded out, or told too often to go on
+            return (News(self.me, Seems.DEAD, self.life, self.denials, self.me),)
         most = math.ceil(self.pace.repeats * self._size())
 
         def order(told: tuple[News, int]) -> tuple[bool, int]:
             # Guards against denials that come too late: a fleet that starts has hundreds of greetings to tell.
             return told[0].seems is Seems.ALIVE and not told[0].denials, told[1]
-        if self.leaving:  # guards against its own farewell that is crowded out, or told too often to go on
-            return (News(self.me, Seems.DEAD, self.life, self.denials, self.me),)
         # Guards against a fleet that starts, or loses a third, and knows itself after minutes: a crowd of news.
         told_now = max(self.pace.news, min(len(self.telling) // 3, self.pace.crowd))
         first = sorted(self.telling.values(), key=order)[:told_now]
--- a/tansykeel/rehearse/chaos.py
+++ b/tansykeel/rehearse/chaos.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -13,6 +12,7 @@
 import msgspec
 
 from tansykeel.rehearse.day import LINKS, VERBS, Chaos, Day, Trouble
+from tansykeel.settings.build import literal
 
 SOLE = "late_edge"  # strikes a gateway once, from the start on
 # How often each is drawn, against the others.
@@ -100,12 +100,10 @@
 
 def script_of(troubles: tuple[Trouble, ...]) -> list[str]:
     """A script's lines for these troubles; figures that are as usual are left out."""
-    def value(of: Any) -> str:
-        return repr(of) if isinstance(of, bool) else json.dumps(of)
     lines = []
     for trouble in troubles:
         usual = VERBS[trouble.verb][1]
         said = {name: given for name, given in trouble.detail.items() if usual.get(name) != given}
-        told = "".join(f", {name} = {value(given)}" for name, given in said.items())
+        told = "".join(f", {name} = {literal(given)}" for name, given in said.items())
         lines.append(f"{trouble.verb}(at = {trouble.at:g}, for_s = {trouble.for_s:g}{told})")
     return lines
--- a/tansykeel/rehearse/clients.py
+++ b/tansykeel/rehearse/clients.py
@@ -55,13 +55,17 @@
         self.keep = True
         self.told_off = False  # the edge said that it takes no further tasks
 
+    @property
+    def connected(self) -> bool:
+        return self.link is not None and not self.link.lost and not self.link.closing
+
     @property
     def up(self) -> bool:
-        return self.link is not None and not self.link.lost and not self.link.closing and not self.told_off
+        return self.connected and not self.told_off
 
     async def stay_connected(self) -> None:
         while self.keep:
-            if self.link is None or self.link.lost or self.link.closing:
+            if not self.connected:
                 try:
                     sock = await connect(self.address, CONNECT_WITHIN)
                 except (OSError, TimeoutError):
--- a/tansykeel/rehearse/conductor.py
+++ b/tansykeel/rehearse/conductor.py
@@ -131,9 +131,8 @@
         if fleet.talk or fleet.agree:
             self.ports = free_ports(fleet.edges)
             await self._relay()
-        late = fleet.late(day.troubles)
-        started = await asyncio.gather(*(self._edge(index) for index in range(fleet.edges) if index not in late))
-        self.edges = {int(child.name.removeprefix("edge-")): child for child in started}
+        there = [index for index in range(fleet.edges) if index not in fleet.late(day.troubles)]
+        self.edges = dict(zip(there, await asyncio.gather(*map(self._edge, there)), strict=True))
         count = day.clients.processes
         self.clients = list(await asyncio.gather(*(self._client(number, count) for number in range(count))))
 
@@ -179,7 +178,7 @@
     async def _relay(self) -> None:
         """Started before the gateways, whose ports are chosen by then; each finds the others at the relay's ports."""
         fleet, path = self.day.fleet, self.folder / "relay.json"
-        names = [f"{self.day.gateway.name}-{n}" for n in range(fleet.edges)]
+        names = [self.day.gateway.named(n) for n in range(fleet.edges)]
         path.write_text(json.dumps({"targets": [f"127.0.0.1:{port}" for port in self.ports], "names": names,
                                     "zones": fleet.edge_zones(), "seed": self.seed}))
         self.relay = await self._spawn("relay", *PROGRAM, "relay", path, "--record", self._rec("relay"))
--- a/tansykeel/rehearse/day.py
+++ b/tansykeel/rehearse/day.py
@@ -303,8 +303,7 @@
         for which in ("zone", "to_zone"):
             if detail[which] != -1 and detail[which] not in range(fleet.zones):
                 raise ValueError(f"{verb}.{which}: {detail[which]!r} does not exist; legal: 0 to {fleet.zones - 1}")
-        if (struck := sum(bool(detail["pairs"]) if which == "pairs" else detail[which] >= 0
-                          for which in ("pairs", "zone", "to_zone"))) > 1:
+        if (struck := bool(detail["pairs"]) + (detail["zone"] >= 0) + (detail["to_zone"] >= 0)) > 1:
             raise ValueError(f"{verb}: {struck} of pairs, zone and to_zone; legal: one of them, or none for all links")
         if detail.get("share", 0) > 1 or detail.get("bytes_s", 1) <= 0:
             raise ValueError(f"{verb}: legal: a share of 1 at most, bytes_s above 0")
--- a/tansykeel/rehearse/relay.py
+++ b/tansykeel/rehearse/relay.py
@@ -88,10 +88,9 @@
         back.writer = writer
         self.lanes = [there, back]
         loop = asyncio.get_running_loop()
-        reading = loop.create_task(there.read(reader))
-        self.tasks = [reading, loop.create_task(self._onward(there, back)), loop.create_task(back.write())]
+        self.tasks = [loop.create_task(work) for work in (there.read(reader), self._onward(there, back), back.write())]
         try:
-            await asyncio.wait(self.tasks, return_when=asyncio.ALL_COMPLETED)
+            await asyncio.wait(self.tasks)
         finally:
             self.end()
 
--- a/tansykeel/settings/build.py
+++ b/tansykeel/settings/build.py
@@ -204,18 +204,20 @@
     )
 
 
+def literal(of: Any) -> str:
+    """A value as a script says it."""
+    if isinstance(of, bool) or of is None:
+        return repr(of)
+    if isinstance(of, dict):
+        return "{" + ", ".join(f"{name!r}: {literal(part)}" for name, part in of.items()) + "}"
+    return msgspec.json.encode(of).decode()
+
+
 def text_of(made: Settings) -> str:
     """The settings as a script again: `load` of this text gives the same record."""
-    def value(of: Any) -> str:
-        if isinstance(of, bool) or of is None:
-            return repr(of)
-        if isinstance(of, dict):
-            return "{" + ", ".join(f"{name!r}: {value(part)}" for name, part in of.items()) + "}"
-        return msgspec.json.encode(of).decode()
-
     def call(verb: str, record: Record) -> str:
         parts = msgspec.to_builtins(record)
-        return f"{verb}(" + ", ".join(f"{name} = {value(part)}" for name, part in parts.items()) + ")"
+        return f"{verb}(" + ", ".join(f"{name} = {literal(part)}" for name, part in parts.items()) + ")"
 
     single: list[tuple[str, Record | None]] = [("gateway", made.gateway), ("sizes", made.sizes),
                                                ("rules", made.rules), ("listing", made.listing),
--- a/tansykeel/settings/records.py
+++ b/tansykeel/settings/records.py
@@ -39,6 +39,10 @@
     stop_within_s: Above = 10.0  # from SIGTERM to the exit
     stall_allowance_ms: Least0 = 0.0  # answers are due this long before a client's patience ends
 
+    def named(self, number: int) -> str:
+        """What the gateway of this number calls itself."""
+        return f"{self.name}-{number}"
+
 
 class CategoryOf(Record):
     name: Name
@@ -146,6 +150,10 @@
     sizes: SizesOf = field(default_factory=SizesOf)
     rules: RulesOf = field(default_factory=RulesOf)
 
+    def names(self) -> list[str]:
+        """What the gateways that know of each other call themselves, by number."""
+        return [self.gateway.named(number) for number in range(len(self.peers.addresses))] if self.peers else []
+
     def listens_at(self, number: int) -> str:
         """The address of the gateway of this number: with peers its own of those."""
         return self.peers.addresses[number] if self.peers else self.gateway.listen
