--- a/benchmarks/edge_cost.py
+++ b/benchmarks/edge_cost.py
@@ -43,7 +43,7 @@
 sizes(largest = 64, usual = {units})
 rules(hand_offs = 3, answer_grace_ms = 50)
 """
-GROUPS = {"module": ("brain.py", "runner.py", "interface.py"), "core": ("edge/core.py",),
+GROUPS = {"module": ("brain/", "runner.py", "interface.py"), "core": ("edge/core.py",),
           "codec": ("protocol/", "msgspec", "crc32c"), "sockets": ("transport/", "uvloop", "sock_"),
           "programs": ("edge/stores.py", "edge/program.py")}
 
--- a/tansykeel/audit/fleet.py
+++ b/tansykeel/audit/fleet.py
@@ -16,20 +16,8 @@
 from tansykeel.audit.records import Counted, Said
 from tansykeel.audit.rules import SLACK, Break
 from tansykeel.fleet.keeper import Said as FleetWord
-from tansykeel.fleet.views import (
-    SAFE,
-    Accepted,
-    Ask,
-    Decided,
-    Done,
-    Form,
-    Formed,
-    Grant,
-    Promise,
-    Terms,
-    View,
-    majority,
-)
+from tansykeel.fleet.membership import SAFE, Accepted, Ask, Decided, Done, Form, Formed, Grant, Promise, View, majority
+from tansykeel.fleet.views import Terms
 from tansykeel.fleet.words import number_of, unpacked
 
 TENTH = 100  # microseconds
--- a/tansykeel/audit/join.py
+++ b/tansykeel/audit/join.py
@@ -19,6 +19,7 @@
     Lagged,
     Listed,
     Ran,
+    RecordsError,
     Said,
     Sent,
     Stood,
@@ -161,5 +162,5 @@
     """All records of a day's folder. Raises ValueError where there are none."""
     files = sorted((folder / "records").glob("*.rec"))
     if not files:
-        raise ValueError(f"{folder}: holds no records; legal: a folder that a rehearsal left")
+        raise RecordsError(f"{folder}: holds no records; legal: a folder that a rehearsal left")
     return join([record for file in files for record in read(file)])
--- a/tansykeel/audit/records.py
+++ b/tansykeel/audit/records.py
@@ -16,11 +16,19 @@
 import msgspec
 from msgspec import Struct
 
+from tansykeel.errors import Problem
+
 _LENGTH = struct.Struct(">I")
 FLUSH_AT = 256 << 10  # bytes kept before they are written
 MOST_RECORD = 1 << 20
 
 
+class RecordsError(Problem, ValueError):
+    """A folder or file of what passed can't be judged."""
+
+    advice = "give the folder of a day that ended; play it again where a file of it is damaged"
+
+
 def now_us() -> int:
     return time.monotonic_ns() // 1000
 
@@ -215,11 +223,11 @@
     while at + _LENGTH.size <= len(data):
         (length,) = _LENGTH.unpack_from(data, at)
         if length > MOST_RECORD:
-            raise ValueError(f"{path}: at byte {at}: a record of {length} bytes; legal: {MOST_RECORD} at most")
+            raise RecordsError(f"{path}: at byte {at}: a record of {length} bytes; legal: {MOST_RECORD} at most")
         if at + _LENGTH.size + length > len(data):
             return
         try:
             yield decode(data[at + _LENGTH.size:at + _LENGTH.size + length])
         except msgspec.DecodeError as error:
-            raise ValueError(f"{path}: at byte {at}: {error}") from None
+            raise RecordsError(f"{path}: at byte {at}: {error}") from None
         at += _LENGTH.size + length
--- a/tansykeel/audit/report.py
+++ b/tansykeel/audit/report.py
@@ -11,10 +11,11 @@
 
 from tansykeel.audit.fleet import FLEET_RULES, FleetLaw, counted_mean, words_of
 from tansykeel.audit.join import Passed, TaskSeen, read_folder
+from tansykeel.audit.records import RecordsError
 from tansykeel.audit.rules import RULES, Break, Law, cold_margins
 from tansykeel.audit.service import count
-from tansykeel.rehearse.day import Day, peers_of, settings_of
 from tansykeel.settings.build import facts_of
+from tansykeel.settings.day import Day, peers_of, settings_of
 from tansykeel.settings.fleet import terms_of
 
 ANSWERS = ("delivered", "nacked", "broken_off")
@@ -132,6 +133,6 @@
         day = msgspec.json.decode((folder / "day.json").read_bytes(), type=Day)
         seed = int((folder / "seed").read_text())
     except OSError as error:
-        raise ValueError(f"{folder}: {error.strerror}: {error.filename}; legal: a folder that a rehearsal "
+        raise RecordsError(f"{folder}: {error.strerror}: {error.filename}; legal: a folder that a rehearsal "
                          "left") from None
     return judge(read_folder(folder), day, seed)
--- a/tansykeel/audit/rules.py
+++ b/tansykeel/audit/rules.py
@@ -13,7 +13,7 @@
 from tansykeel.audit.join import READY, HandOff, Passed, TaskSeen
 from tansykeel.audit.records import Up
 from tansykeel.interface import Category, Facts, Plan, Repeat, Scope
-from tansykeel.standin.model import Shape, borne
+from tansykeel.settings.shape import Shape, borne
 
 SLACK = 250_000  # microseconds
 TENTH = 100
--- a/tansykeel/benchlink/wire.py
+++ b/tansykeel/benchlink/wire.py
@@ -6,9 +6,13 @@
 from collections.abc import Iterator
 from typing import BinaryIO, NamedTuple
 
+from tansykeel.errors import Problem
 
-class Malformed(Exception):
-    """A frame that doesn't follow the wire; the text names what and where."""
+
+class Malformed(Problem):
+    """A frame of the bench doesn't follow the wire; the text names what and where."""
+
+    advice = "compare the adapter with the wire's page; the frame is written to standard error"
 
 
 class Entry(NamedTuple):
--- /dev/null
+++ b/tansykeel/brain/cold.py
@@ -0,0 +1,39 @@
+"""Cold stores: what all gateways together may send to one that has just started."""
+
+from tansykeel.interface import ColdRule, Store
+
+SECOND, ROUND, LONG = 10_000, 100, 1_000  # a round every 10 ms (design), put off at cold nodes for so long
+EVEN, TOLD = 0.2, 6 * SECOND  # part of what a cold node bears that is dealt evenly; by when a start is told
+
+
+class Young:
+    """Keeps what all send to a store that has just started within what it surely bears: some of that evenly,
+    and the part of what is asked of it that it bears, for it starts with a known share of its power."""
+
+    def __init__(self, rule: ColdRule, gateways: int, me: int, largest: float) -> None:
+        self.rule, self.largest = rule, largest
+        self.even, self.phase = EVEN * rule.always_safe / max(gateways, 1), (me + 0.5) / max(gateways, 1)
+        self.due = self.suspected = 0  # when the last task will find room; when it may have started
+        self.since, self.at, self.credit = -rule.warm_after - rule.span, 0, 0.0
+
+    def bears(self, store: Store, now: int, proof: int) -> float:
+        """What it bears by now, as a part of what it does when warm; 0 if it is."""
+        # Guards against a cut link taken for a restart: it answers, and no start was told when it had to be.
+        doubt = proof <= self.suspected or now < self.suspected + TOLD
+        age = now - (started := max(store.started, self.suspected if doubt else 0))
+        if started <= 0 or age >= self.rule.warm_after + self.rule.span:
+            return 0.0
+        if started > self.since + self.rule.span:  # the list and the store tell of one start a little apart
+            self.at, self.credit = started, 0.0
+        self.since = started
+        # The power at the start of the window bounds the whole window, for power never sinks on the way up.
+        since = max(age - self.rule.span, 0) / max(self.rule.warm_after, 1)
+        grown = 1 + since * (1 / self.rule.share - 1) if self.rule.share > 0 else 1.0
+        evenly, self.at = self.even * grown * (now - self.at) / self.rule.span, now
+        self.credit = min(self.credit + evenly, self.largest)
+        return max(self.rule.multiple * self.rule.share * grown, 1e-9)
+
+    def room(self, store: Store, now: int, units: float, proof: int) -> bool:
+        warm, short = not self.bears(store, now, proof), units * self.phase - self.credit
+        self.due = now + int(min(short * self.rule.span / max(self.even, 1e-9), LONG)) if short > 0 else 0
+        return warm or short <= 0
--- /dev/null
+++ b/tansykeel/brain/nodes.py
@@ -0,0 +1,271 @@
+"""Lines and slices: rounds that deal a store's token rate to the volumes that hold tasks for it (ReFlex)."""
+
+from __future__ import annotations
+
+from bisect import bisect_left, insort
+from collections import deque
+from heapq import heappop, heappush
+
+from tansykeel.interface import Desk, How, Outcome, Signal, State, Store, Task, Volume
+
+from .cold import EVEN, ROUND, SECOND, Young
+from .rates import AIM_PART, FRESH, Measured, Waits
+
+RESET, FLOOR = SECOND, 0.1  # when the bucket is emptied; part of the rate that slices always share (design)
+DEFICIT, DONATED = 50.0, 0.9  # what a reserve may sink below nothing; part of its surplus given away (paper)
+READ_COST, WRITE_COST, MOST_OUT = 1.0, 1.5, 24  # tokens for a unit; hand-offs out at a node (design: 32)
+RISE = 2_000  # the rate about doubles in this time while tasks are held and the lag is far under its target
+FALL, DEEPEST = 0.2, 0.9  # part that it loses with the lag at twice its target, and at most in one fall
+FORGET = 600 * SECOND  # lines that nothing was sent for are let go after this
+PATIENCE, LOSING = 4, 10 * SECOND  # times the lag after which an answer can be lost; while one tells of more
+PAUSE = 2_000  # rest of a node that cannot be reached, grows with every failure in a row
+
+
+class Line:
+    """One volume at one node. What it earns or owes while it holds no tasks is worked out when needed."""
+
+    def __init__(self, node: Node, number: int, volume: Volume) -> None:
+        self.node, self.number, self.volume = node, number, volume  # number: its place in the round
+        self.held: deque[Task] = deque()
+        self.reserve = volume.plan.reserve / SECOND  # read tokens a tenth, over all gateways and nodes
+        self.earns = self.balance = self.tokens = 0.0  # earns: this gateway's and node's part of the reserve
+        self.at, self.paid = node.accrued, 0.0  # up to when balance and tokens are worked out
+        self.full_at, self.clear_at = 0, 0.0  # when its balance is full; after which slices it owes nothing
+        self.asked_at, self.sized = 0, 0.0  # when a first try last came; units that the volume is sized for
+
+    def earn(self, earns: float) -> None:
+        if self.node.lines.get(self.volume) is self:
+            self.node.earn += earns - self.earns
+            if self in self.node.full:
+                self.node.full_earn += earns - self.earns
+            elif not self.held:
+                self.balance += self.earns * (self.node.accrued - self.at)
+                self.at, self.earns = self.node.accrued, earns
+                self.node.fill(self)
+        self.earns = earns
+
+
+def cost_of(task: Task) -> float:
+    return task.units * (WRITE_COST if task.category.writes else READ_COST)
+
+
+class Node(Measured):
+    """One store and the lines of its volumes here."""
+
+    def __init__(self, store: Store, desk: Desk, rate: float, least: float, usual: float, tightest: int,
+                 young: Young | None, waits: Waits, gateways: int) -> None:
+        super().__init__(store, desk, rate, least, usual, tightest, waits, gateways)
+        self.young, self.round_set, self.starved = young, False, False  # starved: tokens or bound held back
+        self.lines, self.holding = dict[Volume, Line](), list[Line]()  # holding: with held tasks, in order
+        # Of the others: those whose balance is full (`has` for a token earned), when more will be, those that
+        # held a task lately, those in debt, and the slices after which they owe nothing.
+        self.full, self.fills = dict[Line, None](), list[tuple[int, int, Line]]()
+        self.late, self.owing = dict[Line, int](), dict[Line, None]()
+        self.debts = list[tuple[float, int, Line]]()
+        self.earn = self.full_earn = self.has = self.paid = 0.0  # paid: all slices so far, of one line
+        self.count = self.notes = self.first = 0  # first: where the next round of slices starts
+        self.bucket, self.out, self.tokens_out, self.held, self.held_tokens = 0.0, 0, 0.0, 0, 0.0
+        self.accrued = self.reset_at = desk.now
+
+    def usable(self) -> bool:
+        return self.store.state is State.READY and self.desk.now >= self.resting
+
+    def fits(self, task: Task, cost: float) -> bool:
+        if not self.usable() or self.out >= MOST_OUT:
+            return False
+        if self.out and self.tokens_out + cost > self.bound():
+            self.starved = True
+            return False
+        return not self.young or self.young.room(self.store, self.desk.now, task.units, self.proof)
+
+    def asked(self, line: Line, units: float, rate: float) -> None:
+        """A first try has come. For a young store it counts within what its volume was sized for, `rate`."""
+        if self.young and (part := self.young.bears(self.store, self.desk.now, self.proof)):
+            most = max(rate * self.young.rule.span, self.young.largest)
+            sized = min(line.sized + rate * (self.desk.now - line.asked_at), most)
+            line.asked_at, line.sized, counts = self.desk.now, max(sized - units, 0.0), min(units, sized)
+            # With no queue there all send it less than its power, which is that much under what it bears.
+            clear = bool(self.lags) and self.lags[-1][0] >= self.desk.now - FRESH and self.gap() > 0
+            earned = (1 - EVEN) * part * counts * (self.young.rule.multiple if clear else 1)
+            self.young.credit = min(self.young.credit + earned, self.young.largest)
+
+    def hold(self, line: Line, task: Task) -> None:
+        if not line.held:
+            self.rouse(line)
+        (line.held.appendleft if task.hand_offs else line.held.append)(task)
+        self.held, self.held_tokens = self.held + 1, self.held_tokens + cost_of(task)
+        self.round()
+
+    def drop(self, line: Line, task: Task) -> None:
+        if task in line.held:
+            line.held.remove(task)
+            self.held, self.held_tokens = self.held - 1, self.held_tokens - cost_of(task)
+            if not line.held:
+                self.lull(line)
+
+    def rouse(self, line: Line) -> None:
+        insort(self.holding, line, key=lambda other: other.number)
+        if line in self.full:
+            del self.full[line]
+            self.full_earn, line.balance = self.full_earn - line.earns, self.has * line.earns
+        else:
+            line.balance += line.earns * (self.accrued - line.at)
+        if line in self.owing:
+            del self.owing[line]
+            line.tokens += self.paid - line.paid
+        self.late.pop(line, None)
+        line.full_at = 0
+
+    def lull(self, line: Line) -> None:
+        self.holding.remove(line)
+        line.at, line.paid, self.late[line] = self.accrued, self.paid, self.desk.now
+        if line.tokens < 0:
+            self.owing[line], line.clear_at = None, self.paid - line.tokens
+            self.notes += 1
+            heappush(self.debts, (line.clear_at, self.notes, line))
+        else:
+            self.bucket, line.tokens = self.bucket + line.tokens, 0.0
+        self.fill(line)
+
+    def fill(self, line: Line) -> None:
+        missing = 3 * ROUND * line.earns - line.balance
+        if line.earns and missing > 0:
+            line.full_at = line.at + int(missing / line.earns) + 1
+            self.notes += 1
+            heappush(self.fills, (line.full_at, self.notes, line))
+        else:
+            self.settle(line)
+
+    def settle(self, line: Line) -> None:
+        """Its balance is full: it gives to the bucket as all such lines do. Those longest so are let go."""
+        self.bucket += line.balance - self.has * line.earns
+        self.full[line], line.at, line.full_at = None, self.accrued, 0
+        self.full_earn += line.earns
+        while (oldest := next(iter(self.full))).at < self.desk.now - FORGET and oldest not in self.owing:
+            del self.full[oldest], self.lines[oldest.volume]
+            self.earn, self.full_earn = self.earn - oldest.earns, self.full_earn - oldest.earns
+
+    def round(self) -> None:
+        self.accrue()
+        if self.held and self.usable():
+            for line in list(self.holding):
+                while line.earns and line.held and line.balance > -min(DEFICIT, line.earns * RESET):
+                    cost = cost_of(line.held[0])
+                    if not self.fits(line.held[0], cost):
+                        break
+                    line.balance -= cost
+                    self.grant(line, cost)
+            self.slices()
+        if self.held and not self.round_set:
+            self.round_set = True
+            self.desk.alarm(max(self.desk.now + ROUND, self.young.due if self.young else 0), self.next_round)
+
+    def next_round(self) -> None:
+        self.round_set = False
+        self.round()
+
+    def slices(self) -> None:
+        start = bisect_left(self.holding, self.first, key=lambda line: line.number)
+        for line in self.holding[start:] + self.holding[:start]:
+            while line.held:
+                cost = cost_of(line.held[0])
+                if (short := cost - line.tokens) > self.bucket:
+                    self.starved = True
+                    # An idle node lends if the work is in time, to a line in debt only on a fresh sample.
+                    if self.out or self.gap() < 1 - 1 / AIM_PART or (line.tokens < 0 and not self.free()):
+                        break
+                if not self.fits(line.held[0], cost):
+                    self.first = line.number
+                    return
+                drawn = min(max(short, 0.0), max(self.bucket, 0.0))
+                self.bucket, line.tokens = self.bucket - drawn, line.tokens + drawn - cost
+                self.grant(line, cost)
+        self.first = (self.first + 1) % max(self.count, 1)
+
+    def accrue(self) -> None:
+        span, self.accrued, now = self.desk.now - self.accrued, self.desk.now, self.desk.now
+        if self.starved and (gap := self.gap()) > 0:
+            # By time and not by outcomes: where few tasks come by, a rate once low would stay low.
+            rate = self.rate * (1 + gap * min(span, ROUND) / RISE)
+            # What MOST_OUT hand-offs can be at the lag seen: a store far quicker than the target does more.
+            lag = self.lag(self.usual) if self.lags else self.tightest * AIM_PART
+            self.rate = min(rate, MOST_OUT * self.usual / max(lag, 1))
+        self.starved = False
+        if now >= self.reset_at:
+            self.bucket, self.reset_at = 0.0, now + RESET
+        if not span:
+            return
+        while self.fills and self.fills[0][0] <= now:
+            moment, _, line = heappop(self.fills)
+            if line.full_at == moment:
+                line.balance += line.earns * (now - line.at)
+                self.settle(line)
+        most, surplus = 3 * ROUND, max(self.has + span - 3 * ROUND, 0.0) * DONATED
+        self.has, self.bucket = self.has + span - surplus, self.bucket + surplus * self.full_earn
+        while self.late and next(iter(self.late.values())) <= now - RESET:
+            del self.late[next(iter(self.late))]
+        active = len(self.holding) + len(self.late) + sum(line not in self.late for line in self.owing)
+        if not active:
+            return
+        part, idle = max(self.rate - self.earn, self.rate * FLOOR) * span / active, active - len(self.holding)
+        self.paid, self.bucket = self.paid + part, self.bucket + part * (idle - len(self.owing))
+        while self.debts and self.debts[0][0] <= self.paid:
+            debt, _, line = heappop(self.debts)
+            if line in self.owing and line.clear_at == debt:
+                del self.owing[line]
+                self.bucket, line.tokens = self.bucket + self.paid - debt, 0.0
+        for line in self.holding:
+            line.tokens, line.balance = line.tokens + part, line.balance + line.earns * span
+            surplus = max(line.balance - most * line.earns, 0.0) * DONATED
+            line.balance, self.bucket = line.balance - surplus, self.bucket + surplus
+
+    def grant(self, line: Line, cost: float) -> None:
+        task = line.held.popleft()
+        self.changes += 1
+        self.held, self.held_tokens = self.held - 1, self.held_tokens - cost
+        self.out, self.tokens_out, self.sent[task] = self.out + 1, self.tokens_out + cost, self.desk.now
+        self.grants.append((self.desk.now, cost))
+        if self.young:
+            self.young.credit -= task.units
+        if not line.held:
+            self.lull(line)
+        self.desk.wake(task, Signal.TURN)
+
+    def release(self, cost: float) -> None:
+        self.out, self.tokens_out = self.out - 1, self.tokens_out - cost
+        self.round()
+
+    def recall(self, task: Task) -> None:
+        del self.sent[task]
+        self.changes += 1
+        self.release(cost_of(task))
+
+    def learn(self, task: Task, outcome: Outcome) -> None:
+        now, cost, sent = self.desk.now, cost_of(task), self.sent.pop(task)
+        long = outcome.how is How.TIMED_OUT and outcome.lag >= PATIENCE * self.lag(task.units)
+        lost = long and sent < self.proof  # guards against short patience and slow nodes, which look like it
+        self.changes, self.waits.lost = self.changes + 1, now + LOSING if lost else self.waits.lost
+        if outcome.how is How.TIMED_OUT and not lost:
+            # Guards against work that goes on at the store after its client left: it stays on the books.
+            self.desk.alarm(now + self.tightest, lambda: self.release(cost))
+        else:
+            self.heard, self.out, self.tokens_out = now, self.out - 1, self.tokens_out - cost
+        if outcome.how not in (How.MOOT, How.CANCELLED):
+            self.ends.append(outcome.how is How.DELIVERED)
+        if outcome.how is How.DELIVERED or outcome.how is How.TIMED_OUT and now >= self.waits.lost:
+            self.proof, self.troubles = max(self.proof, sent if outcome.how is How.DELIVERED else 0), 0
+            self.sample(outcome.lag, task.units)
+            self.waits.put(self.store, now, self.queueing())
+            if (gap := self.gap()) < 0:
+                self.fall(min(FALL * -gap, DEEPEST), min(outcome.lag, self.tightest) // 2)
+        elif outcome.how is How.FULL:
+            self.troubles += 1
+            self.fall(FALL, ROUND)
+            self.resting = now + ROUND * 5 * min(self.troubles, 10)
+        elif outcome.how is How.NO_CONNECTION:
+            # Guards against a restart that the list has not told: tried ever more seldom, it counts as cold.
+            self.troubles += 1
+            if self.young and self.troubles > 1:
+                self.young.suspected, self.young.at, self.young.credit = now, now, min(self.young.credit, 0.0)
+            self.resting = now + PAUSE * min(self.troubles, 5)
+            self.desk.alarm(self.resting, self.round)
--- /dev/null
+++ b/tansykeel/brain/scheduler.py
@@ -0,0 +1,278 @@
+"""The ordinary path of a task, who may go where, and how the list and other gateways are followed."""
+
+import random
+from collections import deque
+from collections.abc import Generator
+
+from tansykeel.interface import BreakOff, Category, Desk, EvenParts, Facts, HandOff, How, Nack, Outcome
+from tansykeel.interface import Repeat, Scope, Signal, State, Store, Task, Volume, Wait, Want, Word
+
+from .cold import SECOND, Young
+from .nodes import PATIENCE, Line, Node, cost_of
+from .rates import AIM_PART, SAMPLES, STALE, Waits
+from .volumes import Extras, KeyLine, VolumeState
+
+MARGIN, MOST_MARGIN = 1.5, 0.75  # times the lag left to a held task's soft limit; at most this part of that
+RANKING = 500  # the ranking for new objects is renewed every 50 ms
+LEFT, NEW = 30 * SECOND, 2 * SECOND  # nodes gone are let go; gateways started within it: a new fleet
+ASK, ANEW = 800, 500  # when gateways asked for units have answered or will not; a pushed list is tried anew
+ASKED, ALL = 6, 6 * SECOND  # so many are asked at once; all gateways at most once in a while
+
+
+class Scheduler:
+    def __init__(self, facts: Facts, seed: int, desk: Desk) -> None:
+        self.facts, self.desk, self.chance, self.born = facts, desk, random.Random(seed), desk.now
+        self.new: bool | None = None  # whether all gateways are, where another has said so
+        if facts.allowed.peers:
+            desk.alarm(desk.now, lambda: desk.tell(None, Word(None, 0.0, False)))
+        self.tightest = min(category.soft_limit for category in facts.categories)
+        self.least, self.usual = max(facts.sizes.largest, 1.0), max(facts.sizes.usual, 1.0)
+        self.nodes, self.by_shard, self.ranked = dict[Store, Node](), dict[int, Node](), list[Node]()
+        self.waits, self.keys, self.asks, self.rank_due = Waits(), dict[int, KeyLine](), 0, 0
+        self.extras = Extras(facts.budget, desk.now) if facts.budget else None
+        self.patience: dict[Category, deque[int]] = {}  # of the last tasks: time left when they came
+        if facts.listing.must_ask:
+            desk.watch()
+
+    def list_changed(self, stores: list[Store], confirmed: bool) -> None:
+        self.asks = 0 if confirmed else self.asks
+        cold, gateways = self.facts.cold, self.facts.gateways
+        for store in stores:
+            if store not in self.nodes and store.state is not State.GONE:
+                young = Young(cold, gateways, self.facts.me, self.least) if cold else None
+                self.nodes[store] = Node(store, self.desk, self.average_rate(), self.least, self.usual,
+                                         self.tightest, young, self.waits, gateways)
+        for node in [n for n in self.nodes.values() if n.store.state is State.GONE]:
+            if not node.out and not node.held and self.desk.now - node.heard >= LEFT:
+                del self.nodes[node.store]
+                self.waits.seen.pop(node.store, None)
+        self.by_shard = {}
+        for node in self.nodes.values():
+            best = self.by_shard.get(node.store.shard)
+            if node.store.state is State.READY and (best is None or node.store.started >= best.store.started):
+                self.by_shard[node.store.shard] = node
+        self.rank()
+        for node in list(self.nodes.values()):
+            if self.by_shard.get(node.store.shard) is node:
+                node.round()
+                continue
+            for task in [task for line in node.lines.values() for task in line.held]:
+                self.desk.wake(task, Signal.MOVED)
+
+    def list_failed(self) -> None:
+        # Guards against news that whoever pushes holds: it counts as told, and calls there cost nothing.
+        wait = SECOND * min(2**self.asks, 8) if self.facts.listing.must_ask else ANEW
+        self.asks += 1
+        self.desk.alarm(self.desk.now + int(self.chance.uniform(0.5, 1.5) * wait), self.desk.watch)
+
+    def average_rate(self) -> float:
+        """What a new node counts as; before any was heard, the rate that fills the least bound."""
+        heard = [n.rate for n in self.nodes.values() if n.lags and self.desk.now - n.lags[-1][0] < STALE]
+        return sum(heard) / len(heard) if heard else self.least / (self.tightest * AIM_PART)
+
+    def rank(self) -> None:
+        """Order the nodes for new objects by the time a task would spend there, failures counted in."""
+        self.rank_due = self.desk.now + RANKING
+
+        def dwell(node: Node) -> float:
+            failing = node.ends.count(False) / max(len(node.ends), 1)
+            return node.lag(self.usual) + node.held_tokens / node.rate + failing * self.tightest
+        ready = [node for node in self.by_shard.values() if node.usable()]
+        self.ranked = sorted(ready, key=lambda node: (dwell(node), self.chance.uniform(0, 1)))
+
+    def node_for(self, task: Task) -> Node | None:
+        if task.shard is not None:
+            return self.by_shard.get(task.shard)
+        if self.desk.now >= self.rank_due:
+            self.rank()
+        for node in self.ranked:
+            if node.usable() and node.held_tokens + node.tokens_out + cost_of(task) <= node.bound() / 2:
+                return node
+        return min(self.ranked, key=lambda n: (n.held_tokens + n.tokens_out) / n.rate, default=None)
+
+    def serve(self, task: Task) -> Generator[Want, Signal | Outcome | None, None]:
+        """The ordinary path: find the node, wait for the turn, hand off, judge the outcome."""
+        now, state, aim = self.desk.now, self.state_of(task.volume), self.aim_of(task)
+        if late := aim <= now:  # worth little any more: it goes only where nothing waits
+            aim = min(now + task.category.soft_limit, task.cut_off)
+        if self.extras:
+            self.extras.taken.append(now)
+        node, line, first = None, None, not task.again and task.shard is not None
+        try:
+            in_turn = not (task.category.ordered and task.key) or (yield from self.turn_on_key(task, aim))
+            while in_turn and self.may_hand_off(task):
+                node = self.node_for(task)
+                if node is None or not self.in_group(task, node.store) or late and not node.free():
+                    break
+                line = self.line_of(node, task.volume)
+                if first:
+                    first, state.shards[node.store.shard] = False, None
+                    rate = task.volume.plan.rate / SECOND * state.part(self.usual) / len(state.shards)
+                    node.asked(line, task.units, rate)
+                latest = aim - int(min(node.lag(task.units) * MARGIN, (aim - now) * MOST_MARGIN))
+                wait = self.limit_wait(task, state)
+                if self.desk.now + wait >= latest:
+                    break
+                if wait:
+                    state.short[task] = None
+                    yield Wait(self.desk.now + wait)
+                    state.short.pop(task, None)
+                    continue
+                node.hold(line, task)
+                if (signal := (yield Wait(latest))) is not Signal.TURN:
+                    node.drop(line, task)
+                    if signal is Signal.MOVED:
+                        continue
+                    break
+                legal = self.may_hand_off(task) and self.in_group(task, node.store)
+                if not legal or self.limit_wait(task, state):
+                    # The limit is charged at the turn: charged before, a held line could leave in one burst.
+                    node.recall(task)
+                    continue
+                self.spend(task, line, state)
+                sent, outcome = self.desk.now, (yield HandOff(node.store, self.time_out(task, node, aim)))
+                assert isinstance(outcome, Outcome)
+                node.learn(task, outcome)
+                if outcome.how is How.DELIVERED and (outcome.elsewhere, outcome.used) != (None, None):
+                    state.tell(task.units, outcome, task.volume.plan, self.desk.now)
+                if not outcome.never_ran:
+                    task.may_have_run.append((node.store, sent))
+                    if outcome.how in (How.TIMED_OUT, How.RESET, How.CANCELLED) and task.key in self.keys:
+                        self.keys[task.key].rests_until = self.desk.now + self.facts.key_rest
+                node.round()
+                if outcome.over or outcome.how is How.DELIVERED:
+                    return
+            yield self.final(task)
+        finally:
+            if node and line:
+                node.drop(line, task)
+            state.short.pop(task, None)
+            self.leave_key(task)
+
+    def time_out(self, task: Task, node: Node, aim: int) -> int:
+        """After what time a harmless task goes again, if answers are lost and it can be in time, else 0."""
+        now, sure = self.desk.now, task.category.repeat is Repeat.HARMLESS
+        if task.hand_offs != 1 or not sure or now >= self.waits.lost:
+            return 0
+        patience = max(PATIENCE * (lag := int(node.lag(task.units))), self.tightest // 2)
+        return patience if now + patience + lag * MARGIN < aim else 0
+
+    def aim_of(self, task: Task) -> int:
+        """When the soft limit ends, from the first try: less time left than usual tells of an earlier one."""
+        times = self.patience.setdefault(task.category, deque(maxlen=SAMPLES))
+        times.append(task.cut_off - self.desk.now)
+        age = max(times) - times[-1] if times[-1] >= task.category.soft_limit else 0
+        return min(self.desk.now + task.category.soft_limit - age, task.cut_off)
+
+    def line_of(self, node: Node, volume: Volume) -> Line:
+        if volume not in node.lines:
+            line = node.lines[volume] = Line(node, node.count, volume)
+            node.count += 1
+            line.earn(line.reserve / self.state_of(volume).hosts / max(len(self.by_shard), 1))
+        return node.lines[volume]
+
+    def state_of(self, volume: Volume) -> VolumeState:
+        if volume.state is None:
+            plan, hosts = volume.plan, volume.gateways if volume.gateways >= 1 else self.facts.gateways
+            parts = self.desk.parts if hosts == self.facts.gateways else EvenParts()  # views divide among all
+            limit, depth = plan.limit / SECOND / hosts, plan.limit_depth / hosts
+            volume.state = VolumeState(hosts, limit, depth, self.born, parts)
+        return volume.state
+
+    def spend(self, task: Task, line: Line, state: VolumeState) -> None:
+        if not task.hand_offs:
+            state.units -= task.units
+        elif self.extras:
+            self.extras.extras.append(self.desk.now)
+        task.hand_offs += 1
+        state.send(line, task.units)
+        total = state.total / state.part(self.usual)
+        for other, units in state.by_line.items() if line.reserve else ():
+            other.earn(other.reserve * units / total)
+
+    def limit_wait(self, task: Task, state: VolumeState) -> int:
+        """Tenths until the limit has a first hand-off's units. A part starts empty, in a new fleet full."""
+        now = self.desk.now
+        if not state.started and self.new is not None and now >= self.born + ASK:
+            state.started = True
+            state.fill(now, state.depth if self.new else 0.0)
+        if task.hand_offs or not state.limit:
+            return 0
+        state.fill(now)
+        wait = 0 if state.units >= task.units else int((task.units - state.units) / state.limit) + 1
+        return min(wait, self.ask(task.volume, state) or wait) if wait else 0
+
+    def ask(self, volume: Volume, state: VolumeState) -> int:
+        """Ask some gateways of the volume for units, all while some are unknown; how long that may take."""
+        now = self.desk.now
+        if not self.facts.allowed.peers or state.hosts <= 1:
+            return 0
+        if now >= state.ask_due:
+            state.pause = ASK if 2 * state.got >= state.wish else min(2 * state.pause, SECOND)
+            state.asked, state.ask_due = now, now + state.pause
+            state.got, state.wish = 0.0, state.depth - state.units
+            some: list[int | None] = [*self.chance.sample([*state.peers], min(ASKED, len(state.peers)))]
+            if len(state.peers) < state.hosts - 1 and now >= state.all_due:
+                some, state.all_due = [None], now + ALL
+            for peer in some:
+                each = state.wish / (state.hosts - 1 if peer is None else len(some))
+                self.desk.tell(peer, Word(volume, each, False))
+        return max(state.asked + ASK - now, 0)
+
+    def heard(self, peer: int, word: Word) -> None:
+        """Another gateway gives units, asks for some (half at most; none where no task came) or greets."""
+        if word.volume is None:
+            if not (long := self.desk.now >= self.born + NEW):
+                self.new = self.new is not False and not word.units
+            if not word.gift:
+                self.desk.tell(peer, Word(None, float(long), True))
+        elif (state := word.volume.state) is not None:
+            state.fill(self.desk.now, word.units if word.gift else 0.0)
+            gift = min(word.units, max(state.units, 0.0) / 2)
+            if word.gift:
+                state.got += word.units
+                for task in state.short:
+                    self.desk.wake(task, Signal.MOVED)
+            elif gift >= 1 or peer not in state.peers:
+                state.units -= gift
+                self.desk.tell(peer, Word(word.volume, gift, True))
+            state.peers[peer] = None
+
+    def may_hand_off(self, task: Task) -> bool:
+        """Whether a (further) hand-off is legal now, wherever it goes."""
+        may = task.hand_offs < self.facts.allowed.hand_offs and self.desk.now < task.cut_off
+        may = may and (not task.hand_offs or not self.extras or self.extras.room(self.desk.now))
+        return may and not (task.may_have_run and task.category.repeat is Repeat.ONE_SHOT)
+
+    def in_group(self, task: Task, store: Store) -> bool:
+        """Whether a stamped task that may have run may go to this store: same group, within its memory."""
+        if not task.may_have_run or task.category.repeat is Repeat.HARMLESS:
+            return True
+        (first, sent), scope = task.may_have_run[0], task.category.scope
+        near = store.zone == first.zone if scope is Scope.ZONE else store.shard == first.shard
+        return (scope is Scope.ALL or near) and self.desk.now < sent + task.category.window
+
+    def final(self, task: Task) -> Want:
+        """The answer of a task given up on: a nack wherever its promise holds."""
+        allowed, of = self.facts.allowed, task.category
+        sure = of.repeat is Repeat.HARMLESS or (of.repeat is Repeat.STAMPED and of.scope is Scope.ALL)
+        come_back = min(self.tightest, allowed.longest_come_back) if allowed.come_back else 0
+        return BreakOff() if task.may_have_run and not sure else Nack(come_back)
+
+    def turn_on_key(self, task: Task, aim: int) -> Generator[Want, Signal | Outcome | None, bool]:
+        """Wait until the task is first on its key and the key has rested; False if that comes too late."""
+        line = self.keys.setdefault(task.key, KeyLine(self.born + self.facts.key_rest))  # of an earlier life
+        line.tasks.append(task)
+        while line.tasks[0] is not task or self.desk.now < line.rests_until:
+            if self.desk.now >= aim:
+                return False
+            yield Wait(min(line.rests_until, aim) if line.tasks[0] is task else aim)
+        return True
+
+    def leave_key(self, task: Task) -> None:
+        if task.category.ordered and (line := self.keys.get(task.key)) and task in line.tasks:
+            line.tasks.remove(task)
+            if line.tasks:
+                self.desk.wake(line.tasks[0], Signal.MOVED)
+            elif self.desk.now >= line.rests_until:
+                del self.keys[task.key]
--- /dev/null
+++ b/tansykeel/brain/volumes.py
@@ -0,0 +1,68 @@
+"""What counts over all stores: a volume's use and limit, the budget of further hand-offs, lines on keys."""
+
+from collections import deque
+
+from tansykeel.interface import BudgetRule, Outcome, Parts, Plan, Task
+
+from .cold import SECOND
+from .nodes import Line
+from .rates import STALE
+
+LAST = 32  # of a volume's last hand-offs and answers, where it is used is worked out
+
+
+class KeyLine:  # tasks of ordered categories that carry one key, in the order taken
+    def __init__(self, rests_until: int) -> None:
+        self.tasks, self.rests_until = deque[Task](), rests_until
+
+
+class Extras:  # further hand-offs within each window's budget; an earlier life may have used up the first
+    def __init__(self, rule: BudgetRule, now: int) -> None:
+        self.rule, self.taken, self.extras, self.opens = rule, deque[int](), deque[int](), now + rule.span
+
+    def room(self, now: int) -> bool:
+        while self.taken and self.taken[0] <= now - self.rule.span + 1:  # rounding never in our favour
+            self.taken.popleft()
+        while self.extras and self.extras[0] < now - self.rule.span - 1:
+            self.extras.popleft()
+        return now > self.opens and len(self.extras) + 1 <= self.rule.free + self.rule.share * len(self.taken)
+
+
+class VolumeState:
+    """A volume over all nodes, and its limit's part here; units passed on are gone before they come."""
+
+    def __init__(self, hosts: float, limit: float, depth: float, born: int, parts: Parts) -> None:
+        self.hosts, self.limit, self.depth, self.units, self.at = hosts, limit, depth, 0.0, born
+        self.parts, self.started = parts, False  # started: it is settled that the part starts full, or empty
+        self.peers: dict[int, None] = {}  # other gateways heard to have tasks of the volume
+        self.asked = self.ask_due = self.all_due = born  # last; when some, or all, may be again
+        self.pause, self.wish, self.got = 0, 0.0, 0.0  # between asks; what the last was for, and brought
+        self.short, self.shards = dict[Task, None](), dict[int, None]()  # who waits for units; of first tries
+        self.sent, self.by_line = deque[tuple[Line, float]](), dict[Line, float]()  # of the last hand-offs
+        self.told = deque[tuple[float, float]]()  # of the last answers: units here, by all gateways
+        self.told_at, self.here, self.all, self.total = born, 0.0, 0.0, 0.0  # their sums
+
+    def tell(self, units: float, outcome: Outcome, plan: Plan, now: int) -> None:
+        """Take in the volume's use: through others since the last answer, or by the meter, through all."""
+        used = (outcome.used or 0) / 100 * plan.rate * min(now - self.told_at, STALE) / SECOND
+        self.told_at, by_all = now, used if outcome.elsewhere is None else units + outcome.elsewhere
+        self.told.append((units, by_all))
+        was = self.told.popleft() if len(self.told) > LAST else (0.0, 0.0)
+        self.here, self.all = self.here + units - was[0], self.all + by_all - was[1]
+
+    def send(self, line: Line, units: float) -> None:
+        self.sent.append((line, units))
+        self.by_line[line], self.total = self.by_line.get(line, 0.0) + units, self.total + units
+        if len(self.sent) > LAST:
+            line, units = self.sent.popleft()
+            self.by_line[line], self.total = self.by_line[line] - units, self.total - units
+            if self.by_line[line] <= 0:
+                del self.by_line[line]
+
+    def part(self, usual: float) -> float:
+        """This gateway's part of the volume's use; the even part weighs in as a usual task."""
+        return (self.here + usual / self.hosts) / (max(self.here, self.all) + usual)
+
+    def fill(self, now: int, more: float = 0.0) -> None:
+        span, most = self.parts.earned(self.at, now)
+        self.units, self.at = min(self.units + self.limit * span + more, self.depth * most), now
--- a/tansykeel/cli/fleet.py
+++ b/tansykeel/cli/fleet.py
@@ -7,7 +7,7 @@
 
 import typer
 
-from tansykeel.cli.words import BROKEN, NOT_PLAYED, fail
+from tansykeel.cli.words import BROKEN, fail
 
 app = typer.Typer(no_args_is_help=True, help="Gateways that know each other.")
 MOST_GATEWAYS = 5
@@ -46,7 +46,7 @@
     try:
         told = asyncio.run(ask(address, timeout))
     except NotTold as error:
-        fail(f"{address}: {error}", NOT_PLAYED)
+        fail(error, address)
     if json_:
         rows = [msgspec.structs.asdict(other) for other in told.others]
         typer.echo(json.dumps(msgspec.structs.asdict(told) | {"others": rows}))
@@ -186,6 +186,6 @@
             typer.echo(f"seed {first.seed} cut down to {len(least.troubles)} troubles:")
             typer.echo("\n".join(f"  {line}" for line in script_of(least.troubles)))
     except RehearsalError as error:
-        fail(error, NOT_PLAYED)
+        fail(error)
     if bad:
         raise typer.Exit(BROKEN)
--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -17,7 +17,8 @@
 
 from tansykeel.cli.emulate import app as emulate
 from tansykeel.cli.fleet import app as fleet
-from tansykeel.cli.words import BAD_INPUT, BROKEN, NOT_PLAYED, fail, params_of
+from tansykeel.cli.words import BROKEN, fail, params_of
+from tansykeel.errors import BAD_INPUT
 
 app = typer.Typer(add_completion=True, no_args_is_help=True, pretty_exceptions_enable=False,
                   help="A storage gateway that keeps volumes to their reservations, shares and limits.")
@@ -69,7 +70,7 @@
         counterpart = moved(made, tuple(gateway), tells)  # type: ignore[arg-type]
         facts_of(counterpart, 0, len(gateway))
     except (ScriptError, ValueError) as error:
-        fail(f"{old}: {error}")
+        fail(error, str(old))
     for line in left_behind(made, old.read_text(), tuple(gateway)):
         typer.echo(f"not carried over: {line}")
     if dry_run:
@@ -134,7 +135,7 @@
     try:
         run(main)
     except (OSError, ValueError) as error:
-        fail(f"{made.listens_at(number)}: {error}")
+        fail(error, made.listens_at(number))
     raise typer.Exit(code)
 
 
@@ -165,7 +166,7 @@
     """Run a stand-in store; faults come as JSON lines on standard input, whose end ends it."""
     import msgspec
 
-    from tansykeel.standin.model import Shape
+    from tansykeel.settings.shape import Shape
     from tansykeel.standin.store import Store
     from tansykeel.transport.sockets import run
 
@@ -292,7 +293,7 @@
             task = bar.add_task("playing", total=seconds)
             return play(lambda at: bar.update(task, completed=max(at, 0.0)))
     except RehearsalError as error:
-        fail(error, NOT_PLAYED)
+        fail(error)
 
 
 @app.command()
--- a/tansykeel/cli/words.py
+++ b/tansykeel/cli/words.py
@@ -7,13 +7,17 @@
 
 import typer
 
-BROKEN, BAD_INPUT, NOT_PLAYED = 1, 2, 3
+from tansykeel.errors import BAD_INPUT, Problem
 
+BROKEN = 1
 
-def fail(text: object, code: int = BAD_INPUT) -> NoReturn:
-    """End the program with one error. Raises Exit."""
-    typer.echo(f"tansykeel: {text}", err=True)
-    raise typer.Exit(code)
+
+def fail(error: object, where: str = "") -> NoReturn:
+    """End the program with one error, and with what to do about it where it says that. Raises Exit."""
+    typer.echo(f"tansykeel: {where + ': ' if where else ''}{error}", err=True)
+    if isinstance(error, Problem):
+        typer.echo(f"  {error.do}", err=True)
+    raise typer.Exit(error.code if isinstance(error, Problem) else BAD_INPUT)
 
 
 def value_of(text: str) -> Any:
--- a/tansykeel/edge/ask.py
+++ b/tansykeel/edge/ask.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from tansykeel.errors import NOT_PLAYED, Problem
 from tansykeel.protocol.codec import Codec, Event, Frame
 from tansykeel.protocol.frames import Error, FleetAsk, FleetTold, Hello
 from tansykeel.transport.link import Hub, Limits, Link
@@ -12,8 +13,11 @@
 HELLO = Hello(1, "client", "tansykeel-fleet")
 
 
-class NotTold(Exception):
-    """The gateway did not say; the text says why."""
+class NotTold(Problem):
+    """A gateway that was asked did not say."""
+
+    advice = "look whether it runs, at the address of its settings, and whether it agrees with others"
+    code = NOT_PLAYED
 
 
 async def ask(address: str, seconds: float) -> FleetTold:
--- a/tansykeel/edge/fellows.py
+++ b/tansykeel/edge/fellows.py
@@ -11,8 +11,8 @@
 from tansykeel.edge.peers import Peers
 from tansykeel.fleet.keeper import Said
 from tansykeel.fleet.liveness import Seems
+from tansykeel.fleet.membership import Member, View
 from tansykeel.fleet.outbox import Urgency
-from tansykeel.fleet.views import Member, View
 from tansykeel.fleet.words import number_of, packed, unpacked, urgency_of
 from tansykeel.protocol.frames import Fellow, FleetTold, Hello, ProtocolError, Watch
 from tansykeel.settings.fleet import keeper_of
--- a/tansykeel/edge/native.py
+++ b/tansykeel/edge/native.py
@@ -5,7 +5,7 @@
 import math
 from typing import Any
 
-from tansykeel.edge.core import MICROS, MS, Asked, Attempt, Bounds, Final
+from tansykeel.edge.tasks import MICROS, MS, Asked, Attempt, Bounds, Final
 from tansykeel.interface import Facts, Plan, Task, Volume, Word
 from tansykeel.protocol.frames import Answer, HandOffOf, Row, Share, TaskOf
 from tansykeel.settings.records import Gateway, Settings
--- a/tansykeel/edge/program.py
+++ b/tansykeel/edge/program.py
@@ -12,12 +12,13 @@
 
 from tansykeel.brain import Scheduler
 from tansykeel.edge.clock import Reminder, clock
-from tansykeel.edge.core import Attempt, Core, Decisions, Final, Held, StillHeld
+from tansykeel.edge.core import Core
 from tansykeel.edge.fellows import Counted, Fellows
 from tansykeel.edge.listing import Listing
 from tansykeel.edge.native import Native, answer_of, bounds_of, known_of
 from tansykeel.edge.peers import Peers
 from tansykeel.edge.stores import Stores
+from tansykeel.edge.tasks import Attempt, Decisions, Final, Held, StillHeld
 from tansykeel.edge.trace import Trace
 from tansykeel.fleet.outbox import Urgency
 from tansykeel.interface import Facts, Word
--- a/tansykeel/edge/stores.py
+++ b/tansykeel/edge/stores.py
@@ -11,8 +11,9 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from tansykeel.edge.core import Attempt, Core
+from tansykeel.edge.core import Core
 from tansykeel.edge.native import hand_off_of
+from tansykeel.edge.tasks import Attempt
 from tansykeel.interface import How, Store
 from tansykeel.protocol.codec import Codec, Event, Frame, Piece
 from tansykeel.protocol.frames import Cancel, Hello, OutcomeOf
--- a/tansykeel/edge/trace.py
+++ b/tansykeel/edge/trace.py
@@ -14,7 +14,7 @@
 from opentelemetry.sdk.trace.export import BatchSpanProcessor, ConsoleSpanExporter
 from opentelemetry.sdk.trace.sampling import TraceIdRatioBased
 
-from tansykeel.edge.core import Attempt, Final, Held
+from tansykeel.edge.tasks import Attempt, Final, Held
 
 MOST_OPEN = 50_000  # spans of tasks under way; beyond it new ones are not traced
 
--- a/tansykeel/emulator/engine.py
+++ b/tansykeel/emulator/engine.py
@@ -6,9 +6,18 @@
 from collections.abc import Callable
 from typing import Any
 
+from tansykeel.errors import NOT_PLAYED, Problem
+
 START = 10**10  # microseconds: the day's first moment, so that no time that matters is 0
 
 
+class NoEnd(Problem, RuntimeError):
+    """A simulated day did not end within its bound of events."""
+
+    advice = "play a shorter day or a smaller fleet; if that does not help, something in it begins again for ever"
+    code = NOT_PLAYED
+
+
 class Engine:
     def __init__(self) -> None:
         self.now = START
--- a/tansykeel/emulator/experiments.py
+++ b/tansykeel/emulator/experiments.py
@@ -20,6 +20,7 @@
 from tansykeel.emulator.cores import spread
 from tansykeel.emulator.versions import decide_of
 from tansykeel.emulator.world import World
+from tansykeel.errors import NOT_PLAYED, Problem
 from tansykeel.rehearse.play import day_of, path_of
 
 TABLE = """
@@ -31,8 +32,17 @@
 """
 
 
-class Differs(Exception):
-    """A day that was played before came out otherwise."""
+class Differs(Problem):
+    """A day that was played before comes out otherwise with the same text, script and seed."""
+
+    advice = "something hangs on chance or on the machine: play that day twice alone and compare the digests"
+    code = NOT_PLAYED
+
+
+class Unpaired(Problem, ValueError):
+    """Two versions have no days in common that could be compared."""
+
+    advice = "sweep both with the same script, parameters and seeds first"
 
 
 class Job(NamedTuple):
@@ -134,7 +144,7 @@
             days[version] = {(r["script"], r["params"], r["seed"]): r[figure] for r in self.rows(version=version)}
         pairs = sorted(set(days[first]) & set(days[second]))
         if not pairs:
-            raise ValueError(f"{first} and {second} have no day in common; legal: both swept with the same script, "
+            raise Unpaired(f"{first} and {second} have no day in common; legal: both swept with the same script, "
                              "parameters and seeds")
         groups: dict[str, list[tuple[str, str, int]]] = {"all": pairs}
         for pair in pairs:
--- a/tansykeel/emulator/gateway.py
+++ b/tansykeel/emulator/gateway.py
@@ -9,14 +9,15 @@
 from typing import Any
 
 from tansykeel.audit.records import Counted, Listed, Said
-from tansykeel.edge.core import Attempt, Core, Final, Held
+from tansykeel.edge.core import Core
 from tansykeel.edge.native import Native, answer_of, bounds_of, hand_off_of, known_of
+from tansykeel.edge.tasks import Attempt, Final, Held
 from tansykeel.emulator.scene import Scene
 from tansykeel.emulator.ways import Conn, GatewayEnd, Line, StoreEnd
 from tansykeel.fleet.keeper import Keeper
 from tansykeel.fleet.keeper import Said as FleetWord
 from tansykeel.fleet.keeper import Sent as FleetSent
-from tansykeel.fleet.views import Member
+from tansykeel.fleet.membership import Member
 from tansykeel.fleet.words import packed
 from tansykeel.interface import How, Word
 from tansykeel.protocol.frames import HEAD_BYTES, Hello, ListOf, Row, Share, TaskOf
--- a/tansykeel/emulator/hunt.py
+++ b/tansykeel/emulator/hunt.py
@@ -9,8 +9,8 @@
 from tansykeel.emulator.cores import spread
 from tansykeel.emulator.world import World
 from tansykeel.rehearse.chaos import drawn
-from tansykeel.rehearse.day import Day
 from tansykeel.rehearse.play import play
+from tansykeel.settings.day import Day
 
 
 class Judged(NamedTuple):
--- a/tansykeel/emulator/oracle.py
+++ b/tansykeel/emulator/oracle.py
@@ -11,13 +11,13 @@
 from dataclasses import dataclass
 
 from tansykeel.baselines import SendAtOnce
-from tansykeel.brain import Extras
+from tansykeel.brain.volumes import Extras
 from tansykeel.emulator.engine import Engine
 from tansykeel.emulator.gateway import Gateway
 from tansykeel.emulator.stores import SimStore
 from tansykeel.interface import Desk, Facts, HandOff, How, Outcome, Repeat, Signal, State, Store, Task, Wait
-from tansykeel.rehearse.day import Day
 from tansykeel.runner import Run
+from tansykeel.settings.day import Day
 
 SECOND = 10_000
 AHEAD = 2  # hand-offs out at a store beyond one for each core: what covers the way
--- a/tansykeel/emulator/plots.py
+++ b/tansykeel/emulator/plots.py
@@ -18,7 +18,7 @@
 from tansykeel.audit.service import count  # noqa: E402
 from tansykeel.emulator.watching import SAMPLE, Watchers  # noqa: E402
 from tansykeel.emulator.world import World  # noqa: E402
-from tansykeel.standin.model import borne  # noqa: E402
+from tansykeel.settings.shape import borne  # noqa: E402
 
 MOST_VOLUMES = 40  # shown in the picture of shares
 MOST_STORES = 12  # cold starts shown
--- a/tansykeel/emulator/scene.py
+++ b/tansykeel/emulator/scene.py
@@ -10,15 +10,15 @@
 import numpy
 
 from tansykeel.audit.records import AnyRecord, Record
-from tansykeel.edge.core import Decisions
+from tansykeel.edge.tasks import Decisions
 from tansykeel.emulator.engine import Engine
 from tansykeel.emulator.ways import GatewayEnd, StoreEnd, Ways
 from tansykeel.interface import Facts
 from tansykeel.protocol.frames import Answer
-from tansykeel.rehearse.day import Day, settings_of
 from tansykeel.rehearse.faults import Faults
 from tansykeel.rehearse.load import stream
 from tansykeel.settings.build import facts_of
+from tansykeel.settings.day import Day, settings_of
 from tansykeel.standin.behaviour import KeptMarks
 
 STORES, NETWORK, LINKS = 3 * 10**6, 4 * 10**6, 6 * 10**6  # streams beside those of `rehearse.load`
--- a/tansykeel/emulator/search.py
+++ b/tansykeel/emulator/search.py
@@ -12,11 +12,18 @@
 import numpy
 
 from tansykeel.emulator.compare import shrink
+from tansykeel.errors import Problem
 
 STILL = 0.8  # part of the loss that a day cut down must still show
 SEEDS = 1_000  # seeds of days are drawn from 1 to this
 
 
+class RangeError(Problem, ValueError):
+    """A range on the command line is none."""
+
+    advice = "give NAME=LOW:HIGH, LOW the end with the least trouble"
+
+
 class Range(NamedTuple):
     """Whole numbers where both ends are; `low` is the least trouble."""
 
@@ -48,7 +55,7 @@
 
 
 def range_of(text: str) -> Range:
-    """NAME=LOW:HIGH. Raises ValueError."""
+    """NAME=LOW:HIGH. Raises RangeError."""
     name, sign, ends = text.partition("=")
     low, colon, high = ends.partition(":")
     try:
@@ -56,7 +63,7 @@
     except ValueError:
         given = Range("", 0, 0)
     if not sign or not colon or not given.name or given.low == given.high:
-        raise ValueError(f"{text}: legal: NAME=LOW:HIGH, LOW the end with the least trouble")
+        raise RangeError(f"{text}: legal: NAME=LOW:HIGH, LOW the end with the least trouble")
     return given
 
 
--- a/tansykeel/emulator/stores.py
+++ b/tansykeel/emulator/stores.py
@@ -5,7 +5,7 @@
 import math
 from typing import Any
 
-from tansykeel.edge.core import Attempt
+from tansykeel.edge.tasks import Attempt
 from tansykeel.emulator.scene import Scene
 from tansykeel.emulator.ways import Conn
 from tansykeel.interface import How
--- a/tansykeel/emulator/watching.py
+++ b/tansykeel/emulator/watching.py
@@ -11,10 +11,11 @@
 
 import numpy
 
-from tansykeel.emulator.engine import START, Engine
+from tansykeel.emulator.engine import START, Engine, NoEnd
 from tansykeel.fleet.keeper import Keeper, Place, Said, Sent
 from tansykeel.fleet.liveness import SECOND, Pace, Seems
-from tansykeel.fleet.views import Member, Terms
+from tansykeel.fleet.membership import Member
+from tansykeel.fleet.views import Terms
 from tansykeel.fleet.words import packed
 from tansykeel.rehearse.load import stream
 
@@ -109,7 +110,7 @@
         for name in sorted(self.stalls):
             self._stall_at(self.first + int(self.chance.random() * 10**7), name)
         if not self.engine.run(self.first + span, MOST_EVENTS):
-            raise RuntimeError(f"{trial} did not end within {MOST_EVENTS} events")
+            raise NoEnd(f"{trial} did not end within {MOST_EVENTS} events")
         hours = trial.gateways * trial.seconds / 3600
         pairs = len(self.died) * (trial.gateways - len(self.died))
         heard = sum(name not in self.died for by in self.known.values() for name in by)
--- a/tansykeel/emulator/ways.py
+++ b/tansykeel/emulator/ways.py
@@ -8,10 +8,10 @@
 
 import numpy
 
-from tansykeel.edge.core import Attempt
+from tansykeel.edge.tasks import Attempt
 from tansykeel.interface import How, Store
 from tansykeel.protocol.frames import Hello, ListOf
-from tansykeel.rehearse.day import Fleet
+from tansykeel.settings.day import Fleet
 from tansykeel.standin.behaviour import Work
 
 BANDWIDTH = 1_000  # bytes in a microsecond
--- a/tansykeel/emulator/world.py
+++ b/tansykeel/emulator/world.py
@@ -15,15 +15,16 @@
 from tansykeel.audit.report import Verdict, judge
 from tansykeel.brain import Scheduler
 from tansykeel.emulator.clients import Clients
-from tansykeel.emulator.engine import START
+from tansykeel.emulator.engine import START, NoEnd
 from tansykeel.emulator.gateway import ENDS, GONE, Gateway, SimList
 from tansykeel.emulator.oracle import Eye, TrueView
 from tansykeel.emulator.scene import Decide, Scene
 from tansykeel.emulator.stores import SimStore
-from tansykeel.rehearse.day import LOAD, VERBS, Day, Trouble
+from tansykeel.rehearse.day import LOAD, VERBS
 from tansykeel.rehearse.faults import ways_of
 from tansykeel.rehearse.load import CHANCE, arrivals_of, stream
 from tansykeel.rehearse.troubles import Steps, steps_of
+from tansykeel.settings.day import Day, Trouble
 
 AFTER = 2.0  # seconds past the longest cut-off in which a day must have come to its end
 MOST_EVENTS = 400  # of the engine for each task, and MOST_BASE more: a day that needs more does not end
@@ -77,7 +78,7 @@
         longest = max(c.cut_off_ms for c in self.day.categories) / 1000
         end = START + lead + int((self.day.seconds + longest + AFTER) * 1e6)
         if not self.engine.run(end, MOST_BASE + MOST_EVENTS * len(arrivals)):
-            raise RuntimeError(f"the day did not end within {self.engine.events} events")
+            raise NoEnd(f"the day did not end within {self.engine.events} events")
 
     def _next(self, arrivals: list[Any], index: int, start: int) -> None:
         """One arrival at a time stands in the engine's heap."""
--- a/tansykeel/fleet/keeper.py
+++ b/tansykeel/fleet/keeper.py
@@ -12,8 +12,9 @@
 from random import Random
 
 from tansykeel.fleet.liveness import Ack, Liveness, NoAnswer, Pace, Ping, Seems, Try, Word
+from tansykeel.fleet.membership import SAFE, Decided, Member, Message
 from tansykeel.fleet.parts import Parts
-from tansykeel.fleet.views import SAFE, Agreement, Decided, Member, Message, Terms
+from tansykeel.fleet.views import Agreement, Terms
 
 RENEWS = 3  # times in a lease that it is asked for anew
 SILENT = 2  # leases without a working view after which a gateway tries to form one with all others
--- a/tansykeel/fleet/search.py
+++ b/tansykeel/fleet/search.py
@@ -12,7 +12,9 @@
 from dataclasses import dataclass
 from fractions import Fraction
 
-from tansykeel.fleet.views import Agreement, Member, Message, Terms, View
+from tansykeel.errors import Problem
+from tansykeel.fleet.membership import Member, Message, View
+from tansykeel.fleet.views import Agreement, Terms
 
 Make = Callable[[Member, tuple[str, ...], Terms, int], Agreement]
 Event = tuple[object, ...]  # its name, then whom and what
@@ -46,6 +48,12 @@
     trace: tuple[str, ...] = ()
 
 
+class NoFirstView(Problem, ValueError):
+    """A search of orders of events can't begin."""
+
+    advice = "give terms under which the gateways can form a first view"
+
+
 class Fleet:
     """A state: who lives, what was ever sent, what time it is, what was decided by anybody."""
 
@@ -165,7 +173,7 @@
                 fleet = _must(fleet, ("arrives", *word))
     fleet.sent, fleet.used = {}, dict.fromkeys(fleet.used, 0)
     if any(not one.active or not one.leased(fleet.clock(one.me.name)) for one in fleet.alive.values()):
-        raise ValueError(f"no first view among {names}: legal: terms under which one can be formed")
+        raise NoFirstView(f"no first view among {names}: legal: terms under which one can be formed")
     return fleet
 
 
--- a/tansykeel/fleet/words.py
+++ b/tansykeel/fleet/words.py
@@ -6,10 +6,11 @@
 
 import msgspec
 
+from tansykeel.errors import Problem
 from tansykeel.fleet.keeper import Said
 from tansykeel.fleet.liveness import Ack, NoAnswer, Ping, Try, Word
+from tansykeel.fleet.membership import Accept, Accepted, Ask, Decided, Done, Form, Formed, Grant, Prepare, Promise
 from tansykeel.fleet.outbox import Urgency
-from tansykeel.fleet.views import Accept, Accepted, Ask, Decided, Done, Form, Formed, Grant, Prepare, Promise
 
 KINDS = {kind.__name__: kind for kind in (Ping, Ack, Try, NoAnswer, Ask, Grant, Prepare, Promise, Accept, Accepted,
                                           Form, Formed, Decided, Done)}
@@ -17,20 +18,26 @@
 MOST = 60 << 10  # bytes of one word: a view of 1,000 gateways, told with its voters, and some to spare
 
 
+class WordError(Problem, ValueError):
+    """Another gateway sent what is no word of the fleet."""
+
+    advice = "look at the version of the gateway that is named: all of a fleet speak the same words"
+
+
 def packed(word: Said) -> tuple[str, bytes]:
     return type(word).__name__, msgspec.msgpack.encode(word)
 
 
 def unpacked(what: str, data: bytes) -> Said:
-    """Raises ValueError for what is no word."""
+    """Raises WordError for what is no word."""
     if what not in DECODERS:
-        raise ValueError(f"word {what!r}; legal: {', '.join(KINDS)}")
+        raise WordError(f"word {what!r}; legal: {', '.join(KINDS)}")
     if len(data) > MOST:
-        raise ValueError(f"word {what!r}: {len(data)} bytes; legal: {MOST} at most")
+        raise WordError(f"word {what!r}: {len(data)} bytes; legal: {MOST} at most")
     try:
         return cast(Said, DECODERS[what].decode(data))
     except msgspec.DecodeError as error:
-        raise ValueError(f"word {what!r}: {error}") from None
+        raise WordError(f"word {what!r}: {error}") from None
 
 
 def urgency_of(word: Said) -> Urgency:
--- a/tansykeel/protocol/frames.py
+++ b/tansykeel/protocol/frames.py
@@ -15,6 +15,8 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from tansykeel.errors import Problem
+
 VERSION = 1
 HEADER = struct.Struct(">BBHIQ")  # kind, flags (0), reserved (0), length, stream
 CHECK = struct.Struct(">I")
@@ -25,8 +27,10 @@
 MOST_ROWS = 256  # rows of the list in one frame
 
 
-class ProtocolError(Exception):
-    """The peer broke the protocol; the text names the fault, for the one error frame that it gets."""
+class ProtocolError(Problem):
+    """The peer broke the protocol; the text is for the one error frame that it gets."""
+
+    advice = "look at the version and the role of the peer that is named; its connection has ended"
 
 
 class Kind(IntEnum):
--- a/tansykeel/rehearse/chaos.py
+++ b/tansykeel/rehearse/chaos.py
@@ -11,8 +11,9 @@
 
 import msgspec
 
-from tansykeel.rehearse.day import LINKS, VERBS, Chaos, Day, Trouble
+from tansykeel.rehearse.day import LINKS, VERBS
 from tansykeel.settings.build import literal
+from tansykeel.settings.day import Chaos, Day, Trouble
 
 SOLE = "late_edge"  # strikes a gateway once, from the start on
 # How often each is drawn, against the others.
--- a/tansykeel/rehearse/clients.py
+++ b/tansykeel/rehearse/clients.py
@@ -16,9 +16,9 @@
 from tansykeel.audit.records import Gave, Got, Lagged, Recorder, Sent, now_us
 from tansykeel.protocol.codec import Codec, Event, Frame, Piece
 from tansykeel.protocol.frames import Answer, Cancel, Goodbye, Hello, TaskOf
-from tansykeel.rehearse.day import Day
 from tansykeel.rehearse.habits import DELIVERED, LOST, Habits
 from tansykeel.rehearse.load import RETRIES, Arrival, arrivals_of, stream
+from tansykeel.settings.day import Day
 from tansykeel.settings.records import CategoryOf
 from tansykeel.standin import content
 from tansykeel.transport.leash import leash
--- a/tansykeel/rehearse/conductor.py
+++ b/tansykeel/rehearse/conductor.py
@@ -19,10 +19,12 @@
 
 from tansykeel.audit.records import Killed, Recorder, Stood, now_us
 from tansykeel.audit.records import Trouble as TroubleRecord
-from tansykeel.rehearse.day import LOAD, VERBS, Day, Trouble, settings_of
+from tansykeel.errors import NOT_PLAYED, Problem
+from tansykeel.rehearse.day import LOAD, VERBS
 from tansykeel.rehearse.load import CHANCE, stream
 from tansykeel.rehearse.troubles import Steps, steps_of
 from tansykeel.settings.build import text_of
+from tansykeel.settings.day import Day, Trouble, settings_of
 from tansykeel.transport.sockets import listening
 
 START_WITHIN = 20.0  # seconds for a process to say that it is ready
@@ -33,8 +35,11 @@
 EDGE = (*PROGRAM, "edge")
 
 
-class RehearsalError(Exception):
-    """The day could not be played; nothing is said of the rules."""
+class RehearsalError(Problem):
+    """A day could not be played to its end."""
+
+    advice = "read the log that is named; play the day again with nothing else on the machine"
+    code = NOT_PLAYED
 
 
 def free_ports(count: int) -> list[int]:
--- a/tansykeel/rehearse/habits.py
+++ b/tansykeel/rehearse/habits.py
@@ -4,8 +4,8 @@
 
 import numpy
 
-from tansykeel.rehearse.day import Clients
 from tansykeel.rehearse.load import Arrival
+from tansykeel.settings.day import Clients
 from tansykeel.settings.records import CategoryOf
 
 DELIVERED, NACKED, BROKEN_OFF, LOST = 0, 1, 2, 3  # LOST: the edge is gone with the task
--- a/tansykeel/rehearse/load.py
+++ b/tansykeel/rehearse/load.py
@@ -9,7 +9,7 @@
 
 import numpy
 
-from tansykeel.rehearse.day import Day, Trouble, Volumes, volume_names, volume_rate
+from tansykeel.settings.day import Day, Trouble, Volumes, volume_names, volume_rate
 
 ARRIVALS, TASKS, SHAPE = 0, 1, 2  # streams of a volume
 # Streams of the clients' own chance, of the troubles', and of whom troubles of the load strike.
--- a/tansykeel/rehearse/play.py
+++ b/tansykeel/rehearse/play.py
@@ -12,7 +12,8 @@
 
 from tansykeel.audit.report import Verdict, judge_folder
 from tansykeel.rehearse.conductor import EDGE, Conductor, RehearsalError
-from tansykeel.rehearse.day import Day, load_day
+from tansykeel.rehearse.day import load_day
+from tansykeel.settings.day import Day
 from tansykeel.settings.script import ScriptError
 
 
--- a/tansykeel/rehearse/troubles.py
+++ b/tansykeel/rehearse/troubles.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable, Generator
 from typing import Any, Protocol
 
-from tansykeel.rehearse.day import ALL, LINKS, LIST, LOAD, STORES, VERBS, Trouble
+from tansykeel.rehearse.day import ALL, LINKS, LIST, LOAD, STORES, VERBS
+from tansykeel.settings.day import Trouble
 
 NOTICE = 0.1  # seconds until the list notices a start
 Steps = Generator[Any, None, None]
--- a/tansykeel/settings/build.py
+++ b/tansykeel/settings/build.py
@@ -27,7 +27,7 @@
     StoreOf,
     VolumeOf,
 )
-from tansykeel.settings.script import ScriptError
+from tansykeel.settings.script import FieldError, ScriptError
 
 MS = 1_000_000  # nanoseconds
 PLURAL = {"category": "categories", "plan": "plans", "volume": "volumes", "store": "stores"}
@@ -46,20 +46,20 @@
         text = str(error)
         fields = ", ".join(kind.__struct_fields__)
         if unknown := _UNKNOWN.search(text):
-            raise ValueError(f"{who}: no field {unknown[1]!r}; legal: {fields}") from None
+            raise FieldError(f"{who}: no field {unknown[1]!r}; legal: {fields}") from None
         if missing := _MISSING.search(text):
-            raise ValueError(f"{who}: field {missing[1]!r} is missing; legal: a value for it") from None
+            raise FieldError(f"{who}: field {missing[1]!r} is missing; legal: a value for it") from None
         path = (_PATH.search(text) or ["", ""])[1]
         value: Any = values
         for step in filter(None, re.split(r"[.\[\]]+", path)):
             value = value.get(step) if isinstance(value, dict) else None
         legal = _PATH.sub("", text).replace("Expected ", "").replace("`", "")
-        raise ValueError(f"{who}.{path}: {value!r} is not legal; legal: {legal}") from None
+        raise FieldError(f"{who}.{path}: {value!r} is not legal; legal: {legal}") from None
 
 
 def _once(held: dict[str, Any], verb: str) -> None:
     if verb in held:
-        raise ValueError(f"{verb}: given twice; legal: once")
+        raise FieldError(f"{verb}: given twice; legal: once")
 
 
 class Script:
@@ -90,7 +90,7 @@
             made = record_of(kind, verb, _with_name(verb, names, values))
             name: str = made.name  # type: ignore[attr-defined]
             if name in self.many[verb]:
-                raise ValueError(f"{verb}({name!r}): given twice; legal: each name once")
+                raise FieldError(f"{verb}({name!r}): given twice; legal: each name once")
             self.many[verb][name] = made
             return name
         return call
@@ -109,7 +109,7 @@
 
 def _with_name(verb: str, names: tuple[str, ...], values: dict[str, Any]) -> dict[str, Any]:
     if len(names) > 1 or (names and "name" in values):
-        raise ValueError(f"{verb}: {len(names)} unnamed values; legal: the name alone, all else as field = value")
+        raise FieldError(f"{verb}: {len(names)} unnamed values; legal: the name alone, all else as field = value")
     return {"name": names[0], **values} if names else values
 
 
--- a/tansykeel/settings/given.py
+++ b/tansykeel/settings/given.py
@@ -7,6 +7,7 @@
 
 from typing import Any
 
+from tansykeel.errors import Problem
 from tansykeel.interface import Facts, Plan, Repeat, Scope, Sizes
 from tansykeel.settings import facts as make
 from tansykeel.settings.facts import ceil, floor
@@ -15,8 +16,10 @@
 SCOPES = {"all": Scope.ALL, "zone": Scope.ZONE, "cell": Scope.SHARD}
 
 
-class NotLegal(ValueError):
-    """Settings that can't be used; the text says what is wrong."""
+class NotLegal(Problem, ValueError):
+    """The operators' settings object can't be used."""
+
+    advice = "compare the object with the pages of the platform; the message names the field"
 
 
 def _lookup(table: dict[str, Any], value: Any, what: str) -> Any:
--- a/tansykeel/settings/move.py
+++ b/tansykeel/settings/move.py
@@ -9,22 +9,29 @@
 
 import msgspec
 
+from tansykeel.errors import Problem
 from tansykeel.settings.build import faults_of, record_of
 from tansykeel.settings.records import PeersOf, RulesOf, Settings
 
 
+class NotMoved(Problem, ValueError):
+    """A settings script has no counterpart for gateways that talk."""
+
+    advice = "give a script of the old shape, and one address for each gateway, in the order of their numbers"
+
+
 def moved(old: Settings, addresses: tuple[str, ...], tells: Literal["node", "fleet"]) -> Settings:
     """The counterpart: all of `old`, where the gateways listen, what stores tell of a volume's use.
 
     Raises ValueError where the two do not fit, with what would be legal.
     """
     if old.peers is not None:
-        raise ValueError("peers: the file has them already; legal: a file of the old shape, without")
+        raise NotMoved("peers: the file has them already; legal: a file of the old shape, without")
     made = msgspec.structs.replace(
         old, peers=record_of(PeersOf, "peers", {"addresses": addresses}),
         rules=record_of(RulesOf, "rules", msgspec.to_builtins(old.rules) | {"tells": tells}))
     if faults := list(faults_of(made)):
-        raise ValueError("; ".join(faults))
+        raise NotMoved("; ".join(faults))
     return made
 
 
--- a/tansykeel/settings/script.py
+++ b/tansykeel/settings/script.py
@@ -12,6 +12,8 @@
 
 import starlark
 
+from tansykeel.errors import Problem
+
 RUN_SECONDS = 5.0  # a script that runs longer has a loop that does not end
 CALLS_DEEP = 64  # nested calls in a script
 LOADS = 50  # files that one script may load, one through another
@@ -19,9 +21,16 @@
 Verb = Callable[..., Any]
 
 
-class ScriptError(Exception):
-    """A script that cannot be used. The text says where (file and line, where Starlark knows it), what is wrong
-    and what would be legal."""
+class ScriptError(Problem):
+    """A script can't be read, or what it says is not legal."""
+
+    advice = "correct the place that is named; tansykeel check FILE looks at settings without starting anything"
+
+
+class FieldError(Problem, ValueError):
+    """A verb of a script got a value that is not legal; told with the script's place as a ScriptError."""
+
+    advice = "give the field one of the values that are named as legal"
 
 
 def _dialect() -> starlark.Dialect:
@@ -65,15 +74,15 @@
         if name in seen:
             return seen[name]
         if Path(name).name != name:
-            raise ValueError(f"load({name!r}): legal is the name of a file beside the script, without a path")
+            raise FieldError(f"load({name!r}): legal is the name of a file beside the script, without a path")
         if name in opening:
-            raise ValueError(f"load({name!r}): it loads itself, through {' and '.join(opening)}")
+            raise FieldError(f"load({name!r}): it loads itself, through {' and '.join(opening)}")
         if len(seen) + len(opening) >= LOADS:
-            raise ValueError(f"load({name!r}): more than {LOADS} files")
+            raise FieldError(f"load({name!r}): more than {LOADS} files")
         try:
             source = (path.parent / name).read_text()
         except OSError as error:
-            raise ValueError(f"load({name!r}): {error.strerror}") from None
+            raise FieldError(f"load({name!r}): {error.strerror}") from None
         opening.append(name)
         seen[name] = evaluate(name, source).freeze()
         opening.remove(name)
@@ -93,6 +102,6 @@
     lines = [line.strip() for line in text.splitlines()]
     what = next((line for line in lines if line.startswith("error:")), lines[0] if lines else "unknown error")
     place = next((line[4:] for line in lines if line.startswith("--> ")), "")
-    for noise in ("error: ", "ValueError: "):
+    for noise in ("error: ", "ValueError: ", "FieldError: "):
         what = what.removeprefix(noise)
     return f"{place.rsplit(':', 1)[0]}: {what}" if place else what
--- a/tansykeel/standin/behaviour.py
+++ b/tansykeel/standin/behaviour.py
@@ -11,7 +11,8 @@
 
 from tansykeel.audit.records import Arrived, Ended, Fell, Ran, Record, Told, Up
 from tansykeel.protocol.frames import HandOffOf
-from tansykeel.standin.model import Job, Model, Shape
+from tansykeel.settings.shape import Shape
+from tansykeel.standin.model import Job, Model
 
 
 class Work:
--- a/tansykeel/standin/model.py
+++ b/tansykeel/standin/model.py
@@ -12,37 +12,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from msgspec import Struct
+from tansykeel.settings.shape import Shape, borne, warmth
 
 COLD_STEP = 20.0  # ms: while it warms, power is worked out anew this often
 NEVER = float("inf")
 
 
-class Shape(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """What a store is like. `unit_ms`: mean work of a unit, by which capacity in units is counted."""
-
-    cores: int = 2
-    speed: float = 1.0
-    slots: int = 8
-    queue: int = 64
-    unit_ms: float = 8.0
-    write_cost: float = 1.5  # work of a written unit against a read one
-    noise: float = 0.3  # spread of a task's work
-    cold_share: float = 0.2
-    cold_s: float = 6.0
-    warm_by: str = "time"  # or work: as much as it could have done meanwhile warms it sooner
-    fall_multiple: float = 3.0
-    fall_s: float = 1.0
-    pause_every_s: float = 0.0  # 0: none
-    pause_ms: float = 50.0
-    defer: float = 0.0  # part of a write's work that is put off
-    flush_s: float = 2.0
-    seek: float = 0.0  # part of the work saved on one of the last keys
-    remembers: int = 2
-    cancel: str = "queued"  # what a cancel stops: none, queued or all
-    connections: int = 400
-
-
 class Job:
     __slots__ = ("handle", "units", "writes", "key", "number", "work", "state")
 
@@ -68,17 +43,6 @@
         return min((end for end, _ in self.until.values() if end > now), default=NEVER)
 
 
-def warmth(age: float, share: float, warm_after: float) -> float:
-    """Part of its full power that a store has `age` ms after a cold start."""
-    return min(share + (1 - share) * max(age, 0.0) / max(warm_after, 1e-9), 1.0)
-
-
-def borne(shape: Shape, start: float, end: float, full_units: float) -> float:
-    """Units that a store cold since 0 bears between two ages (ms) without falling: multiple x present power."""
-    middle = warmth((start + end) / 2, shape.cold_share, shape.cold_s * 1000)  # power rises evenly
-    return shape.fall_multiple * full_units * middle * (end - start) / 1000
-
-
 class Model:
     """`uniform` and `normal` draw numbers: 0 to 1, and around 0 with spread 1."""
 
--- a/tansykeel/standin/store.py
+++ b/tansykeel/standin/store.py
@@ -19,10 +19,11 @@
 from tansykeel.audit.records import Began, Recorder, now_us
 from tansykeel.protocol.codec import Codec, Event, Piece
 from tansykeel.protocol.frames import Cancel, Cut, HandOffOf, Hello, OutcomeOf, Probe, Probed
+from tansykeel.settings.shape import Shape
 from tansykeel.standin import content
 from tansykeel.standin.behaviour import Behaviour, Work
 from tansykeel.standin.control import commands
-from tansykeel.standin.model import NEVER, Shape
+from tansykeel.standin.model import NEVER
 from tansykeel.transport.link import Hub, Limits, Link
 from tansykeel.transport.sockets import accept_all, listening
 
--- a/tests/audit/test_fleet.py
+++ b/tests/audit/test_fleet.py
@@ -7,7 +7,8 @@
 from tansykeel.audit.fleet import FLEET_RULES, FleetLaw, counted_mean, words_of
 from tansykeel.audit.join import join
 from tansykeel.audit.records import Counted, Killed, Said
-from tansykeel.fleet.views import Ask, Decided, Grant, Member, Terms, View, voters_of
+from tansykeel.fleet.membership import Ask, Decided, Grant, Member, View, voters_of
+from tansykeel.fleet.views import Terms
 from tansykeel.fleet.words import packed
 
 SECOND = 1_000_000
--- a/tests/audit/test_rules.py
+++ b/tests/audit/test_rules.py
@@ -39,7 +39,7 @@
     Scope,
     Sizes,
 )
-from tansykeel.standin.model import Shape
+from tansykeel.settings.shape import Shape
 
 S = 1_000_000
 READ = Category("read", 3_000, 20_000, 1.0, 0.1, Repeat.HARMLESS, Scope.ALL, 0, False, False, 0.0)
--- /dev/null
+++ b/tests/brain/test_cold.py
@@ -0,0 +1,173 @@
+"""Cold stores: what they get, and which count as cold."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from helpers import PLAN, heard, outcome, scheduler, store, task
+
+from tansykeel.brain.cold import Young
+from tansykeel.interface import (
+    ColdRule,
+    How,
+    Volume,
+)
+
+COLD = ColdRule(share=0.2, warm_after=180_000, multiple=2.5, span=10_000, always_safe=20.0)
+
+
+def sent_in_a_span(every, at, start, units):
+    """Units that gateways send to a store in one span, each trying every 10 ms, with nothing asked."""
+    sent = 0.0
+    for now in range(start, start + COLD.span, 100):
+        for young in every:
+            while young.room(at, now, units, 0):
+                young.credit -= units
+                sent += units
+    return sent
+
+
+@pytest.mark.parametrize("gateways, age, part", [(1, 0, 4.0), (1, 100_000, 12.0), (2, 0, 2.0)])
+def test_a_young_store_gets_a_fifth_evenly(gateways, age, part):
+    young, at, start = Young(COLD, gateways, 0, 1.0), store(started=1_000), 1_000 + age
+    assert part - 1.0 <= sent_in_a_span([young], at, start, 0.1) <= part + 1.5
+    assert young.room(at, 1_000 + 190_000, 1e6, 0)
+
+
+def asked_of(brain, desk, node, volume, units=2.0, shard=0):
+    """A first try that is held, as `serve` does it; returns what it earned at the node."""
+    before, new = node.young.credit, task(desk, units=units, shard=shard)
+    new.volume = volume
+    run = brain.serve(new)
+    next(run)
+    run.close()
+    return node.young.credit - before
+
+
+@pytest.mark.parametrize("clear, age, part", [
+    (False, 100, 0.8 * 2.5 * 0.2), (True, 100, 0.8 * 2.5 * 0.2 * 2.5), (False, 100_000, 0.8 * 2.5 * 0.2 * 3)])
+def test_what_is_asked_of_a_young_store_earns_the_part_that_it_bears(clear, age, part):
+    """Guards against gateways that were restarted: they know of no past use, and sent a new store next to nothing."""
+    at = store(started=1_000_000 - age)
+    brain, desk = scheduler([at], cold=replace(COLD, always_safe=0.0))
+    node = brain.nodes[at]
+    if clear:
+        heard(node, 100, 100)
+    node.young.room(at, desk.now, 8.0, 0)
+    node.out = 99  # nothing leaves
+    earned = asked_of(brain, desk, node, Volume("v", replace(PLAN, rate=100.0)))
+    assert earned == pytest.approx(2.0 * part, rel=0.01)
+
+
+def test_a_further_try_earns_nothing_and_a_surge_no_more_than_the_volume_is_sized_for():
+    """Guards against a store pushed over by what comes again, or by volumes that ask for many times their rate."""
+    at = store(started=999_000)
+    brain, desk = scheduler([at], cold=replace(COLD, always_safe=0.0), gateways=4)
+    node, volume = brain.nodes[at], Volume("v", replace(PLAN, rate=4.0), gateways=2.0)
+    node.young.room(at, desk.now, 8.0, 0)
+    node.young.largest, node.out = 1e9, 99
+    again = task(desk)
+    again.again = True
+    next(brain.serve(again))
+    assert node.young.credit == 0
+    node.young.largest = 8.0
+    earned = 0.0
+    for _ in range(100):  # 200 units in a second
+        node.young.credit = 0.0
+        earned += asked_of(brain, desk, node, volume)
+        desk.now += 100
+    # One largest task at once and a second of what it is sized for, of which this gateway has half.
+    assert earned == pytest.approx(0.8 * 2.5 * 0.2 * (8.0 + 2.0), rel=0.05)
+
+
+def test_a_volume_on_two_shards_counts_with_half_of_its_rate_at_each():
+    stores = [store(started=999_000, shard=0), store(started=999_000, shard=1)]
+    brain, desk = scheduler(stores, cold=replace(COLD, always_safe=0.0, span=100))
+    volume = Volume("v", replace(PLAN, rate=100.0), gateways=1.0)
+    for at in stores:
+        brain.nodes[at].out = 99
+        asked_of(brain, desk, brain.nodes[at], volume, shard=at.shard)
+    line = brain.nodes[stores[1]].lines[volume]
+    line.sized, desk.now = 0.0, desk.now + 1_000
+    asked_of(brain, desk, brain.nodes[stores[1]], volume, units=1.0, shard=1)
+    assert line.sized == pytest.approx(5.0 - 1.0)
+
+
+@pytest.mark.parametrize("again, credit", [(10, True), (20_000, False)])
+def test_credit_stays_where_one_start_is_told_twice(again, credit):
+    """Guards against the list and the store that tell of one start a little apart: credit would begin anew."""
+    young, at = Young(COLD, 1, 0, 8.0), store(started=500_000)
+    young.room(at, 509_000, 1.0, 0)
+    young.credit = 5.0
+    at.started += again
+    young.room(at, 509_000 + again, 1.0, 0)
+    assert (young.credit >= 5.0) is credit
+
+
+def test_no_round_before_a_task_could_find_room_at_a_cold_node():
+    """Guards against a round each 10 ms, for every gateway and node, that can send nothing."""
+    at = store(started=999_000)
+    brain, desk = scheduler([at], cold=ColdRule(0.2, 180_000, 2.5, 10_000, 8.0))
+    node = brain.nodes[at]
+    node.young.room(at, desk.now, 2.0, 0)
+    node.young.credit = 2.0 * node.young.phase - 0.03
+    again = task(desk)
+    again.again = True  # it earns nothing
+    run = brain.serve(again)
+    next(run)
+    assert node.held == 1 and desk.now + 100 < node.young.due < desk.now + 1_000
+    assert min(moment for moment, call in desk.alarms if call == node.next_round) == node.young.due
+    desk.now = node.young.due
+    node.next_round()
+    assert node.held == 0
+
+
+def test_credit_from_before_a_store_was_found_out_of_reach_is_gone():
+    """Guards against all gateways spending at once what they saved while it was away."""
+    at = store(started=500_000)
+    brain, desk = scheduler([at], cold=ColdRule(0.2, 180_000, 2.5, 10_000, 8.0))
+    desk.now = 505_000
+    node = brain.nodes[at]
+    node.young.room(at, desk.now, 8.0, 0)
+    assert node.young.credit > 0
+    for _ in range(2):
+        sent = task(desk)
+        node.sent[sent] = desk.now
+        node.learn(sent, outcome(How.NO_CONNECTION))
+    assert node.young.credit == 0 and node.young.at == desk.now
+
+
+@pytest.mark.parametrize("hows, room", [
+    ([How.NO_CONNECTION, How.NO_CONNECTION], False), ([How.NO_CONNECTION], True), ([How.RESET] * 2, True),
+])
+def test_only_a_store_that_stays_out_of_reach_counts_as_just_started(hows, room):
+    at = store()
+    brain, desk = scheduler([at], cold=ColdRule(0.2, 180_000, 2.5, 10_000, 8.0))
+    node = brain.nodes[at]
+    for how in hows:
+        sent = task(desk)
+        node.sent[sent] = desk.now
+        node.learn(sent, outcome(how))
+    assert node.young.room(at, desk.now, 4.1, 0) is room
+    assert node.usable() is (hows[0] is How.RESET)
+
+
+def test_a_store_that_answers_and_of_which_no_start_was_told_had_not_started():
+    """Guards against a cut link that leaves a warm store with what a cold one gets, for all the time of warming."""
+    at = store()
+    brain, desk = scheduler([at], cold=ColdRule(0.2, 180_000, 2.5, 10_000, 8.0))
+    node, failed = brain.nodes[at], desk.now
+    for how in (How.NO_CONNECTION, How.NO_CONNECTION):
+        sent = task(desk)
+        node.sent[sent] = desk.now
+        node.learn(sent, outcome(how))
+    assert not node.young.room(at, failed + 60_000, 1e6, node.proof)  # it has not answered
+    desk.now += 10_000
+    sent = task(desk)
+    node.sent[sent] = desk.now
+    node.learn(sent, outcome(How.DELIVERED))
+    assert not node.young.room(at, failed + 59_999, 1e6, node.proof)  # a start may still be told
+    assert node.young.room(at, failed + 60_000, 1e6, node.proof)
+    at.started = failed - 100  # it was told
+    assert not node.young.room(at, failed + 60_000, 1e6, node.proof)
--- /dev/null
+++ b/tests/brain/test_limits.py
@@ -0,0 +1,218 @@
+"""Limits, reserves, and the budget of further hand-offs."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from helpers import PLAN, outcome, scheduler, store, task, turn
+
+from tansykeel.brain.volumes import Extras, VolumeState
+from tansykeel.interface import (
+    Allowed,
+    BudgetRule,
+    HandOff,
+    How,
+    Nack,
+    Outcome,
+    Signal,
+    Volume,
+    Wait,
+    Word,
+)
+
+
+def test_further_hand_offs_stay_within_the_budget_of_every_window():
+    extras = Extras(BudgetRule(span=1_000, free=1.0, share=0.5), -10_000)
+    extras.taken.extend([0, 10])
+    assert extras.room(20)
+    extras.extras.extend([20, 30])
+    assert not extras.room(40)
+    assert extras.room(1_032)
+
+
+def test_a_new_life_makes_no_further_hand_off_while_an_earlier_one_may_have_used_the_budget_up():
+    extras = Extras(BudgetRule(span=1_000, free=2.0, share=0.5), 500)
+    extras.taken.extend([600] * 9)
+    assert not extras.room(600) and not extras.room(1_500)
+    assert extras.room(1_501)
+
+
+@pytest.mark.parametrize("units, now, wait", [
+    (5.0, 0, 501), (5.0, 501, 0), (20.0, 10**6, 0), (20.1, 10**6, 11),
+])
+def test_a_limit_starts_empty_and_never_gives_more_than_this_gateways_part(units, now, wait):
+    brain, desk = scheduler([])
+    state = VolumeState(1.0, limit=0.01, depth=20.0, born=desk.now, parts=desk.parts)
+    desk.now += now
+    assert brain.limit_wait(task(desk, units=units), state) == wait
+
+
+@pytest.mark.parametrize("hosts, told, part", [
+    (24, [], 1 / 24), (1, [], 1.0), (0, [], 1 / 2), (24, [(2.0, 0)] * 23, 23 / 24 + 1 / 576),
+    (2, [(2.0, 8)], 0.25),
+])
+def test_a_reserve_is_split_by_the_use_that_answers_tell_of(hosts, told, part):
+    brain, _ = scheduler([])
+    state = brain.state_of(Volume("v", PLAN, hosts))
+    for here, there in told:
+        state.tell(here, Outcome(How.DELIVERED, 100, True, elsewhere=there), PLAN, state.told_at)
+    assert state.part(2.0) == pytest.approx(part)
+
+
+@pytest.mark.parametrize("used, part", [(100, 0.2), (20, 1.0), (0, 1.0)])
+def test_where_nodes_do_not_tell_the_meter_gives_this_gateways_part(used, part):
+    """Two units a second here, of ten that the plan is sized for times what the meter says."""
+    brain, _ = scheduler([])
+    state = brain.state_of(Volume("v", PLAN, 10.0))
+    for _ in range(1, 40):
+        state.tell(2.0, Outcome(How.DELIVERED, 100, True, used=used), PLAN, state.told_at + 10_000)
+    assert state.part(0.0) == pytest.approx(part)
+
+
+LIMITED = replace(PLAN, limit=4.0, limit_depth=40.0)
+TALK = Allowed(3, False, 0, False, True, False, peers=True)
+
+
+def of_gateways(*numbers):
+    """Schedulers of one volume's gateways whose words reach each other, and what they have of its limit."""
+    made = [scheduler([store()], gateways=len(numbers), me=number, allowed=TALK) for number in numbers]
+    volumes = [Volume("v", LIMITED, float(len(numbers))) for _ in numbers]
+    return made, volumes, [brain.state_of(volume) for (brain, _), volume in zip(made, volumes, strict=True)]
+
+
+def pass_on(made, volumes):
+    """Deliver what was said; what is said to that is left for the next call."""
+    said = [desk.told for _, desk in made]
+    for _, desk in made:
+        desk.told = []
+    for me, words in enumerate(said):
+        for peer, word in words:
+            for number in range(len(made)) if peer is None else [peer]:
+                if number != me:
+                    made[number][0].heard(me, replace(word, volume=volumes[number]))
+
+
+def test_a_gateway_short_of_a_limit_gets_units_from_the_others_and_none_are_made():
+    """Guards against a lead that refuses while the other gateways of its volume keep what nobody asks for."""
+    made, volumes, states = of_gateways(0, 1, 2)
+    for (_, desk), state in zip(made, states, strict=True):
+        desk.now += 10_000
+        state.fill(desk.now)
+        state.units, state.started = 6.0, True
+    states[0].units = 0.5
+    wanted = task(made[0][1], units=8.0, volume=volumes[0])
+    run = made[0][0].serve(wanted)
+    assert isinstance(next(run), Wait)
+    pass_on(made, volumes)  # asked
+    assert [state.units for state in states] == [0.5, 3.0, 3.0]
+    pass_on(made, volumes)  # given
+    assert [state.units for state in states] == [6.5, 3.0, 3.0]
+    assert set(made[0][1].woken) == {(wanted, Signal.MOVED)} and set(states[0].peers) == {1, 2}
+
+
+def test_no_part_of_a_limit_grows_past_its_depth_by_gifts():
+    made, volumes, states = of_gateways(0, 1)
+    states[0].units = states[0].depth - 1
+    made[0][0].heard(1, Word(volumes[0], 5.0, True))
+    assert states[0].units == states[0].depth
+
+
+def test_an_ask_for_a_volume_that_no_task_here_named_gets_nothing():
+    """Guards against a gateway that gives of a part that it does not have."""
+    brain, desk = scheduler([store()], allowed=TALK)
+    brain.heard(1, Word(Volume("v", LIMITED, 2.0), 5.0, False))
+    assert desk.told == []
+
+
+@pytest.mark.parametrize("peers, hosts", [(False, 3.0), (True, 1.0)])
+def test_nobody_is_asked_where_gateways_do_not_talk_or_there_is_one(peers, hosts):
+    brain, desk = scheduler([store()], allowed=replace(TALK, peers=peers))
+    run = brain.serve(task(desk, units=8.0, volume=Volume("v", LIMITED, hosts)))
+    assert isinstance(next(run), Nack) and desk.told == []
+
+
+GREETING, YOUNG, OLD = Word(None, 0.0, False), Word(None, 0.0, True), Word(None, 1.0, True)
+
+
+@pytest.mark.parametrize("words, after, units", [
+    ([YOUNG], 800, 20.0), ([GREETING], 800, 20.0), ([YOUNG], 799, 0.0), ([], 800, 0.0), ([OLD], 800, 0.0),
+    ([YOUNG, OLD], 800, 0.0), ([OLD, YOUNG], 800, 0.0), ([OLD, GREETING], 800, 0.0),
+])
+def test_a_limit_starts_full_only_where_others_start_too_and_none_has_run_for_long(words, after, units):
+    """Guards against a gateway that comes back and spends once more what its earlier self has spent."""
+    brain, desk = scheduler([store()], allowed=TALK)
+    volume = Volume("v", replace(LIMITED, limit=1e-6), 2.0)
+    for word in words:
+        brain.heard(1, word)
+    desk.now += after
+    brain.limit_wait(task(desk, volume=volume), brain.state_of(volume))
+    assert volume.state.units == pytest.approx(units, abs=0.01)
+
+
+@pytest.mark.parametrize("age, answer", [(19_999, YOUNG), (20_000, OLD)])
+def test_the_answer_to_a_greeting_says_whether_a_gateway_has_run_for_long(age, answer):
+    brain, desk = scheduler([store()], allowed=TALK)
+    desk.now += age
+    brain.heard(3, GREETING)
+    brain.heard(3, YOUNG)  # an answer is not answered
+    assert desk.told == [(3, answer)]
+
+
+def test_while_little_comes_gateways_are_asked_ever_more_seldom():
+    """Guards against a storm of words when a volume has spent its whole limit."""
+    made, volumes, states = of_gateways(0, 1)
+    brain, desk = made[0]
+    states[0].peers[1] = None
+    times = []
+    for _ in range(2_000):
+        desk.now += 20
+        states[0].units = 0.0
+        if brain.ask(volumes[0], states[0]) and desk.told:
+            times.append(desk.now)
+            desk.told.clear()
+    gaps = [later - sooner for sooner, later in zip(times, times[1:], strict=False)]
+    assert gaps[0] < gaps[2] < gaps[-1] == 10_000
+
+
+def test_a_limited_volume_is_charged_at_its_first_hand_off_only():
+    plan = replace(PLAN, limit=1_000.0, limit_depth=100.0)
+    brain, desk = scheduler([store()], plans=(plan,))
+    volume = Volume("v", plan, 1.0)
+    state = brain.state_of(volume)
+    desk.now += 100_000
+    run = brain.serve(task(desk, units=8.0, volume=volume))
+    turn(run, desk, brain)
+    assert state.units == 92.0
+    run.send(outcome(How.ERROR))
+    run.send(Signal.TURN)
+    assert state.units == 92.0
+
+
+def test_held_tasks_of_a_limited_volume_cannot_leave_in_one_burst():
+    plan = replace(PLAN, limit=1.0, limit_depth=16.0)
+    brain, desk = scheduler([store()], plans=(plan,))
+    volume, node = Volume("v", plan, 1.0), next(iter(brain.nodes.values()))
+    state = brain.state_of(volume)
+    state.units, node.out, node.tokens_out = 10.0, 1, 1e9
+    runs = [brain.serve(task(desk, units=8.0, volume=volume)) for _ in range(2)]
+    assert all(isinstance(next(run), Wait) for run in runs)
+    node.out = node.tokens_out = 0
+    node.bucket = 100.0
+    node.round()
+    assert len(desk.woken) == 1
+    assert isinstance(runs[0].send(Signal.TURN), HandOff) and state.units == 2.0
+    node.out = node.tokens_out = 0
+    node.round()
+    assert not isinstance(runs[1].send(Signal.TURN), HandOff)
+
+
+def test_a_limit_is_earned_by_the_part_that_counts_and_a_smaller_one_holds_less():
+    class Half:
+        def earned(self, since, now):
+            return (now - since) / 2, 0.5
+    state = VolumeState(1.0, limit=0.01, depth=20.0, born=0, parts=Half())
+    state.fill(1_000)
+    assert state.units == 5.0
+    state.fill(100_000)
+    assert state.units == 10.0  # of 20 for all
--- /dev/null
+++ b/tests/brain/test_tasks.py
@@ -0,0 +1,213 @@
+"""A task on its way: who may go where, order by key, answers, the list."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from helpers import HARMLESS, ONE_SHOT, STAMPED, facts, heard, outcome, scheduler, store, task, turn
+
+from tansykeel.brain import Scheduler
+from tansykeel.interface import (
+    BreakOff,
+    BudgetRule,
+    HandOff,
+    How,
+    Listing,
+    Nack,
+    Scope,
+    Signal,
+    State,
+    Wait,
+)
+
+
+def test_an_idle_node_takes_a_task_and_delivery_ends_it():
+    at = store()
+    brain, desk = scheduler([at])
+    run = brain.serve(task(desk))
+    want = turn(run, desk, brain)
+    assert isinstance(want, HandOff) and want.store is at
+    with pytest.raises(StopIteration):
+        run.send(outcome(How.DELIVERED))
+    node = brain.nodes[at]
+    assert (node.out, node.tokens_out, node.held) == (0, 0.0, 0)
+
+
+@pytest.mark.parametrize("how, kind, category", [
+    (How.ERROR, BreakOff, ONE_SHOT),
+    (How.TIMED_OUT, BreakOff, ONE_SHOT),
+    (How.RESET, BreakOff, ONE_SHOT),
+    (How.CANCELLED, BreakOff, ONE_SHOT),
+    (How.FULL, Wait, ONE_SHOT),
+    (How.NO_CONNECTION, Wait, ONE_SHOT),
+    (How.ERROR, Wait, HARMLESS),
+])
+def test_after_an_outcome_only_what_is_legal_follows(how, kind, category):
+    brain, desk = scheduler([store()])
+    run = brain.serve(task(desk, category=category))
+    turn(run, desk, brain)
+    assert isinstance(run.send(outcome(how)), kind)
+
+
+@pytest.mark.parametrize("scope, other, later, legal", [
+    (Scope.SHARD, dict(shard=0), 10, True),
+    (Scope.SHARD, dict(shard=1), 10, False),
+    (Scope.ZONE, dict(shard=1, zone=0), 10, True),
+    (Scope.ZONE, dict(shard=1, zone=1), 10, False),
+    (Scope.ALL, dict(shard=1, zone=1), 10, True),
+    (Scope.ALL, dict(shard=0), 5_000, False),
+])
+def test_a_stamped_task_that_may_have_run_stays_in_its_group_and_window(scope, other, later, legal):
+    first = store()
+    brain, desk = scheduler([first])
+    repeat = task(desk, category=replace(STAMPED, scope=scope))
+    repeat.may_have_run.append((first, desk.now))
+    desk.now += later
+    assert brain.in_group(repeat, store(**other)) is legal
+
+
+@pytest.mark.parametrize("category, ran, answer", [
+    (HARMLESS, True, Nack), (ONE_SHOT, True, BreakOff), (ONE_SHOT, False, Nack),
+    (STAMPED, True, BreakOff), (replace(STAMPED, scope=Scope.ALL), True, Nack),
+])
+def test_a_nack_is_given_only_where_its_promise_holds(category, ran, answer):
+    brain, desk = scheduler([store()])
+    given_up = task(desk, category=category)
+    if ran:
+        given_up.may_have_run.append((store(), desk.now))
+    assert isinstance(brain.final(given_up), answer)
+
+
+@pytest.mark.parametrize("state", [State.DRAINING, State.GONE])
+def test_nothing_goes_to_a_node_that_leaves(state):
+    at = store()
+    brain, desk = scheduler([at])
+    node = brain.nodes[at]
+    node.rate = 0.0
+    node.sent[task(desk)] = desk.now
+    node.out, node.tokens_out = 1, 100.0
+    held = task(desk)
+    run = brain.serve(held)
+    assert isinstance(next(run), Wait)
+    at.state = state
+    brain.list_changed([at], confirmed=True)
+    assert desk.woken == [(held, Signal.MOVED)]
+    assert isinstance(run.send(Signal.MOVED), Nack)
+
+
+@pytest.mark.parametrize("stores, shard", [([], 0), ([], None), ([store(shard=3)], 0)])
+def test_a_task_that_no_node_can_serve_is_answered_at_once(stores, shard):
+    brain, desk = scheduler(stores)
+    assert isinstance(next(brain.serve(task(desk, shard=shard))), Nack)
+
+
+@pytest.mark.parametrize("sent, extras, later, legal", [
+    (0, 0, 0, True), (2, 0, 0, True), (3, 0, 0, False),
+    (1, 1, 0, False), (0, 1, 0, True), (0, 0, 10_000, False),
+])
+def test_a_hand_off_is_legal_only_within_tries_budget_and_time(sent, extras, later, legal):
+    brain, desk = scheduler([store()], budget=BudgetRule(span=50_000, free=1.0, share=0.0))
+    desk.now += 60_000
+    again = task(desk)
+    again.hand_offs = sent
+    brain.extras.extras.extend([desk.now] * extras)
+    desk.now += later
+    assert brain.may_hand_off(again) is legal
+
+
+def test_what_is_no_longer_legal_at_the_turn_is_taken_back():
+    brain, desk = scheduler([store()], budget=BudgetRule(span=50_000, free=1.0, share=0.0))
+    desk.now += 60_000
+    run, node = brain.serve(task(desk)), next(iter(brain.nodes.values()))
+    turn(run, desk, brain)
+    assert isinstance(run.send(outcome(How.ERROR)), Wait)
+    brain.extras.extras.append(desk.now)
+    desk.now += 200
+    node.round()
+    assert isinstance(run.send(Signal.TURN), Nack)
+    assert (node.out, node.tokens_out, node.sent) == (0, 0.0, {})
+
+
+def test_tasks_on_one_key_go_one_at_a_time_and_the_key_rests():
+    ordered = replace(HARMLESS, ordered=True)
+    brain, desk = scheduler([store()], key_rest=700)
+    desk.now += 700
+    first, second = task(desk, category=ordered, key=9), task(desk, category=ordered, key=9)
+    run, other = brain.serve(first), brain.serve(second)
+    turn(run, desk, brain)
+    assert isinstance(next(other), Wait)
+    desk.woken.clear()
+    with pytest.raises(StopIteration):
+        run.send(outcome(How.TIMED_OUT, over=True))
+    assert desk.woken == [(second, Signal.MOVED)]
+    assert other.send(Signal.MOVED) == Wait(desk.now + 700)
+
+
+def test_failed_calls_for_the_list_are_spaced_out():
+    brain, desk = scheduler([], listing=Listing(True, 100_000, 10_000))
+    assert desk.watches == 1
+    for _ in range(4):
+        brain.list_failed()
+    times = [at for at, call in desk.alarms if call == desk.watch]
+    assert len(times) == 4 and times[0] >= desk.now + 5_000 and times[-1] >= desk.now + 40_000
+
+
+@pytest.mark.parametrize("remaining, aim", [
+    (10_000, 2_500), (9_000, 1_500), (7_000, -500), (2_400, 2_400), (800, 800), (2_600, -4_900),
+])
+def test_the_soft_limit_runs_from_the_first_try_unless_patience_is_short(remaining, aim):
+    brain, desk = scheduler([store()])
+    usual, further = task(desk), task(desk)
+    further.cut_off = desk.now + remaining
+    assert brain.aim_of(usual) == desk.now + 2_500
+    assert brain.aim_of(further) == desk.now + aim
+
+
+@pytest.mark.parametrize("wait, want", [(0, Wait), (5_000, Nack)])
+def test_a_task_late_already_goes_only_where_nothing_waits(wait, want):
+    brain, desk = scheduler([store()])
+    next(brain.serve(task(desk)))
+    brain.waits.put(next(iter(brain.nodes)), desk.now, wait)
+    late, node = task(desk), next(iter(brain.nodes.values()))
+    late.cut_off = desk.now + 5_000
+    heard(node, *[100] * 8, *[100 + wait] * 4)
+    assert isinstance(next(brain.serve(late)), want)
+
+
+def test_a_replacement_under_a_new_id_takes_the_shard_over():
+    at, new = store(), store()
+    brain, desk = scheduler([at])
+    at.state = State.GONE
+    brain.list_changed([at], confirmed=True)
+    assert isinstance(next(brain.serve(task(desk))), Nack)
+    brain.list_changed([at, new], confirmed=True)
+    assert brain.node_for(task(desk)) is brain.nodes[new]
+
+
+@pytest.mark.parametrize("signal", [Signal.TIME, Signal.TURN])
+def test_a_wake_up_far_past_its_time_sends_nothing(signal):
+    brain, desk = scheduler([store()])
+    next(iter(brain.nodes.values())).out = 1
+    run = brain.serve(task(desk))
+    assert isinstance(next(run), Wait)
+    desk.now += 50_000
+    if signal is Signal.TURN:
+        next(iter(brain.nodes.values())).release(0.0)
+    assert isinstance(run.send(signal), Nack)
+
+
+def test_two_instances_with_one_seed_act_alike():
+    brain, desk = scheduler([store(shard) for shard in range(5)])
+    other = Scheduler(facts(), 1, desk)
+    other.list_changed([store(shard) for shard in range(5)], confirmed=True)
+    assert [n.store.shard for n in brain.ranked] == [n.store.shard for n in other.ranked]
+
+
+def test_no_key_is_used_until_those_of_an_earlier_life_have_rested():
+    ordered = replace(HARMLESS, ordered=True)
+    brain, desk = scheduler([store()], key_rest=700)
+    run = brain.serve(task(desk, category=ordered, key=9))
+    assert next(run).until == desk.now + 700
+    desk.now += 700
+    assert isinstance(run.send(Signal.TIME), Wait) and desk.woken[-1][1] is Signal.TURN  # it is its node's turn now
--- a/tests/broken_edge.py
+++ b/tests/broken_edge.py
@@ -7,13 +7,13 @@
 from dataclasses import replace
 from pathlib import Path
 
-import tansykeel.brain as brain
+from tansykeel.brain import Scheduler
 from tansykeel.cli.logs import set_up
 from tansykeel.cli.main import recorder_of
 from tansykeel.edge.core import Core
 from tansykeel.edge.program import Edge
 from tansykeel.fleet.keeper import Keeper
-from tansykeel.fleet.views import SAFE
+from tansykeel.fleet.membership import SAFE
 from tansykeel.settings.build import facts_of, load
 from tansykeel.transport.leash import leash
 from tansykeel.transport.sockets import run
@@ -31,8 +31,8 @@
 def sends_one_shots_again(facts):
     def again(self, task):
         return task.hand_offs < self.facts.allowed.hand_offs and self.desk.now < task.cut_off
-    brain.Scheduler.may_hand_off = again
-    brain.Scheduler.in_group = lambda self, task, store: True
+    Scheduler.may_hand_off = again
+    Scheduler.in_group = lambda self, task, store: True
     return facts
 
 
--- a/tests/emulator/test_experiments.py
+++ b/tests/emulator/test_experiments.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import shutil
 import subprocess
 import sys
 from pathlib import Path
@@ -104,10 +105,16 @@
 
 
 def test_a_version_is_the_module_a_baseline_or_a_file_with_its_text(tmp_path):
-    text = tmp_path / "other.py"
-    text.write_text(Path(tansykeel.brain.__file__).read_text() + "\n# another text\n")
-    decide, digest = decide_of(str(text))
+    other = tmp_path / "other"
+    shutil.copytree(Path(tansykeel.brain.__file__).parent, other)
+    assert decide_of(str(other))[1] == decide_of("module")[1]
+    text = other / "cold.py"
+    text.write_text(text.read_text() + "\n# another text\n")
+    decide, digest = decide_of(str(other))
     assert decide is not tansykeel.brain.Scheduler and digest != decide_of("module")[1]
+    text = tmp_path / "one.py"
+    text.write_text("Scheduler = 5\n")
+    assert decide_of(str(text))[0] == 5
     with pytest.raises(UnknownVersion, match="legal: module, at-once, window"):
         decide_of("none")
     text.write_text("x = (")
--- a/tests/fleet/test_keeper.py
+++ b/tests/fleet/test_keeper.py
@@ -11,7 +11,8 @@
 from tansykeel.emulator.watching import Trial, Watchers, watched
 from tansykeel.fleet.keeper import Keeper, Place
 from tansykeel.fleet.liveness import SECOND, News, Pace, Ping, Seems
-from tansykeel.fleet.views import SAFE, Agreement, Member, Terms, View, voters_of
+from tansykeel.fleet.membership import SAFE, Member, View, voters_of
+from tansykeel.fleet.views import Agreement, Terms
 
 
 @pytest.mark.parametrize("trial", [
--- a/tests/fleet/test_outbox.py
+++ b/tests/fleet/test_outbox.py
@@ -4,8 +4,8 @@
 import pytest
 
 from tansykeel.fleet.liveness import News, Ping, Seems
+from tansykeel.fleet.membership import Ask, Decided, Done, Form, Member, Promise, View
 from tansykeel.fleet.outbox import Bound, Outbox, Urgency
-from tansykeel.fleet.views import Ask, Decided, Done, Form, Member, Promise, View
 from tansykeel.fleet.words import DECODERS, KINDS, MOST, number_of, packed, unpacked, urgency_of
 
 BOUNDS = {Urgency.HINT: Bound(2, 100), Urgency.LIVENESS: Bound(2, 10), Urgency.PROMISE: Bound(2, 50)}
--- a/tests/fleet/test_views.py
+++ b/tests/fleet/test_views.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from tansykeel.fleet.membership import NONE, SAFE, Decided, Done, Member, Prepare, View
 from tansykeel.fleet.search import APART, RATES, SMALL, Bounds, Fleet, agreed, search, walks
-from tansykeel.fleet.views import NONE, SAFE, Agreement, Decided, Done, Member, Prepare, Terms, View
+from tansykeel.fleet.views import Agreement, Terms
 
 NAMES = ("a", "b", "c")
 CALM = Bounds(crashes=0, restarts=0, forms=0)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from tansykeel.brain import Scheduler
@@ -23,10 +24,13 @@
     Store,
     Task,
     Volume,
+    Wait,
     Word,
 )
 
 HARMLESS = Category("read", 2_500, 10_000, 1.0, 0.1, Repeat.HARMLESS, Scope.ALL, 0, False, False, 0.0)
+ONE_SHOT = replace(HARMLESS, repeat=Repeat.ONE_SHOT)
+STAMPED = replace(HARMLESS, repeat=Repeat.STAMPED, scope=Scope.SHARD, window=5_000)
 PLAN = Plan("plain", 10.0, 0.0, 1.0, 1.0, 0.0, 0.0, 0.0)
 
 
@@ -88,3 +92,18 @@
 
 def outcome(how: How, lag: int = 100, over: bool | None = None) -> Outcome:
     return Outcome(how, lag, how is How.DELIVERED if over is None else over)
+
+
+def heard(node, *lags):
+    for lag in lags:
+        node.sample(lag, 2.0)
+
+
+def turn(run, desk, brain):
+    """Start a task and give it its turn; returns what it then wants."""
+    assert isinstance(next(run), Wait)
+    desk.now += 200
+    for node in brain.nodes.values():
+        node.round()
+    assert desk.woken[-1][1] is Signal.TURN
+    return run.send(Signal.TURN)
--- a/tests/rehearse/test_day.py
+++ b/tests/rehearse/test_day.py
@@ -4,9 +4,10 @@
 
 import pytest
 
-from tansykeel.rehearse.day import VERBS, load_day, settings_of
+from tansykeel.rehearse.day import VERBS, load_day
 from tansykeel.rehearse.load import arrivals_of, mean_units
 from tansykeel.settings.build import facts_of
+from tansykeel.settings.day import settings_of
 from tansykeel.settings.script import ScriptError
 
 HEAD = """
--- a/tests/standin/test_model.py
+++ b/tests/standin/test_model.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from tansykeel.standin.model import NEVER, Job, Model, Shape, borne, warmth
+from tansykeel.settings.shape import Shape, borne, warmth
+from tansykeel.standin.model import NEVER, Job, Model
 
 
 def model(now=0.0, cold=False, **shape):
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -4,6 +4,11 @@
 from pathlib import Path
 
 PACKAGE = Path(__file__).parents[1] / "tansykeel"
+MOST_LINES = 400
+RANKS = (  # a package imports from its own row and those under it
+    {"cli"}, {"edge", "platform", "standin", "rehearse", "emulator", "benchlink"},
+    {"fleet", "accord", "quota", "ahead", "holdings", "recovery", "audit", "settings"},
+    {"protocol", "transport", "state", "http1"}, {"brain", "runner", "baselines"}, {"interface", "errors"})
 
 
 def imports(root: Path) -> dict[str, set[str]]:
@@ -11,9 +16,11 @@
     named = {}
     for path in root.rglob("*.py"):
         parts = path.relative_to(root.parent).with_suffix("").parts
-        tree = ast.walk(ast.parse(path.read_text()))
-        froms = {node.module for node in tree if isinstance(node, ast.ImportFrom) and node.module}
-        named[".".join(parts)] = {name for name in froms if name.split(".")[0] == root.name}
+        name = ".".join(parts[:-1] if parts[-1] == "__init__" else parts)
+        froms = [node for node in ast.walk(ast.parse(path.read_text())) if isinstance(node, ast.ImportFrom)]
+        whole = {".".join([*parts[:-node.level], node.module] if node.level else [node.module])
+                 for node in froms if node.module}
+        named[name] = {name for name in whole if name.split(".")[0] == root.name}
     return named
 
 
@@ -40,10 +47,29 @@
     assert circle(named) == []
 
 
+def test_imports_go_down():
+    rank = {package: row for row, packages in enumerate(RANKS) for package in packages}
+
+    def row(module: str) -> int:
+        return rank[module.split(".")[1]]
+    whole = imports(PACKAGE)
+    named = {module: whole[module] for module in whole if module.count(".") and not module.endswith("__main__")}
+    up = [(module, other) for module, others in named.items() for other in others if row(other) < row(module)]
+    assert len(named) > 80 and up == []
+
+
+def test_no_file_is_longer_than_it_may_be():
+    root = PACKAGE.parent
+    long = {str(path.relative_to(root)): lines for folder in ("tansykeel", "tests", "benchmarks")
+            for path in (root / folder).rglob("*.py")
+            if (lines := len(path.read_text().splitlines())) > MOST_LINES}
+    assert long == {}
+
+
 def test_a_planted_circle_is_found(tmp_path):
     root = tmp_path / "farm"
     root.mkdir()
-    (root / "barn.py").write_text("from farm.yard import gate\n")
+    (root / "barn.py").write_text("from .yard import gate\n")
     (root / "yard.py").write_text("if TYPE_CHECKING:\n    from farm.field import hedge\n")
     (root / "field.py").write_text("def late():\n    from farm.barn import door\n")
     assert circle(imports(root)) == ["farm.barn", "farm.yard", "farm.field", "farm.barn"]
