--- a/tansykeel/platform/clients.py
+++ b/tansykeel/platform/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from collections import Counter
 from collections.abc import Callable
 from typing import Protocol
 
@@ -49,7 +50,7 @@
     @property
     def idle(self) -> bool:
         """Whether it has had its answers whole and has not begun to ask again."""
-        return self.open is None and not (self.ending or self.stream.unsent or self.reader.partial)
+        return self.open is None and not (self.ending or self.stream.unsent or self.reader.partial or self.reader.waits)
 
     def answer(self, data: bytes, last: bool) -> None:
         """The answer to its open request; `last`: the connection ends with it."""
@@ -59,14 +60,14 @@
         self.stream.write(data)
         if last:
             self._linger()
-        elif self.reader.buffer and not self._busy:
+        elif self.reader.waits and not self._busy:
             self.owner.later(self._next)
 
     def turn_away(self, status: int) -> None:
         """Tell an error and end the connection."""
         self.open = None
         self.since = self.owner.now()
-        self.owner.turned_away += 1
+        self.owner.errors[status] += 1
         self.stream.write(ERRORS[status])
         self._linger()
 
@@ -83,7 +84,7 @@
         self.ending = True
         self.owner.resting.pop(self, None)
         self.owner.silent[self] = None
-        self.reader.buffer.clear()
+        self.reader.clear()
         if not self.stream.unsent:
             self._half_close()
 
@@ -99,11 +100,11 @@
             return
         if self.open is None and not self.reader.partial:
             self.since = self.owner.now()
-        self.reader.buffer += data
+        self.reader.feed(data)
         # Guards against many that send large bodies and never end them: the memory is not theirs alone.
         crammed = self.reader.size > codec.MOST_HEAD and self.owner.unread() > self.owner.most_bytes
         if self.open is not None:
-            if crammed or len(self.reader.buffer) > MOST_AHEAD:
+            if crammed or self.reader.size > MOST_AHEAD:
                 self.stream.read(False)
         elif crammed:
             self.turn_away(503)
@@ -125,7 +126,7 @@
                 self.owner.silent.pop(self, None)
                 self.owner.resting.pop(self, None)
                 self.owner.handler.request(self, request)
-            if len(self.reader.buffer) <= MOST_AHEAD:
+            if self.reader.size <= MOST_AHEAD:
                 self.stream.read()
         finally:
             self._busy = False
@@ -165,11 +166,12 @@
         self.conns: dict[Client, None] = {}
         self.silent: dict[Client, None] = {}  # of them, without a whole request or told an error, the oldest first
         self.resting: dict[Client, None] = {}  # had an answer, the one longest ago first
-        self.turned_away = self.no_room = 0
+        self.errors = Counter[int]()  # told to clients, by status
+        self.unanswered = Counter[str]()  # new connections that were closed here with no answer, by cause
 
     def accept(self, sock: socket.socket) -> None:
         if len(self.conns) >= self.most and not self.make_room():
-            self.no_room += 1
+            self.unanswered["no room"] += 1
             sock.close()
             return
         client = Client(self, sock)
@@ -183,10 +185,10 @@
         before = self.now() - BRIEF
         for client in (silent, idle):
             if client and client.since <= before:
-                client.close()
+                self._shed(client, "made room")
                 return True
         if silent:
-            silent.close()
+            self._shed(silent, "made room, new")
         return silent is not None
 
     def crowded(self) -> bool:
@@ -207,7 +209,20 @@
             client.look(now)
 
     def close_idle(self) -> None:
-        """End all that have no request open."""
+        """End all that have no request open and none on the way, as far as can be seen from here: who has only just
+        connected, or had an answer, is given time to ask."""
+        before = self.now() - BRIEF
+        for client in list(self.conns):
+            if client.idle and client.since <= before and client.stream.quiet():
+                self._shed(client, "the gateway ends")
+
+    def turn_away_begun(self) -> None:
+        """Refuse whoever has begun to ask and not ended."""
         for client in list(self.conns):
-            if client.idle:
-                client.close()
+            if client.open is None and client.reader.partial and not client.ending:
+                client.turn_away(503)
+
+    def _shed(self, client: Client, cause: str) -> None:
+        if not client.asked and not client.ending:
+            self.unanswered[cause] += 1
+        client.close()
--- a/tansykeel/platform/config.py
+++ b/tansykeel/platform/config.py
@@ -9,6 +9,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from tansykeel.errors import Problem
 from tansykeel.interface import Facts
 from tansykeel.settings.facts import TENTH
 from tansykeel.settings.given import NotLegal, facts_of
@@ -17,8 +18,10 @@
 PHASES = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
 
 
-class Illegal(ValueError):
-    """A configuration that can't be used: where, what, what would be legal."""
+class Illegal(Problem, ValueError):
+    """The platform's configuration file can't be used."""
+
+    advice = "correct the file that EDGE_CONFIG names; the gateway reads it at its start and on SIGHUP"
 
 
 class Member(Struct, frozen=True):
@@ -64,6 +67,11 @@
     open_tasks: int  # that the platform lets a gateway hold
     seed: int
 
+    @property
+    def longest(self) -> float:
+        """The longest cut-off, in seconds."""
+        return max(category.cut_off for category in self.facts.categories) * TENTH / 1e9
+
 
 def read(path: str) -> Config:
     """Raises Illegal."""
--- a/tansykeel/platform/discovery.py
+++ b/tansykeel/platform/discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -9,14 +10,18 @@
 
 import msgspec
 
-from tansykeel.edge.core import MICROS, Core
+from tansykeel.edge.core import Core
+from tansykeel.edge.tasks import MICROS
+from tansykeel.errors import Problem
 from tansykeel.http1 import codec
 from tansykeel.platform.config import PHASES, Member, Members
+from tansykeel.platform.objects import Objects, Unfit
 from tansykeel.transport.sockets import address_of, open_socket
 from tansykeel.transport.stream import Stream
 
-SILENT = 3.0  # seconds without a line (one comes each 2 s) after which a second watch is opened beside the first
-MOST_LINE = 4 << 20  # bytes of one line
+SILENT = 2.5  # seconds without a byte (a line comes each 2 s) after which a second watch is opened beside the first
+AGAIN = 1.0  # seconds for a watch's first byte, then one more is opened: what all miss counts as told in 6 s
+MOST_OBJECT = 4 << 20  # bytes of one object
 _decode = msgspec.json.Decoder(Members).decode
 
 
@@ -52,8 +57,8 @@
 
     def __init__(self, owner: Discovery, address: str) -> None:
         self.owner = owner
-        self.reader = codec.AnswerReader()
-        self.line = bytearray()
+        self.reader = codec.StreamReader()
+        self.objects = Objects(MOST_OBJECT)
         self.heard = owner.now()
         self.spoke = False
         host = address_of(address)
@@ -70,32 +75,25 @@
         self.stream.write(codec.request(b"GET", target, self.host))
 
     def _data(self, data: bytes) -> None:
-        self.heard = self.owner.now()
-        self.reader.buffer += data
+        self.heard, self.spoke = self.owner.now(), True
+        self.reader.feed(data)
         try:
-            part = self.reader.stream()
+            part = self.reader.take()
             if part is None:
                 return
             if part[0] != 200:
                 raise codec.Malformed(f"status {part[0]}")
-            self.line += part[1]
-            while (end := self.line.find(b"\n")) >= 0:
-                line = bytes(self.line[:end]).strip()
-                del self.line[:end + 1]
-                self.spoke = True
-                if line:
-                    self.owner.told(self, _decode(line))
-            if len(self.line) > MOST_LINE:
-                raise codec.Malformed("a line without end")
-        except (codec.Malformed, msgspec.MsgspecError, ValueError) as error:
+            for text in self.objects.feed(part[1]):
+                self.owner.told(self, _decode(text))
+        except (codec.Malformed, Unfit, msgspec.MsgspecError, ValueError) as error:
             self.stream.close()
-            return self._ended(str(error))
-        if self.reader.stream_ended:
+            return self._ended(str(error), error.do if isinstance(error, Problem) else "")
+        if self.reader.ended:
             self.stream.close()
             self._ended("the watch ended")
 
-    def _ended(self, why: str) -> None:
-        self.owner.ended(self, why)
+    def _ended(self, why: str, do: str = "") -> None:
+        self.owner.ended(self, why, do)
 
 
 class Discovery:
@@ -106,7 +104,7 @@
         self.core, self.address, self.zones, self.revision = core, address, zones, revision
         self.clock, self.now, self.changed, self.note = clock, now, changed, note
         self.watches: list[Watch] = []  # the newest last; an older one goes once a newer one speaks
-        self.opened = 0.0  # when a watch was last tried
+        self.first = asyncio.Event()  # a list was told
         self.over = False
 
     def ask(self) -> None:
@@ -122,13 +120,14 @@
             self._open()
 
     def look(self) -> None:
-        """Guards against a watch that fell silent without an end: another is opened beside it, once in a while."""
-        newest = max((watch.heard for watch in self.watches), default=self.now())
-        if self.now() - max(newest, self.opened) > SILENT:
+        """Guards against a watch that fell silent without an end, wherever in a line it did: another is opened beside
+        it, and one more where that says nothing either."""
+        now = self.now()
+        if self.watches and now - (newest := self.watches[-1]).heard > (SILENT if newest.spoke else AGAIN):
             self.note("discovery is silent")
-            for watch in self.watches[:-1]:
+            for watch in [watch for watch in self.watches[:-1] if now - watch.heard > SILENT]:
                 watch.stream.close()
-            del self.watches[:-1]
+                self.watches.remove(watch)
             self._open()
 
     def told(self, watch: Watch, members: Members) -> None:
@@ -143,12 +142,13 @@
         if rows or members.complete:
             self.note("list", revision=members.revision, complete=members.complete,
                       members=[(row.name, row.state) for row in rows[:20]])
+        self.first.set()
         self.changed()
 
-    def ended(self, watch: Watch, why: str) -> None:
+    def ended(self, watch: Watch, why: str, do: str = "") -> None:
         if watch in self.watches:
             self.watches.remove(watch)
-        self.note("watch ended", why=why)
+        self.note("watch ended", why=why, **({"do": do} if do else {}))
         if not self.watches and not self.over:
             self.core.list_lost(self.clock())
 
@@ -159,7 +159,6 @@
         self.watches.clear()
 
     def _open(self) -> None:
-        self.opened = self.now()
         try:
             self.watches.append(Watch(self, self.address))
         except OSError as error:
--- a/tansykeel/platform/intake.py
+++ b/tansykeel/platform/intake.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from tansykeel.edge.core import Asked
+from tansykeel.edge.tasks import Asked
 from tansykeel.http1.codec import Malformed, Request
 from tansykeel.interface import Category, Facts, Plan, Task, Volume
 from tansykeel.settings.facts import TENTH
--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -10,12 +10,15 @@
 import signal
 import sys
 import time
+from collections import Counter
 from collections.abc import Callable
+from contextlib import suppress
 from socket import socket
 from typing import Any
 
 from tansykeel.edge.clock import Reminder, clock
-from tansykeel.edge.core import DELIVERED, NACKED, Attempt, Bounds, Core, Final, Held
+from tansykeel.edge.core import Core
+from tansykeel.edge.tasks import DELIVERED, NACKED, Attempt, Bounds, Final, Held
 from tansykeel.http1 import codec
 from tansykeel.http1.codec import Malformed, Request
 from tansykeel.interface import Word
@@ -24,14 +27,16 @@
 from tansykeel.platform.discovery import Discovery, row_of
 from tansykeel.platform.intake import Reader, Wanted
 from tansykeel.platform.stores import Stores
-from tansykeel.transport.sockets import accept_all, listening, run
+from tansykeel.transport.sockets import accept_all, accept_waiting, listening, run
 
 LOOK = 0.25  # seconds between looks at what idles, stalls or fell silent
 REPORT = 10.0  # seconds between lines of figures in the log
 TIDY = 5.0  # seconds between collections of cycles
 SAMPLE = 500  # one answer of so many is logged
-SERVES_ON = 2.7  # seconds after SIGTERM for which requests are taken: clients have no other way than what they hold
-ENDS_WITHIN = 3.4  # seconds after SIGTERM by which all is answered: the platform kills 3.7 s after it at the soonest
+FIRST_LIST = 0.5  # seconds that a start waits for discovery's first word; what that holds counts as told from then on
+KILLS_AFTER = 0.7  # seconds after SIGTERM and the longest cut-off (3 s at most) at which the platform kills
+LONGEST = 3.0
+SERVES_UNTIL, ENDS_BEFORE, FLUSHES_BEFORE = 1.0, 0.3, 0.1  # seconds before that: no new ones, all answered, gone
 STORE_PART, OTHERS = 0.3, 32  # of the descriptors that a process may hold; what is left is for clients
 BODY_PART, ANSWER_PART = 0.125, 0.25  # of the memory, for requests' bodies and for answers
 USAGE = 2
@@ -59,6 +64,7 @@
         self.closing = False  # each answer is its connection's last
         self.open: dict[bytes, Client] = {}  # requests that are not answered, by id
         self.answers = 0
+        self.never_sent = Counter[str]()  # tasks answered otherwise than delivered with no hand-off, by cause
         self.discovery: Discovery | None = None
         self.reader = Reader(config.facts)
         bounds = Bounds(config.open_tasks, int(limits.memory_mb * 2**20 * BODY_PART), codec.MOST_BODY)
@@ -81,9 +87,12 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self.read_anew)
-        accepting = loop.create_task(accept_all(listener, self.clients.accept, self._pressure))
         assert self.discovery is not None
         self.discovery.ask()
+        with suppress(TimeoutError):
+            # Guards against a send on the word of `known`: the agent may hold a drain that it has not.
+            await asyncio.wait_for(self.discovery.first.wait(), FIRST_LIST)
+        accepting = loop.create_task(accept_all(listener, self.clients.accept, self._pressure))
         log("ready", name=file.name, listen=file.listen, clients=self.clients.most, stores=self.stores.most,
             memory_mb=file.limits.memory_mb, cores=file.limits.cores, known=len(self.core.stores),
             open_tasks=self.core.bounds.open_tasks)
@@ -91,27 +100,37 @@
         looking = loop.create_task(self._look())
         await self.stopping.wait()
         log("stopping", held=len(self.open))
-        end = loop.time() + ENDS_WITHIN
-        await asyncio.sleep(SERVES_ON)
-        self.closing = True
+        killed = loop.time() + min(self.config.longest, LONGEST) + KILLS_AFTER
+        await asyncio.sleep(killed - SERVES_UNTIL - loop.time())
         accepting.cancel()
         await asyncio.sleep(0)
+        accept_waiting(listener, self.clients.accept)
         listener.close()
-        while (self.open or any(c.ending for c in self.clients.conns)) and loop.time() < end:
-            self.clients.close_idle()
-            await asyncio.sleep(0.02)
-        self.core.answer_all(clock())
+        await self._end(killed)
         looking.cancel()
         self.discovery.end()
+        self._report(0.0)
         log("stopped", left_unanswered=len(self.open))
         return 0
 
+    async def _end(self, killed: float) -> None:
+        """Close every connection between requests: clients send on those that stay open, until it is killed."""
+        self.closing = True
+        while self.clients.conns and self.loop.time() < killed - ENDS_BEFORE:
+            self.clients.close_idle()
+            await asyncio.sleep(0.02)
+        self.core.answer_all(clock())
+        self.clients.turn_away_begun()
+        while self.clients.conns and self.loop.time() < killed - FLUSHES_BEFORE:
+            self.clients.close_idle()
+            await asyncio.sleep(0.02)
+
     def read_anew(self) -> None:
         """SIGHUP: discovery may have moved. All else is taken at the start only."""
         try:
             config = read(self.path)
         except Illegal as error:
-            return log("configuration not taken", why=str(error))
+            return log("configuration not taken", **error.fields)
         if config.file.settings != self.config.file.settings:
             log("other settings are taken at the next start only")
         self.config = config
@@ -156,6 +175,10 @@
         else:
             data = codec.answer(500, last=last)
         client.answer(data, last)
+        if final.result != DELIVERED and not held.task.hand_offs:
+            task, now = held.task, self.core.runner.now
+            late = now - task.arrived > (task.cut_off - task.arrived) // 2
+            self.never_sent[(final.reason or "given up") + (", late" if late else "")] += 1
         self.answers += 1
         if self.answers % SAMPLE == 0:
             log("answered", id=held.id, result=final.result, reason=final.reason, hand_offs=held.task.hand_offs,
@@ -206,7 +229,8 @@
         counts, use = self.core.counts, resource.getrusage(resource.RUSAGE_SELF)
         log("figures", taken=counts.taken, delivered=counts.delivered, nacked=counts.nacked,
             broken_off=counts.broken_off, left=counts.left, outcomes=counts.outcomes, held=len(self.core.held),
-            clients=len(self.clients.conns), turned_away=self.clients.turned_away, no_room=self.clients.no_room,
+            clients=len(self.clients.conns), errors=self.clients.errors, unanswered=self.clients.unanswered,
+            never_sent=self.never_sent,
             stores={str(p.store.handle): [len(p.seats), len(p.waiting)] for p in self.stores.pools.values()},
             loop_late_ms=round(late * 1000, 1), cpu_s=round(use.ru_utime + use.ru_stime, 2),
             most_memory_mb=use.ru_maxrss // 1024)
@@ -235,8 +259,8 @@
         config = read(path)
         listener = listening(config.file.listen)
     except Illegal as error:
-        print(f"tansykeel: {error}", file=sys.stderr)
-        return USAGE
+        print(f"tansykeel: {error}\n  {error.do}", file=sys.stderr)
+        return error.code
     except OSError as error:
         print(f"tansykeel: {path}: listen: {config.file.listen}: {error.strerror}; legal: a free address here",
               file=sys.stderr)
--- a/tansykeel/platform/stores.py
+++ b/tansykeel/platform/stores.py
@@ -6,7 +6,8 @@
 from collections import deque
 from collections.abc import Callable
 
-from tansykeel.edge.core import Attempt, Core
+from tansykeel.edge.core import Core
+from tansykeel.edge.tasks import Attempt
 from tansykeel.http1 import codec
 from tansykeel.http1.codec import AnswerReader, Malformed
 from tansykeel.interface import How, State, Store
@@ -66,7 +67,7 @@
         if self.reader is None or self.attempt is None or self.stream.unsent:
             # What comes unasked, or before the request is whole, belongs to nothing.
             return self._broken("bytes that answer nothing")
-        self.reader.buffer += data
+        self.reader.feed(data)
         if self.reader.size > codec.MOST_BODY and self.pool.stores.held_bytes() > self.pool.stores.most_bytes:
             return self._broken("no memory for an answer so large")
         try:
@@ -76,7 +77,7 @@
         if answer is None:
             return
         attempt, self.attempt = self.attempt, None
-        lasts, self.reader, self.used = answer.lasts and not self.reader.buffer, None, True
+        lasts, self.reader, self.used = answer.lasts and not self.reader.behind, None, True
         if lasts:
             self.pool.rest(self)
         else:
--- a/tansykeel/transport/sockets.py
+++ b/tansykeel/transport/sockets.py
@@ -8,16 +8,24 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
+from tansykeel.errors import Problem
+
 PRESSURE_REST = 0.05  # seconds before the next accept when no descriptor was left
 T = TypeVar("T")
 OUT_OF_FILES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
+class AddressError(Problem, ValueError):
+    """An address that is none."""
+
+    advice = "give it as host:port, with a port of 65535 at most"
+
+
 def address_of(text: str) -> tuple[str, int]:
-    """host:port. Raises ValueError."""
+    """host:port. Raises AddressError."""
     host, _, port = text.rpartition(":")
     if not host or not port.isdigit() or int(port) > 65535:
-        raise ValueError(f"address {text!r}; legal: host:port")
+        raise AddressError(f"address {text!r}; legal: host:port")
     return host.strip("[]"), int(port)
 
 
@@ -76,6 +84,16 @@
         take(sock)
 
 
+def accept_waiting(listener: socket.socket, take: Callable[[socket.socket], None]) -> None:
+    """Hand over the connections that came and wait. Guards against their reset as the listener closes."""
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except OSError:
+            return
+        take(sock)
+
+
 def run(main: Callable[[], Coroutine[Any, Any, T]]) -> T:
     """Run a program's coroutine on uvloop; what it returns."""
     import uvloop
