--- /dev/null
+++ b/tansykeel/accord/search.py
@@ -0,0 +1,255 @@
+"""Tries orders of events on a small fleet that agrees on views, keeps a ledger over them and gives leave by it.
+
+The search of `fleet.search` with ledgers beside the agreements, and two things that may go out, one at a time: gateways
+lead, offer, confirm and order, crash and come back, views change and are formed anew, an operator says what is out,
+while words are lost, late and told twice. Judged from what happens: who is out, and what was decided. Without I/O.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import cast
+
+from tansykeel.accord.entries import Back, Leave, Recover, There, packed, unpacked
+from tansykeel.accord.room import Bounds as Room
+from tansykeel.accord.room import Place
+from tansykeel.accord.state import State
+from tansykeel.fleet.ledger import Ledger, Word
+from tansykeel.fleet.membership import Member, Message, majority
+from tansykeel.fleet.search import Bounds, Event, Fleet, Make, NoFirstView, agreed
+from tansykeel.fleet.views import Terms
+
+SUBJECTS = ("x", "y")
+PATIENCE = 1  # ticks for which an order counts from when it was asked for, and before an operator may say what is out
+LEASE = 2  # ticks
+PLACES = There(tuple(Place(name, "store", shard=shard) for shard, name in enumerate(SUBJECTS)))
+ROOM = Room(share=0.5, zone=1.0, shard=1.0, alone=True)
+MORE = {"lead": 2, "offer": 3, "order": 3, "return": 2, "recover": 1}  # of each in one run
+
+
+@dataclass(frozen=True, slots=True)
+class Subject:
+    """What may go out: which of its lives it is, whether it is out, and the highest number it went by."""
+
+    boot: int = 1
+    out: bool = False
+    number: tuple[int, int] = (0, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """To go out, as the answer to what was asked at that time."""
+
+    name: str
+    boot: int
+    number: tuple[int, int]
+    asked: int
+
+
+class Books(Fleet):
+    """A state of the search: what `Fleet` holds, ledgers, subjects, orders on their way, what was ever decided."""
+
+    def __init__(self, names: tuple[str, ...], terms: Terms, make: Make, rates: tuple[int, ...] = (1,)) -> None:
+        self.ledgers: dict[str, Ledger] = {}
+        self.subjects = {name: Subject() for name in SUBJECTS}
+        self.orders: dict[Order, None] = {}
+        self.entries: dict[tuple[int, int], bytes] = {}  # by the last view that says that all was lost, and index
+        self.lost_at: dict[tuple[str, int], int] = {}  # when who came to lead a view that lost all
+        super().__init__(names, terms, make, rates)
+        self.used |= dict.fromkeys(MORE, 0)
+
+    def copy(self) -> Books:
+        made = cast(Books, super().copy())
+        made.ledgers, made.subjects = dict(self.ledgers), dict(self.subjects)
+        made.orders, made.entries, made.lost_at = dict(self.orders), dict(self.entries), dict(self.lost_at)
+        return made
+
+    def key(self) -> tuple[object, ...]:
+        return (super().key(), frozenset((name, one.key()) for name, one in self.ledgers.items()),
+                tuple(self.subjects.values()), frozenset(self.orders))
+
+    def events(self, bounds: Bounds) -> list[Event]:
+        free = {kind: self.used[kind] < most for kind, most in MORE.items()}
+        found = super().events(bounds)
+        for name, ledger in self.ledgers.items():
+            if name not in self.alive:
+                continue
+            if free["lead"] and ledger.view and ledger.me in ledger.view.voters:
+                found.append(("leads", name))
+            if ledger.leads and free["offer"]:
+                found += [("offers", name, subject) for subject in SUBJECTS]
+            if ledger.leading and free["recover"]:
+                found.append(("recovers", name))
+            if ledger.leading and free["order"]:
+                found += [("orders", name, subject) for subject in SUBJECTS if self._granted(ledger, subject)]
+            found += [("sees", name, subject) for subject in SUBJECTS if self._seen_back(ledger, subject)]
+        found += [("gets", order) for order in self.orders]
+        if free["return"]:
+            found += [("returns", name) for name, subject in self.subjects.items() if subject.out]
+        return found
+
+    # Within
+
+    def _happens(self, event: Event) -> bool:
+        kind, *what = event
+        if kind in ("gets", "returns"):
+            self._of_subject(kind, what[0])
+        elif kind in ("leads", "offers", "orders", "sees", "recovers"):
+            if str(what[0]) not in self.alive or not self._of_leader(str(kind), str(what[0]), what[1:]):
+                return False
+        elif kind == "arrives" and isinstance(what[2], Word):
+            if str(what[0]) not in self.alive or tuple(what) not in self.sent:
+                return False
+            to, sender, word = str(what[0]), cast(Member, what[1]), what[2]
+            ledger = self._own(to)
+            self._say(to, ledger.heard(self.clock(to), sender, word))
+        else:
+            if not super()._happens(event):
+                return False
+            if kind == "renews" and (ledger := self._own(str(what[0]))).leading:
+                self._say(str(what[0]), ledger.tick(self.clock(str(what[0])), 0))
+        self._carry()
+        self._judge()
+        return True
+
+    def _start(self, name: str) -> None:
+        super()._start(name)
+        state = State(known=True)
+        state.kept.bounds = ROOM
+        state.take(0, PLACES)
+        self.ledgers[name] = Ledger(self.alive[name].me, state, LEASE, self.clock(name))
+
+    def _own(self, name: str) -> Ledger:
+        self.ledgers[name] = self.ledgers[name].copy()
+        return self.ledgers[name]
+
+    def _say(self, name: str, told: list[tuple[str, Word]]) -> None:
+        me = self.alive[name].me
+        self.sent |= cast("dict[tuple[str, Member, Message], None]",
+                          dict.fromkeys((to, me, word) for to, word in told if to in self.names))
+
+    def _carry(self) -> None:
+        """What a keeper does between the two: views are followed, formed ones wedge, voting waits for the ledger."""
+        for name, one in self.alive.items():
+            ledger = self.ledgers[name]
+            if one.view is not ledger.view and one.view is not None and (
+                    ledger.view is None or one.view.number > ledger.view.number):
+                ledger = self._own(name)
+                ledger.follow(self.clock(name), one.view)
+            if one.formed and ledger.promised < (one.formed.number, 0, ""):
+                ledger = self._own(name)
+                ledger.wedge(one.formed.number)
+            if one.carries is not ledger.carried:
+                self.alive[name] = one = one.copy()
+                one.carries = ledger.carried
+
+    def _state(self, ledger: Ledger) -> State:
+        return cast(State, ledger.machine)
+
+    def _granted(self, ledger: Ledger, name: str) -> bool:
+        out = self._state(ledger).kept.out.get(name)
+        return out is not None and out.boot == self.subjects[name].boot
+
+    def _seen_back(self, ledger: Ledger, name: str) -> bool:
+        """A life that is there, of one that is out by an earlier life's leave."""
+        out, subject = self._state(ledger).kept.out.get(name), self.subjects[name]
+        return ledger.leads and out is not None and not subject.out and out.boot != subject.boot
+
+    def _confirmed(self, ledger: Ledger) -> bool:
+        """A majority of its voters promised nothing higher: it led at this moment, which is after it was asked."""
+        view = ledger.view
+        assert view is not None and ledger.leading is not None
+        still = [voter for voter in view.voters if voter.name in self.alive and self.alive[voter.name].me == voter
+                 and self.ledgers[voter.name].promised <= ledger.leading.ballot]
+        return len(still) >= majority(view.voters)
+
+    def _of_leader(self, kind: str, name: str, what: list[object]) -> bool:
+        now, ledger = self.clock(name), self._own(name)
+        if kind == "leads":
+            self.used["lead"] += 1
+            self._say(name, ledger.lead(now))
+            return True
+        if ledger.leading is None or not ledger.leading.ready:
+            return False
+        subject = str(what[0]) if what else ""
+        if kind == "offers":
+            self.used["offer"] += 1
+            self._offer(name, ledger, Leave(subject, self.subjects[subject].boot, "search", name))
+        elif kind == "sees":
+            if not self._seen_back(ledger, subject):
+                return False
+            out = self._state(ledger).kept.out[subject]
+            self._offer(name, ledger, Back(subject, self.subjects[subject].boot, out.number))
+        elif kind == "recovers":
+            assert ledger.view is not None
+            since = self.lost_at.setdefault((name, ledger.view.number), self.now)
+            if self._state(ledger).kept.known or self.now - since <= PATIENCE:
+                return not self._state(ledger).kept.known  # from now on time passes
+            self.used["recover"] += 1
+            out_now = tuple((one, "seen") for one, at in self.subjects.items() if at.out)
+            self._offer(name, ledger, Recover(out_now, "operator"))
+        else:
+            self.used["order"] += 1
+            if not self._granted(ledger, subject) or not self._confirmed(ledger):
+                return False
+            assert ledger.view is not None
+            number = ledger.view.number, self._state(ledger).kept.out[subject].number
+            self.orders[Order(subject, self.subjects[subject].boot, number, self.now)] = None
+        return True
+
+    def _offer(self, name: str, ledger: Ledger, entry: Leave | Back | Recover) -> None:
+        self._say(name, ledger.offer(self.clock(name), packed(entry))[1])
+
+    def _of_subject(self, kind: object, what: object) -> None:
+        if kind == "returns":
+            name = str(what)
+            self.used["return"] += 1
+            self.subjects[name] = Subject(self.subjects[name].boot + 1, False, self.subjects[name].number)
+            return
+        assert isinstance(what, Order)
+        subject = self.subjects[what.name]
+        if what in self.orders and self._obeys(subject, what):
+            self.subjects[what.name] = replace(subject, out=True, number=what.number)
+
+    def _obeys(self, subject: Subject, order: Order) -> bool:
+        """An older number, another life's, or an answer that comes too late is refused."""
+        return not subject.out and order.boot == subject.boot and order.number > subject.number \
+            and self.now - order.asked < PATIENCE
+
+    def _judge(self) -> None:
+        super()._judge()
+        if (out := [name for name, subject in self.subjects.items() if subject.out]) and len(out) > 1:
+            self.law = f"more out than the bounds allow: {', '.join(out)}"
+        for ledger in self.ledgers.values():
+            state = self._state(ledger)
+            for index in range(ledger.base + 1, ledger.commit + 1):
+                entry = ledger.entries[index - ledger.base - 1]
+                epoch = state.kept.guess
+                if self.entries.setdefault((epoch, index), entry) != entry:
+                    self.law = f"two entries decided as number {index}: {unpacked(entry)}"
+
+
+def settled(names: tuple[str, ...], terms: Terms, make: Make, kind: type[Books] = Books) -> Books:
+    """A fleet that agreed, has a leader of its ledger, and was told by an operator that nothing is out."""
+    fleet: Fleet = agreed(names, terms, make, kind=kind)
+
+    def all_hear(events: list[Event]) -> None:
+        nonlocal fleet
+        for event in events:
+            fleet = fleet.after(event) or fleet
+        for _ in range(4):
+            for word in list(fleet.sent):
+                fleet = fleet.after(("arrives", *word)) or fleet
+    everyone: list[Event] = [("renews", name) for name in names]
+    all_hear([("leads", names[0])])
+    all_hear([("recovers", names[0])])
+    for _ in range(PATIENCE + 1):
+        all_hear([("tick",), *everyone])
+    all_hear([("recovers", names[0])])
+    all_hear([*everyone])
+    all_hear([*everyone])
+    made = cast(Books, fleet)
+    if not all(made._state(ledger).kept.known for ledger in made.ledgers.values()):
+        raise NoFirstView(f"no ledger among {names}: legal: terms under which one can be led")
+    made.sent, made.used = {}, dict.fromkeys(made.used, 0)
+    return made
--- a/tansykeel/edge/fellows.py
+++ b/tansykeel/edge/fellows.py
@@ -10,8 +10,8 @@
 from tansykeel.edge.clock import EPOCH, Reminder, clock
 from tansykeel.edge.peers import Peers
 from tansykeel.fleet.keeper import Said
-from tansykeel.fleet.liveness import Seems
 from tansykeel.fleet.membership import Member, View
+from tansykeel.fleet.news import Seems
 from tansykeel.fleet.outbox import Urgency
 from tansykeel.fleet.words import number_of, packed, unpacked, urgency_of
 from tansykeel.protocol.frames import Fellow, FleetTold, Hello, ProtocolError, Watch
--- a/tansykeel/emulator/watching.py
+++ b/tansykeel/emulator/watching.py
@@ -13,8 +13,9 @@
 
 from tansykeel.emulator.engine import START, Engine, NoEnd
 from tansykeel.fleet.keeper import Keeper, Place, Said, Sent
-from tansykeel.fleet.liveness import SECOND, Pace, Seems
+from tansykeel.fleet.liveness import SECOND, Pace
 from tansykeel.fleet.membership import Member
+from tansykeel.fleet.news import Seems
 from tansykeel.fleet.views import Terms
 from tansykeel.fleet.words import packed
 from tansykeel.rehearse.load import stream
--- a/tansykeel/fleet/keeper.py
+++ b/tansykeel/fleet/keeper.py
@@ -6,20 +6,30 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from fractions import Fraction
 from random import Random
 
-from tansykeel.fleet.liveness import Ack, Liveness, NoAnswer, Pace, Ping, Seems, Try, Word
+from tansykeel.errors import Problem
+from tansykeel.fleet import ledger
+from tansykeel.fleet.liveness import Ack, Liveness, NoAnswer, Pace, Ping, Try, Word
 from tansykeel.fleet.membership import SAFE, Decided, Member, Message
+from tansykeel.fleet.news import Seems
 from tansykeel.fleet.parts import Parts
 from tansykeel.fleet.views import Agreement, Terms
 
 RENEWS = 3  # times in a lease that it is asked for anew
+HOPS = 3  # of an entry on its way to whoever leads
 SILENT = 2  # leases without a working view after which a gateway tries to form one with all others
 
 
+class NotGone(Problem, ValueError):
+    """A view can't be formed without a gateway that is there, or that is none."""
+
+    advice = "stop the process that runs under the name first, or name one that does not run"
+
+
 @dataclass(frozen=True, slots=True)
 class Place:
     """What the settings say of a gateway."""
@@ -28,7 +38,7 @@
     weight: int = 1
 
 
-Said = Word | Message
+Said = Word | Message | ledger.Word
 Sent = tuple[str, Said]
 
 
@@ -36,15 +46,18 @@
     """`life` is another with each start and later than all before: the wall clock's milliseconds."""
 
     def __init__(self, name: str, places: Mapping[str, Place], life: int, pace: Pace, terms: Terms, chance: Random,
-                 now: int) -> None:
+                 now: int, machine: ledger.Machine | None = None) -> None:
         self.places, self.terms = places, terms
         self.liveness = Liveness(name, places, life, pace, chance, now)
         self.agreement = Agreement(self._member(name, life), tuple(sorted(places)), terms, now)
+        self.ledger = ledger.Ledger(self.me, machine, terms.lease, now) if machine else None
         self.next_renewal, self.lacking, self.differs = now, now, -1  # since when: no working view; others are wanted
         self.parts = Parts(len(places), SAFE / len(places), now)  # for whatever earns by its part of a whole
         self.counted = self.counts(now)  # as of its last step
         self.taught: dict[str, tuple[int, int]] = {}  # which view others were told of last, and when
+        self.turns = 0  # of passing entries on to voters
         self.number = 0  # of the view that was there when last looked at
+        self.without: set[str] = set()  # names without which an operator says that a view may be formed
 
     @property
     def me(self) -> Member:
@@ -64,19 +77,41 @@
 
     def tick(self, now: int, wall_ms: int) -> list[Sent]:
         sent = self._tick(now, wall_ms)
+        self._carry(now)
         self._count(now)
         return sent
 
     def heard(self, now: int, sender: Member, message: Said) -> list[Sent]:
         sent = self._heard(now, sender, message)
+        self._carry(now)
         self._count(now)
         return sent
 
+    def offer(self, now: int, entry: bytes) -> tuple[bool, list[Sent]]:
+        """An entry for the ledger: added here where this gateway leads it, else passed on. False: nobody to take it."""
+        if self.ledger is None:
+            return False, []
+        added, sent = self.ledger.offer(now, entry)
+        return (True, list(sent)) if added else self._pass_on(ledger.Offer(entry))
+
     def leave(self, now: int) -> list[Sent]:
         """This gateway ends soon: say so, ask for no lease any more."""
         self._count(now)
         return list(self.liveness.leave(now))
 
+    def go_without(self, names: Iterable[str]) -> None:
+        """An operator's word that no process runs under these names: a view may be formed without them.
+
+        Raises NotGone for a name that is none, or seems to be there.
+        """
+        others = self.liveness.others
+        for name in names:
+            if name not in others:
+                raise NotGone(f"{name!r} is no other gateway of the settings; legal: {', '.join(others)}")
+            if others[name].life and others[name].seems is Seems.ALIVE:
+                raise NotGone(f"{name} seems to be there: it was heard of in its life {others[name].life}")
+            self.without.add(name)
+
     # Within
 
     def _count(self, now: int) -> None:
@@ -94,15 +129,61 @@
                 return sent
             sent += self.agreement.renew(now)
             sent += self._change(now, wall_ms)
+            sent += self._lead(now)
         return sent
 
     def _heard(self, now: int, sender: Member, message: Said) -> list[Sent]:
         # Guards against one that starts anew and learns of no other's life, for that news was told long ago.
         self.liveness.met(now, sender.name, sender.incarnation)
+        self.without.discard(sender.name)  # the word on it was wrong, or is no longer right
         if isinstance(message, Ping | Ack | Try | NoAnswer):
             return list(self.liveness.heard(now, sender.name, message))
+        if isinstance(message, ledger.Word):
+            return self._of_ledger(now, sender, message)
         return self._once(now, self.agreement.heard(now, sender, message))
 
+    def _of_ledger(self, now: int, sender: Member, word: ledger.Word) -> list[Sent]:
+        if self.ledger is None:
+            return []
+        if isinstance(word, ledger.Offer):
+            added, sent = self.ledger.offer(now, word.entry)
+            return list(sent) if added else self._pass_on(word)[1]
+        return list(self.ledger.heard(now, sender, word))
+
+    def _pass_on(self, offer: ledger.Offer) -> tuple[bool, list[Sent]]:
+        """To whoever leads as far as is known here, else to a voter, who may know."""
+        view = self.agreement.view
+        if self.ledger is None or view is None or offer.hops >= HOPS:
+            return False, []
+        to = self.ledger.leader
+        if to in ("", self.me.name):
+            others = [voter.name for voter in view.voters if voter != self.me]
+            if not others:
+                return False, []
+            self.turns = (self.turns + 1) % len(others)
+            to = others[self.turns]
+        return True, [(to, ledger.Offer(offer.entry, offer.hops + 1))]
+
+    def _carry(self, now: int) -> None:
+        """The ledger follows the view, and nobody votes for the next one before it has taken the ledger over."""
+        book, agreement = self.ledger, self.agreement
+        if book is None:
+            return
+        if agreement.view is not None and agreement.view is not book.view:
+            book.follow(now, agreement.view)
+        if agreement.formed is not None:
+            book.wedge(agreement.formed.number)
+        agreement.carries = book.carried
+
+    def _lead(self, now: int) -> list[Sent]:
+        view = self.agreement.view
+        if self.ledger is None or view is None or self.me not in view.voters:
+            return []
+        others = self.liveness.others
+        there = sorted(voter.name for voter in view.voters if voter == self.me or voter.name in others
+                       and others[voter.name].seems is not Seems.DEAD)
+        return list(self.ledger.tick(now, there.index(self.me.name)))
+
     def _once(self, now: int, answers: list[tuple[str, Message]]) -> list[Sent]:
         """Guards against the same view told for each of hundreds of late words of one that slept: once is enough until
         it would ask again."""
@@ -153,11 +234,13 @@
         return tuple(sorted([*stay, *come]))
 
     def _form(self, now: int, wall_ms: int) -> list[Sent]:
-        """No view works: the first by name forms one, if every name of the settings is there."""
+        """No view works: the first by name forms one, if every name of the settings is there, or whoever was told that
+        it may without the others."""
         steady = self.liveness.steady(now)
-        if len(steady) < len(self.places) or steady[0] != self.me.name:
+        without = tuple(sorted(self.without))
+        if len({*steady, *without}) < len(self.places) or steady[0] != self.me.name and not without:
             return []
-        self.lacking = now
+        self.lacking, steady = now, [name for name in steady if name not in self.without]
         others = self.liveness.others
         members = [self.me, *(self._member(name, others[name].life) for name in steady if name in others)]
-        return list(self.agreement.form(now, members, wall_ms))
+        return list(self.agreement.form(now, members, wall_ms, without))
--- /dev/null
+++ b/tansykeel/fleet/ledger.py
@@ -0,0 +1,354 @@
+"""One order of entries for a fleet that agrees on views: for what must never be decided twice. Without I/O.
+
+Multi-Paxos with one leader at a time (Lamport, "Paxos Made Simple", 2001), among the voters of the agreed view. It
+moves from view to view as in Vertical Paxos (Lamport, Malkhi, Zhou, PODC 2009): the leader of a new view first asks a
+majority of the voters of the view before, which accept nothing under that view from then on. A log is taken over whole,
+the one accepted under the highest ballot and the longest of those, as in Viewstamped Replication Revisited (Liskov,
+Cowling, 2012). Changed: nothing is on disk, so a voter that returned is another member and counts for nothing it
+forgot; no one votes for the successor of a view whose ledger it has not taken over, so that one view back is always
+enough; and what a view that all formed knows is a guess: its first entry says that the state is lost, until an
+operator's word.
+`docs/accord.md` has the argument; `tansykeel.accord.search` tries orders of events on it. Times are tenths.
+"""
+
+from __future__ import annotations
+
+from copy import copy
+from typing import Protocol
+
+from msgspec import Struct
+
+from tansykeel.fleet.membership import Member, View, majority
+
+Number = tuple[int, int, str]  # a ballot: the view's number, round, name of the leader
+ZERO: Number = (0, 0, "")
+MOST_KEPT = 128  # entries that are applied and kept, for voters that lag; then a snapshot takes their place
+MOST_OPEN = 64  # entries that wait for a majority; more are not taken
+MOST_ENTRY = 16 << 10  # bytes
+PATIENCE = 2  # leases without a word of a leader after which the next voter tries
+
+
+class Machine(Protocol):
+    """What the entries are for. All voters apply the same ones in the same order."""
+
+    def apply(self, index: int, entry: bytes) -> None: ...
+    def snapshot(self) -> bytes: ...
+    def restore(self, data: bytes) -> None: ...
+    def lost(self, number: int) -> bytes: ...  # the entry by which view `number` says that the state is a guess
+    def copy(self) -> Machine: ...
+
+
+class Gather(Struct, frozen=True, array_like=True):
+    """Asks for what was accepted, and for nothing to be accepted under a lower ballot."""
+
+    ballot: Number
+
+
+class Held(Struct, frozen=True, array_like=True):
+    """The answer: a snapshot after `base` entries and those that follow, as accepted under a ballot."""
+
+    ballot: Number
+    accepted: Number
+    base: int
+    snapshot: bytes
+    entries: tuple[bytes, ...]
+    commit: int
+
+
+class Install(Struct, frozen=True, array_like=True):
+    """Takes the place of a voter's whole log. `at`: the leader's clock, which comes back."""
+
+    ballot: Number
+    base: int
+    snapshot: bytes
+    entries: tuple[bytes, ...]
+    commit: int
+    at: int
+
+
+class Append(Struct, frozen=True, array_like=True):
+    """Entries after the first `after`, of a log that was installed under the same ballot."""
+
+    ballot: Number
+    after: int
+    entries: tuple[bytes, ...]
+    commit: int
+    at: int
+
+
+class Took(Struct, frozen=True, array_like=True):
+    """Accepted under the ballot up to this entry; -1: nothing yet, the whole log is wanted."""
+
+    ballot: Number
+    upto: int
+    at: int
+
+
+class Stale(Struct, frozen=True, array_like=True):
+    """A higher ballot was promised."""
+
+    ballot: Number
+
+
+class Offer(Struct, frozen=True, array_like=True):
+    """An entry for whoever leads; passed on by voters."""
+
+    entry: bytes
+    hops: int = 0
+
+
+Word = Gather | Held | Install | Append | Took | Stale | Offer
+Sent = tuple[str, Word]
+
+
+class Leading:
+    """What a leader, or who tries to be one, knows of the others."""
+
+    def __init__(self, ballot: Number) -> None:
+        self.ballot = ballot
+        self.held: dict[Member, Held] = {}
+        self.took: dict[Member, int] = {}
+        self.answered: dict[Member, int] = {}  # when what each answered last was said, by the leader's clock
+        self.ready = False  # the log is settled
+
+    def copy(self) -> Leading:
+        made = copy(self)
+        made.held, made.took, made.answered = dict(self.held), dict(self.took), dict(self.answered)
+        return made
+
+
+class Ledger:
+    """One gateway's side of it. What is lost is sent anew by `tick`, to be called several times a lease."""
+
+    def __init__(self, me: Member, machine: Machine, lease: int, now: int) -> None:
+        self.me, self.machine, self.lease = me, machine, lease
+        self.view: View | None = None
+        self.promised = self.accepted = ZERO
+        self.base, self.snapshot, self.entries = 0, machine.snapshot(), list[bytes]()
+        self.commit = self.applied = 0
+        self.heard_at = now  # of a leader under this view
+        self.leader = ""  # by name, as last heard
+        self.leading: Leading | None = None
+        self.by_word = False  # an operator says that what a majority of the view before knew is lost for good
+
+    # What it says
+
+    @property
+    def last(self) -> int:
+        return self.base + len(self.entries)
+
+    @property
+    def carried(self) -> bool:
+        """Whether it has taken over the ledger under the present view."""
+        return self.view is not None and self.accepted[0] == self.view.number
+
+    @property
+    def leads(self) -> bool:
+        """Whether it leads, and a majority has taken its log over."""
+        return self.leading is not None and self.leading.ready and self._settled() >= self.base
+
+    def confirmed(self, now: int) -> int:
+        """Up to which moment of its own clock it surely led: a majority answered what it said then, and so had
+        promised nothing higher. An order that was asked for later is not given yet."""
+        if not self.leads or self.view is None or self.leading is None:
+            return -1
+        answered = [now if voter == self.me else self.leading.answered.get(voter, -1) for voter in self.view.voters]
+        return sorted(answered, reverse=True)[majority(self.view.voters) - 1]
+
+    def copy(self) -> Ledger:
+        made = copy(self)
+        made.machine, made.entries = self.machine.copy(), list(self.entries)
+        made.leading = self.leading and self.leading.copy()
+        return made
+
+    def key(self) -> tuple[object, ...]:
+        """All that decides what it will do."""
+        leading = self.leading and (self.leading.ballot, self.leading.ready, frozenset(self.leading.held.items()),
+                                    frozenset(self.leading.took.items()))
+        return (self.me, self.view and self.view.number, self.promised, self.accepted, self.base, tuple(self.entries),
+                self.commit, leading, self.by_word)
+
+    # Steps that this gateway takes
+
+    def follow(self, now: int, view: View) -> None:
+        """Another view was agreed on."""
+        self.view, self.leading, self.leader, self.heard_at, self.by_word = view, None, "", now, False
+
+    def tick(self, now: int, turn: int) -> list[Sent]:
+        """`turn`: this gateway's place among the voters that seem to be there."""
+        if self.view is None or self.me not in self.view.voters:
+            return []
+        if self.leading is None:
+            first = not self.carried and turn == 0  # a new view: its first voter need not wait
+            if not first and now - self.heard_at < self.lease * PATIENCE * (1 + turn):
+                return []
+            return self.lead(now)
+        self.heard_at = now
+        if not self.leading.ready:
+            asked = dict.fromkeys((*self.view.voters, *self.view.electors))
+            return [(m.name, Gather(self.leading.ballot)) for m in asked
+                    if m != self.me and m not in self.leading.held]
+        return [sent for voter in self.view.voters if voter != self.me for sent in self._catch_up(now, voter)]
+
+    def lead(self, now: int) -> list[Sent]:
+        """Try to lead: ask the voters of this view and of the one before for what they hold."""
+        if self.view is None or self.me not in self.view.voters:
+            return []
+        after = self.promised[1] + 1 if self.promised[0] == self.view.number else 1  # the round
+        ballot = (self.view.number, after, self.me.name)
+        if ballot <= self.promised:
+            return []
+        self.leading, self.heard_at = Leading(ballot), now
+        sent = [(m.name, Gather(ballot)) for m in dict.fromkeys((*self.view.voters, *self.view.electors))
+                if m != self.me]
+        return sent + self._held(self.me, self._hold(ballot))
+
+    def wedge(self, number: int) -> None:
+        """It took up a formed view: guards against an older view's leader that decides while all form this one."""
+        self.promised = max(self.promised, (number, 0, ""))
+        if self.leading and self.leading.ballot < self.promised:
+            self.leading = None
+
+    def go_on(self, now: int) -> list[Sent]:
+        """An operator's word that what the view before knew is lost: a majority of this view's voters is enough."""
+        self.by_word = True
+        return self._try(now) if self.leading else self.lead(now)
+
+    def offer(self, now: int, entry: bytes) -> tuple[bool, list[Sent]]:
+        """Add an entry, where this gateway leads and has room for it."""
+        if not self.leads or self.last - self.commit >= MOST_OPEN or len(entry) > MOST_ENTRY or self.view is None:
+            return False, []
+        self.entries.append(entry)
+        sent = [sent for voter in self.view.voters if voter != self.me for sent in self._catch_up(now, voter)]
+        self._advance()  # alone it is a majority
+        return True, sent
+
+    # What comes in
+
+    def heard(self, now: int, sender: Member, word: Word) -> list[Sent]:
+        match word:
+            case Gather(ballot):
+                if ballot < self.promised:
+                    return [(sender.name, Stale(self.promised))]
+                return [(sender.name, self._hold(ballot))]
+            case Held():
+                return self._held(sender, word)
+            case Install(ballot, base, snapshot, entries, commit, at):
+                if ballot < self.promised:
+                    return [(sender.name, Stale(self.promised))]
+                self._under(now, ballot, sender)
+                if self.accepted != ballot or base > self.last:
+                    self._take_over(ballot, base, snapshot, entries)
+                elif self.last < base + len(entries):  # a word that comes twice must not undo what was added since
+                    self.entries += entries[self.last - base:]
+                self._commit(min(commit, self.last))
+                return [(sender.name, Took(ballot, self.last, at))]
+            case Append(ballot, after, entries, commit, at):
+                if ballot < self.promised:
+                    return [(sender.name, Stale(self.promised))]
+                self._under(now, ballot, sender)
+                if self.accepted != ballot:
+                    return [(sender.name, Took(ballot, -1, at))]
+                if after <= self.last < after + len(entries):
+                    self.entries += entries[self.last - after:]
+                self._commit(min(commit, self.last))
+                return [(sender.name, Took(ballot, self.last, at))]
+            case Took(ballot, upto, at):
+                if self.leading and self.leading.ready and ballot == self.leading.ballot and self.view \
+                        and sender in self.view.voters:
+                    self.leading.took[sender] = max(self.leading.took.get(sender, -1), upto)
+                    self.leading.answered[sender] = max(self.leading.answered.get(sender, at), at)
+                    self._advance()
+                    return self._catch_up(now, sender) if upto < self.last else []
+            case Stale(ballot):
+                if self.leading and ballot > self.leading.ballot:
+                    self.leading = None
+                    self.promised = max(self.promised, ballot)
+        return []
+
+    # Within
+
+    def _take_over(self, ballot: Number, base: int, snapshot: bytes, entries: tuple[bytes, ...]) -> None:
+        """A whole log, and the state from its snapshot on: after a loss it may lack what was applied here."""
+        self.accepted, self.base, self.snapshot, self.entries = ballot, base, snapshot, list(entries)
+        self.machine.restore(snapshot)
+        self.commit = self.applied = base
+
+    def _under(self, now: int, ballot: Number, leader: Member) -> None:
+        if self.leading and ballot > self.leading.ballot:
+            self.leading = None
+        self.promised, self.heard_at, self.leader = ballot, now, leader.name
+
+    def _hold(self, ballot: Number) -> Held:
+        """Promise, and tell what was accepted."""
+        if self.leading and ballot > self.leading.ballot:
+            self.leading = None
+        self.promised = max(self.promised, ballot)
+        return Held(ballot, self.accepted, self.base, self.snapshot, tuple(self.entries), self.commit)
+
+    def _held(self, sender: Member, held: Held) -> list[Sent]:
+        if self.leading is None or self.leading.ready or held.ballot != self.leading.ballot:
+            return []
+        self.leading.held[sender] = held
+        return self._try(self.heard_at)
+
+    def _try(self, now: int) -> list[Sent]:
+        """Take the log over once nothing that was decided can be missing from it."""
+        view, leading = self.view, self.leading
+        if view is None or leading is None or leading.ready:
+            return []
+        mine = [held for member, held in leading.held.items() if member in view.voters]
+        if len(mine) < majority(view.voters):
+            return []
+        formed = not view.electors
+        if not formed and not self.by_word and all(held.accepted[0] < view.number for held in mine):
+            # Nobody here has it under this view: a majority of those who decided this view has all that was decided.
+            before = [held for member, held in leading.held.items() if member in view.electors]
+            if len(before) < majority(view.electors):
+                return []
+            mine += before
+        best = max(mine, key=lambda held: (held.accepted, held.base + len(held.entries), held.commit))
+        fresh = best.accepted[0] < view.number  # the first under this view
+        leading.ready, self.leader = True, self.me.name
+        self._take_over(leading.ballot, best.base, best.snapshot, best.entries)
+        if fresh and (formed or self.by_word):
+            self.entries.append(self.machine.lost(view.number))
+        self._commit(min(max(held.commit for held in mine), self.last))
+        leading.took = {self.me: self.last}
+        sent = [sent for voter in view.voters if voter != self.me for sent in self._catch_up(now, voter)]
+        self._advance()
+        return sent
+
+    def _catch_up(self, now: int, voter: Member) -> list[Sent]:
+        """What a voter is not known to have taken, were it nothing: it hears that the leader is there."""
+        leading = self.leading
+        assert leading is not None
+        took = leading.took.get(voter, -1)
+        if took < self.base:
+            word: Word = Install(leading.ballot, self.base, self.snapshot, tuple(self.entries), self.commit, now)
+        else:
+            word = Append(leading.ballot, took, tuple(self.entries[took - self.base:]), self.commit, now)
+        return [(voter.name, word)]
+
+    def _settled(self) -> int:
+        """Up to which entry a majority of the view's voters accepted under this ballot; -1: not yet."""
+        assert self.leading is not None and self.view is not None
+        self.leading.took[self.me] = self.last
+        took = sorted((self.leading.took.get(voter, -1) for voter in self.view.voters), reverse=True)
+        return took[majority(self.view.voters) - 1]
+
+    def _advance(self) -> None:
+        if self.leading is not None and self.leading.ready:
+            self._commit(self._settled())
+
+    def _commit(self, upto: int) -> None:
+        if upto <= self.commit:
+            return
+        self.commit = upto
+        while self.applied < upto:
+            self.machine.apply(self.applied + 1, self.entries[self.applied - self.base])
+            self.applied += 1
+        if self.applied - self.base > MOST_KEPT:
+            # Bounded: a voter that lags by more is given the snapshot.
+            del self.entries[:self.applied - self.base]
+            self.base, self.snapshot = self.applied, self.machine.snapshot()
--- a/tansykeel/fleet/liveness.py
+++ b/tansykeel/fleet/liveness.py
@@ -15,43 +15,26 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from enum import IntEnum
 from random import Random
 
-SECOND = 10_000
-
+from msgspec import Struct
 
-class Seems(IntEnum):
-    ALIVE = 0
-    SUSPECT = 1
-    DEAD = 2
+from tansykeel.fleet.news import News, Seems, Telling
 
-
-@dataclass(frozen=True, slots=True)
-class News:
-    """What is said of a gateway: its start (`life`), how often it denied a suspicion since, by whom it is suspected."""
-
-    name: str
-    seems: Seems
-    life: int
-    denials: int
-    by: str = ""
+SECOND = 10_000
 
 
-@dataclass(frozen=True, slots=True)
-class Ping:
+class Ping(Struct, frozen=True, array_like=True):
     seq: int
     news: tuple[News, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Ack:
+class Ack(Struct, frozen=True, array_like=True):
     seq: int
     news: tuple[News, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Try:
+class Try(Struct, frozen=True, array_like=True):
     """Asks a helper to ping `name`."""
 
     seq: int
@@ -59,8 +42,7 @@
     news: tuple[News, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class NoAnswer:
+class NoAnswer(Struct, frozen=True, array_like=True):
     """A helper's word that its own ping was not answered so far: it is the asker's own link that works."""
 
     seq: int
@@ -121,9 +103,9 @@
         self.order: list[Other] = []
         self.probes: dict[int, Probe] = {}
         self.next_ping = now + chance.randrange(max(pace.period, 1))  # a fleet that starts at once is no herd
-        self.telling: dict[str, tuple[News, int]] = {}  # news by whom they are of, and how often told
+        self.telling = Telling()
         self.ends: dict[Other, int] = {}  # when each suspicion makes its gateway dead
-        self._tell(News(me, Seems.ALIVE, life, 0))
+        self.telling.put(News(me, Seems.ALIVE, life, 0))
 
     # What it says
 
@@ -257,7 +239,7 @@
                 self._doubts(1)
             # Told anew even where it was denied before. Guards against a denial whose few repeats all went into
             # connections that others had closed: it would be called dead for good.
-            self._tell(News(self.me, Seems.ALIVE, self.life, self.denials))
+            self.telling.put(News(self.me, Seems.ALIVE, self.life, self.denials))
             return
         other = self.others.get(news.name)
         if other is None:
@@ -279,36 +261,22 @@
         if news.seems is Seems.SUSPECT:
             other.since = now
             self._shared(other, news.by)
-        self._tell(news)
+        self.telling.put(news)
 
     def _shared(self, other: Other, by: str) -> None:
         if by and by not in other.suspected_by and len(other.suspected_by) <= self.pace.sharers:
             other.suspected_by.add(by)
             self.ends[other] = other.since + self._lasts(len(other.suspected_by))
             if len(other.suspected_by) > 1:
-                self._tell(News(other.name, Seems.SUSPECT, other.life, other.denials, by))
-
-    def _tell(self, news: News) -> None:
-        self.telling[news.name] = news, 0
+                self.telling.put(News(other.name, Seems.SUSPECT, other.life, other.denials, by))
 
     def _news(self, to: str) -> tuple[News, ...]:
         """What is told with a message: first what was told least; to one that is suspected, that it is."""
         if self.leaving:  # guards against its own farewell that is crowded out, or told too often to go on
             return (News(self.me, Seems.DEAD, self.life, self.denials, self.me),)
-        most = math.ceil(self.pace.repeats * self._size())
-
-        def order(told: tuple[News, int]) -> tuple[bool, int]:
-            # Guards against denials that come too late: a fleet that starts has hundreds of greetings to tell.
-            return told[0].seems is Seems.ALIVE and not told[0].denials, told[1]
         # Guards against a fleet that starts, or loses a third, and knows itself after minutes: a crowd of news.
-        told_now = max(self.pace.news, min(len(self.telling) // 3, self.pace.crowd))
-        first = sorted(self.telling.values(), key=order)[:told_now]
-        for news, times in first:
-            if times + 1 >= most:
-                del self.telling[news.name]
-            else:
-                self.telling[news.name] = news, times + 1
-        told = tuple(news for news, _ in first)
+        count = max(self.pace.news, min(len(self.telling) // 3, self.pace.crowd))
+        told = self.telling.take(count, math.ceil(self.pace.repeats * self._size()))
         other = self.others[to]
         if other.seems is not Seems.ALIVE and all(news.name != to for news in told):
             told += (News(to, other.seems, other.life, other.denials, self.me),)
--- a/tansykeel/fleet/membership.py
+++ b/tansykeel/fleet/membership.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
 from fractions import Fraction
 
 import xxhash
+from msgspec import Struct
 
 SAFE = Fraction(1, 5)  # of a whole: dealt evenly over all that the settings name, whatever is agreed
 Ballot = tuple[int, str]  # round and proposer
@@ -14,8 +14,7 @@
 NEVER = -10**15  # a grant that was asked for then counts no more
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Member:
+class Member(Struct, frozen=True, order=True, array_like=True):
     """One life of a gateway: `incarnation` is another with each start."""
 
     name: str
@@ -24,8 +23,7 @@
     weight: int = 1
 
 
-@dataclass(frozen=True, slots=True)
-class View:
+class View(Struct, frozen=True, array_like=True):
     """An agreed membership. `voters` of it grant leases and decide its successor; `electors` are the voters of the view
     that decided this one, none where all formed it."""
 
@@ -61,16 +59,14 @@
     return tuple(sorted(chosen))
 
 
-@dataclass(frozen=True, slots=True)
-class Ask:
+class Ask(Struct, frozen=True, array_like=True):
     """For a lease on a view, of its voters; `at` is the asker's own clock, which comes back."""
 
     number: int
     at: int
 
 
-@dataclass(frozen=True, slots=True)
-class Grant:
+class Grant(Struct, frozen=True, array_like=True):
     """`active`: the view is so at its giver, and what is so at one gateway holds for all."""
 
     number: int
@@ -78,58 +74,74 @@
     active: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Prepare:
+class Prepare(Struct, frozen=True, array_like=True):
     """For the successor of view `number`."""
 
     number: int
     ballot: Ballot
 
 
-@dataclass(frozen=True, slots=True)
-class Promise:
+class Promise(Struct, frozen=True, array_like=True):
     number: int
     ballot: Ballot
     accepted: Ballot
     view: View | None
 
 
-@dataclass(frozen=True, slots=True)
-class Accept:
+class Accept(Struct, frozen=True, array_like=True):
     number: int
     ballot: Ballot
     view: View
 
 
-@dataclass(frozen=True, slots=True)
-class Accepted:
+class Accepted(Struct, frozen=True, array_like=True):
     number: int
     ballot: Ballot
 
 
-@dataclass(frozen=True, slots=True)
-class Form:
-    """A view that all names of the settings are asked to take up."""
+class Form(Struct, frozen=True, array_like=True):
+    """A view that all names of the settings are asked to take up, but those `without` which an operator's word lets it
+    be formed."""
 
     view: View
+    without: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Formed:
+class Formed(Struct, frozen=True, array_like=True):
     view: View
 
 
-@dataclass(frozen=True, slots=True)
-class Decided:
+class Decided(Struct, frozen=True, array_like=True):
     view: View
 
 
-@dataclass(frozen=True, slots=True)
-class Done:
+class Stepped(Struct, frozen=True, array_like=True):
+    """What was decided, told to whoever follows the view before: bytes go with what changed and not with the fleet."""
+
+    number: int
+    left: tuple[str, ...]
+    joined: tuple[Member, ...]
+    voters: tuple[str, ...]
+
+    def after(self, view: View) -> View:
+        """The decided view, `view` being the one before."""
+        gone = {*self.left, *(member.name for member in self.joined)}
+        members = tuple(sorted([*(m for m in view.members if m.name not in gone), *self.joined]))
+        voters = tuple(member for member in members if member.name in self.voters)
+        return View(self.number, members, voters, view.voters)
+
+
+def step(before: View, view: View) -> Stepped:
+    were, there = set(before.members), {member.name for member in view.members}
+    return Stepped(view.number, tuple(m.name for m in before.members if m.name not in there),
+                   tuple(m for m in view.members if m not in were), tuple(v.name for v in view.voters))
+
+
+class Done(Struct, frozen=True, array_like=True):
     """The sender grants nothing for a view under `number` any more, and all that it granted is over."""
 
     number: int
 
 
-Message = Ask | Grant | Prepare | Promise | Accept | Accepted | Form | Formed | Decided | Done
+Message = Ask | Grant | Prepare | Promise | Accept | Accepted | Form | Formed | Decided | Stepped | Done
 Sent = tuple[str, Message]  # to whom
--- a/tansykeel/fleet/search.py
+++ b/tansykeel/fleet/search.py
@@ -70,7 +70,7 @@
             self._start(name)
 
     def copy(self) -> Fleet:
-        made = Fleet.__new__(Fleet)
+        made = object.__new__(type(self))
         made.names, made.terms, made.make, made.rates = self.names, self.terms, self.make, self.rates
         made.now, made.law = self.now, self.law
         made.lives, made.sent, made.decided = dict(self.lives), dict(self.sent), dict(self.decided)
@@ -101,12 +101,12 @@
                 join = [(*(m for m in one.view.members if m.name != other.me.name), other.me)
                         for other in self.alive.values() if there.get(other.me.name) != other.me]
                 found += [("proposes", name, members) for members in leave + join if members]
-            if free["form"] and len(self.alive) == len(self.names):
+            if free["form"]:  # without the dead, where an operator says that they are
                 found.append(("forms", name))
             if free["crash"]:
                 found.append(("crashes", name))
-            if free["restart"]:
-                found.append(("restarts", name))
+        if free["restart"]:
+            found += [("restarts", name) for name in self.names]
         return found
 
     def after(self, event: Event) -> Fleet | None:
@@ -119,14 +119,14 @@
         if kind == "tick":
             self.now += 1
             self.used["tick"] += 1
+        elif kind == "restarts":
+            self.used["restart"] += 1
+            self._start(str(what[0]))
         elif str(what[0]) not in self.alive:
             return False
         elif kind == "crashes":
             self.used["crash"] += 1
             del self.alive[str(what[0])]
-        elif kind == "restarts":
-            self.used["restart"] += 1
-            self._start(str(what[0]))
         else:
             one = self.alive[str(what[0])] = self.alive[str(what[0])].copy()
             now = self.clock(one.me.name)
@@ -140,10 +140,9 @@
                 self.used["propose"] += 1
                 told = one.propose(now, what[1])  # type: ignore[arg-type]
             else:
-                if len(self.alive) < len(self.names):
-                    return False
                 self.used["form"] += 1
-                told = one.form(now, [other.me for other in self.alive.values()], 10 * self.now + 1)
+                without = tuple(name for name in self.names if name not in self.alive)
+                told = one.form(now, [other.me for other in self.alive.values()], 10 * self.now + 1, without)
             self.sent |= dict.fromkeys((to, one.me, message) for to, message in told)
         self._judge()
         return True
@@ -161,9 +160,10 @@
                 self.law = f"two views with the number {one.view.number}"
 
 
-def agreed(names: tuple[str, ...], terms: Terms, make: Make, rates: tuple[int, ...] = (1,)) -> Fleet:
+def agreed(names: tuple[str, ...], terms: Terms, make: Make, rates: tuple[int, ...] = (1,),
+           kind: type[Fleet] = Fleet) -> Fleet:
     """A fleet that formed its first view, made it active and holds leases on it."""
-    fleet = Fleet(names, terms, make, rates)
+    fleet = kind(names, terms, make, rates)
     for _ in range(3):  # to form and follow; to end grants; to lease
         for name in names:
             event: Event = ("forms", name) if not fleet.used["form"] else ("renews", name)
@@ -207,14 +207,18 @@
     return Found(len(seen), True)
 
 
-def walks(first: Fleet, bounds: Bounds, seed: int, steps: int = STEPS) -> Found:
+def walks(first: Fleet, bounds: Bounds, seed: int, steps: int = STEPS, by_kind: bool = False) -> Found:
     """Runs drawn by chance, for depths that a search of all states does not come to. What is on its way mostly arrives
-    in some order, the rest late, again or never."""
+    in some order, the rest late, again or never. `by_kind`: kinds of events are drawn evenly, however many of one."""
     chance, seen = random.Random(seed), 0
     while seen < bounds.states:
         fleet, events, fresh = first, list[Event](), dict[Event, None]()
         for _ in range(steps):
-            event = chance.choice(list(fresh) if fresh and chance.random() < FRESH else fleet.events(bounds))
+            choice = list(fresh) if fresh and chance.random() < FRESH else fleet.events(bounds)
+            if by_kind:
+                kind = chance.choice(list(dict.fromkeys(event[0] for event in choice)))
+                choice = [event for event in choice if event[0] == kind]
+            event = chance.choice(choice)
             fresh.pop(event, None)
             after = fleet.after(event)
             if after is None:
@@ -279,7 +283,7 @@
         return "{" + ", ".join(map(_plain, what)) + "}"
     if isinstance(what, View):
         return f"view {what.number} {_plain(what.members)}"
-    fields = getattr(what, "__dataclass_fields__", None)
+    fields = getattr(what, "__struct_fields__", None)
     if fields:
         return f"{type(what).__name__}({', '.join(_plain(getattr(what, name)) for name in fields)})"
     return str(what)
--- a/tansykeel/fleet/views.py
+++ b/tansykeel/fleet/views.py
@@ -3,7 +3,8 @@
 A view's successor is decided by Paxos (Lamport, "Paxos Made Simple", 2001) among a few voters of the view before, one
 step at a time: "Reconfiguring a State Machine" (Lamport, Malkhi, Zhou, 2010) with a window of one. Changed: nothing is
 on disk, so a gateway that restarts is another member, by its incarnation, and votes for nothing that it forgot; and a
-view that nobody can follow any more may be formed anew by all that the settings name, never by fewer.
+view that nobody can follow any more may be formed anew by all that the settings name, or by all of them but those of
+which an operator says that no process runs under their names, and never by fewer.
 
 Who may count its part of a view holds a lease on it, granted by a majority of its voters (quorum leases: Moraru,
 Andersen, Kaminsky, SoCC 2014, here for the membership itself). A view is active once a majority of the voters before
@@ -37,8 +38,10 @@
     Prepare,
     Promise,
     Sent,
+    Stepped,
     View,
     majority,
+    step,
     voters_of,
 )
 
@@ -93,7 +96,8 @@
         self.next: View | None = None
         self.formed: View | None = None  # the formed view with the highest number that was taken up
         self.proposal: Proposal | None = None
-        self.forming: tuple[View, set[Member]] | None = None
+        self.carries = True  # whatever is carried from view to view is here: before, no next one is voted for
+        self.forming: tuple[Form, set[Member]] | None = None
 
     # What it may count on
 
@@ -144,7 +148,7 @@
         if self.proposal and self.view:
             sent += self._to(self.view.voters, self.proposal.word(self.number))
         if self.forming:
-            sent += self._to(self.forming[0].members, Form(self.forming[0]))
+            sent += self._to(self.forming[0].view.members, self.forming[0])
         return sent
 
     def propose(self, now: int, members: Iterable[Member]) -> list[Sent]:
@@ -162,20 +166,21 @@
         self.proposal = Proposal(ballot, View(self.number + 1, chosen, voters, self.view.voters))
         return self._put(now, self.proposal, self.view)
 
-    def form(self, now: int, members: Iterable[Member], stamp: int) -> list[Sent]:
-        """Ask all names of the settings to take up a view of them all; `stamp` is the wall clock's, in milliseconds.
+    def form(self, now: int, members: Iterable[Member], stamp: int, without: tuple[str, ...] = ()) -> list[Sent]:
+        """Ask all names of the settings to take up a view of them all, but those `without` which an operator says that
+        it may be formed; `stamp` is the wall clock's, in milliseconds.
 
         It must pass every number of before, also of lives that nobody remembers: views change less than once a
         millisecond.
         """
         chosen = tuple(sorted(members))
-        if tuple(member.name for member in chosen) != tuple(sorted(self.names)) or self.me not in chosen:
+        if not self._all_named(chosen, without) or self.me not in chosen:
             return []
         view = View(max(stamp, self.latest + 1), chosen, voters_of(chosen, self.terms.voters))
         if not self._takes_up(now, view):
             return []
-        self.formed, self.forming = view, (view, {self.me})
-        return self._to(chosen, Form(view)) + self._all_formed(now)
+        self.formed, self.forming = view, (Form(view, without), {self.me})
+        return self._to(chosen, self.forming[0]) + self._all_formed(now)
 
     # What comes in
 
@@ -184,6 +189,10 @@
         match message:
             case Decided(view):
                 return self._follow(now, view)
+            case Stepped():
+                if message.number == self.number + 1 and self.view:
+                    return self._follow(now, message.after(self.view))
+                return [(sender.name, Ask(self.number, now))] if message.number > self.number else []
             case Done(number):
                 self.ended[sender] = max(self.ended.get(sender, 0), number)
                 self._look()
@@ -192,14 +201,14 @@
                 # Guards against one that was left out and says it for ever: it need not any more.
                 over = number == self.number and self.active
                 return [(sender.name, Grant(number, NEVER, True))] if over and sender != self.me else []
-            case Form(view):
+            case Form(view, without):
                 # Guards against two views with one number: a forming gateway that restarts may use its stamp again.
-                if view == self.formed or self._takes_up(now, view):
+                if view == self.formed or self._all_named(view.members, without) and self._takes_up(now, view):
                     self.formed = view
                     return [(sender.name, Formed(view))]
                 return []
             case Formed(view):
-                if self.forming and self.forming[0] == view and sender in view.members:
+                if self.forming and self.forming[0].view == view and sender in view.members:
                     self.forming[1].add(sender)
                     return self._all_formed(now)
                 return []
@@ -270,7 +279,8 @@
 
     def _vote(self, message: Prepare | Accept) -> Promise | Accepted | None:
         # Guards against two steps at once: leases on the view before the present one might still count.
-        if not self.active or message.ballot < self.promised or self.view is None or self.me not in self.view.voters:
+        if not (self.active and self.carries) or message.ballot < self.promised or self.view is None \
+                or self.me not in self.view.voters:
             return None
         self.promised = message.ballot
         if isinstance(message, Prepare):
@@ -297,10 +307,13 @@
         proposal.accepted.add(sender)
         if len(proposal.accepted) < majority(view.voters):
             return []
-        return self._tell(view.members, proposal.view) + self._follow(now, proposal.view)
+        were = set(view.members)
+        joined = [member for member in proposal.view.members if member not in were]
+        told = self._to(view.members, step(view, proposal.view)) + self._to(joined, Decided(proposal.view))
+        return told + self._follow(now, proposal.view)
 
-    def _tell(self, before: tuple[Member, ...], view: View) -> list[Sent]:
-        return self._to(dict.fromkeys((*before, *view.members)), Decided(view))  # no set: its order is by chance
+    def _all_named(self, members: tuple[Member, ...], without: tuple[str, ...]) -> bool:
+        return sorted([*(member.name for member in members), *without]) == sorted(self.names)
 
     def _takes_up(self, now: int, view: View) -> bool:
         """A formed view: by who is in it, knows of nothing later, and has no working view to lose."""
@@ -309,10 +322,10 @@
         return self.me in view.members and view.number > self.latest and not works
 
     def _all_formed(self, now: int) -> list[Sent]:
-        if self.forming is None or len(self.forming[1]) < len(self.names):
+        if self.forming is None or len(self.forming[1]) < len(self.forming[0].view.members):
             return []
-        view, self.forming = self.forming[0], None
-        return self._tell((), view) + self._follow(now, view)
+        view, self.forming = self.forming[0].view, None
+        return self._to(view.members, Decided(view)) + self._follow(now, view)
 
     def _follow(self, now: int, view: View) -> list[Sent]:
         """A view was decided. From now on nothing is granted for an earlier one."""
@@ -323,7 +336,7 @@
         self.was = self.view.part(self.me) if stepped and self.view else Fraction(0)
         self.view, self.active, self.grants, self.ends = view, False, {}, max(self.ends, self.bound)
         self.promised, self.accepted, self.next, self.proposal = NONE, NONE, None, None
-        if self.forming and self.forming[0].number <= view.number:
+        if self.forming and self.forming[0].view.number <= view.number:
             self.forming = None
         self._look()
         return self.renew(now)
--- a/tansykeel/fleet/words.py
+++ b/tansykeel/fleet/words.py
@@ -7,13 +7,27 @@
 import msgspec
 
 from tansykeel.errors import Problem
+from tansykeel.fleet import ledger
 from tansykeel.fleet.keeper import Said
 from tansykeel.fleet.liveness import Ack, NoAnswer, Ping, Try, Word
-from tansykeel.fleet.membership import Accept, Accepted, Ask, Decided, Done, Form, Formed, Grant, Prepare, Promise
+from tansykeel.fleet.membership import (
+    Accept,
+    Accepted,
+    Ask,
+    Decided,
+    Done,
+    Form,
+    Formed,
+    Grant,
+    Prepare,
+    Promise,
+    Stepped,
+)
 from tansykeel.fleet.outbox import Urgency
 
 KINDS = {kind.__name__: kind for kind in (Ping, Ack, Try, NoAnswer, Ask, Grant, Prepare, Promise, Accept, Accepted,
-                                          Form, Formed, Decided, Done)}
+                                          Form, Formed, Decided, Stepped, Done, ledger.Gather, ledger.Held,
+                                          ledger.Install, ledger.Append, ledger.Took, ledger.Stale, ledger.Offer)}
 DECODERS = {name: msgspec.msgpack.Decoder(kind) for name, kind in KINDS.items()}
 MOST = 60 << 10  # bytes of one word: a view of 1,000 gateways, told with its voters, and some to spare
 
@@ -45,7 +59,7 @@
 
 
 def number_of(word: Said) -> int | None:
-    """Of the view that a word of the agreement is about; None for those of liveness."""
-    if isinstance(word, Word):
+    """Of the view that a word of the agreement is about; None for those of liveness and the ledger."""
+    if isinstance(word, Word | ledger.Word):
         return None
     return word.view.number if isinstance(word, Form | Formed | Decided) else word.number
--- /dev/null
+++ b/tests/accord/test_search.py
@@ -0,0 +1,128 @@
+"""Ledger and leave under drawn orders of events: no law is broken, and each planted fault is named."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from tansykeel.accord.entries import Back, Leave, packed
+from tansykeel.accord.search import Books, settled
+from tansykeel.fleet.search import Bounds, walks
+from tansykeel.fleet.views import Agreement, Terms
+
+NAMES, TERMS = ("a", "b", "c"), Terms(lease=2, drift=0.0)
+ALL = dict(ticks=8, proposals=2, crashes=1, restarts=2, forms=1)
+CALM = dict(ticks=3, proposals=0, crashes=0, restarts=0, forms=0)
+
+
+class Remembered(Books):
+    """A voter that returned empty counts as the one that it was."""
+
+    def _start(self, name):
+        self.lives[name] = 0
+        super()._start(name)
+
+
+class Timed(Books):
+    """Leave is counted back though nobody saw it back."""
+
+    def _seen_back(self, ledger, name):
+        return ledger.leads and name in self._state(ledger).kept.out
+
+    def _of_leader(self, kind, name, what):
+        if kind != "sees":
+            return super()._of_leader(kind, name, what)
+        ledger = self._own(name)
+        if not self._seen_back(ledger, what[0]):
+            return False
+        out = self._state(ledger).kept.out[what[0]]
+        self._offer(name, ledger, Back(what[0], out.boot + 1, out.number))
+        return True
+
+
+class Obedient(Books):
+    """Whatever goes out goes by any order, however old and of whichever life."""
+
+    def _obeys(self, subject, order):
+        return not subject.out
+
+
+class Deaf(Books):
+    """A leader's orders need nobody who still follows it."""
+
+    def _confirmed(self, ledger):
+        return True
+
+    def _obeys(self, subject, order):
+        return not subject.out and order.boot == subject.boot
+
+
+def test_no_order_of_events_breaks_a_law():
+    for seed in (1, 2):
+        found = walks(settled(NAMES, TERMS, Agreement), Bounds(states=6_000, **ALL), seed, 150, by_kind=True)
+        assert found.law == "" and found.states >= 6_000
+
+
+@pytest.mark.parametrize("kind, law, bounds, step", [
+    (Remembered, "two entries decided", ALL, "restarts"), (Timed, "more out than the bounds", CALM, "sees"),
+    (Obedient, "more out than the bounds", CALM, "gets")])
+def test_a_planted_fault_is_found(kind, law, bounds, step):
+    found = walks(settled(NAMES, TERMS, Agreement, kind), Bounds(states=40_000, **bounds), 1, 150, by_kind=True)
+    assert found.law.startswith(law) and any(step in line for line in found.trace) and len(found.trace) < 50
+
+
+def all_hear(fleet, *cut):
+    for _ in range(4):
+        for word in list(fleet.sent):
+            if {word[0], word[1].name} not in cut:
+                fleet = fleet.after(("arrives", *word)) or fleet
+    return fleet
+
+
+def of(fleet, name):
+    return fleet.ledgers[name].machine.kept
+
+
+@pytest.mark.parametrize("kind, broken", [(Books, False), (Deaf, True)])
+def test_a_leader_that_was_cut_off_can_start_nothing(kind, broken):
+    """It holds leave that was given; the others form a new view, and an operator says that nothing is out."""
+    fleet = all_hear(settled(NAMES, TERMS, Agreement, kind).after(("offers", "a", "x")))
+    assert set(of(fleet, "a").out) == {"x"}
+    cut = {"a", "b"}, {"a", "c"}
+    a, b, c = (fleet.alive[name].me for name in NAMES)
+    fleet = all_hear(fleet.after(("proposes", "b", (b, c))), *cut)
+    for _ in range(4):  # grants of before run out, b and c are a view of their own
+        fleet = fleet.after(("tick",))
+        for name in ("b", "c"):
+            fleet = all_hear(fleet.after(("renews", name)), *cut)
+    fleet = all_hear(fleet.after(("leads", "b")), *cut)
+    assert fleet.ledgers["b"].leads and set(of(fleet, "b").out) == {"x"}
+    # What stands in for an operator's word after a loss, or for x seen back by b alone: x is no longer out.
+    book = fleet._own("b")
+    book.machine.kept.out.clear()
+    fleet._say("b", book.offer(0, packed(Leave("y", 1, "test", "b")))[1])
+    fleet = all_hear(fleet, *cut)
+    ordered = fleet.after(("orders", "b", "y"))
+    fleet = ordered.after(("gets", next(iter(ordered.orders))))
+    assert fleet.subjects["y"].out
+    late = fleet.after(("orders", "a", "x"))
+    if late is not None:
+        fleet = late.after(("gets", list(late.orders)[-1])) or late
+    assert fleet.law.startswith("more out") is broken
+
+
+def test_a_life_that_returned_empty_is_no_voter_of_before():
+    fleet = settled(NAMES, TERMS, Agreement).after(("restarts", "b"))
+    fleet = all_hear(fleet.after(("offers", "a", "x")), {"a", "c"})
+    assert of(fleet, "a").out == {}  # b's new life took it, and counts for nothing
+    fleet = all_hear(fleet)
+    assert set(of(fleet, "a").out) == {"x"}
+
+
+def test_an_answer_that_comes_too_late_starts_nothing():
+    fleet = all_hear(settled(NAMES, TERMS, Agreement).after(("offers", "a", "x"))).after(("orders", "a", "x"))
+    order = next(iter(fleet.orders))
+    assert not fleet.after(("tick",)).after(("gets", order)).subjects["x"].out
+    assert fleet.after(("gets", order)).subjects["x"].out
+    assert not fleet._obeys(replace(fleet.subjects["x"], boot=2), order)
--- a/tests/fleet/test_keeper.py
+++ b/tests/fleet/test_keeper.py
@@ -10,8 +10,9 @@
 
 from tansykeel.emulator.watching import Trial, Watchers, watched
 from tansykeel.fleet.keeper import Keeper, Place
-from tansykeel.fleet.liveness import SECOND, News, Pace, Ping, Seems
+from tansykeel.fleet.liveness import SECOND, Pace, Ping
 from tansykeel.fleet.membership import SAFE, Member, View, voters_of
+from tansykeel.fleet.news import News, Seems
 from tansykeel.fleet.views import Agreement, Terms
 
 
--- a/tests/fleet/test_liveness.py
+++ b/tests/fleet/test_liveness.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 
 from tansykeel.emulator.watching import Trial, watched
-from tansykeel.fleet.liveness import SECOND, Ack, Liveness, News, NoAnswer, Pace, Ping, Seems, Try
+from tansykeel.fleet.liveness import SECOND, Ack, Liveness, NoAnswer, Pace, Ping, Try
+from tansykeel.fleet.news import News, Seems
 
 NAMES = ("a", "b", "c", "d")
 
