--- a/tansykeel/accord/state.py
+++ b/tansykeel/accord/state.py
@@ -105,6 +105,11 @@
         place = kept.places[name]
         return hindrances(place, kept.places, kept.out, kept.bounds, kept.asked.get(place.kind, 0.0))
 
+    def turns_back(self, name: str, release: Release) -> bool:
+        """Whether it is out for this release, which goes back: it need not be whole with the new version first."""
+        out = self.kept.out.get(name)
+        return self.kept.known and release.state == GOING_BACK and out is not None and out.release == release.name
+
     def under_way(self) -> Release | None:
         """The release whose turn it is: one that goes back before any other, else the one that began."""
         open_ = [release for release in self.kept.releases.values() if release.state not in OVER]
@@ -156,6 +161,8 @@
         against, release = self.against(leave.name), None
         if leave.release:
             release = self.kept.releases.get(leave.release)
+            if release is not None and leave.back and self.turns_back(leave.name, release):
+                against = []  # it takes no more room than it has
             if release is None or release is not self.under_way() or leave.name not in release.steps() \
                     or leave.back is not (release.state == GOING_BACK):
                 against.append(f"it is no step of {leave.release} now")
