Leave between processes: agents, operator, figures over the frames there are; releases rehearsed

accord(...) in the settings gives a gateway that agrees on views a ledger and a steward; ACCORD and ACCORD_TOLD carry what agents, operators and gateways say. A rehearsal with release(...) runs an agent for each gateway's machine and an operator; audit/leave.py judges from what the agents did that no bound was passed and no old leave obeyed. The first good release was halted for nothing: gateways refuse unlike parts of what limits forbid; tasks of limited plans count for no version now. Views that are told as what changed are read whole by the audit.

--- a/tansykeel/audit/fleet.py
+++ b/tansykeel/audit/fleet.py
@@ -16,7 +16,20 @@
 from tansykeel.audit.records import Counted, Said
 from tansykeel.audit.rules import SLACK, Break
 from tansykeel.fleet.keeper import Said as FleetWord
-from tansykeel.fleet.membership import SAFE, Accepted, Ask, Decided, Done, Form, Formed, Grant, Promise, View, majority
+from tansykeel.fleet.membership import (
+    SAFE,
+    Accepted,
+    Ask,
+    Decided,
+    Done,
+    Form,
+    Formed,
+    Grant,
+    Promise,
+    Stepped,
+    View,
+    majority,
+)
 from tansykeel.fleet.views import Terms
 from tansykeel.fleet.words import number_of, unpacked
 
@@ -44,8 +57,16 @@
 
 
 def words_of(passed: Passed) -> list[Seen]:
+    """A view that is told as what changed is read as a whole one, after the one before."""
+    views: dict[int, View] = {}
+
     def seen(said: Said) -> Seen:
-        return Seen(said.at, said.passed, said.edge, said.life, said.hearer, unpacked(said.what, said.word))
+        word = unpacked(said.what, said.word)
+        if isinstance(word, Stepped) and (before := views.get(word.number - 1)) is not None:
+            word = Decided(word.after(before))
+        if isinstance(word, Decided | Form | Formed):
+            views.setdefault(word.view.number, word.view)
+        return Seen(said.at, said.passed, said.edge, said.life, said.hearer, word)
     return [seen(said) for said in passed.said]
 
 
--- a/tansykeel/audit/join.py
+++ b/tansykeel/audit/join.py
@@ -17,6 +17,7 @@
     Got,
     Killed,
     Lagged,
+    Left,
     Listed,
     Ran,
     RecordsError,
@@ -90,6 +91,7 @@
         self.troubles: list[Trouble] = []
         self.counted: list[Counted] = []
         self.said: list[Said] = []
+        self.left: list[Left] = []
 
     def stood_at(self, edge: str, at: int, slack: int) -> Stood | None:
         """The stop of an edge's process that covers a moment, if one does; `slack` microseconds after it count too."""
@@ -126,6 +128,8 @@
                 passed.counted.append(record)
             case Said():
                 passed.said.append(record)
+            case Left():
+                passed.left.append(record)
     open_at: dict[tuple[str, int, int], HandOff] = {}
     for record in records:
         match record:
--- a/tansykeel/audit/records.py
+++ b/tansykeel/audit/records.py
@@ -163,6 +163,15 @@
     edge: str
 
 
+class Left(Record):
+    """A machine's agent: its gateway goes out by a leave, or is seen whole again. `boot`: how often it was started."""
+
+    edge: str
+    what: str  # out or whole
+    number: tuple[int, int]
+    boot: int
+
+
 class Counted(Record):
     """A gateway's own word for what it counts as its part of any whole, until a moment (0: for good, it is safe)."""
 
@@ -190,7 +199,7 @@
 
 
 AnyRecord = (Sent | Got | Gave | Lagged | Up | Arrived | Began | Ran | Told | Ended | Fell | Listed | Trouble | Stood
-             | Killed | Counted | Said)
+             | Killed | Counted | Said | Left)
 
 
 class Recorder:
--- a/tansykeel/audit/report.py
+++ b/tansykeel/audit/report.py
@@ -9,14 +9,16 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
+from tansykeel.accord.room import Place
 from tansykeel.audit.fleet import FLEET_RULES, FleetLaw, counted_mean, words_of
 from tansykeel.audit.join import Passed, TaskSeen, read_folder
+from tansykeel.audit.leave import LEAVE_RULES, LeaveLaw
 from tansykeel.audit.records import RecordsError
 from tansykeel.audit.rules import RULES, Break, Law, cold_margins
 from tansykeel.audit.service import count
 from tansykeel.settings.build import facts_of
 from tansykeel.settings.day import Day, peers_of, settings_of
-from tansykeel.settings.fleet import terms_of
+from tansykeel.settings.fleet import bounds_of, terms_of
 
 ANSWERS = ("delivered", "nacked", "broken_off")
 MOST_BREAKS = 50  # that a report names, of each rule
@@ -41,11 +43,13 @@
     hand_offs: int
     cold_most: float  # most that a cold store was sent in a window, as a part of what it bears
     least_service: float = 0.0
+    release: dict[str, Any] | None = None  # what the operator saw of it last
     counted_mean: float | None = None  # how much of a whole gateways that agree counted on, in the mean
 
     @property
     def kept(self) -> bool:
-        return not any(self.rules.values())
+        """No rule broken, and a release has become what it should."""
+        return not any(self.rules.values()) and (self.release is None or bool(self.release.get("as_wanted")))
 
     def to_json(self) -> str:
         return json.dumps(msgspec.to_builtins(self), indent=1)
@@ -83,6 +87,12 @@
     if (fleet := fleet_law(passed, day)) is not None:
         found += [fault for rule in FLEET_RULES.values() for fault in rule(passed, fleet)]
         rules, mean = rules + list(FLEET_RULES), round(counted_mean(passed, fleet), 4)
+    if day.accord is not None:
+        names = [day.gateway.named(n) for n in range(day.fleet.edges)]
+        places = {name: Place(name, "gateway", zone) for name, zone in zip(names, day.fleet.edge_zones(), strict=True)}
+        leave = LeaveLaw(places, bounds_of(day.accord))
+        found += [fault for one in LEAVE_RULES.values() for fault in one(passed, leave)]
+        rules += list(LEAVE_RULES)
     taken = [seen for seen in passed.tasks.values() if seen.sent.edge]
     answers = dict.fromkeys((*ANSWERS, "client_left", "edge_killed"), 0)
     for seen in taken:
@@ -135,4 +145,9 @@
     except OSError as error:
         raise RecordsError(f"{folder}: {error.strerror}: {error.filename}; legal: a folder that a rehearsal "
                          "left") from None
-    return judge(read_folder(folder), day, seed)
+    verdict = judge(read_folder(folder), day, seed)
+    told = folder / "release.json"
+    if day.release is not None and told.exists():
+        verdict.release = json.loads(told.read_text())
+        verdict.release["as_wanted"] = day.release.ends in ("", verdict.release.get("state", "not planned"))
+    return verdict
--- a/tansykeel/cli/show.py
+++ b/tansykeel/cli/show.py
@@ -47,6 +47,11 @@
     for part in (rules, answers, service, lags):
         console.print(part)
     console.print(f"most sent to a cold store: {verdict.cold_most:.2f} of what it bears")
+    if verdict.release is not None:
+        told = verdict.release
+        console.print(f"release: {told.get('state', 'not planned')} in wave {told.get('wave', 0)}, went: "
+                      f"{', '.join(told.get('went', [])) or 'nobody'}{'; ' + told['why'] if told.get('why') else ''}",
+                      highlight=False)
     if verdict.counted_mean is not None:
         console.print(f"gateways counted on {verdict.counted_mean:.3f} of any whole in the mean")
     for fault in verdict.breaks[:SHOWN]:
--- a/tansykeel/edge/ask.py
+++ b/tansykeel/edge/ask.py
@@ -4,9 +4,10 @@
 
 import asyncio
 
+from tansykeel.accord.words import Word, WordError, packed, unpacked
 from tansykeel.errors import NOT_PLAYED, Problem
 from tansykeel.protocol.codec import Codec, Event, Frame
-from tansykeel.protocol.frames import Error, FleetAsk, FleetTold, Hello
+from tansykeel.protocol.frames import Accord, AccordTold, Error, Fields, FleetAsk, FleetTold, Hello
 from tansykeel.transport.link import Hub, Limits, Link
 from tansykeel.transport.sockets import connect
 
@@ -21,15 +22,33 @@
 
 
 async def ask(address: str, seconds: float) -> FleetTold:
-    """Raises NotTold, also for an address that is none."""
+    """What a gateway believes of its fleet. Raises NotTold, also for an address that is none."""
+    told = await _told(address, FleetAsk(), seconds)
+    if not isinstance(told, FleetTold):
+        raise NotTold("it answered something else")
+    return told
+
+
+async def say(address: str, word: Word, seconds: float) -> Word:
+    """Say something of leave to a gateway; its answer. Raises NotTold, also for an address that is none."""
+    told = await _told(address, Accord(*packed(word)), seconds)
+    if not isinstance(told, AccordTold):
+        raise NotTold("it answered something else")
+    try:
+        return unpacked(told.what, told.word)
+    except WordError as error:
+        raise NotTold(str(error)) from None
+
+
+async def _told(address: str, record: Fields, seconds: float) -> Fields:
     hub = Hub(Limits(stall=seconds))
-    told: asyncio.Future[FleetTold] = asyncio.get_running_loop().create_future()
+    told: asyncio.Future[Fields] = asyncio.get_running_loop().create_future()
 
     def event(link: Link, event: Event) -> None:
         if isinstance(event, Frame) and not told.done():
             match event.record:
-                case FleetTold() as record:
-                    told.set_result(record)
+                case FleetTold() | AccordTold() as answer:
+                    told.set_result(answer)
                 case Error(text):
                     told.set_exception(NotTold(text))
 
@@ -39,7 +58,7 @@
     try:
         async with asyncio.timeout(seconds):
             link = Link(hub, await connect(address, seconds), Codec("edge"), HELLO, event, lost)
-            link.send(1, FleetAsk())
+            link.send(1, record)
             return await told
     except TimeoutError:
         raise NotTold(f"no answer within {seconds:g} s") from None
--- a/tansykeel/edge/fellows.py
+++ b/tansykeel/edge/fellows.py
@@ -10,6 +10,7 @@
 from tansykeel.edge.clock import EPOCH, Reminder, clock
 from tansykeel.edge.peers import Peers
 from tansykeel.fleet.keeper import Said
+from tansykeel.fleet.ledger import Machine
 from tansykeel.fleet.membership import Member, View
 from tansykeel.fleet.news import Seems
 from tansykeel.fleet.outbox import Urgency
@@ -27,10 +28,11 @@
     """`counted` hears of each change of what this gateway counts as its own."""
 
     def __init__(self, settings: PeersOf, names: list[str], me: int, hello: Hello, seed: int, peers: Peers, log: Any,
-                 wall_ms: Callable[[], int], counted: Counted | None = None) -> None:
+                 wall_ms: Callable[[], int], counted: Counted | None = None, machine: Machine | None = None) -> None:
         self.names, self.peers, self.log, self.wall_ms, self.counted = names, peers, log, wall_ms, counted
         self.numbers = {name: number for number, name in enumerate(names)}
-        self.keeper = keeper_of(settings, names, me, hello.boot, Random(f"{seed} {hello.boot}"), clock())
+        self.keeper = keeper_of(settings, names, me, hello.boot, Random(f"{seed} {hello.boot}"), clock(),
+                                machine)
         self.reminder = Reminder(self._tick)
         self.seems = dict.fromkeys(names, Seems.ALIVE)
         self.view: View | None = None
@@ -40,6 +42,10 @@
     def start(self) -> None:
         self._done(clock(), [])
 
+    def say(self, sent: list[tuple[str, Said]]) -> None:
+        """What the keeper wants said beside its own steps."""
+        self._done(clock(), sent)
+
     def leave(self) -> None:
         self._done(clock(), self.keeper.leave(clock()))
 
--- /dev/null
+++ b/tansykeel/edge/leave.py
@@ -0,0 +1,154 @@
+"""A running gateway's part in leave: its steward on the program's clock, agents and operators answered, its figures."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from tansykeel.accord.comparing import Seen
+from tansykeel.accord.entries import Recover, packed
+from tansykeel.accord.room import Place
+from tansykeel.accord.state import State
+from tansykeel.accord.steward import Ask, Steward
+from tansykeel.accord.words import Elsewhere, Figures, Offered, Status, StatusAsk, Taken, Wait, Word
+from tansykeel.edge.clock import clock
+from tansykeel.edge.core import Core
+from tansykeel.fleet.keeper import Keeper, Sent
+from tansykeel.fleet.news import Seems
+from tansykeel.interface import State as StoreState
+from tansykeel.settings.fleet import bounds_of, comparing_of, pace_of
+from tansykeel.settings.records import AccordOf
+
+LOOKS_EVERY = 0.2  # seconds
+STRETCH = 10_000  # tenths: figures are of as long
+KEPT = 3  # stretches whose figures are waited for
+Reply = Callable[[Word], None]
+
+
+class Leave:
+    """`tell(name, word)` to another gateway; `sent` takes what the keeper wants said."""
+
+    def __init__(self, settings: AccordOf, state: State, keeper: Keeper, core: Core, addresses: dict[str, str],
+                 served: dict[str, list[int]], tell: Callable[[str, Word], None], sent: Callable[[list[Sent]], None],
+                 log: Any) -> None:
+        self.state, self.keeper, self.core, self.addresses, self.served = state, keeper, core, addresses, served
+        self.tell, self.sent, self.log = tell, sent, log
+        self.steward = Steward(state, pace_of(settings), comparing_of(settings), len(core.facts.categories))
+        self.bounds = bounds_of(settings)
+        self.pending: dict[str, tuple[int, Reply]] = {}  # agents that wait for a majority, by name: since when
+        self.stretch = 0
+        self.before: dict[str, Seen] = {}
+        self.figures: dict[int, dict[str, dict[str, Seen]]] = {}  # by stretch, gateway, class
+        self.led = False
+
+    def look(self) -> None:
+        """To be called every LOOKS_EVERY."""
+        now, book = clock(), self.keeper.ledger
+        assert book is not None
+        if book.leads is not self.led:
+            self.led = book.leads
+            self.log.info("ledger", leads=self.led, view=self.keeper.agreement.number, entries=book.last)
+        self.steward.leads(now, book.leads)
+        if now // STRETCH != self.stretch:
+            self.stretch = now // STRETCH
+            self._figures()
+        if book.leads:
+            dead, alive = self._seen()
+            for entry in self.steward.wants(now, self._places(), self.bounds, dead, alive):
+                self.sent(self.keeper.offer(now, packed(entry))[1])
+        for name, (since, reply) in list(self.pending.items()):
+            self._answer(now, name, since, reply)
+
+    def heard(self, word: Word, reply: Reply) -> None:
+        """An agent, an operator or another gateway says something."""
+        now, book = clock(), self.keeper.ledger
+        assert book is not None
+        match word:
+            case Figures():
+                pass  # `told_by` takes them, which knows whose they are
+            case _ if not book.leads:
+                reply(Elsewhere(book.leader, self.addresses.get(book.leader, "")))
+            case Ask():
+                self.steward.asked(now, word)
+                self.pending[word.name] = now, reply
+                self._answer(now, word.name, now, reply)
+            case StatusAsk():
+                release = self.state.under_way()
+                steps = release.steps()[:1] if release else []
+                reply(Status(self.keeper.me.name, self.keeper.agreement.number, book.last, self.state.kept,
+                             tuple(self.state.against(steps[0])) if steps else ()))
+            case Offered(entry):
+                if isinstance(entry, Recover) and self.steward.recover(now, entry.out, entry.by) is None:
+                    return reply(Taken(False, "orders of before may still be obeyed; legal: a few seconds later"))
+                added, sent = self.keeper.offer(now, packed(entry))
+                self.sent(sent)
+                reply(Taken(added))
+
+    def told_by(self, gateway: str, word: Figures) -> None:
+        self.figures.setdefault(word.stretch, {})[gateway] = word.by_class
+
+    # Within
+
+    def _answer(self, now: int, name: str, since: int, reply: Reply) -> None:
+        book = self.keeper.ledger
+        assert book is not None
+        out = self.state.kept.out.get(name)
+        if (order := self.steward.answer(now, name, book.confirmed(now))) is not None:
+            reply(order)
+        elif out is not None and book.leads and now - since < self.steward.pace.patience:
+            return  # until a majority has confirmed that this gateway leads, or it is too late
+        else:
+            reply(Wait(tuple(self.state.against(name))))
+        self.pending.pop(name, None)
+
+    def _places(self) -> dict[str, Place]:
+        gateways = {name: Place(name, "gateway", place.zone) for name, place in self.keeper.places.items()}
+        stores = {str(store.handle): Place(str(store.handle), "store", store.zone, store.shard)
+                  for store in self.core.stores.values() if store.state is not StoreState.GONE}
+        return gateways | stores
+
+    def _seen(self) -> tuple[list[str], list[str]]:
+        """Who went unasked, and who of those that did is there and whole."""
+        now, cold = self.core.runner.now, self.core.facts.cold
+        others = self.keeper.liveness.others.values()
+        dead = [other.name for other in others if other.seems is Seems.DEAD]
+        alive = [other.name for other in others if other.seems is Seems.ALIVE and other.life]
+        for name, store in self.core.stores.items():
+            if store.state is not StoreState.READY:
+                dead.append(name)
+            elif not cold or not store.started or now - store.started >= cold.warm_after + cold.span:
+                alive.append(name)
+        return dead, [*alive, self.keeper.me.name]
+
+    def _figures(self) -> None:
+        """Tell whoever leads what was served in the last stretch; a leader compares those that are whole."""
+        counts = {name: Seen(*of) for name, of in self.served.items()}
+        last = {name: Seen(of.tasks - self.before.get(name, Seen(0, 0)).tasks,
+                           of.served - self.before.get(name, Seen(0, 0)).served) for name, of in counts.items()}
+        self.before = counts
+        book = self.keeper.ledger
+        assert book is not None
+        word = Figures(self.stretch - 1, {name: seen for name, seen in last.items() if seen.tasks})
+        if book.leads:
+            self.told_by(self.keeper.me.name, word)
+        elif book.leader:
+            self.tell(book.leader, word)
+        for stretch in [stretch for stretch in self.figures if stretch <= self.stretch - KEPT]:
+            told = self.figures.pop(stretch)
+            if book.leads:
+                self._compare(told)
+
+    def _compare(self, told: dict[str, dict[str, Seen]]) -> None:
+        release = self.state.under_way()
+        if release is None:
+            return
+        newer = {name for name in release.went if name not in release.returned}
+        sides: tuple[dict[tuple[str, int], Seen], dict[tuple[str, int], Seen]] = ({}, {})
+        for name, by_class in told.items():
+            if name in self.state.kept.out or name not in self.keeper.places:
+                continue
+            side, zone = sides[name not in newer], self.keeper.places[name].zone
+            for of, seen in by_class.items():
+                was = side.get((of, zone), Seen(0, 0))
+                side[of, zone] = Seen(was.tasks + seen.tasks, was.served + min(seen.served, seen.tasks))
+        self.steward.figures(clock(), *sides)
--- a/tansykeel/edge/program.py
+++ b/tansykeel/edge/program.py
@@ -10,20 +10,26 @@
 
 import structlog
 
+from tansykeel.accord.state import State
+from tansykeel.accord.words import Figures, WordError, packed, unpacked
+from tansykeel.accord.words import Word as AccordWord
 from tansykeel.brain import Scheduler
 from tansykeel.edge.clock import Reminder, clock
 from tansykeel.edge.core import Core
 from tansykeel.edge.fellows import Counted, Fellows
+from tansykeel.edge.leave import LOOKS_EVERY, Leave
 from tansykeel.edge.listing import Listing
 from tansykeel.edge.native import Native, answer_of, bounds_of, known_of
 from tansykeel.edge.peers import Peers
 from tansykeel.edge.stores import Stores
-from tansykeel.edge.tasks import Attempt, Decisions, Final, Held, StillHeld
+from tansykeel.edge.tasks import DELIVERED, Attempt, Decisions, Final, Held, StillHeld
 from tansykeel.edge.trace import Trace
 from tansykeel.fleet.outbox import Urgency
 from tansykeel.interface import Facts, Word
 from tansykeel.protocol.codec import Codec, Event, Piece
 from tansykeel.protocol.frames import (
+    Accord,
+    AccordTold,
     Cancel,
     Cut,
     FleetAsk,
@@ -63,15 +69,24 @@
         self.stopping = asyncio.Event()
         self.native = Native(settings, facts)
         self.peers: Peers | None = None
+        state: State | None = None
         self.fellows: Fellows | None = None
         if settings.peers:
             names = settings.names()
             self.peers = Peers(settings.peers, names, facts.me, self.hub, self.hello, self._word)
             if settings.peers.agree:
+                state = State() if settings.accord else None
                 self.fellows = Fellows(settings.peers, names, facts.me, self.hello, seed, self.peers, self.log,
-                                       lambda: time.time_ns() // 1_000_000, counted)
+                                       lambda: time.time_ns() // 1_000_000, counted, state)
         self.core = Core(facts, seed, self, clock(), bounds_of(self.gateway), self.native, known_of(settings), decide,
                          self.fellows.keeper.parts if self.fellows else None)
+        self.served: dict[str, list[int]] = {}  # by category: answered, and of those delivered in time
+        self.leave: Leave | None = None
+        if self.fellows and settings.accord and settings.peers and state:
+            self.leave = Leave(settings.accord, state, self.fellows.keeper, self.core,
+                               dict(zip(settings.names(), settings.peers.addresses, strict=True)), self.served,
+                               self._tell_gateway, lambda sent: self.fellows.say(sent) if self.fellows else None,
+                               self.log)
         self.stores = Stores(self.core, self.hub, self.gateway, self.hello, clock)
 
     async def serve(self, ready: Callable[[int], None] = lambda port: None) -> int:
@@ -84,6 +99,7 @@
         self.hub.start()
         accepting = loop.create_task(accept_all(listener, self._accept, self.stores.pressure))
         sweeping = loop.create_task(self._sweep())
+        looking = loop.create_task(self._look())
         if self.settings.listing:
             self.listing = Listing(self.core, self.hub, self.settings.listing, self.hello, clock)
             if self._asked or self.settings.listing.mode == "push":
@@ -113,6 +129,7 @@
             link.close()
         await self._wait_for(lambda: not self.clients, self.gateway.stop_within_s * 0.2)
         sweeping.cancel()
+        looking.cancel()
         if self.listing:
             self.listing.end()
         if self.fellows:
@@ -129,6 +146,7 @@
 
     def answer(self, held: Held, final: Final, body: list[bytes], sent: Callable[[], None]) -> None:
         link: Link = held.client
+        self._count(held, final)
         link.send(held.id, answer_of(final, body))
         if body:
             link.send_body(held.id, body, sent)
@@ -193,6 +211,8 @@
                 self._word(link, word)
             case Cut():
                 self.core.left(clock(), link, event.stream)
+            case Accord() as said:
+                self._accord(link, event.stream, said)
             case FleetAsk():
                 if self.fellows is None:
                     raise ProtocolError("FLEET_ASK: this gateway agrees with no others; legal: one whose settings have "
@@ -208,9 +228,37 @@
             case Watch():
                 if self.fellows and link.peer:
                     self.fellows.heard(link.peer, word)
+            case Accord():
+                self._accord(link, 0, word)
             case Goodbye():
                 link.close()  # it ends, and would not take what is said to it any more
 
+    def _count(self, held: Held, final: Final) -> None:
+        """For the comparison of versions: what a limit refuses tells of its volume, and of no version."""
+        if held.task.volume.plan.limit:
+            return
+        counts = self.served.setdefault(held.task.category.name, [0, 0])
+        lag, soft_limit = self.core.runner.now - held.task.arrived, held.task.category.soft_limit
+        counts[0] += 1
+        counts[1] += final.result == DELIVERED and lag <= soft_limit
+
+    def _accord(self, link: Link, stream: int, said: Accord) -> None:
+        if self.leave is None:
+            raise ProtocolError("ACCORD: this gateway gives no leave; legal: one whose settings have accord(...)")
+        try:
+            word = unpacked(said.what, said.word)
+        except WordError as error:
+            raise ProtocolError(f"ACCORD: {error}") from None
+        if isinstance(word, Figures):
+            if link.peer and link.peer.role != "client":
+                self.leave.told_by(link.peer.name, word)
+            return
+        self.leave.heard(word, lambda answer: None if link.lost else link.send(stream, AccordTold(*packed(answer))))
+
+    def _tell_gateway(self, name: str, word: AccordWord) -> None:
+        if self.peers and name in self.peers.by_name:
+            self.peers.by_name[name].tell(Urgency.HINT, Accord(*packed(word)))
+
     def _gone(self, link: Link, why: str) -> None:
         self.clients.discard(link)
         self.core.client_gone(clock(), link)
@@ -228,6 +276,11 @@
             await asyncio.sleep(SWEEP)
             self.stores.sweep(asyncio.get_running_loop().time())
 
+    async def _look(self) -> None:
+        while self.leave:
+            await asyncio.sleep(LOOKS_EVERY)
+            self.leave.look()
+
     async def _wait_for(self, done: Callable[[], bool], seconds: float) -> None:
         end = asyncio.get_running_loop().time() + seconds
         while not done() and asyncio.get_running_loop().time() < end:
--- a/tansykeel/protocol/frames.py
+++ b/tansykeel/protocol/frames.py
@@ -52,6 +52,8 @@
     WATCH = 16
     FLEET_ASK = 17
     FLEET_TOLD = 18
+    ACCORD = 19
+    ACCORD_TOLD = 20
 
 
 U64 = Annotated[int, Meta(ge=0, le=2**63 - 1)]
@@ -223,11 +225,26 @@
     others: tuple[Fellow, ...]
 
 
+class Accord(Fields):
+    """An agent, an operator or another gateway says something of leave: a word of `accord.words`."""
+
+    what: Name
+    word: Annotated[bytes, Meta(max_length=MOST_FIELDS - 1024)]
+
+
+class AccordTold(Fields):
+    """The answer to it, on the same stream."""
+
+    what: Name
+    word: Annotated[bytes, Meta(max_length=MOST_FIELDS - 1024)]
+
+
 RECORDS: dict[Kind, type[Fields]] = {
     Kind.HELLO: Hello, Kind.ERROR: Error, Kind.TASK: TaskOf, Kind.ANSWER: Answer, Kind.CANCEL: Cancel,
     Kind.HAND_OFF: HandOffOf, Kind.OUTCOME: OutcomeOf, Kind.PROBE: Probe, Kind.PROBED: Probed,
     Kind.LIST_ASK: ListAsk, Kind.LIST: ListOf, Kind.GOODBYE: Goodbye, Kind.CUT: Cut,
     Kind.SHARE: Share, Kind.WATCH: Watch, Kind.FLEET_ASK: FleetAsk, Kind.FLEET_TOLD: FleetTold,
+    Kind.ACCORD: Accord, Kind.ACCORD_TOLD: AccordTold,
 }
 KIND_OF = {record: kind for kind, record in RECORDS.items()}
 DECODERS = {kind: msgspec.msgpack.Decoder(record) for kind, record in RECORDS.items()}
--- a/tansykeel/rehearse/conductor.py
+++ b/tansykeel/rehearse/conductor.py
@@ -11,7 +11,6 @@
 import signal
 import sys
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -20,6 +19,8 @@
 from tansykeel.audit.records import Killed, Recorder, Stood, now_us
 from tansykeel.audit.records import Trouble as TroubleRecord
 from tansykeel.errors import NOT_PLAYED, Problem
+from tansykeel.rehearse.agents import Agent, Operator, guarded
+from tansykeel.rehearse.children import Child, StoreChild
 from tansykeel.rehearse.day import LOAD, VERBS
 from tansykeel.rehearse.load import CHANCE, stream
 from tansykeel.rehearse.troubles import Steps, steps_of
@@ -33,6 +34,8 @@
 LEAD = 1.0  # seconds between all being ready and the first task
 PROGRAM = (sys.executable, "-m", "tansykeel")
 EDGE = (*PROGRAM, "edge")
+# Versions of a rehearsed release, beside the one that the day begins with: one worse, one that ends as it starts.
+VERSIONS = {"at-once": (*EDGE, "--send-at-once"), "crashes": (sys.executable, "-c", "raise SystemExit(3)")}
 
 
 class RehearsalError(Problem):
@@ -58,32 +61,6 @@
     raise RehearsalError(f"no {count} free ports from {PORTS[0]} to {PORTS[1]}")
 
 
-@dataclass(eq=False)
-class Child:
-    """A process that this conductor started."""
-
-    name: str
-    process: asyncio.subprocess.Process
-    lines: asyncio.Queue[dict[str, Any]] = field(default_factory=asyncio.Queue)
-    reading: asyncio.Task[None] | None = None
-
-    def tell(self, **command: Any) -> None:
-        if self.process.returncode is None and self.process.stdin:
-            self.process.stdin.write(json.dumps(command).encode() + b"\n")
-
-
-@dataclass(eq=False)
-class StoreChild:
-    child: Child
-    name: str
-    index: int
-    zone: int
-    address: str = ""
-    boot: int = 0
-    started: float = 0.0  # loop time of a start that was cold
-    alive: bool = True
-
-
 class Conductor:
     """`edge` are the words that start a gateway, before its settings and options."""
 
@@ -102,6 +79,8 @@
         self.between: dict[str, int] = {}  # the relay's port for each pair, as from-to
         self.tasks: set[asyncio.Future[None]] = set()
         self.tasks_failed: list[BaseException] = []
+        self.versions: dict[int, str] = {}
+        self.operator: Operator | None = None
 
     async def play(self) -> None:
         """Play the day to its end. Raises RehearsalError; whatever happens, no process is left behind."""
@@ -117,6 +96,8 @@
                 task.cancel()
             await self._end_all()
             self.record.close()
+            if self.operator:
+                self.operator.leave(self.folder)
         if self.tasks_failed:
             raise RehearsalError(f"a trouble could not be caused: {self.tasks_failed[0]!r}")
 
@@ -193,13 +174,33 @@
         others = range(self.day.fleet.edges) if self.relay else ()
         return tuple(f"127.0.0.1:{self.ports[n] if n == index else self.between[f'{index}-{n}']}" for n in others)
 
+    def starts(self, index: int) -> int:
+        return sum(child.name == f"edge-{index}" for child in self.children)
+
+    def runs(self, index: int) -> bool:
+        return (edge := self.edges.get(index)) is not None and edge.process.returncode is None
+
+    async def start_version(self, index: int, version: str) -> None:
+        self.versions[index] = version or "old"
+        await self.start_edge(index)
+
+    def _release(self, start: float) -> None:
+        """Agents for all gateways' machines, and an operator who plans the release."""
+        assert self.day.release is not None
+        names = [self.day.gateway.named(n) for n in range(self.day.fleet.edges)]
+        self.operator = Operator(self.day.release, names, self.ports, start)
+        agents = [Agent(self, index, name, self.record, names).run for index, name in enumerate(names)]
+        for work in (self.operator.run, *agents):
+            self._go(guarded(work))
+
     async def _edge(self, index: int) -> Child:
         script = self.folder / f"edge-{index}.star"
         script.write_text(text_of(settings_of(self.day, f"127.0.0.1:{self.list_port}",
                                               f"127.0.0.1:{self.ports[index]}", self._peers(index))))
-        starts = sum(child.name == f"edge-{index}" for child in self.children)
+        starts = self.starts(index)
+        words = VERSIONS.get(self.versions.get(index, "old"), self.edge)
         record = ("--record", self._rec(f"edge-{index}-{starts}")) if self.day.fleet.agree else ()
-        child = await self._spawn(f"edge-{index}", *self.edge, script, "--number", index,
+        child = await self._spawn(f"edge-{index}", *words, script, "--number", index,
                                   "--count", self.day.fleet.edges, "--seed", self.seed * 1000 + index,
                                   "--leashed", *record)
         self.ports[index] = (await self._ready(child))["port"]
@@ -230,6 +231,8 @@
         for trouble in self.day.troubles:
             if VERBS[trouble.verb][0] is not LOAD:
                 loop.call_at(start + trouble.at, self._cause, trouble)
+        if self.day.release:
+            self._release(start)
         longest = max(c.cut_off_ms for c in self.day.categories) / 1000
         end = start + self.day.seconds + longest + END_WITHIN
         while any(client.process.returncode is None for client in self.clients):
--- a/tansykeel/rehearse/day.py
+++ b/tansykeel/rehearse/day.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from tansykeel.settings.build import Script, record_of
-from tansykeel.settings.day import Chaos, Clients, Day, Fleet, Load, Trouble, Volumes
+from tansykeel.settings.day import Chaos, Clients, Day, Fleet, Load, ReleaseOf, Trouble, Volumes
 from tansykeel.settings.records import Above, Gateway, Name, Part, Record, RulesOf, SizesOf
 from tansykeel.settings.script import FieldError, ScriptError, Verb, run
 from tansykeel.settings.shape import Shape
@@ -55,6 +55,7 @@
     "give_up": (LOAD, {"patience": 0.2}),
     "vanish": (LOAD, {"share": 0.1}),
 }
+VERSIONS, ENDS = ("old", "at-once", "crashes"), ("done", "given up", "")
 ALL = {"stores": (), "edges": ()}
 
 
@@ -70,10 +71,11 @@
 
     def verbs(self) -> dict[str, Verb]:
         base = self.base.verbs()
-        kept = {verb: base[verb] for verb in ("category", "sizes", "rules", "cold", "budget", "gateway")}
+        kept = {verb: base[verb] for verb in ("category", "sizes", "rules", "cold", "budget", "gateway", "accord")}
         return kept | {
             "day": self._day, "fleet": self._fleet, "clients": self._part("clients", Clients),
             "traffic": self._part("traffic", Load), "chaos": self._part("chaos", Chaos),
+            "release": self._part("release", ReleaseOf),
             "volumes": self._volumes, "param": self._param,
         } | {verb: self._trouble(verb) for verb in VERBS}
 
@@ -181,11 +183,22 @@
             clients=self.parts.get("clients", Clients()), load=load, categories=categories,
             volumes=tuple(self.volumes), sizes=self.base.single.get("sizes", SizesOf(largest=8.0, usual=1.8)),
             rules=self.base.single.get("rules", RulesOf()), troubles=tuple(sorted(self.troubles, key=lambda t: t.at)),
-            gateway=self.base.single.get("gateway", Gateway(name="edge")), chaos=self.parts.get("chaos"))
+            gateway=self.base.single.get("gateway", Gateway(name="edge")), chaos=self.parts.get("chaos"),
+            accord=self.base.single.get("accord"), release=self.parts.get("release"))
         if made.chaos and not (made.chaos.least <= made.chaos.most and made.chaos.after_s <= made.chaos.until_s
                                < head.seconds and fleet.agree):
             raise ScriptError(f"{where}: chaos: legal: least up to most, after_s up to until_s, which is under "
                               f"{head.seconds:g}, with fleet(agree = True)")
+        if (release := made.release) is not None:
+            numbers = [index for wave in release.waves for index in wave]
+            if made.accord is None or not fleet.agree:
+                raise ScriptError(f"{where}: release: gateways that give no leave; legal: with accord(...) and "
+                                  "fleet(agree = True)")
+            if not numbers or len(set(numbers)) < len(numbers) or max(numbers) >= fleet.edges or not all(release.waves):
+                raise ScriptError(f"{where}: release.waves: legal: each of 0 to {fleet.edges - 1} once at most, and no "
+                                  "wave empty")
+            if release.version not in VERSIONS or release.ends not in ENDS:
+                raise ScriptError(f"{where}: release: legal: version {', '.join(VERSIONS)}, ends {', '.join(ENDS)}")
         if not categories:
             raise ScriptError(f"{where}: category: none; legal: one category(name, ...) or more")
         return made
--- a/tansykeel/settings/build.py
+++ b/tansykeel/settings/build.py
@@ -13,6 +13,7 @@
 from tansykeel.settings import facts as make
 from tansykeel.settings import script
 from tansykeel.settings.records import (
+    AccordOf,
     BudgetOf,
     CategoryOf,
     ColdOf,
@@ -73,7 +74,7 @@
         return {
             "gateway": self._one("gateway", Gateway), "listing": self._one("listing", ListOf),
             "sizes": self._one("sizes", SizesOf), "rules": self._one("rules", RulesOf),
-            "peers": self._one("peers", PeersOf),
+            "peers": self._one("peers", PeersOf), "accord": self._one("accord", AccordOf),
             "category": self._named("category", CategoryOf), "plan": self._named("plan", PlanOf),
             "volume": self._named("volume", VolumeOf), "store": self._named("store", StoreOf),
             "cold": _plain("cold", ColdOf), "budget": _plain("budget", BudgetOf),
@@ -152,6 +153,8 @@
     for field, given in (("zones", made.peers.zones), ("weights", made.peers.weights)) if made.peers else ():
         if given and made.peers and len(given) != len(made.peers.addresses):
             yield f"peers.{field}: {len(given)} for {len(made.peers.addresses)} addresses; legal: one for each, or none"
+    if made.accord and not (made.peers and made.peers.agree):
+        yield "accord: gateways that agree on no views can give no leave; legal: with peers(agree = True)"
     if made.sizes.usual > made.sizes.largest:
         yield f"sizes.usual: {made.sizes.usual:g} is not legal; legal: {made.sizes.largest:g} (largest) or less"
     if made.gateway.largest_body > made.gateway.connection_memory:
@@ -221,7 +224,7 @@
 
     single: list[tuple[str, Record | None]] = [("gateway", made.gateway), ("sizes", made.sizes),
                                                ("rules", made.rules), ("listing", made.listing),
-                                               ("peers", made.peers)]
+                                               ("peers", made.peers), ("accord", made.accord)]
     groups: list[tuple[str, tuple[Record, ...]]] = [
         ("category", made.categories), ("plan", made.plans), ("volume", made.volumes), ("store", made.stores)]
     lines = [call(verb, record) for verb, record in single if record is not None]
--- a/tansykeel/settings/day.py
+++ b/tansykeel/settings/day.py
@@ -13,6 +13,7 @@
 
 from tansykeel.settings.records import (
     Above,
+    AccordOf,
     CategoryOf,
     ColdOf,
     Count,
@@ -130,6 +131,16 @@
     until_s: Above = 10.0
 
 
+class ReleaseOf(Record):
+    """A release of gateways that an operator plans at a time: waves of their numbers, the first the canary. `version`:
+    old (nothing changes), at-once (sends all at once) or crashes (ends as it starts). `ends`: what becomes of it."""
+
+    at: Least0
+    waves: tuple[tuple[Index, ...], ...]
+    version: str = "old"
+    ends: str = "done"
+
+
 class Day(Record):
     name: Name
     says: str
@@ -145,6 +156,8 @@
     gateway: Gateway
     least_service: Part = 0.0  # good looks like this service, or better
     chaos: Chaos | None = None
+    accord: AccordOf | None = None
+    release: ReleaseOf | None = None
 
     def capacity(self) -> float:
         """Units a second that all stores can do."""
@@ -201,6 +214,6 @@
     return Settings(
         gateway=msgspec.structs.replace(day.gateway, listen=listen), categories=day.categories, plans=tuple(plans),
         volumes=tuple(volumes), sizes=day.sizes, rules=rules,
-        peers=peers_of(day, addresses),
+        peers=peers_of(day, addresses), accord=day.accord,
         listing=ListOf(address=list_address, mode=fleet.list_mode,  # type: ignore[arg-type]
                        drain_grace_ms=fleet.drain_grace_ms))
--- a/tansykeel/settings/records.py
+++ b/tansykeel/settings/records.py
@@ -107,6 +107,24 @@
     drift: Annotated[float, Meta(ge=0, le=0.2)] = 0.01
 
 
+class AccordOf(Record):
+    """How many gateways and stores may be out at once, as parts of all of a kind, and how releases are watched; with
+    `peers(agree = True)` only. `harm`: what a new version may not take of a category unseen."""
+
+    share: Part = 0.2
+    zone: Part = 0.34
+    shard: Part = 0.5
+    volume: Part = 0.5
+    spare: Part = 0.1
+    alone: bool = False  # whether a store that alone holds a shard may go
+    patience_ms: Above = 1_000.0  # for which an answer to an agent counts
+    back_s: Above = 60.0  # in which one that is out has to be back and whole
+    settles_s: Above = 10.0  # that each wave is watched at least
+    allowed: Part = 0.03
+    harm: Part = 0.1
+    alpha: Annotated[float, Meta(gt=0, le=0.5)] = 0.002  # chance that a comparison halts for nothing
+
+
 class SizesOf(Record):
     largest: Above = 16.0
     usual: Above = 2.0
@@ -147,6 +165,7 @@
     stores: tuple[StoreOf, ...] = ()
     listing: ListOf | None = None
     peers: PeersOf | None = None
+    accord: AccordOf | None = None
     sizes: SizesOf = field(default_factory=SizesOf)
     rules: RulesOf = field(default_factory=RulesOf)
 
