--- a/tansykeel/cli/fleet.py
+++ b/tansykeel/cli/fleet.py
@@ -56,6 +56,33 @@
         raise typer.Exit(BROKEN)
 
 
+@app.command()
+def without(
+    address: Annotated[str, typer.Argument(help="a gateway that has no view", metavar="HOST:PORT")],
+    names: Annotated[list[str], typer.Argument(help="under which no process runs")],
+    yes: Annotated[bool, typer.Option(help="do it; without it only say what is meant")] = False,
+) -> None:
+    """Let a fleet form a view though some names of its settings never come.
+
+    Wrong where such a gateway runs and is only cut off: then parts can make up more than the whole.
+    """
+    import asyncio
+
+    from tansykeel.edge.ask import NotTold, ask, go_without
+
+    try:
+        told = asyncio.run(ask(address, 5.0))
+        typer.echo(f"taken for granted: no process runs under {', '.join(names)}; "
+                   f"{told.name} forms a view of all other names once each of them is there")
+        if not yes:
+            typer.echo("nothing done: say it with --yes")
+            return
+        asyncio.run(go_without(address, tuple(names), 5.0))
+    except NotTold as error:
+        fail(error, address)
+    typer.echo(f"{told.name} was told")
+
+
 @app.command()
 def watch(
     gateways: Annotated[int, typer.Option(help="2 to 2,000")] = 50,
--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -15,6 +15,7 @@
 
 import typer
 
+from tansykeel.cli.accord import app as accord
 from tansykeel.cli.emulate import app as emulate
 from tansykeel.cli.fleet import app as fleet
 from tansykeel.cli.words import BROKEN, fail, params_of
@@ -24,6 +25,7 @@
                   help="A storage gateway that keeps volumes to their reservations, shares and limits.")
 app.add_typer(emulate, name="emulate")
 app.add_typer(fleet, name="fleet")
+app.add_typer(accord, name="accord")
 SettingsFile = Annotated[Path, typer.Argument(help="a settings script", metavar="SETTINGS")]
 
 
--- a/tansykeel/cli/show.py
+++ b/tansykeel/cli/show.py
@@ -7,6 +7,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from tansykeel.accord.words import Status
 from tansykeel.audit.report import Verdict
 from tansykeel.protocol.frames import FleetTold
 from tansykeel.rehearse.day import load_day
@@ -79,3 +80,25 @@
         rows.add_row(other.name, str(other.zone), member, other.seems, f"{other.since / 1e6:.1f}",
                      ", ".join(other.suspected_by), other.link, str(other.waiting), str(other.dropped))
     console.print(rows)
+
+
+def leave(told: Status) -> None:
+    """Who is out, and the releases, as whoever leads holds it true."""
+    console, kept = Console(), told.state
+    if not kept.known:
+        console.print("[red]what is out is not known[/red]: accord recover; below is what was last", highlight=False)
+    console.print(f"[bold]{told.leader}[/bold] leads, view {told.view}, {told.entries} entries, "
+                  f"{len(kept.places)} known", highlight=False)
+    rows = Table("out", "why", "by", "release", "leave", box=None)
+    for name, out in sorted(kept.out.items()):
+        rows.add_row(name, out.why, out.by or "nobody: it went unasked", out.release, str(out.number))
+    console.print(rows if kept.out else "nobody is out")
+    for release in kept.releases.values():
+        console.print(f"release {release.name} ({release.before} to {release.version}): {release.state}, wave "
+                      f"{release.wave + 1} of {len(release.waves)}, {len(release.went)} went"
+                      + (f", {len(release.returned)} back" if release.returned else "")
+                      + (f"; {release.why}" if release.why else ""), highlight=False)
+    for why in told.against:
+        console.print(f"the next step waits: {why}", highlight=False)
+    for refused in kept.refused[-SHOWN:]:
+        console.print(f"refused ({refused.number}): {refused.what}: {'; '.join(refused.why)}", highlight=False)
--- a/tansykeel/edge/ask.py
+++ b/tansykeel/edge/ask.py
@@ -7,7 +7,7 @@
 from tansykeel.accord.words import Word, WordError, packed, unpacked
 from tansykeel.errors import NOT_PLAYED, Problem
 from tansykeel.protocol.codec import Codec, Event, Frame
-from tansykeel.protocol.frames import Accord, AccordTold, Error, Fields, FleetAsk, FleetTold, Hello
+from tansykeel.protocol.frames import Accord, AccordTold, Error, Fields, FleetAsk, FleetTold, FleetWithout, Hello
 from tansykeel.transport.link import Hub, Limits, Link
 from tansykeel.transport.sockets import connect
 
@@ -29,6 +29,14 @@
     return told
 
 
+async def go_without(address: str, names: tuple[str, ...], seconds: float) -> FleetTold:
+    """Tell a gateway that no process runs under these names. Raises NotTold, also where it is not taken."""
+    told = await _told(address, FleetWithout(names), seconds)
+    if not isinstance(told, FleetTold):
+        raise NotTold("it answered something else")
+    return told
+
+
 async def say(address: str, word: Word, seconds: float) -> Word:
     """Say something of leave to a gateway; its answer. Raises NotTold, also for an address that is none."""
     told = await _told(address, Accord(*packed(word)), seconds)
--- a/tansykeel/edge/program.py
+++ b/tansykeel/edge/program.py
@@ -24,6 +24,7 @@
 from tansykeel.edge.stores import Stores
 from tansykeel.edge.tasks import DELIVERED, Attempt, Decisions, Final, Held, StillHeld
 from tansykeel.edge.trace import Trace
+from tansykeel.fleet.keeper import NotGone
 from tansykeel.fleet.outbox import Urgency
 from tansykeel.interface import Facts, Word
 from tansykeel.protocol.codec import Codec, Event, Piece
@@ -33,6 +34,7 @@
     Cancel,
     Cut,
     FleetAsk,
+    FleetWithout,
     Goodbye,
     Hello,
     ProtocolError,
@@ -213,10 +215,16 @@
                 self.core.left(clock(), link, event.stream)
             case Accord() as said:
                 self._accord(link, event.stream, said)
-            case FleetAsk():
+            case FleetAsk() | FleetWithout() as told:
                 if self.fellows is None:
                     raise ProtocolError("FLEET_ASK: this gateway agrees with no others; legal: one whose settings have "
                                         "peers(agree = True)")
+                if isinstance(told, FleetWithout):
+                    try:
+                        self.fellows.keeper.go_without(told.names)
+                    except NotGone as error:
+                        raise ProtocolError(f"FLEET_WITHOUT: {error}; {error.do}") from None
+                    self.log.info("goes without", names=list(told.names))
                 link.send(event.stream, self.fellows.told_of())
 
     def _word(self, link: Link, word: Any) -> None:
--- a/tansykeel/protocol/codec.py
+++ b/tansykeel/protocol/codec.py
@@ -41,7 +41,7 @@
 
 ALWAYS: frozenset[int] = frozenset({Kind.ERROR, Kind.GOODBYE, Kind.CUT, Kind.CHUNK})
 SAYS: dict[str, frozenset[int]] = {  # what each role may say after its hello
-    "client": ALWAYS | {Kind.TASK, Kind.CANCEL, Kind.FLEET_ASK, Kind.ACCORD},
+    "client": ALWAYS | {Kind.TASK, Kind.CANCEL, Kind.FLEET_ASK, Kind.FLEET_WITHOUT, Kind.ACCORD},
     "edge": ALWAYS | {Kind.ANSWER, Kind.HAND_OFF, Kind.CANCEL, Kind.PROBE, Kind.LIST_ASK, Kind.SHARE, Kind.WATCH,
                       Kind.FLEET_TOLD, Kind.ACCORD, Kind.ACCORD_TOLD},  # also what a peer says: see `Peers`
     "store": ALWAYS | {Kind.OUTCOME, Kind.PROBED},
--- a/tansykeel/protocol/frames.py
+++ b/tansykeel/protocol/frames.py
@@ -54,6 +54,7 @@
     FLEET_TOLD = 18
     ACCORD = 19
     ACCORD_TOLD = 20
+    FLEET_WITHOUT = 21
 
 
 U64 = Annotated[int, Meta(ge=0, le=2**63 - 1)]
@@ -196,6 +197,12 @@
     """A client asks a gateway what it believes of its fleet."""
 
 
+class FleetWithout(Fields):
+    """An operator's word that no process runs under these names: a view may be formed without them."""
+
+    names: Annotated[tuple[Name, ...], Meta(min_length=1, max_length=1_000)]
+
+
 class Fellow(Fields):
     """Another gateway, as the one that was asked sees it."""
 
@@ -244,7 +251,7 @@
     Kind.HAND_OFF: HandOffOf, Kind.OUTCOME: OutcomeOf, Kind.PROBE: Probe, Kind.PROBED: Probed,
     Kind.LIST_ASK: ListAsk, Kind.LIST: ListOf, Kind.GOODBYE: Goodbye, Kind.CUT: Cut,
     Kind.SHARE: Share, Kind.WATCH: Watch, Kind.FLEET_ASK: FleetAsk, Kind.FLEET_TOLD: FleetTold,
-    Kind.ACCORD: Accord, Kind.ACCORD_TOLD: AccordTold,
+    Kind.FLEET_WITHOUT: FleetWithout, Kind.ACCORD: Accord, Kind.ACCORD_TOLD: AccordTold,
 }
 KIND_OF = {record: kind for kind, record in RECORDS.items()}
 DECODERS = {kind: msgspec.msgpack.Decoder(record) for kind, record in RECORDS.items()}
