--- a/tansykeel/brain/cold.py
+++ b/tansykeel/brain/cold.py
@@ -3,12 +3,11 @@
 from tansykeel.interface import ColdRule, Store
 
 SECOND, ROUND, LONG = 10_000, 100, 1_000  # a round every 10 ms (design), put off at cold nodes for so long
-EVEN, TOLD = 0.2, 6 * SECOND  # part of what a cold node bears that is dealt evenly; by when a start is told
+EVEN, BY_ASKED, TOLD = 0.2, 1.2, 6 * SECOND  # parts dealt evenly, by what is asked; when a start is told by
 
 
 class Young:
-    """Keeps what all send to a store that has just started within what it surely bears: some of that evenly,
-    and the part of what is asked of it that it bears, for it starts with a known share of its power."""
+    """Keeps what all send to a store that has just started within what it bears by its share of power."""
 
     def __init__(self, rule: ColdRule, gateways: int, me: int, largest: float) -> None:
         self.rule, self.largest = rule, largest
--- a/tansykeel/brain/nodes.py
+++ b/tansykeel/brain/nodes.py
@@ -8,7 +8,7 @@
 
 from tansykeel.interface import Desk, How, Outcome, Signal, State, Store, Task, Volume
 
-from .cold import EVEN, ROUND, SECOND, Young
+from .cold import BY_ASKED, ROUND, SECOND, Young
 from .rates import AIM_PART, FRESH, Measured, Waits
 
 RESET, FLOOR = SECOND, 0.1  # when the bucket is emptied; part of the rate that slices always share (design)
@@ -16,9 +16,8 @@
 READ_COST, WRITE_COST, MOST_OUT = 1.0, 1.5, 24  # tokens for a unit; hand-offs out at a node (design: 32)
 RISE = 2_000  # the rate about doubles in this time while tasks are held and the lag is far under its target
 FALL, DEEPEST = 0.2, 0.9  # part that it loses with the lag at twice its target, and at most in one fall
-FORGET = 600 * SECOND  # lines that nothing was sent for are let go after this
-PATIENCE, LOSING = 4, 10 * SECOND  # times the lag after which an answer can be lost; while one tells of more
-PAUSE = 2_000  # rest of a node that cannot be reached, grows with every failure in a row
+FORGET, QUICK = 600 * SECOND, 2  # lines sent nothing are let go; times a unit's time that tell no cold store
+PATIENCE, LOSING, PAUSE = 4, 10 * SECOND, 2_000  # lags until one can be lost, while it tells of more; a rest
 
 
 class Line:
@@ -86,7 +85,7 @@
             line.asked_at, line.sized, counts = self.desk.now, max(sized - units, 0.0), min(units, sized)
             # With no queue there all send it less than its power, which is that much under what it bears.
             clear = bool(self.lags) and self.lags[-1][0] >= self.desk.now - FRESH and self.gap() > 0
-            earned = (1 - EVEN) * part * counts * (self.young.rule.multiple if clear else 1)
+            earned = BY_ASKED * part * counts * (self.young.rule.multiple if clear else 1)
             self.young.credit = min(self.young.credit + earned, self.young.largest)
 
     def hold(self, line: Line, task: Task) -> None:
@@ -221,8 +220,7 @@
 
     def grant(self, line: Line, cost: float) -> None:
         task = line.held.popleft()
-        self.changes += 1
-        self.held, self.held_tokens = self.held - 1, self.held_tokens - cost
+        self.held, self.held_tokens, self.changes = self.held - 1, self.held_tokens - cost, self.changes + 1
         self.out, self.tokens_out, self.sent[task] = self.out + 1, self.tokens_out + cost, self.desk.now
         self.grants.append((self.desk.now, cost))
         if self.young:
@@ -254,6 +252,9 @@
             self.ends.append(outcome.how is How.DELIVERED)
         if outcome.how is How.DELIVERED or outcome.how is How.TIMED_OUT and now >= self.waits.lost:
             self.proof, self.troubles = max(self.proof, sent if outcome.how is How.DELIVERED else 0), 0
+            # A cold store takes several times as long: who answers as quickly as before was only cut off.
+            if self.young and sent > self.young.suspected and outcome.lag < QUICK * self.unit * task.units:
+                self.young.suspected = 0
             self.sample(outcome.lag, task.units)
             self.waits.put(self.store, now, self.queueing())
             if (gap := self.gap()) < 0:
