A store that left for good takes room until another one that is whole holds its shard

Seen by reading: a drained store counts as out, and one that was replaced under another id never comes back under its own, so its room was gone for ever. What drains and what is gone says so in the status.

--- a/tansykeel/accord/comparing.py
+++ b/tansykeel/accord/comparing.py
@@ -54,7 +54,7 @@
             self.evidence += _gain(new, old, of_new, of_old)
         worse = max(of_old - terms.harm, LEAST)
         between = (new.tasks * worse + old.tasks * of_old) / (new.tasks + old.tasks)
-        self.wanted += new.tasks * _apart(worse, between) + old.tasks * _apart(of_old, between)
+        self.wanted += new.tasks * apart(worse, between) + old.tasks * apart(of_old, between)
         self.last.append((new, old))
 
 
@@ -71,7 +71,7 @@
                for seen, rate in ((new, of_new), (old, of_old)))
 
 
-def _apart(one: float, other: float) -> float:
+def apart(one: float, other: float) -> float:
     """What a task tells of the one rate against the other, in the mean (Kullback and Leibler)."""
     return one * log(one / other) + (1 - one) * log((1 - one) / (1 - other))
 
--- a/tansykeel/accord/state.py
+++ b/tansykeel/accord/state.py
@@ -105,6 +105,13 @@
         place = kept.places[name]
         return hindrances(place, kept.places, kept.out, kept.bounds, kept.asked.get(place.kind, 0.0))
 
+    def replaced(self, name: str) -> bool:
+        """Whether another store that is there holds the shard of this one."""
+        place = self.kept.places.get(name)
+        return place is not None and place.kind == "store" and any(
+            other.shard == place.shard and other.name != name and other.kind == "store"
+            and other.name not in self.kept.out for other in self.kept.places.values())
+
     def turns_back(self, name: str, release: Release) -> bool:
         """Whether it is out for this release, which goes back: it need not be whole with the new version first."""
         out = self.kept.out.get(name)
@@ -124,9 +131,10 @@
                 kept.places |= {place.name: place for place in places}
                 for name in gone:
                     # Guards against room that opens because one that is out left the list for good: it stays out until
-                    # it is seen back, or until an operator says that it never comes.
-                    if name not in kept.out:
+                    # it is seen back, or another store holds its shard, or an operator says that it never comes.
+                    if name not in kept.out or self.replaced(name):
                         kept.places.pop(name, None)
+                        kept.out.pop(name, None)
             case Bounded(bounds):
                 kept.bounds = bounds
             case Asked(of_stores, of_gateways):
--- a/tansykeel/accord/steward.py
+++ b/tansykeel/accord/steward.py
@@ -94,19 +94,20 @@
             self.led = now
             self.since, self.comparison = {}, None
 
-    def wants(self, now: int, places: Mapping[str, Place], bounds: Bounds, dead: Iterable[str],
+    def wants(self, now: int, places: Mapping[str, Place], bounds: Bounds, gone: Mapping[str, str],
               alive: Iterable[str]) -> list[AnyEntry]:
-        """The entries to offer now. `places`: who there is by settings and list; `dead`: who went unasked, by what
-        liveness or the list says; `alive`: of those that went so, who is there and whole."""
+        """The entries to offer now. `places`: who there is by settings and list; `gone`: who went unasked and how, by
+        what liveness or the list says; `alive`: of those that went so, who is there and whole."""
         kept = self.state.kept
         if self.led < 0:
             return []
-        settled = self._settled(places, bounds)
+        settled = self._settled(places, bounds, alive)
         if settled or not kept.known:
             return settled
         for out in kept.out.values():
             self.since.setdefault(out.number, now)
-        wanted: list[AnyEntry] = [Went(name, "died") for name in dead if name in kept.places and name not in kept.out]
+        wanted: list[AnyEntry] = [Went(name, why) for name, why in gone.items()
+                                 if name in kept.places and name not in kept.out]
         wanted += self._backs(alive)
         wanted += self._by_hand()
         if (release := self.state.under_way()) is not None:
@@ -130,12 +131,14 @@
 
     # Within
 
-    def _settled(self, places: Mapping[str, Place], bounds: Bounds) -> list[AnyEntry]:
+    def _settled(self, places: Mapping[str, Place], bounds: Bounds, alive: Iterable[str]) -> list[AnyEntry]:
         kept, wanted = self.state.kept, list[AnyEntry]()
         if kept.bounds != bounds:
             wanted.append(Bounded(bounds))
         came = tuple(place for place in places.values() if kept.places.get(place.name) != place)[:MOST_PLACES]
-        gone = tuple(name for name in kept.places if name not in places and name not in kept.out)[:MOST_PLACES]
+        whole = {kept.places[name].shard for name in alive if name in kept.places}
+        gone = tuple(name for name, place in kept.places.items() if name not in places and (
+            name not in kept.out or place.shard in whole and self.state.replaced(name)))[:MOST_PLACES]
         if came or gone:
             wanted.append(There(came, gone))
         return wanted
--- a/tansykeel/edge/leave.py
+++ b/tansykeel/edge/leave.py
@@ -53,8 +53,8 @@
             self.stretch = now // STRETCH
             self._figures()
         if book.leads:
-            dead, alive = self._seen()
-            for entry in self.steward.wants(now, self._places(), self.bounds, dead, alive):
+            gone, alive = self._seen()
+            for entry in self.steward.wants(now, self._places(), self.bounds, gone, alive):
                 self.sent(self.keeper.offer(now, packed(entry))[1])
         for name, (since, reply) in list(self.pending.items()):
             self._answer(now, name, since, reply)
@@ -107,18 +107,18 @@
                   for store in self.core.stores.values() if store.state is not StoreState.GONE}
         return gateways | stores
 
-    def _seen(self) -> tuple[list[str], list[str]]:
-        """Who went unasked, and who of those that did is there and whole."""
+    def _seen(self) -> tuple[dict[str, str], list[str]]:
+        """Who went unasked and how, and who of those that did is there and whole."""
         now, cold = self.core.runner.now, self.core.facts.cold
         others = self.keeper.liveness.others.values()
-        dead = [other.name for other in others if other.seems is Seems.DEAD]
+        gone = {other.name: "died" for other in others if other.seems is Seems.DEAD}
         alive = [other.name for other in others if other.seems is Seems.ALIVE and other.life]
         for name, store in self.core.stores.items():
             if store.state is not StoreState.READY:
-                dead.append(name)
+                gone[name] = "drains" if store.state is StoreState.DRAINING else "is gone"
             elif not cold or not store.started or now - store.started >= cold.warm_after + cold.span:
                 alive.append(name)
-        return dead, [*alive, self.keeper.me.name]
+        return gone, [*alive, self.keeper.me.name]
 
     def _figures(self) -> None:
         """Tell whoever leads what was served in the last stretch; a leader compares those that are whole."""
--- a/tansykeel/emulator/leaving.py
+++ b/tansykeel/emulator/leaving.py
@@ -4,10 +4,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from math import ceil
+from math import ceil, log
 from random import Random
 
-from tansykeel.accord.comparing import Seen, Terms
+from tansykeel.accord.comparing import SURE, Seen, Terms, apart
 from tansykeel.accord.entries import Move, packed
 from tansykeel.accord.releases import DONE, GIVEN_UP, HALTED
 from tansykeel.accord.room import Bounds, Place, hindrances, most
@@ -25,6 +25,7 @@
 TENTH = 100  # microseconds
 ASKS_EVERY, LOOKS_EVERY = 300_000, 200_000  # microseconds between an agent's questions, and a leader's looks
 CLASSES = ("read", "write")
+RATE = 0.9  # part of the tasks that is served by a version that is well
 KNOWN_AFTER = 20.0  # seconds after which a death unasked must have been counted
 MOST_EVENTS = 20_000_000
 
@@ -122,8 +123,8 @@
                       tuple(self.broken), self.most_out, best.ledger.last)
 
     def shortest(self) -> float:
-        """Seconds that the release takes at least by its bounds: steps as wide as they allow, each until it is whole,
-        and what each wave is compared for."""
+        """Seconds that the release takes at least: steps as wide as its bounds allow, each until it is whole, what each
+        wave is watched for, and for the canary until a harm would have been found."""
         trial, steps = self.trial, 0
         for wave in self.waves():
             first = self.places[wave[0]]
@@ -132,7 +133,18 @@
             wide = min(most(trial.bounds.share, len(alike)), most(trial.bounds.zone, len(near)))
             steps += ceil(len(wave) / wide)
         step = trial.restart_s + (trial.warm_s if trial.release == "stores" else self.joins_s())
-        return steps * step + trial.settles_s * len(self.waves())
+        watched = trial.settles_s * (len(self.waves()) - 1) + max(trial.settles_s, self.finds_s())
+        return steps * step + watched
+
+    def finds_s(self) -> float:
+        """Until one canary among the old ones of its zone brings the evidence that is asked for, tasks being served as
+        they are here."""
+        if self.trial.release == "stores":
+            return 0.0
+        terms, old = Terms(), self.trial.gateways / self.trial.zones - 1
+        new, rate = self.trial.tasks_s / len(CLASSES), RATE - terms.harm
+        between = (rate + old * RATE) / (1 + old)
+        return SURE * log(len(CLASSES) / terms.alpha) / (new * (apart(rate, between) + old * apart(RATE, between)))
 
     def joins_s(self) -> float:
         """Until a gateway that started holds its lease: steady for two pings, a view, and one lease."""
@@ -207,13 +219,13 @@
         assert keeper.ledger is not None
         steward.leads(self.now(), keeper.ledger.leads)
         others = keeper.liveness.others
-        dead = [other.name for other in others.values() if other.seems is Seems.DEAD]
+        gone = {other.name: "died" for other in others.values() if other.seems is Seems.DEAD}
         alive = [other.name for other in others.values() if other.seems is Seems.ALIVE and other.life] + [name]
         stores = [one for one, at in self.machines.items() if at.place.kind == "store"]
-        dead += [one for one in stores if not self.machines[one].up and self.machines[one].dead_since >= 0
-                 and self.engine.now - self.machines[one].dead_since > 10**6]
+        gone |= {one: "died" for one in stores if not self.machines[one].up and self.machines[one].dead_since >= 0
+                 and self.engine.now - self.machines[one].dead_since > 10**6}
         alive += [one for one in stores if self._whole(one)]
-        for entry in steward.wants(self.now(), self.places, self.trial.bounds, dead, alive):
+        for entry in steward.wants(self.now(), self.places, self.trial.bounds, gone, alive):
             self._offer(name, packed(entry))
         kept = steward.state.kept
         if steward.led >= 0 and not kept.known:
@@ -380,7 +392,7 @@
                 continue
             for at, of in enumerate(CLASSES):
                 tasks = int(self.trial.tasks_s / len(CLASSES))
-                part = 0.9 - (self.trial.bad if machine.version == "new" and at == 0 else 0.0)
+                part = RATE - (self.trial.bad if machine.version == "new" and at == 0 else 0.0)
                 served = sum(self.service.random() < part for _ in range(tasks))
                 seen = (new if machine.version == "new" else old).setdefault((of, machine.place.zone), [0, 0])
                 seen[0] += tasks
--- a/tests/accord/test_state.py
+++ b/tests/accord/test_state.py
@@ -58,6 +58,15 @@
     assert set(made.kept.out) == {"g4", "g3"}
 
 
+def test_a_store_that_left_for_good_is_out_until_another_holds_its_shard():
+    made = state(Went("s0", "drains"), There((), ("s0",)))
+    assert "s0" not in made.kept.out  # s1 holds the shard too
+    made = state(Went("s0", "drains"), Went("s1", "died"), There((), ("s0",)), share=0.5)
+    assert "s0" in made.kept.out
+    made.take(9, There((Place("s9", "store", 0, 0),), ("s0",)))
+    assert "s0" not in made.kept.out and "s0" not in made.kept.places
+
+
 def test_a_life_that_was_given_leave_is_not_back_itself():
     made = state(leave("g2"))
     number = made.kept.out["g2"].number
