--- a/tansykeel/cli/accord.py
+++ b/tansykeel/cli/accord.py
@@ -17,8 +17,9 @@
 HOPS = 4  # gateways asked until one leads
 
 
-def told(address: str, word: Any) -> Any:
-    """What whoever leads answers, asked through any gateway. Raises Exit."""
+def told(address: str, word: Any, led: bool = True) -> Any:
+    """What whoever leads answers, asked through any gateway; None where nobody does and `led` is not asked for. Raises
+    Exit."""
     import asyncio
 
     from tansykeel.accord.words import Elsewhere
@@ -34,6 +35,8 @@
             address = answer.address
     except NotTold as error:
         fail(error, address)
+    if not led:
+        return None
     fail(NotTold("no gateway leads the ledger now", do="look at fleet status: a majority of the view's voters has to "
                  "be there; then ask again"), address)
 
@@ -78,7 +81,14 @@
     from tansykeel.accord.entries import Recover
     from tansykeel.accord.words import StatusAsk
 
-    state = told(address, StatusAsk()).state
+    entry = Recover(tuple((name, "an operator's word") for name in out or []), by)
+    if (status := told(address, StatusAsk(), led=False)) is None:
+        typer.echo("no gateway leads; taken for granted: a majority of those who decided this view is gone for good, "
+                   "and with it what only they knew")
+        if yes:
+            offered(address, entry)
+        raise typer.Exit(BROKEN)
+    state = status.state
     if strange := sorted(set(out or []) - set(state.places)):
         fail(f"--out {strange[0]}: not known; legal: {', '.join(sorted(state.places))}")
     taken = sorted(set(state.places) - set(out or []))
@@ -88,7 +98,7 @@
     if not yes:
         typer.echo("nothing done: say it with --yes")
         return
-    offered(address, Recover(tuple((name, "an operator's word") for name in out or []), by))
+    offered(address, entry)
 
 
 @release_app.command()
--- a/tests/accord/test_search.py
+++ b/tests/accord/test_search.py
@@ -6,8 +6,11 @@
 
 import pytest
 
-from tansykeel.accord.entries import Back, Leave, packed
+from tansykeel.accord.entries import Back, Leave, Lost, packed, unpacked
 from tansykeel.accord.search import Books, settled
+from tansykeel.accord.state import State
+from tansykeel.fleet.ledger import Ledger
+from tansykeel.fleet.membership import Member, View
 from tansykeel.fleet.search import Bounds, walks
 from tansykeel.fleet.views import Agreement, Terms
 
@@ -126,3 +129,21 @@
     assert not fleet.after(("tick",)).after(("gets", order)).subjects["x"].out
     assert fleet.after(("gets", order)).subjects["x"].out
     assert not fleet._obeys(replace(fleet.subjects["x"], boot=2), order)
+
+
+def test_where_those_who_decided_a_view_are_gone_it_goes_on_by_an_operator_s_word_and_knows_nothing_for_sure():
+    old, new = (tuple(Member(name, 1) for name in names) for names in ("pqr", "xyz"))
+    books = {member.name: Ledger(member, State(known=True), 2, 0) for member in new}
+
+    def hear(sent, sender):
+        for to, word in sent:
+            if to in books:
+                hear(books[to].heard(1, sender, word), books[to].me)
+    for book in books.values():
+        book.follow(0, View(2, new, new, old))
+    x = books["x"]
+    hear(x.lead(1), new[0])
+    assert not x.leads  # nobody who decided the view answers: something may have been decided that is not known here
+    hear(x.go_on(1), new[0])
+    assert x.leads and not any(book.machine.kept.known for book in books.values() if book.commit)
+    assert x.commit == 1 and unpacked(x.entries[0]) == Lost(2)
