--- a/tansykeel/accord/comparing.py
+++ b/tansykeel/accord/comparing.py
@@ -19,12 +19,12 @@
 
 STRETCHES = 24  # of which the rates are taken
 LEAST, MOST = 0.01, 0.99  # rates that are reckoned with
-SURE = 2.0  # times the evidence that a harm should have brought before it is taken not to be there
+SURE = 3.5  # times the evidence that a harm should have brought before it is taken not to be there
 
 
 class Terms(Struct, frozen=True):
     """`allowed`: part of what is served by which the new ones may be worse. `alpha`: chance of a halt for nothing in
-    one comparison. `harm`: what is to be found before the next wave."""
+    one release. `harm`: what is to be found before the second wave."""
 
     allowed: float = 0.03
     alpha: float = 0.002
@@ -77,7 +77,7 @@
 
 
 class Comparison:
-    """One wave's. `put` for each stretch; `worse` names the classes that are told to be."""
+    """One release's. `put` for each stretch; `worse` names the classes that are told to be."""
 
     def __init__(self, terms: Terms, classes: int) -> None:
         self.terms, self.needed = terms, log(max(classes, 1) / terms.alpha)
--- a/tansykeel/accord/steward.py
+++ b/tansykeel/accord/steward.py
@@ -57,7 +57,7 @@
         self.state, self.pace, self.terms, self.classes = state, pace, terms, classes
         self.asks: dict[str, tuple[Ask, int]] = {}  # the newest of each, and when it came
         self.since: dict[int, int] = {}  # by the number of a leave: when it was first seen here
-        self.comparison: tuple[str, int, Comparison, int] | None = None  # of a release's wave, since when
+        self.comparison: tuple[str, Comparison] | None = None  # of a release: evidence counts on from wave to wave
         self.paired = 0  # when new and old ones were last seen side by side
         self.led = -1  # since when this gateway leads
 
@@ -125,7 +125,7 @@
     def figures(self, now: int, new: Mapping[tuple[str, int], Seen], old: Mapping[tuple[str, int], Seen]) -> None:
         """What new and old ones served in a stretch of time, by class and zone."""
         if self.comparison is not None:
-            self.comparison[2].put(new, old)
+            self.comparison[1].put(new, old)
             if any(key in old for key in new):
                 self.paired = now
 
@@ -184,9 +184,9 @@
         """While a wave goes and settles, the new ones are compared with the old ones."""
         if release.state not in (GOING, WAITING, SETTLING) or not release.went:
             return []
-        if self.comparison is None or self.comparison[:2] != (release.name, release.wave):
-            self.comparison = release.name, release.wave, Comparison(self.terms, self.classes), now
-        _, _, comparison, _ = self.comparison
+        if self.comparison is None or self.comparison[0] != release.name:
+            self.comparison = release.name, Comparison(self.terms, self.classes)
+        comparison = self.comparison[1]
         if worse := comparison.worse():
             return [Move(release.name, "halt", f"the new ones serve {', '.join(sorted(worse))} worse", "")]
         if release.state != SETTLING:
