--- a/tansykeel/accord/words.py
+++ b/tansykeel/accord/words.py
@@ -8,7 +8,7 @@
 from msgspec import Struct
 
 from tansykeel.accord.comparing import Seen
-from tansykeel.accord.entries import AnyEntry, Move, Plan, Recover
+from tansykeel.accord.entries import Move, Plan, Recover
 from tansykeel.accord.state import Kept
 from tansykeel.accord.steward import Ask, Order
 from tansykeel.errors import Problem
@@ -73,7 +73,6 @@
 KINDS: dict[str, type[Word]] = {kind.__name__: kind for kind in (Ask, Order, Offered, StatusAsk, Figures, Elsewhere,
                                                                   Wait, Status, Taken)}
 DECODERS = {name: msgspec.msgpack.Decoder(kind) for name, kind in KINDS.items()}
-__all__ = ["AnyEntry", "Ask", "Elsewhere", "Figures", "Offered", "Order", "Status", "StatusAsk", "Taken", "Wait"]
 
 
 def packed(word: Word) -> tuple[str, bytes]:
--- a/tansykeel/emulator/leaving.py
+++ b/tansykeel/emulator/leaving.py
@@ -48,7 +48,6 @@
     release: str = "gateways"  # or stores
     bounds: Bounds = Bounds(share=0.2, zone=0.5, shard=1.0, volume=0.5, alone=True)
     settles_s: float = 10.0
-    accord: bool = True  # off: the plan's steps are taken at fixed times, whoever is out
 
 
 @dataclass(slots=True)
