--- a/tests/brain/test_tasks.py
+++ b/tests/brain/test_tasks.py
@@ -153,6 +153,15 @@
     assert len(times) == 4 and times[0] >= desk.now + 5_000 and times[-1] >= desk.now + 40_000
 
 
+def test_a_pushed_list_that_ended_is_tried_anew_before_a_drain_s_grace_is_over():
+    """What whoever pushes holds meanwhile counts as told, and calls there cost nothing."""
+    brain, desk = scheduler([], listing=Listing(False, 0, 5_000))
+    for _ in range(8):
+        brain.list_failed()
+    times = [at - desk.now for at, call in desk.alarms if call == desk.watch]
+    assert len(times) == 8 and 250 <= min(times) and max(times) <= 750
+
+
 @pytest.mark.parametrize("remaining, aim", [
     (10_000, 2_500), (9_000, 1_500), (7_000, -500), (2_400, 2_400), (800, 800), (2_600, -4_900),
 ])
