--- a/tansykeel/emulator/leaving.py
+++ b/tansykeel/emulator/leaving.py
@@ -3,17 +3,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from math import ceil, log
 from random import Random
 
 from tansykeel.accord.comparing import SURE, Seen, Terms, apart
 from tansykeel.accord.entries import Move, packed
 from tansykeel.accord.releases import DONE, GIVEN_UP, HALTED
-from tansykeel.accord.room import Bounds, Place, hindrances, most
+from tansykeel.accord.room import Place, hindrances, most
 from tansykeel.accord.state import State
 from tansykeel.accord.steward import Ask, Order, Pace, Steward, plan_of
 from tansykeel.emulator.engine import START, Engine, NoEnd
+from tansykeel.emulator.machines import Machine, Result, Trial
 from tansykeel.fleet.keeper import Keeper, Said
 from tansykeel.fleet.keeper import Place as Where
 from tansykeel.fleet.liveness import SECOND
@@ -30,55 +30,6 @@
 MOST_EVENTS = 20_000_000
 
 
-@dataclass(frozen=True, slots=True)
-class Trial:
-    """`bad`: the new version serves that part less of one class; `crashes`: it never comes back whole."""
-
-    gateways: int = 10
-    stores: int = 12
-    zones: int = 3
-    seconds: int = 240
-    restart_s: float = 2.0
-    warm_s: float = 6.0
-    tasks_s: float = 20.0  # of each gateway
-    loss: float = 0.0
-    troubles: int = 0  # drawn
-    bad: float = 0.0
-    crashes: bool = False
-    release: str = "gateways"  # or stores
-    bounds: Bounds = Bounds(share=0.2, zone=0.5, shard=1.0, volume=0.5, alone=True)
-    settles_s: float = 10.0
-
-
-@dataclass(slots=True)
-class Machine:
-    """A gateway's or a store's: what really is so."""
-
-    place: Place
-    boot: int = 1
-    up: bool = True
-    since: int = 0  # of its start
-    version: str = "old"
-    went: tuple[int, int] = (0, 0)
-    by_leave: bool = False  # out by leave, and not whole again since
-    dead_since: int = -1  # unasked
-    asked_at: int = -1
-    asks: int = 0  # whom it asks next
-    target: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Result:
-    state: str  # of the release in the end
-    wave: int
-    took_s: float  # until it was done, or the day's end
-    shortest_s: float
-    why: str
-    broken: tuple[str, ...]
-    most_out: int
-    entries: int
-
-
 class World:
     def __init__(self, trial: Trial, seed: int) -> None:
         self.trial, self.seed, self.engine = trial, seed, Engine()
--- a/tests/platform/test_ending.py
+++ b/tests/platform/test_ending.py
@@ -18,6 +18,7 @@
     for name, seconds in (("LONGEST", 0.5), ("KILLS_AFTER", 2.0), ("SERVES_UNTIL", 1.5), ("ENDS_BEFORE", 0.5),
                           ("FLUSHES_BEFORE", 0.1)):
         monkeypatch.setattr(program, name, seconds)
+    monkeypatch.setattr("tansykeel.platform.clients.UNASKED", 10.0)
 
 
 def test_sigterm_serves_on_for_a_while_then_closes_what_idles_and_answers_what_it_holds(tmp_path):
