Read over: a ledger promises, gathers and catches up in one place each; dead fields are gone

The check for a lower ballot stood three times, giving way to a higher one four times, the list of whom to ask and whom to catch up twice and three times. A release's rest (nobody out, nobody next) was worked out three ways. Since when a wave settles hung on a made-up number of a leave.

--- a/tansykeel/accord/state.py
+++ b/tansykeel/accord/state.py
@@ -26,7 +26,7 @@
     packed,
     unpacked,
 )
-from tansykeel.accord.releases import BY_LEADER, GOING_BACK, OVER, PLANNED, SETTLING, WAITING, Release
+from tansykeel.accord.releases import BY_LEADER, GOING_BACK, OVER, PLANNED, SETTLING, Release
 from tansykeel.accord.room import Bounds, Place, hindrances
 
 MOST_REFUSED = 64  # refusals that are kept, the newest
@@ -186,15 +186,12 @@
         if out is None or out.number != number or out.boot and out.boot == boot:
             return  # of an earlier leave, or not yet another life
         del self.kept.out[name]
-        for release in self.kept.releases.values():
-            if release.state in OVER or out.release != release.name:
-                continue
-            still = any(other.release == release.name for other in self.kept.out.values())
-            if not still and not release.steps():
-                if release.state == GOING_BACK:
-                    self._end(release)
-                elif release.can("wave"):
-                    release.move("wave")
+        release = self.kept.releases.get(out.release)
+        if release is not None and release.state not in OVER and self._rests(release):
+            if release.state == GOING_BACK:
+                self._end(release)
+            elif release.can("wave"):
+                release.move("wave")
 
     def _plan(self, index: int, plan: Plan) -> None:
         releases = self.kept.releases
@@ -217,8 +214,7 @@
         over = [release.name for release in releases.values() if release.state in OVER]
         for name in over[:-MOST_RELEASES]:
             del releases[name]
-        releases[plan.name] = Release(plan.name, plan.version, plan.before, plan.waves, plan.by, index, went=[],
-                                      returned=[])
+        releases[plan.name] = Release(plan.name, plan.version, plan.before, plan.waves, plan.by, index)
         self._begin()
 
     def _move(self, index: int, name: str, what: str, why: str, by: str) -> None:
@@ -232,14 +228,16 @@
             release.wave += 1
         release.move(what)
         release.why = why
-        if what == "resume" and not release.steps() and not any(
-                out.release == name for out in self.kept.out.values()):
+        if what == "resume" and self._rests(release):
             release.state = SETTLING  # it was halted while it was compared
-        if what == "back" and not release.steps() and not any(
-                out.release == name for out in self.kept.out.values()):
+        if what == "back" and self._rests(release):
             self._end(release)
         self._begin()
 
+    def _rests(self, release: Release) -> bool:
+        """Whether nobody is out for it, and nobody may go next."""
+        return not release.steps() and all(out.release != release.name for out in self.kept.out.values())
+
     def _end(self, release: Release) -> None:
         release.move("end")
         self._begin()
@@ -249,6 +247,4 @@
         if self.under_way() is None:
             for release in self.kept.releases.values():
                 if release.state == PLANNED:
-                    release.move("begin")
-                    assert release.state == WAITING
-                    break
+                    return release.move("begin")
--- a/tansykeel/accord/steward.py
+++ b/tansykeel/accord/steward.py
@@ -28,7 +28,6 @@
     went: tuple[int, int] = (0, 0)
     whole: bool = False
     wants: str = ""
-    version: str = ""
 
 
 class Order(Struct, frozen=True, array_like=True):
@@ -57,6 +56,7 @@
         self.state, self.pace, self.terms, self.classes = state, pace, terms, classes
         self.asks: dict[str, tuple[Ask, int]] = {}  # the newest of each, and when it came
         self.since: dict[int, int] = {}  # by the number of a leave: when it was first seen here
+        self.settling: dict[tuple[int, int], int] = {}  # by a release's number and wave: since when all of it are back
         self.comparison: tuple[str, Comparison] | None = None  # of a release: evidence counts on from wave to wave
         self.paired = 0  # when new and old ones were last seen side by side
         self.led = -1  # since when this gateway leads
@@ -81,9 +81,6 @@
         version = "" if release is None else release.before if release.state == GOING_BACK else release.version
         return Order(name, ask.boot, number, version, self.pace.patience)
 
-    def against(self, name: str) -> list[str]:
-        return self.state.against(name)
-
     # What it does
 
     def leads(self, now: int, so: bool) -> None:
@@ -92,7 +89,7 @@
             self.led = -1
         elif self.led < 0:
             self.led = now
-            self.since, self.comparison = {}, None
+            self.since, self.settling, self.comparison = {}, {}, None
 
     def wants(self, now: int, places: Mapping[str, Place], bounds: Bounds, gone: Mapping[str, str],
               alive: Iterable[str]) -> list[AnyEntry]:
@@ -191,12 +188,11 @@
             return [Move(release.name, "halt", f"the new ones serve {', '.join(sorted(worse))} worse", "")]
         if release.state != SETTLING:
             return []
+        since = self.settling.setdefault((release.number, release.wave), now)
         # Where nobody is left to compare with, or nothing is asked, the time alone has to do.
-        since = max(self.since.setdefault(-release.number * 1_000 - release.wave, now), self.paired)
-        if now - since >= self.pace.settles or comparison.streams and comparison.settled() \
-                and now - self.since[-release.number * 1_000 - release.wave] >= self.pace.settles:
-            return [Move(release.name, "next", "", "")]
-        return []
+        alone = now - self.paired >= self.pace.settles
+        enough = alone or comparison.streams and comparison.settled()
+        return [Move(release.name, "next", "", "")] if enough and now - since >= self.pace.settles else []
 
 
 def plan_of(name: str, version: str, before: str, waves: Iterable[Iterable[str]], by: str) -> Plan:
--- a/tansykeel/accord/words.py
+++ b/tansykeel/accord/words.py
@@ -13,8 +13,6 @@
 from tansykeel.accord.steward import Ask, Order
 from tansykeel.errors import Problem
 
-MOST = 60 << 10  # bytes of one word
-
 
 class WordError(Problem, ValueError):
     """What is said about leave is no word of it."""
--- a/tansykeel/edge/leave.py
+++ b/tansykeel/edge/leave.py
@@ -60,12 +60,10 @@
             self._answer(now, name, since, reply)
 
     def heard(self, word: Word, reply: Reply) -> None:
-        """An agent, an operator or another gateway says something."""
+        """An agent or an operator says something; what gateways say comes by `told_by`."""
         now, book = clock(), self.keeper.ledger
         assert book is not None
         match word:
-            case Figures():
-                pass  # `told_by` takes them, which knows whose they are
             case Offered(entry) if isinstance(entry, Recover) and not book.carried and not book.leads:
                 # The voters of the view before are gone: nobody leads until an operator says so.
                 self.sent(list(book.go_on(now)))
--- a/tansykeel/emulator/leaving.py
+++ b/tansykeel/emulator/leaving.py
@@ -47,7 +47,6 @@
         self.cut: dict[tuple[str, str], int] = {}  # until when words from one to the other are lost
         self.broken: list[str] = []
         self.most_out = 0
-        self.recovered = self.planned = self.ended = False
         self.began = self.took = 0.0
         for name in names:
             self._start(name)
@@ -206,7 +205,7 @@
             machine.asks = (machine.asks + 1) % len(gateways)
         to = machine.target or gateways[machine.asks]
         machine.target = ""
-        ask = Ask(name, machine.boot, machine.went, self._whole(name), "", machine.version)
+        ask = Ask(name, machine.boot, machine.went, self._whole(name))
         if self._passes(name, to):
             self.engine.after(self._way(), self._asked, to, ask, self.now())
 
--- a/tansykeel/fleet/ledger.py
+++ b/tansykeel/fleet/ledger.py
@@ -184,11 +184,7 @@
                 return []
             return self.lead(now)
         self.heard_at = now
-        if not self.leading.ready:
-            asked = dict.fromkeys((*self.view.voters, *self.view.electors))
-            return [(m.name, Gather(self.leading.ballot)) for m in asked
-                    if m != self.me and m not in self.leading.held]
-        return [sent for voter in self.view.voters if voter != self.me for sent in self._catch_up(now, voter)]
+        return self._catch_all(now) if self.leading.ready else self._gather()
 
     def lead(self, now: int) -> list[Sent]:
         """Try to lead: ask the voters of this view and of the one before for what they hold."""
@@ -199,15 +195,12 @@
         if ballot <= self.promised:
             return []
         self.leading, self.heard_at = Leading(ballot), now
-        sent = [(m.name, Gather(ballot)) for m in dict.fromkeys((*self.view.voters, *self.view.electors))
-                if m != self.me]
+        sent = self._gather()
         return sent + self._held(self.me, self._hold(ballot))
 
     def wedge(self, number: int) -> None:
         """It took up a formed view: guards against an older view's leader that decides while all form this one."""
-        self.promised = max(self.promised, (number, 0, ""))
-        if self.leading and self.leading.ballot < self.promised:
-            self.leading = None
+        self._promise(max(self.promised, (number, 0, "")))
 
     def go_on(self, now: int) -> list[Sent]:
         """An operator's word that what the view before knew is lost: a majority of this view's voters is enough."""
@@ -219,23 +212,21 @@
         if not self.leads or self.last - self.commit >= MOST_OPEN or len(entry) > MOST_ENTRY or self.view is None:
             return False, []
         self.entries.append(entry)
-        sent = [sent for voter in self.view.voters if voter != self.me for sent in self._catch_up(now, voter)]
+        sent = self._catch_all(now)
         self._advance()  # alone it is a majority
         return True, sent
 
     # What comes in
 
     def heard(self, now: int, sender: Member, word: Word) -> list[Sent]:
+        if isinstance(word, Gather | Install | Append) and word.ballot < self.promised:
+            return [(sender.name, Stale(self.promised))]
         match word:
             case Gather(ballot):
-                if ballot < self.promised:
-                    return [(sender.name, Stale(self.promised))]
                 return [(sender.name, self._hold(ballot))]
             case Held():
                 return self._held(sender, word)
             case Install(ballot, base, snapshot, entries, commit, at):
-                if ballot < self.promised:
-                    return [(sender.name, Stale(self.promised))]
                 self._under(now, ballot, sender)
                 if self.accepted != ballot or base > self.last:
                     self._take_over(ballot, base, snapshot, entries)
@@ -244,8 +235,6 @@
                 self._commit(min(commit, self.last))
                 return [(sender.name, Took(ballot, self.last, at))]
             case Append(ballot, after, entries, commit, at):
-                if ballot < self.promised:
-                    return [(sender.name, Stale(self.promised))]
                 self._under(now, ballot, sender)
                 if self.accepted != ballot:
                     return [(sender.name, Took(ballot, -1, at))]
@@ -262,8 +251,7 @@
                     return self._catch_up(now, sender) if upto < self.last else []
             case Stale(ballot):
                 if self.leading and ballot > self.leading.ballot:
-                    self.leading = None
-                    self.promised = max(self.promised, ballot)
+                    self._promise(max(self.promised, ballot))
         return []
 
     # Within
@@ -274,16 +262,19 @@
         self.machine.restore(snapshot)
         self.commit = self.applied = base
 
-    def _under(self, now: int, ballot: Number, leader: Member) -> None:
-        if self.leading and ballot > self.leading.ballot:
+    def _promise(self, ballot: Number) -> None:
+        """Accept nothing lower from now on, and lead no longer under a lower one."""
+        self.promised = ballot
+        if self.leading and self.leading.ballot < ballot:
             self.leading = None
-        self.promised, self.heard_at, self.leader = ballot, now, leader.name
+
+    def _under(self, now: int, ballot: Number, leader: Member) -> None:
+        self._promise(ballot)
+        self.heard_at, self.leader = now, leader.name
 
     def _hold(self, ballot: Number) -> Held:
         """Promise, and tell what was accepted."""
-        if self.leading and ballot > self.leading.ballot:
-            self.leading = None
-        self.promised = max(self.promised, ballot)
+        self._promise(ballot)
         return Held(ballot, self.accepted, self.base, self.snapshot, tuple(self.entries), self.commit)
 
     def _held(self, sender: Member, held: Held) -> list[Sent]:
@@ -315,10 +306,21 @@
             self.entries.append(self.machine.lost(view.number))
         self._commit(min(max(held.commit for held in mine), self.last))
         leading.took = {self.me: self.last}
-        sent = [sent for voter in view.voters if voter != self.me for sent in self._catch_up(now, voter)]
+        sent = self._catch_all(now)
         self._advance()
         return sent
 
+    def _gather(self) -> list[Sent]:
+        """To all that are asked for what they hold and have not told it."""
+        assert self.view is not None and self.leading is not None
+        asked = dict.fromkeys((*self.view.voters, *self.view.electors))
+        return [(member.name, Gather(self.leading.ballot)) for member in asked
+                if member != self.me and member not in self.leading.held]
+
+    def _catch_all(self, now: int) -> list[Sent]:
+        assert self.view is not None
+        return [sent for voter in self.view.voters if voter != self.me for sent in self._catch_up(now, voter)]
+
     def _catch_up(self, now: int, voter: Member) -> list[Sent]:
         """What a voter is not known to have taken, were it nothing: it hears that the leader is there."""
         leading = self.leading
--- a/tansykeel/platform/discovery.py
+++ b/tansykeel/platform/discovery.py
@@ -15,7 +15,7 @@
 from tansykeel.errors import Problem
 from tansykeel.http1 import codec
 from tansykeel.platform.config import PHASES, Member, Members
-from tansykeel.platform.objects import Objects, Unfit
+from tansykeel.platform.objects import Objects
 from tansykeel.transport.sockets import address_of, open_socket
 from tansykeel.transport.stream import Stream
 
@@ -85,7 +85,7 @@
                 raise codec.Malformed(f"status {part[0]}")
             for text in self.objects.feed(part[1]):
                 self.owner.told(self, _decode(text))
-        except (codec.Malformed, Unfit, msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, ValueError) as error:
             self.stream.close()
             return self._ended(str(error), error.do if isinstance(error, Problem) else "")
         if self.reader.ended:
