--- a/tests/transport/test_link.py
+++ b/tests/transport/test_link.py
@@ -75,6 +75,8 @@
         hub, link, far, seen = await pair(Limits(high_water=100_000, stall=0.4))
         loop = asyncio.get_running_loop()
         await loop.sock_sendall(far, pack(0, Hello(1, "client", "c")))
+        while link.peer is None:  # the same 0.4 s bound its hello, and what follows holds the loop
+            await asyncio.sleep(0)
         freed = []
         for stream in range(400):
             link.send(stream, Answer(0, body=60_000))
