--- a/tests/transport/test_link.py
+++ b/tests/transport/test_link.py
@@ -72,13 +72,18 @@
 
 def test_a_peer_that_does_not_read_is_not_read_from_and_then_dropped():
     async def play():
-        hub, link, far, seen = await pair(Limits(high_water=100_000, stall=2.0))  # bounds its hello too
-        loop = asyncio.get_running_loop()
+        hub, link, far, seen = await pair(Limits(high_water=100_000, stall=0.4))
+        loop, event, freed, sent = asyncio.get_running_loop(), link.on_event, [], asyncio.Event()
+
+        def send_all(link, record):  # with its hello, which is bounded by the same 0.4 s, and before the next read
+            event(link, record)
+            for stream in range(0 if sent.is_set() else 400):
+                link.send(stream, Answer(0, body=60_000))
+                link.send_body(stream, [bytes(60_000)], lambda: freed.append(1))
+            sent.set()
+        link.on_event = send_all
         await loop.sock_sendall(far, pack(0, Hello(1, "client", "c")))
-        freed = []
-        for stream in range(400):
-            link.send(stream, Answer(0, body=60_000))
-            link.send_body(stream, [bytes(60_000)], lambda: freed.append(1))
+        await sent.wait()
         assert "it does not read" in link.holds
         await loop.sock_sendall(far, pack(9, TaskOf("v", "r", 1, 1, 0, 1, 1)))
         await seen.lost.wait()
@@ -86,7 +91,7 @@
         await hub.stop()
         return seen, len(freed)
     seen, freed = within(20, play())
-    assert "took nothing for 2 s" in seen.why and freed == 400
+    assert "took nothing for 0.4 s" in seen.why and freed == 400
     assert not any(isinstance(e, Frame) and isinstance(e.record, TaskOf) for e in seen.events)
 
 
