--- /dev/null
+++ b/tests/platform/test_process.py
@@ -0,0 +1,196 @@
+"""The gateway as the platform starts it: a process with its limit of descriptors, signals, and how soon it is ready."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import re
+import resource
+import signal
+import socket
+import subprocess
+import sys
+import time
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+
+import pytest
+from platform_stage import List, Store, asking, configuration, ok, play, until
+
+from tansykeel.http1 import codec
+
+HEALTH = b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n"
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Process:
+    def __init__(self, tmp_path, discovery, stores, sockets, **changes):
+        self.port, self.log = free_port(), (tmp_path / "log").open("w+")
+        configuration(tmp_path, discovery, [store.row() for store in stores], listen=f"127.0.0.1:{self.port}",
+                      limits={"cores": 1.0, "memory_mb": 64, "sockets": sockets}, **changes)
+        self.begun = time.monotonic()
+        self.child = subprocess.Popen(
+            [sys.executable, "-m", "tansykeel.platform"], stdout=self.log, stderr=self.log,
+            env=os.environ | {"EDGE_CONFIG": str(tmp_path / "config.json")},
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)))
+
+    async def ask(self, data, seconds=10.0):
+        """One answer on a new connection, which is tried until it comes up."""
+        loop, end = asyncio.get_running_loop(), time.monotonic() + seconds
+        while True:
+            sock = socket.socket()
+            sock.setblocking(False)
+            try:
+                await loop.sock_connect(sock, ("127.0.0.1", self.port))
+                await loop.sock_sendall(sock, data)
+                answers = codec.AnswerReader()
+                while (answer := answers.next()) is None:
+                    if not (part := await loop.sock_recv(sock, 65536)):
+                        break
+                    answers.feed(part)
+                if answer:
+                    return answer
+            except OSError:
+                pass
+            finally:
+                sock.close()
+            assert time.monotonic() < end and self.child.poll() is None
+            await asyncio.sleep(0.02)
+
+    def processor_s(self):
+        fields = Path(f"/proc/{self.child.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / TICKS
+
+    def descriptors(self):
+        return len(os.listdir(f"/proc/{self.child.pid}/fd"))
+
+    def said(self):
+        self.log.seek(0)
+        return self.log.read()
+
+
+@asynccontextmanager
+async def process(tmp_path, discovery, stores=(), sockets=128, **changes):
+    made = Process(tmp_path, discovery, stores, sockets, **changes)
+    try:
+        yield made
+    finally:
+        made.child.kill()
+        made.child.wait()
+        made.log.close()
+
+
+@pytest.mark.parametrize("discovery", ["up", "silent", "refused"])
+def test_it_is_ready_soon_whatever_discovery_does(tmp_path, discovery):
+    """In processor time: at a twentieth of a core, 0.5 s of it are the 10 s that a restarted process may take. What it
+    waits for the first list comes to that."""
+    async def go():
+        list_ = await List(mute=["connect"] * 99 if discovery == "silent" else ()).start()
+        address = f"127.0.0.1:{free_port()}" if discovery == "refused" else list_.address
+        async with process(tmp_path, address) as gateway:
+            assert (await gateway.ask(HEALTH)).status == 200
+            assert gateway.processor_s() < 2.0 and time.monotonic() - gateway.begun < 10.0
+        await list_.stop()
+    play(go())
+
+
+@pytest.mark.parametrize("sockets", [64, 128, 256])
+def test_idle_clients_that_fill_the_descriptors_keep_neither_list_nor_attempts_away(tmp_path, sockets):
+    """Discovery is down and the stores refuse while more clients connect and stay than the process has descriptors:
+    some say nothing, some have asked and rest, some sent half a request. Then all returns."""
+    async def go():
+        port, store, list_ = free_port(), Store("s0", 0), List()
+        await store.start()
+        async with process(tmp_path, f"127.0.0.1:{port}", [store], sockets) as gateway:
+            assert (await gateway.ask(HEALTH)).status == 200
+            crowd, most = [], 0
+            for n in range(2 * sockets):
+                sock = socket.create_connection(("127.0.0.1", gateway.port), 5.0)
+                with suppress(OSError):
+                    sock.send([b"", HEALTH, asking(n)[:9]][n % 3])
+                crowd.append(sock)
+                most = max(most, gateway.descriptors())
+                if n % 8 == 0:
+                    await asyncio.sleep(0.005)
+            assert most <= sockets - 4
+            list_.rows = [store.row()]
+            list_.server = await asyncio.start_server(list_._talk, "127.0.0.1", port)
+            list_.writers = []
+            begun = time.monotonic()
+            await until(lambda: list_.asked, 6.0)
+            answer = await gateway.ask(asking(1 << 40))
+            assert (answer.status, answer.body) == (200, b"data") and time.monotonic() - begun < 6.0
+            assert "Too many open files" not in gateway.said() and '"failed"' not in gateway.said()
+            for sock in crowd:
+                sock.close()
+        await store.stop()
+        await list_.stop()
+    play(go(), 40)
+
+
+@pytest.mark.parametrize("moment", ["before the list", "ready", "twice"])
+def test_sigterm_ends_it_in_time_and_in_order(tmp_path, moment):
+    async def go():
+        list_ = await List(mute=["connect"] * 99 if moment == "before the list" else ()).start()
+        async with process(tmp_path, list_.address) as gateway:
+            await until(lambda: list_.asked)
+            if moment != "before the list":
+                assert (await gateway.ask(HEALTH)).status == 200
+            begun = time.monotonic()
+            gateway.child.send_signal(signal.SIGTERM)
+            if moment == "twice":
+                await until(lambda: "stopping" in gateway.said())
+                gateway.child.send_signal(signal.SIGTERM)
+                gateway.child.send_signal(signal.SIGHUP)
+            await until(lambda: gateway.child.poll() is not None, 6.0)
+            assert gateway.child.returncode == 0 and time.monotonic() - begun < 3.7
+            assert '"left_unanswered": 0' in gateway.said()
+        await list_.stop()
+    play(go())
+
+
+def test_floods_and_slow_ones_are_told_so_and_paying_requests_go_on(tmp_path):
+    """Silence, a byte at a time, a body never ended, errors never read, answers taken at a trickle; all at once."""
+    async def go():
+        store = Store("s0", 0, lambda request: ok(b"x" * 60_000))
+        await store.start()
+        list_ = await List().start()
+        list_.rows = [store.row()]
+        async with process(tmp_path, list_.address, [store], 256) as gateway:
+            assert (await gateway.ask(HEALTH)).status == 200
+            bad = []
+            for n in range(40):
+                sock = socket.socket()
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                sock.connect(("127.0.0.1", gateway.port))
+                sock.setblocking(False)
+                with suppress(OSError):
+                    sock.send([b"", asking(n)[:1], asking(n, body=b"x" * 60_000)[:50_000],
+                               asking(n, content_length="60000000") + b"x" * 100_000, asking(n + 100)][n % 5])
+                bad.append(sock)
+            end, statuses, at, served, id = time.monotonic() + 4.0, {}, {}, 0, 1 << 40
+            while time.monotonic() < end:
+                id += 1
+                served += (await gateway.ask(asking(id))).status == 200
+                for n, sock in enumerate(bad):
+                    with suppress(OSError):
+                        if n % 5 == 1 and (due := int((time.monotonic() - end + 4.0) * 20)) > at.get(n, 0):
+                            at[n] = due
+                            sock.send(asking(n)[due:due + 1])
+                        if n % 5 != 3 and (said := sock.recv(64)):  # the fourth kind never reads its error
+                            statuses.setdefault(n % 5, re.search(rb"HTTP/1.1 (\d+)", said))
+            assert served > 20
+            told = {kind: match[1] for kind, match in statuses.items() if match}
+            assert told == {0: b"408", 1: b"408", 2: b"408", 4: b"200"}
+            assert '"failed"' not in gateway.said() and gateway.descriptors() < 200
+            for sock in bad:
+                sock.close()
+        await store.stop()
+        await list_.stop()
+    play(go(), 40)
