--- a/tansykeel/standin/listing.py
+++ b/tansykeel/standin/listing.py
@@ -18,6 +18,8 @@
 from tansykeel.transport.link import Hub, Limits, Link
 from tansykeel.transport.sockets import accept_all, listening
 
+QUIET = 2.0  # seconds without a change after which an empty one is said, so that watchers can tell it from silence
+
 
 class ListService:
     def __init__(self, record: Path, late_s: float, call_ms: float) -> None:
@@ -33,13 +35,21 @@
         self.hub.start()
         accepting = asyncio.create_task(accept_all(listener, self._accept))
         controls = asyncio.create_task(commands(self._command))
+        quiet = asyncio.create_task(self._stay_alive())
         ready(listener.getsockname()[1])
         await self.ended.wait()
         accepting.cancel()
         controls.cancel()
+        quiet.cancel()
         await self.hub.stop()
         self.record.close()
 
+    async def _stay_alive(self) -> None:
+        while True:
+            await asyncio.sleep(QUIET)
+            for link in list(self.watchers):
+                link.send(1, ListOf(False, self.book.version, ()))
+
     def _accept(self, sock: Any) -> None:
         if time.monotonic() < self.book.gone_until:
             sock.close()
