Cold stores within N + 2 roots of N + 2 for the whole fleet; a lost list is called within 3 s

Not measured: 200 gateways.

Lists that are asked for: list_failed waited up to 12 s after failures; what the list has counts as told 6 s after it could be reached, whatever happened before. It waits 2 s and a half more or less at most. The test that wanted at least 4 s after the fourth failure is replaced: between 1 and 3 s from the second on, spread, and from 0.5 s for the first.

--- a/tansykeel/brain/cold.py
+++ b/tansykeel/brain/cold.py
@@ -3,7 +3,7 @@
 from tansykeel.interface import ColdRule, Store
 
 SECOND, ROUND, LONG = 10_000, 100, 1_000  # a round every 10 ms (design), put off at cold nodes for so long
-EVEN, BY_ASKED, TOLD = 0.2, 1.2, 6 * SECOND  # parts dealt evenly, by what is asked; when a start is told by
+EVEN, BY_ASKED, TOLD = 0.2, 0.8, 6 * SECOND  # parts dealt evenly, by what is asked; when a start is told by
 
 
 class Young:
--- a/tansykeel/brain/scheduler.py
+++ b/tansykeel/brain/scheduler.py
@@ -7,7 +7,7 @@
 from tansykeel.interface import BreakOff, Category, Desk, EvenParts, Facts, HandOff, How, Nack, Outcome
 from tansykeel.interface import Repeat, Scope, Signal, State, Store, Task, Volume, Wait, Want, Word
 
-from .cold import SECOND, Young
+from .cold import SECOND, TOLD, Young
 from .nodes import PATIENCE, Line, Node, cost_of
 from .rates import AIM_PART, SAMPLES, STALE, Waits
 from .volumes import Extras, KeyLine, VolumeState
@@ -61,7 +61,7 @@
 
     def list_failed(self) -> None:
         # Guards against news that whoever pushes holds: it counts as told, and calls there cost nothing.
-        wait = SECOND * min(2**self.asks, 8) if self.facts.listing.must_ask else ANEW
+        wait = min(SECOND * 2**self.asks, TOLD // 3) if self.facts.listing.must_ask else ANEW
         self.asks += 1
         self.desk.alarm(self.desk.now + int(self.chance.uniform(0.5, 1.5) * wait), self.desk.watch)
 
--- a/tests/brain/test_cold.py
+++ b/tests/brain/test_cold.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+from collections import deque
 from dataclasses import replace
 
 import pytest
@@ -190,3 +192,43 @@
     assert node.young.room(at, failed + 60_000, 1e6, node.proof)
     at.started = failed - 100  # it was told
     assert not node.young.room(at, failed + 60_000, 1e6, node.proof)
+
+
+@pytest.mark.parametrize("gateways", [20, 30])
+@pytest.mark.parametrize("load, warm_n", [(0.77, 19.0), (0.67, 84.0)])
+def test_what_a_fleet_without_memory_sends_stays_within_what_is_chance(gateways, load, warm_n):
+    """Guards against a store pushed over by the sum of all: calls of mean work in any window of the span, with tasks
+    that come by chance to gateways that know nothing of each other, a quarter of them with half of all tasks."""
+    rule = ColdRule(share=0.16, warm_after=100_000, multiple=2.0, span=10_000, always_safe=warm_n)
+    rate, chance = load * warm_n / (rule.multiple * rule.share * rule.span), random.Random(7)
+    worst = -9.0
+    for _ in range(12):
+        brains = [scheduler([store(started=1_000_000)], cold=rule, gateways=gateways, me=me)
+                  for me in range(gateways)]
+        nodes = [next(iter(brain.nodes.values())) for brain, _ in brains]
+        lines = [brain.line_of(node, Volume("v", PLAN)) for (brain, _), node in zip(brains, nodes, strict=True)]
+        weights = [3.0 if n % 4 == 0 else 1.0 for n in range(gateways)]
+        waiting, sent, now = [deque() for _ in nodes], deque(), 1_000_000
+        for node in nodes:
+            node.young.room(node.store, now, 1.0, 0)
+        due = now + chance.expovariate(rate)
+        for now in range(1_000_100, 1_040_000, 100):
+            while due <= now:
+                at, units = chance.choices(range(gateways), weights)[0], min(chance.expovariate(1.0), 4.0)
+                brains[at][1].now = now
+                nodes[at].asked(lines[at], units, 1e9)
+                waiting[at].append((now, units))
+                due += chance.expovariate(rate)
+            for node, queue in zip(nodes, waiting, strict=True):
+                while queue and queue[0][0] < now - 5_000:
+                    queue.popleft()
+                while queue and node.young.room(node.store, now, queue[0][1], 0):
+                    units = queue.popleft()[1]
+                    node.young.credit -= units
+                    sent.append((now, units))
+            while sent and sent[0][0] <= now - rule.span:
+                sent.popleft()
+            age = max(now - 1_000_000 - rule.span, 0)
+            bears = warm_n * (1 + age / rule.warm_after * (1 / rule.share - 1))
+            worst = max(worst, (sum(units for _, units in sent) - bears) / (2 * bears**0.5 + 2))
+    assert -1.5 < worst <= 1.0
--- a/tests/brain/test_tasks.py
+++ b/tests/brain/test_tasks.py
@@ -144,13 +144,18 @@
     assert other.send(Signal.MOVED) == Wait(desk.now + 700)
 
 
-def test_failed_calls_for_the_list_are_spaced_out():
+def test_failed_calls_for_the_list_are_spaced_out_within_what_counts_as_told():
+    """The list counts as told 6 s after it could be reached: half of it is left for a call that hangs and the next."""
     brain, desk = scheduler([], listing=Listing(True, 100_000, 10_000))
     assert desk.watches == 1
-    for _ in range(4):
+    for _ in range(40):
         brain.list_failed()
-    times = [at for at, call in desk.alarms if call == desk.watch]
-    assert len(times) == 4 and times[0] >= desk.now + 5_000 and times[-1] >= desk.now + 40_000
+    times = [at - desk.now for at, call in desk.alarms if call == desk.watch]
+    assert len(times) == 40 and 5_000 <= times[0] <= 15_000
+    assert min(times[1:]) >= 10_000 and 25_000 < max(times) <= 30_000
+    brain.list_changed([], confirmed=True)
+    brain.list_failed()
+    assert desk.alarms[-1][0] - desk.now <= 15_000
 
 
 def test_a_pushed_list_that_ended_is_tried_anew_before_a_drain_s_grace_is_over():
