--- a/tansykeel/edge/stores.py
+++ b/tansykeel/edge/stores.py
@@ -24,7 +24,7 @@
 HOWS = {how.value: how for how in (How.DELIVERED, How.ERROR, How.FULL, How.MOOT, How.CANCELLED)}
 
 
-class Seat:
+class Connection:
     """One connection to a store; `ready` once its hello came."""
 
     def __init__(self, pool: Pool) -> None:
@@ -42,21 +42,21 @@
 
     def __init__(self, stores: Stores, store: Store) -> None:
         self.stores, self.store = stores, store
-        self.seats: list[Seat] = []
+        self.connections: list[Connection] = []
         self.waiting: deque[Attempt] = deque()
 
     def hand_off(self, attempt: Attempt) -> None:
-        seat = min((s for s in self.seats if s.ready), key=lambda s: len(s.out), default=None)
+        connection = min((s for s in self.connections if s.ready), key=lambda s: len(s.out), default=None)
         bounds = self.stores.gateway
-        if seat is None or len(seat.out) >= bounds.streams_per_connection:
-            opening = sum(not s.ready for s in self.seats)
+        if connection is None or len(connection.out) >= bounds.streams_per_connection:
+            opening = sum(not s.ready for s in self.connections)
             if opening * bounds.streams_per_connection <= len(self.waiting) \
-                    and len(self.seats) < bounds.connections_per_store:
+                    and len(self.connections) < bounds.connections_per_store:
                 self._open()
-            if seat is None or opening:
+            if connection is None or opening:
                 self.waiting.append(attempt)
                 return
-        self._send(seat, attempt)
+        self._send(connection, attempt)
 
     def withdraw(self, attempt: Attempt) -> bool:
         """Take it back if it was never sent."""
@@ -67,118 +67,118 @@
         return True
 
     def cancel(self, attempt: Attempt) -> None:
-        if not self.withdraw(attempt) and isinstance(attempt.seat, tuple):
-            seat, stream = attempt.seat
-            if seat.link and stream in seat.out:
-                seat.link.drop_body(stream)
-                seat.link.send(stream, Cancel())
+        if not self.withdraw(attempt) and isinstance(attempt.connection, tuple):
+            connection, stream = attempt.connection
+            if connection.link and stream in connection.out:
+                connection.link.drop_body(stream)
+                connection.link.send(stream, Cancel())
 
     def close_idle(self, before: float) -> None:
         """Close connections with nothing out since `before`."""
-        for seat in list(self.seats):
-            if seat.ready and not seat.out and seat.idle_since <= before and seat.link:
-                seat.link.close()
+        for connection in list(self.connections):
+            if connection.ready and not connection.out and connection.idle_since <= before and connection.link:
+                connection.link.close()
 
     def _open(self) -> None:
-        seat = Seat(self)
-        self.seats.append(seat)
-        self.stores.spawn(self._connect(seat))
+        connection = Connection(self)
+        self.connections.append(connection)
+        self.stores.spawn(self._connect(connection))
 
-    async def _connect(self, seat: Seat) -> None:
+    async def _connect(self, connection: Connection) -> None:
         timeout = self.stores.gateway.connect_timeout_ms / 1000
         loop = asyncio.get_running_loop()
         begun = loop.time()
         try:
             sock = await connect(self.stores.core.addresses[self.store], timeout)
         except (OSError, ValueError):
-            return self._failed(seat)
-        seat.link = Link(self.stores.hub, sock, Codec("store"), self.stores.hello, self._on_event(seat),
-                         lambda link, why: self._lost(seat))
+            return self._failed(connection)
+        connection.link = Link(self.stores.hub, sock, Codec("store"), self.stores.hello, self._on_event(connection),
+                         lambda link, why: self._lost(connection))
         await asyncio.sleep(max(timeout - (loop.time() - begun), 0))
-        if not seat.ready and not seat.link.lost:  # accepts, and says nothing
-            seat.link.abort("no hello in time")
+        if not connection.ready and not connection.link.lost:  # accepts, and says nothing
+            connection.link.abort("no hello in time")
 
-    def _failed(self, seat: Seat) -> None:
-        if seat in self.seats:
-            self.seats.remove(seat)
-        if not self.seats:
+    def _failed(self, connection: Connection) -> None:
+        if connection in self.connections:
+            self.connections.remove(connection)
+        if not self.connections:
             while self.waiting:
                 self.stores.core_outcome(self.waiting.popleft(), How.NO_CONNECTION)
 
-    def _lost(self, seat: Seat) -> None:
-        out, was_ready = list(seat.out.values()), seat.ready
-        seat.out.clear()
-        seat.answers.clear()
+    def _lost(self, connection: Connection) -> None:
+        out, was_ready = list(connection.out.values()), connection.ready
+        connection.out.clear()
+        connection.answers.clear()
         if not was_ready:
-            return self._failed(seat)
-        self.seats.remove(seat)
+            return self._failed(connection)
+        self.connections.remove(connection)
         for attempt in out:
             self.stores.core_outcome(attempt, How.RESET)
-        if self.waiting and not self.seats:
+        if self.waiting and not self.connections:
             self._open()
 
-    def _send(self, seat: Seat, attempt: Attempt) -> None:
-        assert seat.link is not None
-        seat.count += 1
-        seat.out[seat.count] = attempt
-        attempt.seat = seat, seat.count
+    def _send(self, connection: Connection, attempt: Attempt) -> None:
+        assert connection.link is not None
+        connection.count += 1
+        connection.out[connection.count] = attempt
+        attempt.connection = connection, connection.count
         request = hand_off_of(attempt, self.stores.clock())
-        seat.link.send(seat.count, request)
+        connection.link.send(connection.count, request)
         if request.body:
-            seat.link.send_body(seat.count, attempt.held.body)
+            connection.link.send_body(connection.count, attempt.held.body)
 
-    def _on_event(self, seat: Seat) -> Callable[[Link, Event], None]:
+    def _on_event(self, connection: Connection) -> Callable[[Link, Event], None]:
         def on_event(link: Link, event: Event) -> None:
             if isinstance(event, Piece):
-                if event.stream in seat.answers:
-                    outcome, parts = seat.answers[event.stream]
+                if event.stream in connection.answers:
+                    outcome, parts = connection.answers[event.stream]
                     parts.append(event.data)
                     if event.last:
-                        del seat.answers[event.stream]
-                        self._done(seat, event.stream, outcome, parts)
+                        del connection.answers[event.stream]
+                        self._done(connection, event.stream, outcome, parts)
                 return
             if isinstance(event.record, Hello):
-                return self._ready(seat, event.record)
-            self._frame(seat, link, event)
+                return self._ready(connection, event.record)
+            self._frame(connection, link, event)
         return on_event
 
-    def _ready(self, seat: Seat, hello: Hello) -> None:
-        seat.ready, seat.idle_since = True, asyncio.get_running_loop().time()
+    def _ready(self, connection: Connection, hello: Hello) -> None:
+        connection.ready, connection.idle_since = True, asyncio.get_running_loop().time()
         if self.stores.core.met(self.stores.clock(), self.store, hello.boot, hello.age):
             # Guards against all that many gateways granted to a store whose restart they had not heard of: sent
             # together it would push it over. It was not sent, and the module decides anew.
             unsent, self.waiting = list(self.waiting), deque()
             for attempt in unsent:
                 self.stores.core_outcome(attempt, How.MOOT)
-        while self.waiting and len(seat.out) < self.stores.gateway.streams_per_connection:
+        while self.waiting and len(connection.out) < self.stores.gateway.streams_per_connection:
             attempt = self.waiting.popleft()
             if not attempt.over:
-                self._send(seat, attempt)
+                self._send(connection, attempt)
 
-    def _frame(self, seat: Seat, link: Link, event: Frame) -> None:
+    def _frame(self, connection: Connection, link: Link, event: Frame) -> None:
         outcome = event.record
-        attempt = seat.out.get(event.stream)
+        attempt = connection.out.get(event.stream)
         if not isinstance(outcome, OutcomeOf) or attempt is None:
             return  # an outcome that came after its time-out, or an error frame before the end
         if outcome.body > attempt.held.request.size:
             link.abort(f"{outcome.body} bytes for a task of {attempt.held.request.size}")
         elif outcome.body:
-            seat.answers[event.stream] = outcome, []
+            connection.answers[event.stream] = outcome, []
         else:
-            self._done(seat, event.stream, outcome, [])
+            self._done(connection, event.stream, outcome, [])
 
-    def _done(self, seat: Seat, stream: int, outcome: OutcomeOf, parts: list[bytes]) -> None:
-        attempt = seat.out.pop(stream, None)
-        if not seat.out:
-            seat.idle_since = asyncio.get_running_loop().time()
+    def _done(self, connection: Connection, stream: int, outcome: OutcomeOf, parts: list[bytes]) -> None:
+        attempt = connection.out.pop(stream, None)
+        if not connection.out:
+            connection.idle_since = asyncio.get_running_loop().time()
         if attempt:
             self.stores.core.outcome(self.stores.clock(), attempt, HOWS[outcome.how], shard=outcome.shard,
                                      body=parts, report=outcome.report, used=outcome.used,
                                      elsewhere=outcome.elsewhere)
-        if self.waiting and seat.ready and seat.link and not seat.link.lost:
+        if self.waiting and connection.ready and connection.link and not connection.link.lost:
             waiting = self.waiting.popleft()
             if not waiting.over:
-                self._send(seat, waiting)
+                self._send(connection, waiting)
 
 
 class Stores:
--- a/tansykeel/edge/tasks.py
+++ b/tansykeel/edge/tasks.py
@@ -106,14 +106,14 @@
 
 @dataclass(eq=False, slots=True)
 class Attempt:
-    """One hand-off on its way; `seat` is the wire's own."""
+    """One hand-off on its way; `connection` is the wire's own."""
 
     held: Held
     store: Store
     number: int
     sent: int
     until: int
-    seat: Any = None
+    connection: Any = None
     over: bool = False
 
 
--- a/tansykeel/emulator/gateway.py
+++ b/tansykeel/emulator/gateway.py
@@ -194,7 +194,7 @@
                 self.engine.after(0, self.tell, self.life, self._outcome, attempt, How.CANCELLED)
 
     def cancel(self, attempt: Attempt) -> None:
-        conn = attempt.seat
+        conn = attempt.connection
         if conn is None:
             self.withdraw(attempt)
         elif not conn.lost and attempt in conn.works:
@@ -202,7 +202,7 @@
             self.engine.at(conn.there.arrival(self.engine.now + way), conn.store.cancel, conn, attempt)
 
     def _send(self, conn: Conn, attempt: Attempt) -> None:
-        attempt.seat = conn
+        attempt.connection = conn
         request = hand_off_of(attempt, self.clock())
         work = conn.works[attempt] = Work((conn, attempt), self.name, request)
         way = self.scene.ways.to_store(self, conn.store) + self.scene.ways.wire_time(request.body)
--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -250,7 +250,7 @@
             broken_off=counts.broken_off, left=counts.left, outcomes=counts.outcomes, held=len(self.core.held),
             clients=len(self.clients.conns), errors=self.clients.errors, unanswered=self.clients.unanswered,
             never_sent=self.never_sent,
-            stores={str(p.store.handle): [len(p.seats), len(p.waiting)] for p in self.stores.pools.values()},
+            stores={str(p.store.handle): [len(p.connections), len(p.waiting)] for p in self.stores.pools.values()},
             loop_late_ms=round(late * 1000, 1), cpu_s=round(use.ru_utime + use.ru_stime, 2),
             most_memory_mb=use.ru_maxrss // 1024)
 
--- a/tansykeel/platform/stores.py
+++ b/tansykeel/platform/stores.py
@@ -31,7 +31,7 @@
     return round(float(value)) if value is not None and _FIGURE.fullmatch(value) else default
 
 
-class Seat:
+class Connection:
     """One connection to a store."""
 
     __slots__ = ("pool", "stream", "address", "reader", "attempt", "up", "used", "idle_since", "idled",
@@ -55,7 +55,7 @@
     def send(self, attempt: Attempt, now: int) -> None:
         wanted: Wanted = attempt.held.request
         request, left = wanted.request, max(attempt.until - now, 0) / 10_000
-        self.attempt, attempt.seat, self.reader = attempt, self, AnswerReader()
+        self.attempt, attempt.connection, self.reader = attempt, self, AnswerReader()
         self.sent = self.pool.stores.now()
         self.idled = self.sent - self.idle_since
         self.stream.write(codec.request(request.method, request.target, self.address.encode(),
@@ -125,8 +125,8 @@
 
     def __init__(self, stores: Stores, store: Store) -> None:
         self.stores, self.store = stores, store
-        self.seats: dict[Seat, None] = {}
-        self.idle: list[Seat] = []  # the one used last at the end
+        self.connections: dict[Connection, None] = {}
+        self.idle: list[Connection] = []  # the one used last at the end
         self.waiting: deque[tuple[Attempt, int, int]] = deque()  # with the store's start as known, connections tried
         self._feeding = False
 
@@ -136,14 +136,14 @@
 
     def open(self) -> None:
         """Another connection, if more wait than are being opened, and if there is room for one."""
-        opening = sum(not seat.up for seat in self.seats)
+        opening = sum(not connection.up for connection in self.connections)
         if opening >= len(self.waiting) or self.stores.core.addresses.get(self.store) is None:
             return
         if not self.stores.room():
             self.stores.starving[self] = None
             return
         try:
-            self.seats[Seat(self, self.stores.core.addresses[self.store], self.stores.now())] = None
+            self.connections[Connection(self, self.stores.core.addresses[self.store], self.stores.now())] = None
         except (OSError, ValueError) as error:
             self.stores.note("no connection", store=self.store.handle, why=str(error))
             if isinstance(error, OSError) and error.errno in OUT_OF_FILES:
@@ -153,26 +153,26 @@
                 return
             self.stores.later(lambda: self.failed(again=False))
 
-    def opened(self, seat: Seat) -> None:
-        if not self._serve(seat):
-            seat.idle_since = self.stores.now() - RESTED  # nothing was asked on it: nothing more can come
-            self.idle.append(seat)
+    def opened(self, connection: Connection) -> None:
+        if not self._serve(connection):
+            connection.idle_since = self.stores.now() - RESTED  # nothing was asked on it: nothing more can come
+            self.idle.append(connection)
 
-    def rest(self, seat: Seat) -> None:
+    def rest(self, connection: Connection) -> None:
         """A connection whose answer has come: for who waits here, else for who can't open one elsewhere."""
-        seat.idle_since = self.stores.now()
-        self.idle.append(seat)
+        connection.idle_since = self.stores.now()
+        self.idle.append(connection)
         if self.waiting:
             self.feed_after(RESTED)
         elif self.stores.starving:
-            seat.close()
+            connection.close()
 
     def feed(self) -> None:
         """Give connections that rested to who waits; open one where that is too few."""
         while attempt := self._next():
-            if seat := self._rested():
+            if connection := self._rested():
                 self._leave(attempt)
-                seat.send(attempt, self.stores.clock())
+                connection.send(attempt, self.stores.clock())
             elif self.idle and not self.stores.room(make=False):
                 return self.feed_after(RESTED)  # no other may be opened, and this one only has to rest
             else:
@@ -195,10 +195,10 @@
         return True
 
     def cancel(self, attempt: Attempt) -> None:
-        seat = attempt.seat
-        if not self.withdraw(attempt) and isinstance(seat, Seat) and seat.attempt is attempt:
-            seat.attempt = None
-            seat.close()
+        connection = attempt.connection
+        if not self.withdraw(attempt) and isinstance(connection, Connection) and connection.attempt is attempt:
+            connection.attempt = None
+            connection.close()
             self.stores.later_outcome(attempt, How.CANCELLED)
 
     def failed(self, again: bool) -> None:
@@ -218,10 +218,10 @@
         if self.waiting:
             self.open()
 
-    def closed(self, seat: Seat) -> None:
-        self.seats.pop(seat, None)
-        if seat in self.idle:
-            self.idle.remove(seat)
+    def closed(self, connection: Connection) -> None:
+        self.connections.pop(connection, None)
+        if connection in self.idle:
+            self.idle.remove(connection)
         if self.waiting:
             self.stores.later(self.open)
         self.stores.freed()
@@ -233,37 +233,37 @@
             for attempt, _, _ in waiting:
                 self.stores.outcome(attempt, How.MOOT)
         address = self.stores.core.addresses.get(self.store)
-        if self.store.state is State.GONE or any(seat.address != address for seat in self.seats):
-            for seat in list(self.idle):
-                seat.close()
+        if self.store.state is State.GONE or any(connection.address != address for connection in self.connections):
+            for connection in list(self.idle):
+                connection.close()
 
     def look(self, now: float) -> None:
-        for seat in [seat for seat in self.seats if not seat.up and now >= seat.expires]:
-            seat.close()
+        for connection in [one for one in self.connections if not one.up and now >= one.expires]:
+            connection.close()
             self.failed(again=False)
-        for seat in [seat for seat in self.idle if now - seat.idle_since >= self.stores.trusted]:
-            seat.close()
-        for seat in [seat for seat in self.seats if seat.attempt and seat.attempt.over
-                     and now - seat.sent > self.stores.longest + OWED]:
-            seat.close()  # guards against answers that trickle without an end to tasks that have theirs
+        for connection in [one for one in self.idle if now - one.idle_since >= self.stores.trusted]:
+            connection.close()
+        for connection in [one for one in self.connections if one.attempt and one.attempt.over
+                           and now - one.sent > self.stores.longest + OWED]:
+            connection.close()  # guards against answers that trickle without an end to tasks that have theirs
 
-    def _rested(self) -> Seat | None:
+    def _rested(self) -> Connection | None:
         """The warmest connection on which nothing more can come."""
         now = self.stores.now()
-        for seat in reversed(self.idle):
-            if now - seat.idle_since >= RESTED:
-                self.idle.remove(seat)
-                if now - seat.idle_since <= self.stores.trusted and seat.stream.quiet():
-                    return seat
-                seat.close()
+        for connection in reversed(self.idle):
+            if now - connection.idle_since >= RESTED:
+                self.idle.remove(connection)
+                if now - connection.idle_since <= self.stores.trusted and connection.stream.quiet():
+                    return connection
+                connection.close()
                 return self._rested()
         return None
 
-    def _serve(self, seat: Seat) -> bool:
+    def _serve(self, connection: Connection) -> bool:
         attempt = self._next()
         if attempt:
             self._leave(attempt)
-            seat.send(attempt, self.stores.clock())
+            connection.send(attempt, self.stores.clock())
         return attempt is not None
 
     def _next(self) -> Attempt | None:
@@ -320,16 +320,16 @@
 
     def held_bytes(self) -> int:
         """Of answers: what has come and is not whole, and what clients have not taken yet."""
-        seats = (seat for pool in self.pools.values() for seat in pool.seats)
-        return self.clients.unsent() + sum(seat.reader.size for seat in seats if seat.reader)
+        connections = (connection for pool in self.pools.values() for connection in pool.connections)
+        return self.clients.unsent() + sum(connection.reader.size for connection in connections if connection.reader)
 
     def room(self, make: bool = True) -> bool:
         """Whether another connection may be opened; to make room the one that idles longest is closed."""
-        if sum(len(pool.seats) for pool in self.pools.values()) < self.most:
+        if sum(len(pool.connections) for pool in self.pools.values()) < self.most:
             return True
-        idle = [seat for pool in self.pools.values() for seat in pool.idle]
+        idle = [connection for pool in self.pools.values() for connection in pool.idle]
         if idle and make:
-            min(idle, key=lambda seat: seat.idle_since).close()
+            min(idle, key=lambda connection: connection.idle_since).close()
             return True
         return False
 
@@ -352,13 +352,13 @@
         self.trusted = min(self.trusted * MORE, self.idle_close * IDLE_PART)
         for store, pool in list(self.pools.items()):
             pool.look(now)
-            if store.state is State.GONE and not pool.seats and not pool.waiting:
+            if store.state is State.GONE and not pool.connections and not pool.waiting:
                 del self.pools[store]
 
     def close_idle(self) -> None:
         for pool in self.pools.values():
-            for seat in list(pool.idle):
-                seat.close()
+            for connection in list(pool.idle):
+                connection.close()
 
     def later(self, call: Callable[[], None]) -> None:
         self.after(0, call)
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -331,6 +331,6 @@
             await client.answer(client.ask())
             assert stage.edge.stores.pools
             stage.edge.stores.pressure()
-            await until(lambda: not any(pool.seats for pool in stage.edge.stores.pools.values()))
+            await until(lambda: not any(pool.connections for pool in stage.edge.stores.pools.values()))
             assert (await client.answer(client.ask())).result == DELIVERED
     play(go())
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -178,7 +178,7 @@
             client.writer.close()
             await until(lambda: not stage.gateway.core.held and not stage.gateway.open)
             assert stage.gateway.core.counts.outcomes == {"cancelled": 1}
-            await until(lambda: not stage.gateway.stores.pools[stage.gateway.core.stores["s0"]].seats)
+            await until(lambda: not stage.gateway.stores.pools[stage.gateway.core.stores["s0"]].connections)
     play(go())
 
 
--- a/tests/platform/test_stores.py
+++ b/tests/platform/test_stores.py
@@ -61,8 +61,8 @@
         async with staged(tmp_path, store, settings=settings) as stage:
             client = await stage.client()
             client.writer.write(asking(1))
-            await until(lambda: any(seat.reader and not seat.reader._head and seat.reader.size == 3
-                                    for pool in stage.gateway.stores.pools.values() for seat in pool.seats))
+            await until(lambda: any(connection.reader and not connection.reader._head and connection.reader.size == 3
+                                    for pool in stage.gateway.stores.pools.values() for connection in pool.connections))
             reset(store.writers[0])
             answer = await client.answer()
             assert (answer.status, len(store.got)) == ((500, 1) if settings is ONCE else (200, 2))
@@ -88,7 +88,7 @@
             client = await stage.client()
             assert (await client.ask(1, x_remaining="0.3")).status in (500, 503)
             end(store.writers[0])
-            await until(lambda: not any(pool.seats for pool in stage.gateway.stores.pools.values()))
+            await until(lambda: not any(pool.connections for pool in stage.gateway.stores.pools.values()))
             store.reply = lambda request: ok(b"own")
             assert (await served(client)).body == b"own"
     play(go())
@@ -104,11 +104,11 @@
             stores = stage.gateway.stores
             stores.look()
             pool = next(iter(stores.pools.values()))
-            assert len(pool.seats) == 1
+            assert len(pool.connections) == 1
             now = stores.now
             stores.now = lambda: now() + stores.longest + stores_module.OWED
             pool.look(stores.now())
-            assert not pool.seats
+            assert not pool.connections
     play(go())
 
 
@@ -215,7 +215,7 @@
                 connected(stream)
             await asyncio.sleep(0)
             pool = next(iter(stage.gateway.stores.pools.values()))
-            assert not pool.waiting and not store.got and all(seat.attempt is None for seat in pool.seats)
+            assert not pool.waiting and not store.got and not any(one.attempt for one in pool.connections)
     play(go())
 
 
@@ -234,7 +234,7 @@
             core._timed_out(attempt)
             answer = await client.answer()
             assert answer.status == 500 and core.counts.outcomes == {"timed out": 1} and len(store.got) == 1
-            await until(lambda: not core.held and not any(p.seats for p in stage.gateway.stores.pools.values()))
+            await until(lambda: not core.held and not any(p.connections for p in stage.gateway.stores.pools.values()))
             store.reply = lambda request: ok()
             await served(client)
     play(go())
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -211,8 +211,8 @@
             client.close()
         gateway.discovery.end()
         for pool in gateway.stores.pools.values():
-            for seat in list(pool.seats):
-                seat.close()
+            for connection in list(pool.connections):
+                connection.close()
         listener.close()
         for part in (list_, *stores):
             await part.stop()
