Rename: a cut-off is a deadline

The field's word for the time at which a task's answer is due at the latest; settings keep cut_off_ms. What is cut off from others keeps its name.

--- a/tansykeel/baselines.py
+++ b/tansykeel/baselines.py
@@ -57,7 +57,7 @@
         return self.by_shard[shards[self.next_new % len(shards)]] if shards else None
 
     def serve(self, task: Task) -> Run:
-        while task.hand_offs < self.facts.allowed.hand_offs and self.desk.now < task.cut_off:
+        while task.hand_offs < self.facts.allowed.hand_offs and self.desk.now < task.deadline:
             store = self.store_for(task)
             if store is None or task.may_have_run and task.category.repeat is not Repeat.HARMLESS:
                 break
@@ -92,7 +92,7 @@
         if self.out.get(store, 0) < self.WINDOW and not line:
             return True
         line.append(task)
-        signal = yield Wait(task.cut_off)
+        signal = yield Wait(task.deadline)
         if task in line:
             line.remove(task)
         return signal is Signal.TURN
@@ -103,7 +103,7 @@
             self.desk.wake(line.popleft(), Signal.TURN)
 
     def serve(self, task: Task) -> Run:
-        while task.hand_offs < self.facts.allowed.hand_offs and self.desk.now < task.cut_off:
+        while task.hand_offs < self.facts.allowed.hand_offs and self.desk.now < task.deadline:
             store = self.store_for(task)
             if store is None or task.may_have_run and task.category.repeat is not Repeat.HARMLESS:
                 break
@@ -142,7 +142,7 @@
         self.level[task.volume] = level, self.desk.now
         if level < 0:
             ready = self.desk.now + int(-level / rate) + 1
-            if ready >= task.cut_off:
+            if ready >= task.deadline:
                 self.level[task.volume] = level + task.units, self.desk.now
                 yield self.final(task)
                 return
@@ -165,7 +165,7 @@
         if self.out.get(store, 0) < self.WINDOW and not ring:
             return True
         ring.setdefault(task.volume, deque()).append(task)
-        signal = yield Wait(task.cut_off)
+        signal = yield Wait(task.deadline)
         if signal is not Signal.TURN and task in ring.get(task.volume, ()):
             self._take(store, task.volume, task)
         return signal is Signal.TURN
--- a/tansykeel/benchlink/host.py
+++ b/tansykeel/benchlink/host.py
@@ -105,7 +105,7 @@
             shard=None if event.shard < 0 else int(event.shard),
             key=event.key,
             arrived=self.runner.now,
-            cut_off=_floor(event.not_after),
+            deadline=_floor(event.not_after),
             again=bool(event.bits & 2),
         )
         self.tasks[event.id] = task
--- a/tansykeel/brain/scheduler.py
+++ b/tansykeel/brain/scheduler.py
@@ -94,7 +94,7 @@
         """The ordinary path: find the node, wait for the turn, hand off, judge the outcome."""
         now, state, aim = self.desk.now, self.state_of(task.volume), self.aim_of(task)
         if late := aim <= now:  # worth little any more: it goes only where nothing waits
-            aim = min(now + task.category.soft_limit, task.cut_off)
+            aim = min(now + task.category.soft_limit, task.deadline)
         if self.extras:
             self.extras.taken.append(now)
         node, line, first = None, None, not task.again and task.shard is not None
@@ -160,9 +160,9 @@
     def aim_of(self, task: Task) -> int:
         """When the soft limit ends, from the first try: less time left than usual tells of an earlier one."""
         times = self.patience.setdefault(task.category, deque(maxlen=SAMPLES))
-        times.append(task.cut_off - self.desk.now)
+        times.append(task.deadline - self.desk.now)
         age = max(times) - times[-1] if times[-1] >= task.category.soft_limit else 0
-        return min(self.desk.now + task.category.soft_limit - age, task.cut_off)
+        return min(self.desk.now + task.category.soft_limit - age, task.deadline)
 
     def line_of(self, node: Node, volume: Volume) -> Line:
         if volume not in node.lines:
@@ -240,7 +240,7 @@
 
     def may_hand_off(self, task: Task) -> bool:
         """Whether a (further) hand-off is legal now, wherever it goes."""
-        may = task.hand_offs < self.facts.allowed.hand_offs and self.desk.now < task.cut_off
+        may = task.hand_offs < self.facts.allowed.hand_offs and self.desk.now < task.deadline
         may = may and (not task.hand_offs or not self.extras or self.extras.room(self.desk.now))
         return may and not (task.may_have_run and task.category.repeat is Repeat.ONE_SHOT)
 
--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -80,7 +80,7 @@
             return self._give_up(held, "no memory for its body")
         held.memory = asked.memory
         if held.missing:  # guards against a body that never comes: the client is answered all the same
-            self.runner.alarm(held.task.cut_off, partial(self._body_late, held))
+            self.runner.alarm(held.task.deadline, partial(self._body_late, held))
             self.runner.settle()
         if held.task.category.ordered and held.task.key:
             self.coming.setdefault(held.task.key, deque()).append(held)
@@ -203,7 +203,7 @@
     def hand_off(self, task: Task, store: Store, time_out: int) -> None:
         held: Held = task.handle
         now = self.runner.now
-        until = min(now + time_out, task.cut_off) if time_out > 0 else task.cut_off
+        until = min(now + time_out, task.deadline) if time_out > 0 else task.deadline
         attempt = Attempt(held, store, task.hand_offs - 1, now, until)
         held.out.append(attempt)
         self.counts.hand_offs += 1
--- a/tansykeel/edge/native.py
+++ b/tansykeel/edge/native.py
@@ -40,7 +40,7 @@
         elif request.body not in ((request.size,) if category.writes else (0,)):
             fault = f"body of {request.body} bytes; legal: {request.size if category.writes else 0}"
         kind = category or next(iter(self.categories.values()))
-        patience = min(request.patience // MICROS, kind.cut_off)
+        patience = min(request.patience // MICROS, kind.deadline)
         # Answers are due a stall's length before the client gives up, but never in the first half of its patience.
         spare = min(int(gateway.stall_allowance_ms * MS), patience // 2)
         task = Task(None, kind, volume or next(iter(self.volumes.values()), Volume("", self.facts.plans[0])),
--- a/tansykeel/emulator/oracle.py
+++ b/tansykeel/emulator/oracle.py
@@ -149,7 +149,7 @@
 
     def serve(self, task: Task) -> Run:
         now = self.desk.now
-        aim = min(now + task.category.soft_limit, task.cut_off - 1)
+        aim = min(now + task.category.soft_limit, task.deadline - 1)
         if self.extras is not None:
             self.extras.taken.append(now)
         allowed = self.facts.allowed.hand_offs
--- a/tansykeel/emulator/world.py
+++ b/tansykeel/emulator/world.py
@@ -26,7 +26,7 @@
 from tansykeel.rehearse.troubles import Steps, steps_of
 from tansykeel.settings.day import Day, Trouble
 
-AFTER = 2.0  # seconds past the longest cut-off in which a day must have come to its end
+AFTER = 2.0  # seconds past the longest deadline in which a day must have come to its end
 MOST_EVENTS = 400  # of the engine for each task, and MOST_BASE more: a day that needs more does not end
 MOST_BASE = 50_000_000
 
--- a/tansykeel/interface.py
+++ b/tansykeel/interface.py
@@ -35,7 +35,7 @@
 class Category:
     name: str
     soft_limit: int
-    cut_off: int
+    deadline: int
     gain: float
     late_gain: float
     repeat: Repeat
@@ -154,7 +154,7 @@
     shard: int | None
     key: int
     arrived: int
-    cut_off: int
+    deadline: int
     again: bool = False
     hand_offs: int = 0
     may_have_run: list[tuple[Store, int]] = field(default_factory=list)
@@ -203,7 +203,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HandOff:
-    """Send the task to a store; resumed with the Outcome. A time-out of 0 runs to the cut-off."""
+    """Send the task to a store; resumed with the Outcome. A time-out of 0 runs to the deadline."""
 
     store: Store
     time_out: int = 0
--- a/tansykeel/platform/config.py
+++ b/tansykeel/platform/config.py
@@ -69,8 +69,8 @@
 
     @property
     def longest(self) -> float:
-        """The longest cut-off, in seconds."""
-        return max(category.cut_off for category in self.facts.categories) * TENTH / 1e9
+        """The longest deadline, in seconds."""
+        return max(category.deadline for category in self.facts.categories) * TENTH / 1e9
 
 
 def read(path: str) -> Config:
--- a/tansykeel/platform/intake.py
+++ b/tansykeel/platform/intake.py
@@ -68,7 +68,7 @@
             raise Malformed("x-remaining is no number of seconds")
         if extent is None or not 0 < float(extent[1]) <= max(self.largest, 1.0) or float(extent[3]) < 1:
             raise Malformed("x-extent is not units=,shard=,hosts= within the settings")
-        patience = int(min(float(left) * TENTHS, category.cut_off))
+        patience = int(min(float(left) * TENTHS, category.deadline))
         return Wanted(request, id.lower(), path[1].lower(), int(path[2], 16), category, plan, patience,
                       float(extent[1]), int(extent[2]), float(extent[3]), fields.get(b"x-resent") == b"1")
 
--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -34,7 +34,7 @@
 TIDY = 5.0  # seconds between collections of cycles
 SAMPLE = 500  # one answer of so many is logged
 FIRST_LIST = 0.5  # seconds that a start waits for discovery's first word; what that holds counts as told from then on
-KILLS_AFTER = 0.7  # seconds after SIGTERM and the longest cut-off (3 s at most) at which the platform kills
+KILLS_AFTER = 0.7  # seconds after SIGTERM and the longest deadline (3 s at most) at which the platform kills
 LONGEST = 3.0
 SERVES_UNTIL, ENDS_BEFORE, FLUSHES_BEFORE = 1.0, 0.3, 0.1  # seconds before it: answers are last, all are given, gone
 COME_ON = 0.5  # seconds after SIGTERM for which new connections still come
@@ -193,7 +193,7 @@
         client.answer(data, last)
         if final.result != DELIVERED and not held.task.hand_offs:
             task, now = held.task, self.core.runner.now
-            late = now - task.arrived > (task.cut_off - task.arrived) // 2
+            late = now - task.arrived > (task.deadline - task.arrived) // 2
             self.never_sent[(final.reason or "given up") + (", late" if late else "")] += 1
         self.answers += 1
         if self.answers % SAMPLE == 0:
--- a/tansykeel/settings/build.py
+++ b/tansykeel/settings/build.py
@@ -185,7 +185,7 @@
     return Facts(
         gateways=count, me=number, zone=made.gateway.zone,
         categories=tuple(
-            make.category(c.name, soft_limit=c.soft_limit_ms * MS, cut_off=c.cut_off_ms * MS, gain=c.gain,
+            make.category(c.name, soft_limit=c.soft_limit_ms * MS, deadline=c.cut_off_ms * MS, gain=c.gain,
                           late_gain=c.late_gain, repeat=Repeat(c.repeat), scope=Scope(c.scope),
                           window=c.window_ms * MS, writes=c.writes, ordered=c.ordered)
             for c in made.categories),
--- a/tansykeel/settings/day.py
+++ b/tansykeel/settings/day.py
@@ -70,7 +70,7 @@
 class Clients(Record):
     processes: Count = 1
     connections: Count = 2  # of each process to each edge
-    patience: Part = 1.0  # a try is given up after this part of the category's cut-off
+    patience: Part = 1.0  # a try is given up after this part of the category's deadline
     retries: Annotated[int, Meta(ge=0, le=10)] = 1
     honour: Part = 0.7  # part of the clients that wait as they are told
     backoff_ms: Least0 = 50.0
--- a/tansykeel/settings/facts.py
+++ b/tansykeel/settings/facts.py
@@ -21,9 +21,9 @@
     return int(-(-nanoseconds // TENTH))
 
 
-def category(name: str, *, soft_limit: float, cut_off: float, gain: float, late_gain: float, repeat: Repeat,
+def category(name: str, *, soft_limit: float, deadline: float, gain: float, late_gain: float, repeat: Repeat,
              scope: Scope, window: float, writes: bool, ordered: bool, stretch: float = 0.0) -> Category:
-    return Category(name, floor(soft_limit), floor(cut_off), gain, late_gain, repeat, scope, floor(window),
+    return Category(name, floor(soft_limit), floor(deadline), gain, late_gain, repeat, scope, floor(window),
                     writes, ordered, stretch)
 
 
--- a/tansykeel/settings/given.py
+++ b/tansykeel/settings/given.py
@@ -47,7 +47,7 @@
     writes = specifics.get("ChangesData") or [False] * len(raw["Classes"])
     categories = tuple(
         make.category(
-            c["Name"], soft_limit=c["Objective"], cut_off=c["Deadline"], gain=c["Value"],
+            c["Name"], soft_limit=c["Objective"], deadline=c["Deadline"], gain=c["Value"],
             late_gain=c.get("LateWorth", 0.0), repeat=_lookup(REPEATS, c["Repeat"], "Repeat"),
             scope=_lookup(SCOPES, c.get("KeyScope") or "cell", "KeyScope"), window=c.get("Window") or 0,
             writes=bool(writes[i]), ordered=bool(c.get("SerialByKey")), stretch=c.get("AimStretch") or 0.0,
--- a/tests/brain/test_tasks.py
+++ b/tests/brain/test_tasks.py
@@ -173,7 +173,7 @@
 def test_the_soft_limit_runs_from_the_first_try_unless_patience_is_short(remaining, aim):
     brain, desk = scheduler([store()])
     usual, further = task(desk), task(desk)
-    further.cut_off = desk.now + remaining
+    further.deadline = desk.now + remaining
     assert brain.aim_of(usual) == desk.now + 2_500
     assert brain.aim_of(further) == desk.now + aim
 
@@ -184,7 +184,7 @@
     next(brain.serve(task(desk)))
     brain.waits.put(next(iter(brain.nodes)), desk.now, wait)
     late, node = task(desk), next(iter(brain.nodes.values()))
-    late.cut_off = desk.now + 5_000
+    late.deadline = desk.now + 5_000
     heard(node, *[100] * 8, *[100 + wait] * 4)
     assert isinstance(next(brain.serve(late)), want)
 
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -229,7 +229,7 @@
             assert (await client.answer(task)).result == NACKED
             held = stage.edge.core.held
             await until(lambda: not held)
-            assert loop.time() - begun < 5  # its category's cut-off: far later than its patience
+            assert loop.time() - begun < 5  # its category's deadline: far later than its patience
     play(go())
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -87,7 +87,7 @@
 def task(desk: Desk, shard: int | None = 0, units: float = 2.0, category: Category = HARMLESS, key: int = 0,
          volume: Volume | None = None) -> Task:
     return Task("t", category, volume or Volume("v", PLAN, 1.0), units, shard, key, desk.now,
-                desk.now + category.cut_off)
+                desk.now + category.deadline)
 
 
 def outcome(how: How, lag: int = 100, over: bool | None = None) -> Outcome:
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -26,17 +26,17 @@
 BASE = """
 gateway("edge", peer_stall_s = {stall}, body_memory = {memory}, connection_memory = {memory}, largest_body = 1 << 20,
         connect_timeout_ms = {connect}, stop_within_s = 3)
-category("read", soft_limit_ms = 2000, cut_off_ms = {cut_off})
-category("write", soft_limit_ms = 2000, cut_off_ms = {cut_off}, writes = True)
-category("pay", soft_limit_ms = 2000, cut_off_ms = {cut_off}, writes = True, repeat = "stamped", window_ms = 9000)
-category("post", soft_limit_ms = 2000, cut_off_ms = {cut_off}, writes = True, repeat = "one-shot")
-category("log", soft_limit_ms = 2000, cut_off_ms = {cut_off}, writes = True, ordered = True)
+category("read", soft_limit_ms = 2000, cut_off_ms = {deadline})
+category("write", soft_limit_ms = 2000, cut_off_ms = {deadline}, writes = True)
+category("pay", soft_limit_ms = 2000, cut_off_ms = {deadline}, writes = True, repeat = "stamped", window_ms = 9000)
+category("post", soft_limit_ms = 2000, cut_off_ms = {deadline}, writes = True, repeat = "one-shot")
+category("log", soft_limit_ms = 2000, cut_off_ms = {deadline}, writes = True, ordered = True)
 plan("basic", rate = 100)
 volume("v", plan = "basic")
 sizes(largest = 300, usual = 1)
 rules({rules})
 """
-USUAL = {"stall": 5, "memory": 64 << 20, "connect": 500, "cut_off": 5000,
+USUAL = {"stall": 5, "memory": 64 << 20, "connect": 500, "deadline": 5000,
          "rules": "hand_offs = 3, answer_grace_ms = 50"}
 
 
