No further attempt beside one that is out where neither cancels nor copies are allowed

Lines at fault: brain/ scheduler.py, time_out: a harmless task goes again before its deadline while answers are lost, and where no cancel is allowed the one that timed out stays out on its open connection; allowed.copies was read nowhere.

--- a/tansykeel/brain/scheduler.py
+++ b/tansykeel/brain/scheduler.py
@@ -151,8 +151,8 @@
 
     def time_out(self, task: Task, node: Node, aim: int) -> int:
         """After what time a harmless task goes again, if answers are lost and it can be in time, else 0."""
-        now, sure = self.desk.now, task.category.repeat is Repeat.HARMLESS
-        if task.hand_offs != 1 or not sure or now >= self.waits.lost:
+        now, may, sure = self.desk.now, self.facts.allowed, task.category.repeat is Repeat.HARMLESS
+        if task.hand_offs != 1 or not (sure and (may.cancel or may.copies)) or now >= self.waits.lost:
             return 0
         patience = max(PATIENCE * (lag := int(node.lag(task.units))), self.tightest // 2)
         return patience if now + patience + lag * MARGIN < aim else 0
--- a/tests/brain/test_rates.py
+++ b/tests/brain/test_rates.py
@@ -11,6 +11,7 @@
 
 from tansykeel.brain.rates import left
 from tansykeel.interface import (
+    Allowed,
     How,
     State,
     Volume,
@@ -70,6 +71,17 @@
     assert len(node.lags) == samples
 
 
+@pytest.mark.parametrize("copies, cancel, soon", [(False, False, False), (True, False, True), (False, True, True)])
+def test_no_task_goes_again_beside_one_that_is_out_where_neither_cancels_nor_copies_are_allowed(copies, cancel, soon):
+    """Guards against a second copy: what timed out is still out on its open connection."""
+    at = store()
+    brain, desk = scheduler([at], allowed=Allowed(3, False, 0, copies, cancel, False))
+    heard(brain.nodes[at], 100, 100, 100)
+    brain.waits.lost, sent = desk.now + 1, task(desk)
+    sent.hand_offs = 1
+    assert (brain.time_out(sent, brain.nodes[at], desk.now + 2_500) > 0) is soon
+
+
 @pytest.mark.parametrize("category, lost, hand_offs, soon", [
     (HARMLESS, True, 1, True), (HARMLESS, False, 1, False), (ONE_SHOT, True, 1, False), (HARMLESS, True, 2, False),
 ])
