A test waits out the lags of its own flood before it wants service

Measured with ten busy loops beside the test: the store's last answer, 16 ms old, had a lag of 1.46 s, so the module rightly took the store for slow (lag 1.18 s for two units, over the soft limit); in two further plays the last lag was older or short, and it was served. The verdict hung on how long ago the flood's last answer was. The test now asks again until it is served, 50 times at most, and takes nothing but nacks before; it passes.

--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -275,7 +275,12 @@
                 assert stage.edge.core.memory.used <= 8 << 20
             other = await stage.client()
             await until(lambda: stage.edge.core.memory.used == 0, 30)
-            assert (await other.answer(other.ask())).result == DELIVERED
+            # The flood's lags count for 2 s, on a busy machine beyond this moment: until then a nack is right.
+            results = []
+            while DELIVERED not in results:
+                assert len(results) < 50 and results == [NACKED] * len(results)
+                results.append((await other.answer(other.ask())).result)
+                await asyncio.sleep(0.1)
     play(go(), 60)
 
 
