--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import json
 
 import pytest
-from platform_stage import List, Store, configuration, play, staged, until
+from platform_stage import List, Store, configuration, no_descriptors, play, staged, until
 
 from tansykeel.platform import discovery as discovery_module
 from tansykeel.platform.discovery import Watch
@@ -261,20 +260,12 @@
 
 
 def test_no_descriptor_for_a_watch_makes_room_and_is_tried_again(tmp_path, monkeypatch):
-    refused, opened = [], discovery_module.open_socket
-
-    def none_left(address):
-        if len(refused) < 3:
-            refused.append(address)
-            raise OSError(errno.EMFILE, "no descriptor")
-        return opened(address)
-
     async def go():
         async with staged(tmp_path, Store("s0", 0)) as stage:
             await until(lambda: stage.gateway.core.list_version == 5)
             idle = await stage.client()
             assert (await idle.ask(1)).status == 200
-            monkeypatch.setattr(discovery_module, "open_socket", none_left)
+            refused = no_descriptors(monkeypatch, discovery_module, 3)
             monkeypatch.setattr("tansykeel.platform.clients.BRIEF", 0.0)
             stage.list.revision += 1
             stage.list.writers[0].transport.abort()
--- a/tests/platform/test_stores.py
+++ b/tests/platform/test_stores.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import socket
 
 import pytest
-from platform_stage import SETTINGS, Store, asking, ok, play, staged, until
+from platform_stage import SETTINGS, Store, asking, no_descriptors, ok, play, staged, until
 
 from tansykeel.platform import stores as stores_module
 from tansykeel.transport.stream import Stream
@@ -241,20 +240,12 @@
 
 
 def test_no_descriptor_for_a_first_attempt_makes_room_and_says_nothing_of_the_store(tmp_path, monkeypatch):
-    refused, opened = [], stores_module.open_socket
-
-    def none_left(address):
-        if len(refused) < 3:
-            refused.append(address)
-            raise OSError(errno.EMFILE, "no descriptor")
-        return opened(address)
-
     async def go():
         store = Store("s0", 0)
         async with staged(tmp_path, store) as stage:
             monkeypatch.setattr("tansykeel.platform.clients.BRIEF", 0.0)
             await stage.client()
-            monkeypatch.setattr(stores_module, "open_socket", none_left)
+            refused = no_descriptors(monkeypatch, stores_module, 3)
             assert (await (await stage.client()).ask(1)).status == 200
             assert len(refused) == 3 and stage.gateway.core.counts.outcomes == {"delivered": 1}
     play(go())
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import re
 import socket
@@ -218,6 +219,19 @@
             await part.stop()
 
 
+def no_descriptors(monkeypatch, module, times):
+    """The next `times` sockets that the module opens find no descriptor; the list of those, as they are refused."""
+    refused, opened = [], module.open_socket
+
+    def none_left(address):
+        if len(refused) < times:
+            refused.append(address)
+            raise OSError(errno.EMFILE, "no descriptor")
+        return opened(address)
+    monkeypatch.setattr(module, "open_socket", none_left)
+    return refused
+
+
 async def until(so, seconds=5.0):
     end = time.monotonic() + seconds
     while not so():
