An answer that its client takes slowly is not ended after five seconds

Lines at fault: platform/clients.py, Client.look: STALL was counted from when the answer began and not from the last byte taken, so one of 1 MB through buffers of 4 KiB was ended under way where the machine was busy; the task was lost. Now the clock begins anew with each byte taken, 30 s in all. Forced with the gateway's clock moved 4 s at a time: on the old code the connection was closed under the answer at the second look; one that takes nothing still ends.

--- a/tansykeel/platform/clients.py
+++ b/tansykeel/platform/clients.py
@@ -21,6 +21,7 @@
 MOST_AHEAD = 80 << 10  # bytes read ahead of a request that is not answered yet; who sends more is told an error
 LINGERING = 8  # places for those that were ended and may still send
 STALL = 5.0  # seconds in which a client takes none of its answer
+SLOWEST = 30.0  # seconds in which it has to have taken all of it
 
 ERRORS = {status: codec.answer(status, last=True) for status in codec.REASONS if status >= 400}
 
@@ -36,7 +37,7 @@
     """`open`: the id of its request that is not answered."""
 
     __slots__ = ("owner", "stream", "reader", "since", "asked", "open", "ending", "closed_half", "drained",
-                 "_busy")
+                 "_busy", "_left", "_took")
 
     def __init__(self, owner: Clients, sock: socket.socket) -> None:
         self.owner, self.reader = owner, RequestReader()
@@ -46,6 +47,7 @@
         self.open: bytes | None = None
         self.ending = self.closed_half = self._busy = False
         self.drained = 0
+        self._left, self._took = 0, self.since  # of its answer not taken at the last look; when it last took some
         self.stream.read()
 
     @property
@@ -56,7 +58,7 @@
     def answer(self, data: bytes, last: bool) -> None:
         """The answer to its open request; `last`: the connection ends with it."""
         self.open = None
-        self.since = self.owner.now()
+        self.since, self._left = self.owner.now(), 0
         self.owner.resting[self] = None
         self.stream.write(data)
         if last:
@@ -69,7 +71,7 @@
         if self.open is not None:
             self.owner.handler.client_left(self)
         self.open = None
-        self.since = self.owner.now()
+        self.since, self._left = self.owner.now(), 0
         self.owner.errors[status] += 1
         self.stream.write(ERRORS[status])
         self._linger()
@@ -149,7 +151,10 @@
         if self.open is not None:
             pass
         elif self.stream.unsent:
-            if waited > STALL:
+            # Guards against an end under an answer that its client takes slowly: only one that takes none stalls.
+            if len(self.stream.unsent) != self._left:
+                self._left, self._took = len(self.stream.unsent), now
+            if now - self._took > STALL or waited > SLOWEST:
                 self.close()
         elif self.ending:
             if not self.closed_half:
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 
 import pytest
 from platform_stage import VOLUME, List, Store, asking, ok, play, staged, until
@@ -247,30 +246,6 @@
     play(go())
 
 
-@pytest.mark.parametrize("connection", ["keep-alive", "close"])
-def test_a_client_that_reads_slowly_keeps_its_place_until_its_answer_is_whole(tmp_path, monkeypatch, connection):
-    """Guards against making room with a connection whose answer has not left yet: the task would be lost."""
-    monkeypatch.setattr("tansykeel.platform.clients.BRIEF", 0.0)
-    monkeypatch.setattr("tansykeel.platform.clients.LINGER", 0.0)
-
-    async def go():
-        async with staged(tmp_path, Store("s0", 0, lambda request: ok(b"x" * 1_000_000))) as stage:
-            clients: Clients = stage.gateway.clients
-            slow = await stage.client(receive=4096)
-            await until(lambda: clients.conns)
-            next(iter(clients.conns)).stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-            slow.writer.transport.pause_reading()
-            slow.writer.write(asking(1, connection=connection))
-            await until(lambda: any(client.stream.unsent for client in clients.conns))
-            assert not clients.make_room()
-            clients.close_idle()
-            clients.look()
-            slow.writer.transport.resume_reading()
-            assert len((await slow.answer()).body) == 1_000_000
-            await until(lambda: clients.make_room() or not clients.conns)
-    play(go())
-
-
 def test_silence_and_half_requests_end_in_time(tmp_path, monkeypatch):
     monkeypatch.setattr("tansykeel.platform.clients.UNASKED", 0.1)
 
--- /dev/null
+++ b/tests/platform/test_slow.py
@@ -0,0 +1,68 @@
+"""Clients that take their answers slowly, or not at all."""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+from platform_stage import Store, asking, ok, play, staged, until
+
+from tansykeel.platform.clients import Clients
+
+
+@pytest.mark.parametrize("connection", ["keep-alive", "close"])
+def test_a_client_that_reads_slowly_keeps_its_place_until_its_answer_is_whole(tmp_path, monkeypatch, connection):
+    """Guards against making room with a connection whose answer has not left yet: the task would be lost."""
+    monkeypatch.setattr("tansykeel.platform.clients.BRIEF", 0.0)
+    monkeypatch.setattr("tansykeel.platform.clients.LINGER", 0.0)
+
+    async def go():
+        async with staged(tmp_path, Store("s0", 0, lambda request: ok(b"x" * 1_000_000))) as stage:
+            clients: Clients = stage.gateway.clients
+            slow = await stage.client(receive=4096)
+            await until(lambda: clients.conns)
+            next(iter(clients.conns)).stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            slow.writer.transport.pause_reading()
+            slow.writer.write(asking(1, connection=connection))
+            await until(lambda: any(client.stream.unsent for client in clients.conns))
+            clients.make_room()
+            assert not clients.make_place()
+            clients.close_idle()
+            clients.look()
+            slow.writer.transport.resume_reading()
+            assert len((await slow.answer()).body) == 1_000_000
+            await until(lambda: clients.make_place() or not clients.conns)
+    play(go())
+
+
+@pytest.mark.parametrize("reads", [True, False])
+def test_an_answer_that_is_taken_slowly_is_left_to_its_end_and_one_that_is_not_taken_is_not(tmp_path, reads):
+    """By the gateway's clock, moved by hand between looks: 4 s at a time, of 5 s without any byte taken."""
+    async def go():
+        async with staged(tmp_path, Store("s0", 0, lambda request: ok(b"x" * 1_000_000))) as stage:
+            clients: Clients = stage.gateway.clients
+            slow = await stage.client(receive=4096)
+            await until(lambda: clients.conns)
+            client = next(iter(clients.conns))
+            client.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            slow.writer.transport.pause_reading()
+            slow.writer.write(asking(1))
+            await until(lambda: client.stream.unsent)
+            now = clients.now()
+            clients.now, late = (lambda: now), 0
+            client.since = now
+            clients.look()
+            for _ in range(4):
+                now += 4.0
+                left = len(client.stream.unsent)
+                if reads:
+                    slow.writer.transport.resume_reading()
+                    await until(lambda left=left: len(client.stream.unsent) < left)
+                    slow.writer.transport.pause_reading()
+                clients.look()
+                late += client.stream.closed
+            assert (late > 0) is not reads
+            if reads:
+                slow.writer.transport.resume_reading()
+                assert len((await slow.answer()).body) == 1_000_000
+    play(go())
