The test of the very end can fail: what the system still holds of an answer is at stake

Taking out what is unread before the close (Client's stream, discard) left the test before green: after a half close a reset takes nothing back that has arrived.

--- a/tests/platform/test_ending.py
+++ b/tests/platform/test_ending.py
@@ -181,14 +181,19 @@
     play(go())
 
 
-@pytest.mark.parametrize("read_first", [True, False])
-def test_at_the_very_end_no_answer_is_taken_back_by_bytes_that_nobody_reads(tmp_path, read_first):
+def test_at_the_very_end_no_answer_is_taken_back_by_bytes_that_nobody_reads(tmp_path, monkeypatch):
+    """The system still holds most of the answer for a client that reads slowly, and bytes of the client come in the
+    moment of the close: a reset would take that with it."""
+    monkeypatch.setattr("tansykeel.platform.clients.LINGER", 5.0)
+
     async def go():
-        store = Store("s0", 0, lambda request: None)
-        async with staged(tmp_path, store) as stage:
-            client = socket.create_connection(("127.0.0.1", stage.port))
+        async with staged(tmp_path, Store("s0", 0, lambda request: ok(b"x" * 300_000))) as stage:
+            client = socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.connect(("127.0.0.1", stage.port))
             client.send(asking(1))
-            await until(lambda: store.got)
+            await until(lambda: stage.gateway.core.counts.delivered
+                        and not any(one.stream.unsent for one in stage.gateway.clients.conns))
             close_all = stage.gateway.clients.close_all
 
             def send_then_close():
@@ -196,10 +201,12 @@
                 close_all()
             stage.gateway.clients.close_all = send_then_close
             stage.gateway.stop()
-            if read_first:
-                assert (await asyncio.to_thread(client.recv, 9)) == b"HTTP/1.1 "
             assert await stage.serving == 0
-            assert (b" 503 " if not read_first else b"503 ") in client.recv(65536) and client.recv(1) == b""
+            await asyncio.sleep(0)
+            answers = codec.AnswerReader()
+            while data := await asyncio.to_thread(client.recv, 65536):
+                answers.feed(data)
+            assert len(answers.next().body) == 300_000
             client.close()
     play(go())
 
