Read over: a slow answer's clock needs no resets; who calls the list anew is said rightly

Client.look takes the later of the answer's begin and the last byte taken, so what was left of an earlier answer can't matter and two resets of it go. The docstring of the edge's list said that another connection is made at once; the module says when. Same behaviour.

--- a/tansykeel/edge/listing.py
+++ b/tansykeel/edge/listing.py
@@ -1,7 +1,7 @@
 """Follows the list of stores: one connection to its service, asked when the module says so.
 
 The service says an empty change where it has none for 2 s. What it has counts as told 6 s after it could be reached, so
-one clock runs for its last whole word; a connection without one in time is ended and another made at once.
+one clock runs for its last whole word; without one in time the connection is ended, and the module calls anew.
 """
 
 from __future__ import annotations
--- a/tansykeel/platform/clients.py
+++ b/tansykeel/platform/clients.py
@@ -58,7 +58,7 @@
     def answer(self, data: bytes, last: bool) -> None:
         """The answer to its open request; `last`: the connection ends with it."""
         self.open = None
-        self.since, self._left = self.owner.now(), 0
+        self.since = self.owner.now()
         self.owner.resting[self] = None
         self.stream.write(data)
         if last:
@@ -71,7 +71,7 @@
         if self.open is not None:
             self.owner.handler.client_left(self)
         self.open = None
-        self.since, self._left = self.owner.now(), 0
+        self.since = self.owner.now()
         self.owner.errors[status] += 1
         self.stream.write(ERRORS[status])
         self._linger()
@@ -154,7 +154,7 @@
             # Guards against an end under an answer that its client takes slowly: only one that takes none stalls.
             if len(self.stream.unsent) != self._left:
                 self._left, self._took = len(self.stream.unsent), now
-            if now - self._took > STALL or waited > SLOWEST:
+            if now - max(self.since, self._took) > STALL or waited > SLOWEST:
                 self.close()
         elif self.ending:
             if not self.closed_half:
