--- a/benchmarks/cold_fleet.py
+++ b/benchmarks/cold_fleet.py
@@ -46,10 +46,21 @@
 def play(edges: int, seed: int, given: argparse.Namespace) -> str:
     stores, restart = given.stores, given.restart
     nodes.BY_ASKED, cold_module.EVEN = given.by_asked or nodes.BY_ASKED, given.even or cold_module.EVEN
-    day = day_of(given.script, 30.0, {"edges": edges, "part": given.part, "stores": stores, "struck": stores // 3,
-                                      "basic": 4 * stores, "priority": 2 * stores})
-    shape = msgspec.structs.replace(day.fleet.shape, fall_s=given.span, fall_multiple=given.multiple,
-                                    cold_share=given.share)
+    day = day_of(
+        given.script,
+        30.0,
+        {
+            "edges": edges,
+            "part": given.part,
+            "stores": stores,
+            "struck": stores // 3,
+            "basic": 4 * stores,
+            "priority": 2 * stores,
+        },
+    )
+    shape = msgspec.structs.replace(
+        day.fleet.shape, fall_s=given.span, fall_multiple=given.multiple, cold_share=given.share
+    )
     day = msgspec.structs.replace(day, fleet=msgspec.structs.replace(day.fleet, shape=shape))
     if restart:
         first = min(trouble.at for trouble in day.troubles if trouble.verb == "mass_restart")
@@ -64,6 +75,7 @@
     def budget(age: float) -> float:
         grown = 1 + min(age / warm, 1) * (1 / cold.share - 1)
         return cold.always_safe * grown / usual
+
     rows = []
     for up in passed.ups:
         if up.cold:
@@ -71,9 +83,11 @@
             rows.append(windows(sorted(sent), up.at, cold.span * 100, budget, warm))
     rows.sort(key=lambda one: one[2])
     most, middle, over = rows[-1], rows[len(rows) // 2][2], sum(one[2] > 1 for one in rows)
-    return (f"{given.script} edges {edges} seed {seed} part {given.part}{' restart' if restart else ''}: {len(rows)} "
-            f"cold starts, N {budget(0):.1f} at first; most {most[0]:.1f} calls at N {most[1]:.1f}, {most[2]:+.2f} of "
-            f"what is chance; median {middle:+.2f}; over {over}")
+    return (
+        f"{given.script} edges {edges} seed {seed} part {given.part}{' restart' if restart else ''}: {len(rows)} "
+        f"cold starts, N {budget(0):.1f} at first; most {most[0]:.1f} calls at N {most[1]:.1f}, {most[2]:+.2f} of "
+        f"what is chance; median {middle:+.2f}; over {over}"
+    )
 
 
 def main() -> None:
--- a/benchmarks/edge_cost.py
+++ b/benchmarks/edge_cost.py
@@ -43,9 +43,13 @@
 sizes(largest = 64, usual = {units})
 rules(hand_offs = 3, answer_grace_ms = 50)
 """
-GROUPS = {"module": ("brain/", "runner.py", "interface.py"), "core": ("edge/core.py",),
-          "codec": ("protocol/", "msgspec", "crc32c"), "sockets": ("transport/", "uvloop", "sock_"),
-          "programs": ("edge/stores.py", "edge/program.py")}
+GROUPS = {
+    "module": ("brain/", "runner.py", "interface.py"),
+    "core": ("edge/core.py",),
+    "codec": ("protocol/", "msgspec", "crc32c"),
+    "sockets": ("transport/", "uvloop", "sock_"),
+    "programs": ("edge/stores.py", "edge/program.py"),
+}
 
 
 def say(**fields: Any) -> None:
@@ -70,7 +74,8 @@
                 link.send(event.stream, OutcomeOf("delivered", shard))
         elif isinstance(event.record, HandOffOf) and not event.record.writes:
             link.send(event.stream, OutcomeOf("delivered", shard, body=event.record.size))
-            link.send_body(event.stream, [FILL[:event.record.size]])
+            link.send_body(event.stream, [FILL[: event.record.size]])
+
     hello = Hello(1, "store", f"s{shard}", 1)
     asyncio.create_task(accept_all(listener, lambda sock: Link(hub, sock, Codec("edge"), hello, event, gone)))
     say(port=listener.getsockname()[1], waiting=len(waiting))
@@ -97,10 +102,12 @@
     async def serve(self) -> None:
         listener = listening("127.0.0.1:0")
         hello = Hello(1, "edge", "relay")
-        self.stores = [Link(self.hub, await connect(a, 5), Codec("store"), hello, self.from_store, gone)
-                       for a in self.addresses]
-        asyncio.create_task(accept_all(
-            listener, lambda sock: Link(self.hub, sock, Codec("client"), hello, self.from_client, gone)))
+        self.stores = [
+            Link(self.hub, await connect(a, 5), Codec("store"), hello, self.from_store, gone) for a in self.addresses
+        ]
+        asyncio.create_task(
+            accept_all(listener, lambda sock: Link(self.hub, sock, Codec("client"), hello, self.from_client, gone))
+        )
         say(port=listener.getsockname()[1])
         await until_told()
 
@@ -121,8 +128,24 @@
         self.count += 1
         self.out[self.count] = link, stream
         to = self.stores[task.shard]
-        to.send(self.count, HandOffOf(stream, 0, task.volume, task.category, task.key, task.size, 1.0, task.shard,
-                                      task.patience, task.mark, bool(task.body), "harmless", body=task.body))
+        to.send(
+            self.count,
+            HandOffOf(
+                stream,
+                0,
+                task.volume,
+                task.category,
+                task.key,
+                task.size,
+                1.0,
+                task.shard,
+                task.patience,
+                task.mark,
+                bool(task.body),
+                "harmless",
+                body=task.body,
+            ),
+        )
         if parts:
             to.send_body(self.count, parts)
 
@@ -169,8 +192,20 @@
 
     def start(link: Link, task: int) -> None:
         writes = task % 2 == 1
-        link.send(task, TaskOf(f"v{task % VOLUMES}", "write" if writes else "read", task, size, task % STORES,
-                               10_000_000, task, False, size if writes else 0))
+        link.send(
+            task,
+            TaskOf(
+                f"v{task % VOLUMES}",
+                "write" if writes else "read",
+                task,
+                size,
+                task % STORES,
+                10_000_000,
+                task,
+                False,
+                size if writes else 0,
+            ),
+        )
         if writes:
             link.send_body(task, [FILL[:size]])
 
@@ -187,9 +222,11 @@
             done += 1
             if running:
                 start(link, event.stream + 1)
+
     hello = Hello(1, "client", f"c{number}")
-    links = [Link(hub, await connect(f"127.0.0.1:{port}", 5), Codec("edge"), hello, event, gone)
-             for _ in range(connections)]
+    links = [
+        Link(hub, await connect(f"127.0.0.1:{port}", 5), Codec("edge"), hello, event, gone) for _ in range(connections)
+    ]
     for index, link in enumerate(links):
         start(link, (number * 100_000 + index) << 24 | index)
     await asyncio.sleep(1.0)
@@ -275,6 +312,7 @@
                 Link(hub, sock, Codec("edge"), Hello(1, "client", f"c{number}"), lambda link, event: None, gone)
             await asyncio.sleep(1.0)
             return before, resident()
+
         before, after = asyncio.run(hold())
         return (after - before) / connections
     finally:
@@ -293,8 +331,10 @@
         for size in (4096, 262_144):
             path = f"/tmp/edge-{os.getpid()}.prof"
             rate, _, _ = measure("edge", size, 100, asked.seconds, path)
-            print(f"{size >> 10} KiB, 100 clients, {rate:.0f} tasks/s under cProfile: "
-                  + ", ".join(f"{name} {part:.0%}" for name, part in shares(path).items()))
+            print(
+                f"{size >> 10} KiB, 100 clients, {rate:.0f} tasks/s under cProfile: "
+                + ", ".join(f"{name} {part:.0%}" for name, part in shares(path).items())
+            )
             pstats.Stats(path).sort_stats("tottime").print_stats(22)
             os.unlink(path)
         return
@@ -303,19 +343,26 @@
     print("| --- | --- | --- | --- | --- | --- | --- | --- |")
     for size in (4096, 262_144):
         for connections in (10, 100, 1000):
-            rounds = [(measure("edge", size, connections, asked.seconds),
-                       measure("relay", size, connections, asked.seconds)) for _ in range(asked.rounds)]
-            row = {"body": size, "clients": connections,
-                   "edge_tasks_s": statistics.median(e[0] for e, _ in rounds),
-                   "relay_tasks_s": statistics.median(r[0] for _, r in rounds),
-                   "edge_us": statistics.median(e[1] for e, _ in rounds),
-                   "relay_us": statistics.median(r[1] for _, r in rounds),
-                   "ratio": statistics.median(e[1] / r[1] for e, r in rounds),
-                   "not_delivered": sum(e[2] for e, _ in rounds)}
+            rounds = [
+                (measure("edge", size, connections, asked.seconds), measure("relay", size, connections, asked.seconds))
+                for _ in range(asked.rounds)
+            ]
+            row = {
+                "body": size,
+                "clients": connections,
+                "edge_tasks_s": statistics.median(e[0] for e, _ in rounds),
+                "relay_tasks_s": statistics.median(r[0] for _, r in rounds),
+                "edge_us": statistics.median(e[1] for e, _ in rounds),
+                "relay_us": statistics.median(r[1] for _, r in rounds),
+                "ratio": statistics.median(e[1] / r[1] for e, r in rounds),
+                "not_delivered": sum(e[2] for e, _ in rounds),
+            }
             rows.append(row)
-            print(f"| {size >> 10} KiB | {connections} | {row['edge_tasks_s']:.0f} | {row['relay_tasks_s']:.0f} | "
-                  f"{row['edge_us']:.0f} | {row['relay_us']:.0f} | {row['ratio']:.2f} | {row['not_delivered']} |",
-                  flush=True)
+            print(
+                f"| {size >> 10} KiB | {connections} | {row['edge_tasks_s']:.0f} | {row['relay_tasks_s']:.0f} | "
+                f"{row['edge_us']:.0f} | {row['relay_us']:.0f} | {row['ratio']:.2f} | {row['not_delivered']} |",
+                flush=True,
+            )
     memory = idle_memory(1000)
     print(f"memory of 1,000 idle connections: {memory * 1000 / 1024:.1f} MiB")
     if asked.json:
--- a/benchmarks/emulator_speed.py
+++ b/benchmarks/emulator_speed.py
@@ -44,6 +44,7 @@
                 return call(runner, *arguments)
             finally:
                 self.inside, self.total = False, self.total + time.perf_counter() - begun
+
         setattr(Runner, name, timed)
 
 
@@ -71,10 +72,12 @@
     world.play()
     wall = time.perf_counter() - begun
     tasks = sum(isinstance(record, Sent) for record in world.records)
-    print(f"{given.script}, {given.edges} gateways, {given.seconds:g} s, {given.rate:g} tasks a second asked for: "
-          f"{tasks} tasks with further tries, {world.engine.events} events, {wall:.1f} s, {tasks / wall:.0f} tasks a "
-          f"second of wall time; module {clock.total:.1f} s ({clock.total / wall:.0%}), "
-          f"{clock.total / tasks * 1e6:.0f} us a task")
+    print(
+        f"{given.script}, {given.edges} gateways, {given.seconds:g} s, {given.rate:g} tasks a second asked for: "
+        f"{tasks} tasks with further tries, {world.engine.events} events, {wall:.1f} s, {tasks / wall:.0f} tasks a "
+        f"second of wall time; module {clock.total:.1f} s ({clock.total / wall:.0%}), "
+        f"{clock.total / tasks * 1e6:.0f} us a task"
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/module_cost.py
+++ b/benchmarks/module_cost.py
@@ -48,8 +48,22 @@
     def __init__(self, nodes: int, volumes: int, reserved: bool) -> None:
         read = Category("read", 3_000, 20_000, 1.0, 0.1, Repeat.HARMLESS, Scope.ALL, 0, False, False, 0.0)
         plan = Plan("p", 10.0, 2.0 if reserved else 0.0, 1.0, 1.0, 0.0, 0.0, 0.0)
-        facts = Facts(2, 0, 0, (read,), (plan,), Sizes(8.0, 2.0), Allowed(3, True, 1_000, False, True, False),
-                      Listing(False, 0, 5_000), 50, None, None, 0, (), True)
+        facts = Facts(
+            2,
+            0,
+            0,
+            (read,),
+            (plan,),
+            Sizes(8.0, 2.0),
+            Allowed(3, True, 1_000, False, True, False),
+            Listing(False, 0, 5_000),
+            50,
+            None,
+            None,
+            0,
+            (),
+            True,
+        )
         self.now, self.events, self.count, self.done = 10**6, [], 0, 0
         self.runner = Runner(self, self.now)
         self.brain = Scheduler(facts, 1, self.runner)
@@ -63,8 +77,16 @@
         heapq.heappush(self.events, (at, self.count, what))
 
     def task(self, volume: Volume) -> None:
-        task = Task(None, self.category, volume, float(self.draw.choice((1, 1, 2, 4))),
-                    self.draw.randrange(len(self.stores)), 0, self.now, self.now + 20_000)
+        task = Task(
+            None,
+            self.category,
+            volume,
+            float(self.draw.choice((1, 1, 2, 4))),
+            self.draw.randrange(len(self.stores)),
+            0,
+            self.now,
+            self.now + 20_000,
+        )
         self.runner.start(task, self.brain.serve(task))
 
     def until(self, moment: int) -> None:
@@ -123,8 +145,11 @@
     for nodes, volumes in SIZES:
         plain = [cost(nodes, volumes, tasks, False) for _ in range(3)]
         rich = [cost(nodes, volumes, tasks, True) for _ in range(3)]
-        print(f"| {nodes} | {volumes} | {statistics.median(c for c, _ in plain):.0f} | "
-              f"{statistics.median(c for c, _ in rich):.0f} | {plain[0][1]:.0%} |", flush=True)
+        print(
+            f"| {nodes} | {volumes} | {statistics.median(c for c, _ in plain):.0f} | "
+            f"{statistics.median(c for c, _ in rich):.0f} | {plain[0][1]:.0%} |",
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/stages.py
+++ b/benchmarks/stages.py
@@ -28,8 +28,25 @@
 def played(script: str, stage: str, seed: int) -> dict[str, Any]:
     with TemporaryDirectory(prefix="tansykeel-") as folder:
         out = Path(folder) / "verdict.json"
-        done = run([sys.executable, "-m", "tansykeel", "rehearse", script, "--stage", stage,
-                    "--seed", str(seed), "--json", str(out), "--quiet"], capture_output=True, text=True, timeout=600)
+        done = run(
+            [
+                sys.executable,
+                "-m",
+                "tansykeel",
+                "rehearse",
+                script,
+                "--stage",
+                stage,
+                "--seed",
+                str(seed),
+                "--json",
+                str(out),
+                "--quiet",
+            ],
+            capture_output=True,
+            text=True,
+            timeout=600,
+        )
         if not out.is_file():
             raise SystemExit(f"{script}, seed {seed}, {stage}: {done.stderr}")
         return json.loads(out.read_text())
@@ -38,7 +55,8 @@
 def figures(verdict: dict[str, Any]) -> dict[str, float]:
     tasks = max(verdict["tasks"], 1)
     return {
-        "service": verdict["service"], "worst 10 s": verdict["worst_10s"],
+        "service": verdict["service"],
+        "worst 10 s": verdict["worst_10s"],
         **{name: verdict["lag_ms"].get(name, 0.0) for name in ("p50", "p90", "p99")},
         **{f"{kind} %": 100 * verdict["answers"][kind] / tasks for kind in ("delivered", "nacked", "broken_off")},
         "rules broken": sum(verdict["rules"].values()),
--- a/tansykeel/accord/comparing.py
+++ b/tansykeel/accord/comparing.py
@@ -67,8 +67,10 @@
 def _gain(new: Seen, old: Seen, of_new: float, of_old: float) -> float:
     """The logarithm of the likelihood with these rates over that with one between for both."""
     between = (new.tasks * of_new + old.tasks * of_old) / (new.tasks + old.tasks)
-    return sum(seen.served * log(rate / between) + (seen.tasks - seen.served) * log((1 - rate) / (1 - between))
-               for seen, rate in ((new, of_new), (old, of_old)))
+    return sum(
+        seen.served * log(rate / between) + (seen.tasks - seen.served) * log((1 - rate) / (1 - between))
+        for seen, rate in ((new, of_new), (old, of_old))
+    )
 
 
 def apart(one: float, other: float) -> float:
--- a/tansykeel/accord/room.py
+++ b/tansykeel/accord/room.py
@@ -39,13 +39,18 @@
     return max(int(part * of + 1e-9), 1)
 
 
-def hindrances(place: Place, places: Mapping[str, Place], out: Collection[str], bounds: Bounds,
-               asked: float) -> list[str]:
+def hindrances(
+    place: Place, places: Mapping[str, Place], out: Collection[str], bounds: Bounds, asked: float
+) -> list[str]:
     """What speaks against its going now, each bound with its figures; nothing: it may. `asked`: units a second."""
     alike = [other for other in places.values() if other.kind == place.kind]
     against = list(_bound(f"the {place.kind}s of the fleet", alike, out, bounds.share))
-    against += _bound(f"the {place.kind}s of zone {place.zone}",
-                      [other for other in alike if other.zone == place.zone], out, bounds.zone)
+    against += _bound(
+        f"the {place.kind}s of zone {place.zone}",
+        [other for other in alike if other.zone == place.zone],
+        out,
+        bounds.zone,
+    )
     if place.kind == "store":
         holders = [other for other in alike if other.shard == place.shard]
         if len(holders) > 1 or not bounds.alone:
--- a/tansykeel/accord/search.py
+++ b/tansykeel/accord/search.py
@@ -65,8 +65,12 @@
         return made
 
     def key(self) -> tuple[object, ...]:
-        return (super().key(), frozenset((name, one.key()) for name, one in self.ledgers.items()),
-                tuple(self.subjects.values()), frozenset(self.orders))
+        return (
+            super().key(),
+            frozenset((name, one.key()) for name, one in self.ledgers.items()),
+            tuple(self.subjects.values()),
+            frozenset(self.orders),
+        )
 
     def events(self, bounds: Bounds) -> list[Event]:
         free = {kind: self.used[kind] < most for kind, most in MORE.items()}
@@ -125,15 +129,20 @@
 
     def _say(self, name: str, told: list[tuple[str, Word]]) -> None:
         me = self.alive[name].me
-        self.sent |= cast("dict[tuple[str, Member, Message], None]",
-                          dict.fromkeys((to, me, word) for to, word in told if to in self.names))
+        self.sent |= cast(
+            "dict[tuple[str, Member, Message], None]",
+            dict.fromkeys((to, me, word) for to, word in told if to in self.names),
+        )
 
     def _carry(self) -> None:
         """What a keeper does between the two: views are followed, formed ones wedge, voting waits for the ledger."""
         for name, one in self.alive.items():
             ledger = self.ledgers[name]
-            if one.view is not ledger.view and one.view is not None and (
-                    ledger.view is None or one.view.number > ledger.view.number):
+            if (
+                one.view is not ledger.view
+                and one.view is not None
+                and (ledger.view is None or one.view.number > ledger.view.number)
+            ):
                 ledger = self._own(name)
                 ledger.follow(self.clock(name), one.view)
             if one.formed and ledger.promised < (one.formed.number, 0, ""):
@@ -159,8 +168,13 @@
         """A majority of its voters promised nothing higher: it led at this moment, which is after it was asked."""
         view = ledger.view
         assert view is not None and ledger.leading is not None
-        still = [voter for voter in view.voters if voter.name in self.alive and self.alive[voter.name].me == voter
-                 and self.ledgers[voter.name].promised <= ledger.leading.ballot]
+        still = [
+            voter
+            for voter in view.voters
+            if voter.name in self.alive
+            and self.alive[voter.name].me == voter
+            and self.ledgers[voter.name].promised <= ledger.leading.ballot
+        ]
         return len(still) >= majority(view.voters)
 
     def _of_leader(self, kind: str, name: str, what: list[object]) -> bool:
@@ -213,8 +227,12 @@
 
     def _obeys(self, subject: Subject, order: Order) -> bool:
         """An older number, another life's, or an answer that comes too late is refused."""
-        return not subject.out and order.boot == subject.boot and order.number > subject.number \
+        return (
+            not subject.out
+            and order.boot == subject.boot
+            and order.number > subject.number
             and self.now - order.asked < PATIENCE
+        )
 
     def _judge(self) -> None:
         super()._judge()
@@ -240,6 +258,7 @@
         for _ in range(4):
             for word in list(fleet.sent):
                 fleet = fleet.after(("arrives", *word)) or fleet
+
     everyone: list[Event] = [("renews", name) for name in names]
     all_hear([("leads", names[0])])
     all_hear([("recovers", names[0])])
--- a/tansykeel/accord/state.py
+++ b/tansykeel/accord/state.py
@@ -108,9 +108,17 @@
     def replaced(self, name: str) -> bool:
         """Whether another store that is there holds the shard of this one."""
         place = self.kept.places.get(name)
-        return place is not None and place.kind == "store" and any(
-            other.shard == place.shard and other.name != name and other.kind == "store"
-            and other.name not in self.kept.out for other in self.kept.places.values())
+        return (
+            place is not None
+            and place.kind == "store"
+            and any(
+                other.shard == place.shard
+                and other.name != name
+                and other.kind == "store"
+                and other.name not in self.kept.out
+                for other in self.kept.places.values()
+            )
+        )
 
     def turns_back(self, name: str, release: Release) -> bool:
         """Whether it is out for this release, which goes back: it need not be whole with the new version first."""
@@ -163,7 +171,7 @@
     # Within
 
     def _refuse(self, index: int, what: str, *why: str) -> None:
-        self.kept.refused = [*self.kept.refused[-MOST_REFUSED + 1:], Refused(index, what, why)]
+        self.kept.refused = [*self.kept.refused[-MOST_REFUSED + 1 :], Refused(index, what, why)]
 
     def _leave(self, index: int, leave: Leave) -> None:
         against, release = self.against(leave.name), None
@@ -171,8 +179,12 @@
             release = self.kept.releases.get(leave.release)
             if release is not None and leave.back and self.turns_back(leave.name, release):
                 against = []  # it takes no more room than it has
-            if release is None or release is not self.under_way() or leave.name not in release.steps() \
-                    or leave.back is not (release.state == GOING_BACK):
+            if (
+                release is None
+                or release is not self.under_way()
+                or leave.name not in release.steps()
+                or leave.back is not (release.state == GOING_BACK)
+            ):
                 against.append(f"it is no step of {leave.release} now")
         if against:
             return self._refuse(index, f"leave for {leave.name}", *against)
@@ -220,8 +232,9 @@
     def _move(self, index: int, name: str, what: str, why: str, by: str) -> None:
         release = self.kept.releases.get(name)
         if release is None or not release.can(what) or what in BY_LEADER and by != "":
-            return self._refuse(index, f"{what} {name}", "there is none" if release is None
-                                else f"it is {release.state}")
+            return self._refuse(
+                index, f"{what} {name}", "there is none" if release is None else f"it is {release.state}"
+            )
         if what == "next" and release.last_wave:
             what = "end"
         elif what == "next":
--- a/tansykeel/accord/steward.py
+++ b/tansykeel/accord/steward.py
@@ -91,8 +91,9 @@
             self.led = now
             self.since, self.settling, self.comparison = {}, {}, None
 
-    def wants(self, now: int, places: Mapping[str, Place], bounds: Bounds, gone: Mapping[str, str],
-              alive: Iterable[str]) -> list[AnyEntry]:
+    def wants(
+        self, now: int, places: Mapping[str, Place], bounds: Bounds, gone: Mapping[str, str], alive: Iterable[str]
+    ) -> list[AnyEntry]:
         """The entries to offer now. `places`: who there is by settings and list; `gone`: who went unasked and how, by
         what liveness or the list says; `alive`: of those that went so, who is there and whole."""
         kept = self.state.kept
@@ -103,8 +104,9 @@
             return settled
         for out in kept.out.values():
             self.since.setdefault(out.number, now)
-        wanted: list[AnyEntry] = [Went(name, why) for name, why in gone.items()
-                                 if name in kept.places and name not in kept.out]
+        wanted: list[AnyEntry] = [
+            Went(name, why) for name, why in gone.items() if name in kept.places and name not in kept.out
+        ]
         wanted += self._backs(alive)
         wanted += self._by_hand()
         if (release := self.state.under_way()) is not None:
@@ -134,8 +136,11 @@
             wanted.append(Bounded(bounds))
         came = tuple(place for place in places.values() if kept.places.get(place.name) != place)[:MOST_PLACES]
         whole = {kept.places[name].shard for name in alive if name in kept.places}
-        gone = tuple(name for name, place in kept.places.items() if name not in places and (
-            name not in kept.out or place.shard in whole and self.state.replaced(name)))[:MOST_PLACES]
+        gone = tuple(
+            name
+            for name, place in kept.places.items()
+            if name not in places and (name not in kept.out or place.shard in whole and self.state.replaced(name))
+        )[:MOST_PLACES]
         if came or gone:
             wanted.append(There(came, gone))
         return wanted
@@ -154,14 +159,20 @@
 
     def _by_hand(self) -> list[AnyEntry]:
         kept = self.state.kept
-        return [Leave(name, ask.boot, ask.wants, "its agent") for name, (ask, _) in self.asks.items()
-                if ask.wants and name not in kept.out and not self.state.against(name)]
+        return [
+            Leave(name, ask.boot, ask.wants, "its agent")
+            for name, (ask, _) in self.asks.items()
+            if ask.wants and name not in kept.out and not self.state.against(name)
+        ]
 
     def _late(self, now: int, release: Release) -> list[AnyEntry]:
         """Guards against a release that goes on though those it took out do not come back."""
         for name, out in self.state.kept.out.items():
-            if out.release == release.name and release.can("halt") \
-                    and now - self.since.get(out.number, now) > self.pace.back:
+            if (
+                out.release == release.name
+                and release.can("halt")
+                and now - self.since.get(out.number, now) > self.pace.back
+            ):
                 return [Move(release.name, "halt", f"{name} is not back in its time", "")]
         return []
 
--- a/tansykeel/accord/words.py
+++ b/tansykeel/accord/words.py
@@ -68,8 +68,9 @@
 
 
 Word = Ask | Order | Offered | StatusAsk | Figures | Elsewhere | Wait | Status | Taken
-KINDS: dict[str, type[Word]] = {kind.__name__: kind for kind in (Ask, Order, Offered, StatusAsk, Figures, Elsewhere,
-                                                                  Wait, Status, Taken)}
+KINDS: dict[str, type[Word]] = {
+    kind.__name__: kind for kind in (Ask, Order, Offered, StatusAsk, Figures, Elsewhere, Wait, Status, Taken)
+}
 DECODERS = {name: msgspec.msgpack.Decoder(kind) for name, kind in KINDS.items()}
 
 
--- a/tansykeel/audit/fleet.py
+++ b/tansykeel/audit/fleet.py
@@ -67,6 +67,7 @@
         if isinstance(word, Decided | Form | Formed):
             views.setdefault(word.view.number, word.view)
         return Seen(said.at, said.passed, said.edge, said.life, said.hearer, word)
+
     return [seen(said) for said in passed.said]
 
 
@@ -90,8 +91,11 @@
         latest, since = known.get(who, (0, 0))
         if isinstance(seen.word, Grant | Promise | Accepted) and number < latest and seen.at > since + SLACK:
             late = (seen.at - since) / 1000
-            yield Break("old_epochs", f"{seen.edge} gave its {type(seen.word).__name__} for view {number} {late:.0f} "
-                        f"ms after it knew of {latest}")
+            yield Break(
+                "old_epochs",
+                f"{seen.edge} gave its {type(seen.word).__name__} for view {number} {late:.0f} "
+                f"ms after it knew of {latest}",
+            )
         if isinstance(seen.word, Done | Decided | Grant) and number > latest:
             known[who] = number, seen.at
 
@@ -146,15 +150,25 @@
         if one.share <= safe:
             continue
         view = leases.views.get(one.view)
-        most = safe + sum((view.part(m) for m in view.members if (m.name, m.incarnation) == (one.edge, one.life)),
-                          Fraction(0)) if view else safe
+        most = (
+            safe
+            + sum((view.part(m) for m in view.members if (m.name, m.incarnation) == (one.edge, one.life)), Fraction(0))
+            if view
+            else safe
+        )
         if one.share > most:
-            yield Break("parts", f"{one.edge} counted {float(one.share):.4f} of the whole by view "
-                        f"{one.view}, which gives it {float(most):.4f}")
+            yield Break(
+                "parts",
+                f"{one.edge} counted {float(one.share):.4f} of the whole by view "
+                f"{one.view}, which gives it {float(most):.4f}",
+            )
         held = leases.until(one.edge, one.life, one.view, one.at)
         if one.until > held + CLOCKS:
-            yield Break("parts", f"{one.edge} counted on view {one.view} for {(one.until - held) / 1000:.0f} ms longer "
-                        "than it was granted its part")
+            yield Break(
+                "parts",
+                f"{one.edge} counted on view {one.view} for {(one.until - held) / 1000:.0f} ms longer "
+                "than it was granted its part",
+            )
     yield from sums(passed, law, safe)
 
 
@@ -197,5 +211,7 @@
 
 
 FLEET_RULES: dict[str, Callable[[Passed, FleetLaw], Iterator[Break]]] = {
-    "one_view": one_view, "old_epochs": old_epochs, "parts": parts,
+    "one_view": one_view,
+    "old_epochs": old_epochs,
+    "parts": parts,
 }
--- a/tansykeel/audit/join.py
+++ b/tansykeel/audit/join.py
@@ -142,8 +142,17 @@
                 if record.task not in passed.tasks:
                     passed.invented.append(record)
             case Arrived():
-                seen = HandOff(record.store, record.boot, record.edge, record.task, record.number, record.at,
-                               record.volume, record.key, record.units)
+                seen = HandOff(
+                    record.store,
+                    record.boot,
+                    record.edge,
+                    record.task,
+                    record.number,
+                    record.at,
+                    record.volume,
+                    record.key,
+                    record.units,
+                )
                 passed.hand_offs.append(seen)
                 open_at[record.store, record.task, record.number] = seen
                 if record.task in passed.tasks:
--- a/tansykeel/audit/leave.py
+++ b/tansykeel/audit/leave.py
@@ -28,9 +28,15 @@
         if left.what == "whole":
             out.discard(left.edge)
             continue
-        died = {edge for edge, times in passed.killed.items() for at in times if edge != left.edge
-                and at + KNOWN_AFTER < left.at and not any(up.at > at and up.edge == edge for up in passed.left)
-                and not any(one.at > at and one.edge == edge for one in passed.counted)}
+        died = {
+            edge
+            for edge, times in passed.killed.items()
+            for at in times
+            if edge != left.edge
+            and at + KNOWN_AFTER < left.at
+            and not any(up.at > at and up.edge == edge for up in passed.left)
+            and not any(one.at > at and one.edge == edge for one in passed.counted)
+        }
         against = hindrances(law.places[left.edge], law.places, (out | died) - {left.edge}, law.bounds, 0.0)
         for why in against:
             yield Break("room", f"{left.edge} went out by leave {left.number[1]} though {why}")
--- a/tansykeel/audit/records.py
+++ b/tansykeel/audit/records.py
@@ -198,8 +198,26 @@
     word: bytes
 
 
-AnyRecord = (Sent | Got | Gave | Lagged | Up | Arrived | Began | Ran | Told | Ended | Fell | Listed | Trouble | Stood
-             | Killed | Counted | Said | Left)
+AnyRecord = (
+    Sent
+    | Got
+    | Gave
+    | Lagged
+    | Up
+    | Arrived
+    | Began
+    | Ran
+    | Told
+    | Ended
+    | Fell
+    | Listed
+    | Trouble
+    | Stood
+    | Killed
+    | Counted
+    | Said
+    | Left
+)
 
 
 class Recorder:
@@ -236,7 +254,7 @@
         if at + _LENGTH.size + length > len(data):
             return
         try:
-            yield decode(data[at + _LENGTH.size:at + _LENGTH.size + length])
+            yield decode(data[at + _LENGTH.size : at + _LENGTH.size + length])
         except msgspec.DecodeError as error:
             raise RecordsError(f"{path}: at byte {at}: {error}") from None
         at += _LENGTH.size + length
--- a/tansykeel/audit/report.py
+++ b/tansykeel/audit/report.py
@@ -105,9 +105,14 @@
     service = count(passed, law, day.load.share_worth, day.load.spare_worth, full)
     named = [fault for rule in rules for fault in [f for f in found if f.rule == rule][:MOST_BREAKS]]
     return Verdict(
-        day=day.name, seed=seed, seconds=day.seconds, tasks=len(taken), answers=answers,
+        day=day.name,
+        seed=seed,
+        seconds=day.seconds,
+        tasks=len(taken),
+        answers=answers,
         rules={rule: sum(fault.rule == rule for fault in found) for rule in rules},
-        breaks=[fault._asdict() for fault in named], service=round(service.whole, 4),
+        breaks=[fault._asdict() for fault in named],
+        service=round(service.whole, 4),
         service_by_plan={k: round(v, 4) for k, v in service.by_plan.items()},
         service_by_category={k: round(v, 4) for k, v in service.by_category.items()},
         worst_10s=round(worst(service.by_second, 10), 4),
@@ -115,7 +120,9 @@
         lag_ms_by_category={name: quantiles(lags) for name, lags in sorted(delivered.items())},
         hand_offs=len(passed.hand_offs),
         cold_most=round(max((most for _, most, _ in cold_margins(passed, law)), default=0.0), 3),
-        least_service=day.least_service, counted_mean=mean)
+        least_service=day.least_service,
+        counted_mean=mean,
+    )
 
 
 def fleet_law(passed: Passed, day: Day) -> FleetLaw | None:
@@ -143,8 +150,9 @@
         day = msgspec.json.decode((folder / "day.json").read_bytes(), type=Day)
         seed = int((folder / "seed").read_text())
     except OSError as error:
-        raise RecordsError(f"{folder}: {error.strerror}: {error.filename}; legal: a folder that a rehearsal "
-                         "left") from None
+        raise RecordsError(
+            f"{folder}: {error.strerror}: {error.filename}; legal: a folder that a rehearsal left"
+        ) from None
     verdict = judge(read_folder(folder), day, seed)
     told = folder / "release.json"
     if day.release is not None and told.exists():
--- a/tansykeel/audit/rules.py
+++ b/tansykeel/audit/rules.py
@@ -106,8 +106,11 @@
             since = next((start for start, end in told.get(hand_off.store, []) if start < hand_off.at < end), None)
             if since is not None and hand_off.at > since + grace + SLACK / 5:
                 after = (hand_off.at - since) / 1000
-                yield Break("drains", f"{edge} sent to {hand_off.store} {after:.0f} ms after it was told that it "
-                            "drains or is gone", hand_off.task)
+                yield Break(
+                    "drains",
+                    f"{edge} sent to {hand_off.store} {after:.0f} ms after it was told that it drains or is gone",
+                    hand_off.task,
+                )
 
 
 def told_of(passed: Passed, edge: str) -> dict[str, list[tuple[int, int]]]:
@@ -142,8 +145,10 @@
         yield Break("cold_stores", f"{fell.store} fell over")
     for up, most, at in cold_margins(passed, law):
         if most > 1.0:
-            yield Break("cold_stores", f"{up.store} was sent {most:.2f} times what it bears, "
-                        f"{(at - up.at) / 1000:.0f} ms after its start")
+            yield Break(
+                "cold_stores",
+                f"{up.store} was sent {most:.2f} times what it bears, {(at - up.at) / 1000:.0f} ms after its start",
+            )
 
 
 def cold_margins(passed: Passed, law: Law) -> Iterator[tuple[Up, float, int]]:
@@ -185,14 +190,20 @@
         for index, hand_off in enumerate(sent):
             for other in sent[:index]:
                 if other.task != hand_off.task and hand_off.at < free_again(other, rest):
-                    yield Break("order", f"{edge}, key {key}: sent while task {other.task} was out or its key had "
-                                "to rest", hand_off.task)
+                    yield Break(
+                        "order",
+                        f"{edge}, key {key}: sent while task {other.task} was out or its key had to rest",
+                        hand_off.task,
+                    )
         for earlier, later in zip(line, line[1:], strict=False):
             # Which of two was taken first can't be told from outside where they came close together.
             apart = later.sent.at - earlier.sent.at > SLACK / 5
             if apart and any(a.at < b.at - SLACK / 5 for a in later.hand_offs for b in earlier.hand_offs):
-                yield Break("order", f"{edge}, key {key}: sent before task {earlier.sent.task}, which came earlier",
-                            later.sent.task)
+                yield Break(
+                    "order",
+                    f"{edge}, key {key}: sent before task {earlier.sent.task}, which came earlier",
+                    later.sent.task,
+                )
 
 
 def free_again(hand_off: HandOff, rest: int) -> float:
@@ -246,6 +257,11 @@
 
 
 RULES: dict[str, Callable[[Passed, Law], Iterator[Break]]] = {
-    "one_answer": one_answer, "no_effect_twice": no_effect_twice, "drains": drains, "cold_stores": cold_stores,
-    "order": order, "budget": budget, "limits": limits,
+    "one_answer": one_answer,
+    "no_effect_twice": no_effect_twice,
+    "drains": drains,
+    "cold_stores": cold_stores,
+    "order": order,
+    "budget": budget,
+    "limits": limits,
 }
--- a/tansykeel/audit/service.py
+++ b/tansykeel/audit/service.py
@@ -70,8 +70,7 @@
             result.by_second[second] = was[0], was[1] + worth
         left = [list(tier) for tier in tiers[second, volume]]
         answered = [w for w in here if w.lag is not None]
-        in_time = [w for w in answered
-                   if (w.lag or 0) <= law.category(w.first.sent.category).soft_limit * 100]
+        in_time = [w for w in answered if (w.lag or 0) <= law.category(w.first.sent.category).soft_limit * 100]
         late = [w for w in answered if w not in in_time]
         for work in sorted(in_time, key=lambda w: -gain[id(w)]) + late:
             category = law.category(work.first.sent.category)
@@ -85,8 +84,9 @@
             result.by_second[second] = was[0] + worth, was[1]
     result.whole = ratio(sum(served["plan"].values()), sum(due["plan"].values()))
     result.by_plan = {name: ratio(served["plan"][name], total) for name, total in sorted(due["plan"].items())}
-    result.by_category = {name: ratio(served["category"][name], total)
-                          for name, total in sorted(due["category"].items())}
+    result.by_category = {
+        name: ratio(served["category"][name], total) for name, total in sorted(due["category"].items())
+    }
     return result
 
 
@@ -105,8 +105,13 @@
     return worth
 
 
-def tiers_of(asked: dict[tuple[int, str], list[Work]], law: Law, share_worth: float, spare_worth: float,
-             full_units: dict[int, float]) -> dict[tuple[int, str], list[tuple[float, float]]]:
+def tiers_of(
+    asked: dict[tuple[int, str], list[Work]],
+    law: Law,
+    share_worth: float,
+    spare_worth: float,
+    full_units: dict[int, float],
+) -> dict[tuple[int, str], list[tuple[float, float]]]:
     """Units and worth due to each volume in each second: reserve, share, rest; beyond the limit nothing."""
     reserve_left: dict[str, float] = {}
     limit_left: dict[str, float] = {}
--- a/tansykeel/baselines.py
+++ b/tansykeel/baselines.py
@@ -192,5 +192,8 @@
 
 
 BASELINES: dict[str, type[SendAtOnce]] = {
-    "at-once": SendAtOnce, "window": Window, "buckets": Buckets, "round-robin": RoundRobin,
+    "at-once": SendAtOnce,
+    "window": Window,
+    "buckets": Buckets,
+    "round-robin": RoundRobin,
 }
--- a/tansykeel/benchlink/wire.py
+++ b/tansykeel/benchlink/wire.py
@@ -106,7 +106,7 @@
     id: int
 
 
-Event = (Provision | Rows | Update | Query | Heard | Reminder | Pong | Reply | UnderWay | Kill | Dropped)
+Event = Provision | Rows | Update | Query | Heard | Reminder | Pong | Reply | UnderWay | Kill | Dropped
 
 BATCH = struct.Struct(">IIQ")
 REPLY = struct.Struct(">II")
@@ -160,12 +160,12 @@
 
 def _events(body: bytes, count: int, number: int) -> list[Event]:
     view = memoryview(body)
-    tail = view[count * EVENT_BYTES:]
+    tail = view[count * EVENT_BYTES :]
 
     def piece(where: str, offset: int, length: int) -> memoryview:
         if offset + length > len(tail):
             raise Malformed(f"{where}: {length} bytes at {offset} lie outside a tail of {len(tail)}")
-        return tail[offset:offset + length]
+        return tail[offset : offset + length]
 
     def report(where: str, n: int, values: tuple[float, ...]) -> tuple[float, ...]:
         if n > len(values):
--- a/tansykeel/cli/accord.py
+++ b/tansykeel/cli/accord.py
@@ -37,8 +37,13 @@
         fail(error, address)
     if not led:
         return None
-    fail(NotTold("no gateway leads the ledger now", do="look at fleet status: a majority of the view's voters has to "
-                 "be there; then ask again"), address)
+    fail(
+        NotTold(
+            "no gateway leads the ledger now",
+            do="look at fleet status: a majority of the view's voters has to be there; then ask again",
+        ),
+        address,
+    )
 
 
 def offered(address: str, entry: Any) -> None:
@@ -75,7 +80,8 @@
 def recover(
     address: Address,
     out: Annotated[list[str] | None, typer.Option(help="NAME of what is out, once for each")] = None,
-    by: By = "operator", yes: Annotated[bool, typer.Option(help="do it; without it only say what is meant")] = False,
+    by: By = "operator",
+    yes: Annotated[bool, typer.Option(help="do it; without it only say what is meant")] = False,
 ) -> None:
     """Say what is out after the fleet's state was lost. All else is taken for granted to be there and whole."""
     from tansykeel.accord.entries import Recover
@@ -83,8 +89,10 @@
 
     entry = Recover(tuple((name, "an operator's word") for name in out or []), by)
     if (status := told(address, StatusAsk(), led=False)) is None:
-        typer.echo("no gateway leads; taken for granted: a majority of those who decided this view is gone for good, "
-                   "and with it what only they knew")
+        typer.echo(
+            "no gateway leads; taken for granted: a majority of those who decided this view is gone for good, "
+            "and with it what only they knew"
+        )
         if yes:
             offered(address, entry)
         raise typer.Exit(BROKEN)
@@ -93,8 +101,9 @@
         fail(f"--out {strange[0]}: not known; legal: {', '.join(sorted(state.places))}")
     taken = sorted(set(state.places) - set(out or []))
     typer.echo(f"out: {', '.join(out or []) or 'nobody'}; taken for granted to be there and whole: {', '.join(taken)}")
-    typer.echo(f"last known to be out, as a guess: {', '.join(sorted(state.out)) or 'nobody'}; releases that go on "
-               "are halted")
+    typer.echo(
+        f"last known to be out, as a guess: {', '.join(sorted(state.out)) or 'nobody'}; releases that go on are halted"
+    )
     if not yes:
         typer.echo("nothing done: say it with --yes")
         return
@@ -103,7 +112,8 @@
 
 @release_app.command()
 def start(
-    address: Address, name: Name,
+    address: Address,
+    name: Name,
     version: Annotated[str, typer.Option(help="what goes out")],
     before: Annotated[str, typer.Option(help="the version that the way back leads to")],
     wave: Annotated[list[str], typer.Option(help="NAME,NAME,…: once for each wave, the first the canary")],
@@ -120,12 +130,15 @@
         from tansykeel.accord.entries import Move
 
         offered(address, Move(name, what, why, by))
+
     move.__doc__ = says
     release_app.command(name=what.replace(" ", "-"))(move)
 
 
-for _what, _says in (("halt", "Nothing further goes out; who is out ends its step."),
-                     ("resume", "Go on with one that is halted."),
-                     ("back", "The newest go back to the version before, before any other release."),
-                     ("give up", "Let one go that is planned or halted.")):
+for _what, _says in (
+    ("halt", "Nothing further goes out; who is out ends its step."),
+    ("resume", "Go on with one that is halted."),
+    ("back", "The newest go back to the version before, before any other release."),
+    ("give up", "Let one go that is planned or halted."),
+):
     _moves(_what, _says)
--- a/tansykeel/cli/emulate.py
+++ b/tansykeel/cli/emulate.py
@@ -62,12 +62,23 @@
 
     from tansykeel.emulator.compare import figures_of
 
-    table = Table("script", "version", "params", "days", "service", "least", "most", "worst 10 s", "p99 ms", "cold",
-                  "rules kept")
+    table = Table(
+        "script", "version", "params", "days", "service", "least", "most", "worst 10 s", "p99 ms", "cold", "rules kept"
+    )
     for of in figures_of(kept.rows(script)):
-        table.add_row(of.script, of.version, of.params, str(of.days), f"{of.service:.3f}", f"{of.least:.3f}",
-                      f"{of.most:.3f}", f"{of.worst_10s:.3f}", f"{of.p99:.0f}", f"{of.cold_most:.2f}",
-                      f"{of.kept} of {of.days}")
+        table.add_row(
+            of.script,
+            of.version,
+            of.params,
+            str(of.days),
+            f"{of.service:.3f}",
+            f"{of.least:.3f}",
+            f"{of.most:.3f}",
+            f"{of.worst_10s:.3f}",
+            f"{of.p99:.0f}",
+            f"{of.cold_most:.2f}",
+            f"{of.kept} of {of.days}",
+        )
     Console(width=160).print(table)
 
 
@@ -100,8 +111,14 @@
     kept.close()
     table = Table("days", "pairs", f"{figure}: {second} less {first}", "95% from", "to", "verdict")
     for name, gap in told.items():
-        table.add_row(name, str(gap.pairs), f"{gap.mean:+.4f}", f"{gap.low:+.4f}", f"{gap.high:+.4f}",
-                      gap.verdict if figure in ("service", "worst_10s") else "")
+        table.add_row(
+            name,
+            str(gap.pairs),
+            f"{gap.mean:+.4f}",
+            f"{gap.low:+.4f}",
+            f"{gap.high:+.4f}",
+            gap.verdict if figure in ("service", "worst_10s") else "",
+        )
     Console(width=160).print(table)
     if figure in ("service", "worst_10s") and told["all"].verdict == "worse":
         raise typer.Exit(BROKEN)
@@ -251,8 +268,14 @@
         table = Table("params", "seed", "without", f"loss against {mark}", "rules broken")
 
         def row(one: Shown) -> None:
-            table.add_row(json.dumps(one.trial.params), str(one.trial.seed), str(list(one.trial.without) or ""),
-                          f"{one.loss:+.3f}", ", ".join(sorted(one.rules)))
+            table.add_row(
+                json.dumps(one.trial.params),
+                str(one.trial.seed),
+                str(list(one.trial.without) or ""),
+                f"{one.loss:+.3f}",
+                ", ".join(sorted(one.rules)),
+            )
+
         for one in shown[:5]:
             row(one)
         if cut:
--- a/tansykeel/cli/fleet.py
+++ b/tansykeel/cli/fleet.py
@@ -72,8 +72,10 @@
 
     try:
         told = asyncio.run(ask(address, 5.0))
-        typer.echo(f"taken for granted: no process runs under {', '.join(names)}; "
-                   f"{told.name} forms a view of all other names once each of them is there")
+        typer.echo(
+            f"taken for granted: no process runs under {', '.join(names)}; "
+            f"{told.name} forms a view of all other names once each of them is there"
+        )
         if not yes:
             typer.echo("nothing done: say it with --yes")
             return
@@ -98,22 +100,29 @@
     wrongly, and how much of a whole the parts make up. Exit code 1 if that is ever more than the whole."""
     from tansykeel.emulator.watching import Trial, Watchers
 
-    for name, value, least, most in (("gateways", gateways, 2, 2_000), ("seconds", seconds, 6, 3_600),
-                                     ("loss", loss, 0, 0.9), ("stalled", stalled, 0, 0.9), ("dead", dead, 0, 6),
-                                     ("back", back, 0, 600)):
+    for name, value, least, most in (
+        ("gateways", gateways, 2, 2_000),
+        ("seconds", seconds, 6, 3_600),
+        ("loss", loss, 0, 0.9),
+        ("stalled", stalled, 0, 0.9),
+        ("dead", dead, 0, 6),
+        ("back", back, 0, 600),
+    ):
         legal(name, value, least, most)
     if dead >= gateways:
         fail(f"--dead {dead}: legal: fewer than the {gateways} gateways")
     world = Watchers(Trial(gateways, seconds, loss, stalled, dead=dead, back_s=back), seed)
     seen = world.play()
-    typer.echo(f"{gateways} gateways, {loss:.0%} lost, {stalled:.0%} stalled (simulated): a death is known after "
-               f"{seen.known_median_s:.1f} s (median), {seen.known_99_s:.1f} s (99th), {seen.unknown} never; wrong an "
-               f"hour and gateway: {seen.wrong_suspicions_an_hour:.2f} suspicions, "
-               f"{seen.wrong_deaths_an_hour:.2f} deaths; {seen.bytes_a_second:.0f} bytes and "
-               f"{world.cpu_us():.0f} us of CPU a second and gateway; "
-               f"{seen.views} views, without the dead after {seen.without_median_s:.1f} s (median), "
-               f"{seen.without_99_s:.1f} s (99th); parts make up {seen.mean_of_whole:.3f} of the whole in the mean, "
-               f"{seen.most_of_whole:.3f} at most")
+    typer.echo(
+        f"{gateways} gateways, {loss:.0%} lost, {stalled:.0%} stalled (simulated): a death is known after "
+        f"{seen.known_median_s:.1f} s (median), {seen.known_99_s:.1f} s (99th), {seen.unknown} never; wrong an "
+        f"hour and gateway: {seen.wrong_suspicions_an_hour:.2f} suspicions, "
+        f"{seen.wrong_deaths_an_hour:.2f} deaths; {seen.bytes_a_second:.0f} bytes and "
+        f"{world.cpu_us():.0f} us of CPU a second and gateway; "
+        f"{seen.views} views, without the dead after {seen.without_median_s:.1f} s (median), "
+        f"{seen.without_99_s:.1f} s (99th); parts make up {seen.mean_of_whole:.3f} of the whole in the mean, "
+        f"{seen.most_of_whole:.3f} at most"
+    )
     if plot:
         from tansykeel.emulator.plots import draw_parts
 
@@ -148,14 +157,22 @@
 
     legal("gateways", gateways, 2, MOST_GATEWAYS)
     legal("states", states, 1)
-    for name, value in (("crashes", crashes), ("restarts", restarts), ("proposals", proposals), ("forms", forms),
-                        ("ticks", ticks), ("events", events)):
+    for name, value in (
+        ("crashes", crashes),
+        ("restarts", restarts),
+        ("proposals", proposals),
+        ("forms", forms),
+        ("ticks", ticks),
+        ("events", events),
+    ):
         legal(name, value, 0)
     terms, rates = (APART, RATES) if apart else (SMALL, (1,))
     first = agreed(tuple("abcde"[:gateways]), terms, Agreement, rates)
     bounds = Bounds(ticks, proposals, crashes, restarts, forms, events, states)
-    for how, found in (("every order, deepest first", every_order(first, bounds, seed)),
-                       ("drawn runs", walks(first, bounds, seed))):
+    for how, found in (
+        ("every order, deepest first", every_order(first, bounds, seed)),
+        ("drawn runs", walks(first, bounds, seed)),
+    ):
         if found.law:
             typer.echo(f"{how}: {found.law}\n" + "\n".join(f"  {line}" for line in found.trace))
             raise typer.Exit(BROKEN)
@@ -203,13 +220,18 @@
                 typer.echo(f"seed {one.seed}: {', '.join(one.broken)}: {one.what}")
         bad = [one for one in judged if one.broken]
         where = "simulated" if stage == "emulator" else "stand-ins on loopback"
-        typer.echo(f"{len(judged)} days of drawn troubles ({where}): {len(bad)} broke a rule; "
-                   f"{sum(one.tasks for one in judged)} tasks, service {fmean(one.service for one in judged):.3f} and "
-                   f"{fmean(one.counted_mean for one in judged):.3f} of any whole counted on, in the mean")
+        typer.echo(
+            f"{len(judged)} days of drawn troubles ({where}): {len(bad)} broke a rule; "
+            f"{sum(one.tasks for one in judged)} tasks, service {fmean(one.service for one in judged):.3f} and "
+            f"{fmean(one.counted_mean for one in judged):.3f} of any whole counted on, in the mean"
+        )
         if bad and cut:
             first = min(bad, key=lambda one: one.seed)
-            least = cut_down(drawn(day, first.seed),
-                             lambda less: bool(set(play_on(less, first.seed, stage).broken) & set(first.broken)), cut)
+            least = cut_down(
+                drawn(day, first.seed),
+                lambda less: bool(set(play_on(less, first.seed, stage).broken) & set(first.broken)),
+                cut,
+            )
             typer.echo(f"seed {first.seed} cut down to {len(least.troubles)} troubles:")
             typer.echo("\n".join(f"  {line}" for line in script_of(least.troubles)))
     except RehearsalError as error:
--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -21,8 +21,12 @@
 from tansykeel.cli.words import BROKEN, fail, params_of
 from tansykeel.errors import BAD_INPUT
 
-app = typer.Typer(add_completion=True, no_args_is_help=True, pretty_exceptions_enable=False,
-                  help="A storage gateway that keeps volumes to their reservations, shares and limits.")
+app = typer.Typer(
+    add_completion=True,
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    help="A storage gateway that keeps volumes to their reservations, shares and limits.",
+)
 app.add_typer(emulate, name="emulate")
 app.add_typer(fleet, name="fleet")
 app.add_typer(accord, name="accord")
@@ -45,9 +49,11 @@
         facts_of(made, 0, len(made.peers.addresses) if made.peers else 1)
     except ScriptError as error:
         fail(error)
-    typer.echo(f"{settings}: good: gateway {made.gateway.name}, {len(made.categories)} categories, "
-               f"{len(made.plans)} plans, {len(made.volumes)} volumes, {len(made.stores)} stores"
-               + (f", list at {made.listing.address} ({made.listing.mode})" if made.listing else ""))
+    typer.echo(
+        f"{settings}: good: gateway {made.gateway.name}, {len(made.categories)} categories, "
+        f"{len(made.plans)} plans, {len(made.volumes)} volumes, {len(made.stores)} stores"
+        + (f", list at {made.listing.address} ({made.listing.mode})" if made.listing else "")
+    )
 
 
 @app.command()
@@ -125,15 +131,25 @@
         tracing = None
         if trace:
             from tansykeel.edge.trace import Trace
+
             tracing = Trace(made.gateway.named(number), trace, trace_share)
-        program = Edge(made, facts, seed, tracing, max(sample, 1), SendAtOnce if send_at_once else Scheduler,
-                       recorder_of(record) if record else None)
+        program = Edge(
+            made,
+            facts,
+            seed,
+            tracing,
+            max(sample, 1),
+            SendAtOnce if send_at_once else Scheduler,
+            recorder_of(record) if record else None,
+        )
         if metrics:
             from tansykeel.cli.metrics import serve
+
             serve(program, metrics)
         if leashed:
             leash(program.stopping.set)
         code = await program.serve(lambda port: say(event="ready", port=port))
+
     try:
         run(main)
     except (OSError, ValueError) as error:
@@ -150,6 +166,7 @@
     def counted(at: int, edge: str, life: int, number: int, part: Any, until: int) -> None:
         recorder.add(Counted(at, edge, life, number, part.numerator, part.denominator, until))
         recorder.flush()
+
     return counted
 
 
@@ -179,6 +196,7 @@
 
     async def main() -> None:
         await Store(name, shard, zone, like, data, record, seed, say).serve(listen, cold)
+
     run(main)
 
 
@@ -195,6 +213,7 @@
 
     async def main() -> None:
         await ListService(record, late, call_ms).serve(listen, lambda port: say(event="ready", port=port))
+
     run(main)
 
 
--- a/tansykeel/cli/show.py
+++ b/tansykeel/cli/show.py
@@ -28,8 +28,10 @@
 
 def table(verdict: Verdict) -> None:
     console = Console()
-    console.print(f"[bold]{verdict.day}[/bold], seed {verdict.seed}, {verdict.seconds:g} s, {verdict.tasks} tasks, "
-                  f"{verdict.hand_offs} hand-offs (stand-ins on loopback)")
+    console.print(
+        f"[bold]{verdict.day}[/bold], seed {verdict.seed}, {verdict.seconds:g} s, {verdict.tasks} tasks, "
+        f"{verdict.hand_offs} hand-offs (stand-ins on loopback)"
+    )
     rules = Table("rule", "breaks", title="rules")
     for rule, breaks in verdict.rules.items():
         rules.add_row(rule, f"[red]{breaks}[/red]" if breaks else "[green]0[/green]")
@@ -50,16 +52,19 @@
     console.print(f"most sent to a cold store: {verdict.cold_most:.2f} of what it bears")
     if verdict.release is not None:
         told = verdict.release
-        console.print(f"release: {told.get('state', 'not planned')} in wave {told.get('wave', 0)}, went: "
-                      f"{', '.join(told.get('went', [])) or 'nobody'}{'; ' + told['why'] if told.get('why') else ''}",
-                      highlight=False)
+        console.print(
+            f"release: {told.get('state', 'not planned')} in wave {told.get('wave', 0)}, went: "
+            f"{', '.join(told.get('went', [])) or 'nobody'}{'; ' + told['why'] if told.get('why') else ''}",
+            highlight=False,
+        )
     if verdict.counted_mean is not None:
         console.print(f"gateways counted on {verdict.counted_mean:.3f} of any whole in the mean")
     for fault in verdict.breaks[:SHOWN]:
         console.print(f"[red]{fault['rule']}[/red]: {fault['what']} (task {fault['task']})", highlight=False)
     if verdict.service < verdict.least_service:
-        console.print(f"[red]service {verdict.service:.3f} is under {verdict.least_service:.3f}[/red], "
-                      "which good looks like")
+        console.print(
+            f"[red]service {verdict.service:.3f} is under {verdict.least_service:.3f}[/red], which good looks like"
+        )
 
 
 def fellows(told: FleetTold) -> None:
@@ -67,18 +72,30 @@
     console = Console()
     lease = f"lease for {told.leased / 1e6:.1f} s more" if told.leased else "no lease: its safe part alone"
     view = f"view {told.number}{'' if told.active else ' (not active yet)'}" if told.number else "no view yet"
-    console.print(f"[bold]{told.name}[/bold]: {view}, {lease}, part {told.part:.4f} of any whole, doubts itself: "
-                  f"{told.doubt}", highlight=False)
-    rows = Table("gateway", "zone", "in view", "seems", "for, s", "suspected by", "link", "waiting", "dropped",
-                 box=None)
+    console.print(
+        f"[bold]{told.name}[/bold]: {view}, {lease}, part {told.part:.4f} of any whole, doubts itself: {told.doubt}",
+        highlight=False,
+    )
+    rows = Table(
+        "gateway", "zone", "in view", "seems", "for, s", "suspected by", "link", "waiting", "dropped", box=None
+    )
     there = {name: life for name, life in told.members}
     for other in told.others:
         here = there.get(other.name)
         member = "no" if here is None else "voter" if other.name in told.voters else "yes"
         if here is not None and here != other.life:
             member += " (an earlier life)"
-        rows.add_row(other.name, str(other.zone), member, other.seems, f"{other.since / 1e6:.1f}",
-                     ", ".join(other.suspected_by), other.link, str(other.waiting), str(other.dropped))
+        rows.add_row(
+            other.name,
+            str(other.zone),
+            member,
+            other.seems,
+            f"{other.since / 1e6:.1f}",
+            ", ".join(other.suspected_by),
+            other.link,
+            str(other.waiting),
+            str(other.dropped),
+        )
     console.print(rows)
 
 
@@ -87,17 +104,22 @@
     console, kept = Console(), told.state
     if not kept.known:
         console.print("[red]what is out is not known[/red]: accord recover; below is what was last", highlight=False)
-    console.print(f"[bold]{told.leader}[/bold] leads, view {told.view}, {told.entries} entries, "
-                  f"{len(kept.places)} known", highlight=False)
+    console.print(
+        f"[bold]{told.leader}[/bold] leads, view {told.view}, {told.entries} entries, {len(kept.places)} known",
+        highlight=False,
+    )
     rows = Table("out", "why", "by", "release", "leave", box=None)
     for name, out in sorted(kept.out.items()):
         rows.add_row(name, out.why, out.by or "nobody: it went unasked", out.release, str(out.number))
     console.print(rows if kept.out else "nobody is out")
     for release in kept.releases.values():
-        console.print(f"release {release.name} ({release.before} to {release.version}): {release.state}, wave "
-                      f"{release.wave + 1} of {len(release.waves)}, {len(release.went)} went"
-                      + (f", {len(release.returned)} back" if release.returned else "")
-                      + (f"; {release.why}" if release.why else ""), highlight=False)
+        console.print(
+            f"release {release.name} ({release.before} to {release.version}): {release.state}, wave "
+            f"{release.wave + 1} of {len(release.waves)}, {len(release.went)} went"
+            + (f", {len(release.returned)} back" if release.returned else "")
+            + (f"; {release.why}" if release.why else ""),
+            highlight=False,
+        )
     for why in told.against:
         console.print(f"the next step waits: {why}", highlight=False)
     for refused in kept.refused[-SHOWN:]:
--- a/tansykeel/edge/ask.py
+++ b/tansykeel/edge/ask.py
@@ -63,6 +63,7 @@
     def lost(link: Link, why: str) -> None:
         if not told.done():
             told.set_exception(NotTold(why))
+
     try:
         async with asyncio.timeout(seconds):
             link = Link(hub, await connect(address, seconds), Codec("edge"), HELLO, event, lost)
--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -42,9 +42,18 @@
 class Core:
     """`known` are the stores as they were last heard of, before a list confirms them."""
 
-    def __init__(self, facts: Facts, seed: int, wire: Wire, now: int, bounds: Bounds, intake: Intake,
-                 known: Iterable[RowOf] = (),
-                 decide: Callable[[Facts, int, Runner], Decisions] = Scheduler, parts: Parts | None = None) -> None:
+    def __init__(
+        self,
+        facts: Facts,
+        seed: int,
+        wire: Wire,
+        now: int,
+        bounds: Bounds,
+        intake: Intake,
+        known: Iterable[RowOf] = (),
+        decide: Callable[[Facts, int, Runner], Decisions] = Scheduler,
+        parts: Parts | None = None,
+    ) -> None:
         self.facts, self.wire, self.bounds, self.intake = facts, wire, bounds, intake
         self.runner = Runner(self, now, parts)
         self.stores: dict[str, Store] = {}
@@ -118,8 +127,18 @@
 
     # What stores and the list say
 
-    def outcome(self, now: int, attempt: Attempt, how: How, *, shard: int = -1, body: list[bytes] | None = None,
-                report: tuple[float, ...] = (), used: int = -1, elsewhere: int = 0) -> None:
+    def outcome(
+        self,
+        now: int,
+        attempt: Attempt,
+        how: How,
+        *,
+        shard: int = -1,
+        body: list[bytes] | None = None,
+        report: tuple[float, ...] = (),
+        used: int = -1,
+        elsewhere: int = 0,
+    ) -> None:
         """What became of a hand-off. One whose outcome is known already is not told of again."""
         if attempt.over:
             return
@@ -130,8 +149,14 @@
         self.counts.outcomes[how.value] = self.counts.outcomes.get(how.value, 0) + 1
         if how is How.DELIVERED and not held.answered:
             self._answer(held, Final(DELIVERED, 0, shard if shard >= 0 else attempt.store.shard), body or [])
-        told = Outcome(how, lag, held.answered, used if used >= 0 else None,
-                       elsewhere if self.facts.tells_elsewhere else None, report)
+        told = Outcome(
+            how,
+            lag,
+            held.answered,
+            used if used >= 0 else None,
+            elsewhere if self.facts.tells_elsewhere else None,
+            report,
+        )
         self.runner.outcome(held.task, told)
         self._let_go(held)
 
--- a/tansykeel/edge/fellows.py
+++ b/tansykeel/edge/fellows.py
@@ -27,12 +27,22 @@
 class Fellows:
     """`counted` hears of each change of what this gateway counts as its own."""
 
-    def __init__(self, settings: PeersOf, names: list[str], me: int, hello: Hello, seed: int, peers: Peers, log: Any,
-                 wall_ms: Callable[[], int], counted: Counted | None = None, machine: Machine | None = None) -> None:
+    def __init__(
+        self,
+        settings: PeersOf,
+        names: list[str],
+        me: int,
+        hello: Hello,
+        seed: int,
+        peers: Peers,
+        log: Any,
+        wall_ms: Callable[[], int],
+        counted: Counted | None = None,
+        machine: Machine | None = None,
+    ) -> None:
         self.names, self.peers, self.log, self.wall_ms, self.counted = names, peers, log, wall_ms, counted
         self.numbers = {name: number for number, name in enumerate(names)}
-        self.keeper = keeper_of(settings, names, me, hello.boot, Random(f"{seed} {hello.boot}"), clock(),
-                                machine)
+        self.keeper = keeper_of(settings, names, me, hello.boot, Random(f"{seed} {hello.boot}"), clock(), machine)
         self.reminder = Reminder(self._tick)
         self.seems = dict.fromkeys(names, Seems.ALIVE)
         self.view: View | None = None
@@ -70,15 +80,31 @@
         others = []
         for other in keeper.liveness.others.values():
             peer = self.peers.by_name[other.name]
-            others.append(Fellow(
-                other.name, keeper.places[other.name].zone, SEEMS[other.seems] if other.life else "unseen",  # type: ignore[arg-type]
-                (now - other.since) * MICROS, other.life, tuple(sorted(other.suspected_by)),
-                peer.state(), len(peer.outbox), sum(peer.outbox.dropped.values())))  # type: ignore[arg-type]
+            others.append(
+                Fellow(
+                    other.name,
+                    keeper.places[other.name].zone,
+                    SEEMS[other.seems] if other.life else "unseen",  # type: ignore[arg-type]
+                    (now - other.since) * MICROS,
+                    other.life,
+                    tuple(sorted(other.suspected_by)),
+                    peer.state(),  # type: ignore[arg-type]
+                    len(peer.outbox),
+                    sum(peer.outbox.dropped.values()),
+                )
+            )
         return FleetTold(
-            keeper.me.name, keeper.me.incarnation, agreement.number, agreement.active,
-            max(agreement.until() - now, 0) * MICROS, float(agreement.part(now)), keeper.liveness.doubt,
+            keeper.me.name,
+            keeper.me.incarnation,
+            agreement.number,
+            agreement.active,
+            max(agreement.until() - now, 0) * MICROS,
+            float(agreement.part(now)),
+            keeper.liveness.doubt,
             tuple((m.name, m.incarnation) for m in view.members) if view else (),
-            tuple(v.name for v in view.voters) if view else (), tuple(others))
+            tuple(v.name for v in view.voters) if view else (),
+            tuple(others),
+        )
 
     # Within
 
@@ -108,14 +134,25 @@
         for other in self.keeper.liveness.changes():
             if other.seems is not self.seems[other.name]:
                 self.seems[other.name] = other.seems
-                self.log.info("seems", other=other.name, now=SEEMS[other.seems],
-                              suspected_by=sorted(other.suspected_by) or None, view=agreement.number)
+                self.log.info(
+                    "seems",
+                    other=other.name,
+                    now=SEEMS[other.seems],
+                    suspected_by=sorted(other.suspected_by) or None,
+                    view=agreement.number,
+                )
                 if other.seems is Seems.DEAD:
                     self.peers.by_name[other.name].drop("it is called dead")
         if self.counted and self.keeper.counted != self.told:
             self.told = number, part, until = self.keeper.counted
-            self.counted((now - EPOCH) * MICROS, self.keeper.me.name, self.keeper.me.incarnation, number, part,
-                         max(until - EPOCH, 0) * MICROS)
+            self.counted(
+                (now - EPOCH) * MICROS,
+                self.keeper.me.name,
+                self.keeper.me.incarnation,
+                number,
+                part,
+                max(until - EPOCH, 0) * MICROS,
+            )
 
     def _followed(self, before: View | None, view: View | None) -> None:
         """Guards against words of an older view that wait still: their receivers would refuse them."""
@@ -124,11 +161,22 @@
             peer.outbox.drop(Urgency.PROMISE, lambda watch: self._older(watch, view.number))
         was, now = set(before.members if before else ()), set(view.members)
         left = {member.name: SEEMS[self.seems[member.name]] for member in was - now if member.name in self.seems}
-        cause = "formed by all" if not view.electors else "agreed" if before and view.number == before.number + 1 \
+        cause = (
+            "formed by all"
+            if not view.electors
+            else "agreed"
+            if before and view.number == before.number + 1
             else "missed some"
-        self.log.info("view", number=view.number, cause=cause, members=len(now),
-                      joined=sorted(member.name for member in now - was), left=left or None,
-                      voters=[voter.name for voter in view.voters])
+        )
+        self.log.info(
+            "view",
+            number=view.number,
+            cause=cause,
+            members=len(now),
+            joined=sorted(member.name for member in now - was),
+            left=left or None,
+            voters=[voter.name for voter in view.voters],
+        )
 
     def _older(self, watch: Watch, number: int) -> bool:
         of = number_of(unpacked(watch.what, watch.word))
--- a/tansykeel/edge/leave.py
+++ b/tansykeel/edge/leave.py
@@ -28,9 +28,18 @@
 class Leave:
     """`tell(name, word)` to another gateway; `sent` takes what the keeper wants said."""
 
-    def __init__(self, settings: AccordOf, state: State, keeper: Keeper, core: Core, addresses: dict[str, str],
-                 served: dict[str, list[int]], tell: Callable[[str, Word], None], sent: Callable[[list[Sent]], None],
-                 log: Any) -> None:
+    def __init__(
+        self,
+        settings: AccordOf,
+        state: State,
+        keeper: Keeper,
+        core: Core,
+        addresses: dict[str, str],
+        served: dict[str, list[int]],
+        tell: Callable[[str, Word], None],
+        sent: Callable[[list[Sent]], None],
+        log: Any,
+    ) -> None:
         self.state, self.keeper, self.core, self.addresses, self.served = state, keeper, core, addresses, served
         self.tell, self.sent, self.log = tell, sent, log
         self.steward = Steward(state, pace_of(settings), comparing_of(settings), len(core.facts.categories))
@@ -77,8 +86,15 @@
             case StatusAsk():
                 release = self.state.under_way()
                 steps = release.steps()[:1] if release else []
-                reply(Status(self.keeper.me.name, self.keeper.agreement.number, book.last, self.state.kept,
-                             tuple(self.state.against(steps[0])) if steps else ()))
+                reply(
+                    Status(
+                        self.keeper.me.name,
+                        self.keeper.agreement.number,
+                        book.last,
+                        self.state.kept,
+                        tuple(self.state.against(steps[0])) if steps else (),
+                    )
+                )
             case Offered(entry):
                 if isinstance(entry, Recover) and self.steward.recover(now, entry.out, entry.by) is None:
                     return reply(Taken(False, "orders of before may still be obeyed; legal: a few seconds later"))
@@ -105,8 +121,11 @@
 
     def _places(self) -> dict[str, Place]:
         gateways = {name: Place(name, "gateway", place.zone) for name, place in self.keeper.places.items()}
-        stores = {str(store.handle): Place(str(store.handle), "store", store.zone, store.shard)
-                  for store in self.core.stores.values() if store.state is not StoreState.GONE}
+        stores = {
+            str(store.handle): Place(str(store.handle), "store", store.zone, store.shard)
+            for store in self.core.stores.values()
+            if store.state is not StoreState.GONE
+        }
         return gateways | stores
 
     def _seen(self) -> tuple[dict[str, str], list[str]]:
@@ -125,8 +144,12 @@
     def _figures(self) -> None:
         """Tell whoever leads what was served in the last stretch; a leader compares those that are whole."""
         counts = {name: Seen(*of) for name, of in self.served.items()}
-        last = {name: Seen(of.tasks - self.before.get(name, Seen(0, 0)).tasks,
-                           of.served - self.before.get(name, Seen(0, 0)).served) for name, of in counts.items()}
+        last = {
+            name: Seen(
+                of.tasks - self.before.get(name, Seen(0, 0)).tasks, of.served - self.before.get(name, Seen(0, 0)).served
+            )
+            for name, of in counts.items()
+        }
         self.before = counts
         book = self.keeper.ledger
         assert book is not None
--- a/tansykeel/edge/native.py
+++ b/tansykeel/edge/native.py
@@ -43,9 +43,17 @@
         patience = min(request.patience // MICROS, kind.deadline)
         # Answers are due a stall's length before the client gives up, but never in the first half of its patience.
         spare = min(int(gateway.stall_allowance_ms * MS), patience // 2)
-        task = Task(None, kind, volume or next(iter(self.volumes.values()), Volume("", self.facts.plans[0])),
-                    float(units), None if request.shard < 0 else request.shard, request.key, now,
-                    now + patience - spare, request.again)
+        task = Task(
+            None,
+            kind,
+            volume or next(iter(self.volumes.values()), Volume("", self.facts.plans[0])),
+            float(units),
+            None if request.shard < 0 else request.shard,
+            request.key,
+            now,
+            now + patience - spare,
+            request.again,
+        )
         return Asked(task, request.body, request.size, fault)
 
     def word_of(self, share: Share) -> Word | None:
@@ -73,7 +81,20 @@
 def hand_off_of(attempt: Attempt, now: int) -> HandOffOf:
     """What a store is told of a hand-off that leaves now."""
     held, request, category = attempt.held, attempt.held.request, attempt.held.task.category
-    return HandOffOf(held.id, attempt.number, request.volume, request.category, request.key, request.size,
-                     held.task.units, request.shard, max(attempt.until - now, 0) * MICROS, request.mark,
-                     category.writes, category.repeat.value, category.scope.value, category.window * MICROS,
-                     request.body)
+    return HandOffOf(
+        held.id,
+        attempt.number,
+        request.volume,
+        request.category,
+        request.key,
+        request.size,
+        held.task.units,
+        request.shard,
+        max(attempt.until - now, 0) * MICROS,
+        request.mark,
+        category.writes,
+        category.repeat.value,
+        category.scope.value,
+        category.window * MICROS,
+        request.body,
+    )
--- a/tansykeel/edge/peers.py
+++ b/tansykeel/edge/peers.py
@@ -22,8 +22,11 @@
 from tansykeel.transport.sockets import connect
 
 SECOND = 10_000
-BOUNDS = {Urgency.LIVENESS: Bound(64, SECOND // 2), Urgency.PROMISE: Bound(64, 2 * SECOND),
-          Urgency.HINT: Bound(64, SECOND)}
+BOUNDS = {
+    Urgency.LIVENESS: Bound(64, SECOND // 2),
+    Urgency.PROMISE: Bound(64, 2 * SECOND),
+    Urgency.HINT: Bound(64, SECOND),
+}
 MOST_HELD = 16 << 10  # bytes that a connection holds unsent; words beyond wait, so that the urgent overtake the rest
 PUMP = 0.01  # seconds between looks at a connection that is full
 AT_ONCE = 1.0  # seconds in which two that opened a connection each take it for one of two opened at once
@@ -115,12 +118,20 @@
 class Peers:
     """All other gateways, by number. `on_word(link, record)` for what they say on connections that were opened here."""
 
-    def __init__(self, settings: PeersOf, names: Iterable[str], me: int, hub: Hub, hello: Hello,
-                 on_word: Callable[[Link, Any], None]) -> None:
+    def __init__(
+        self,
+        settings: PeersOf,
+        names: Iterable[str],
+        me: int,
+        hub: Hub,
+        hello: Hello,
+        on_word: Callable[[Link, Any], None],
+    ) -> None:
         self.settings, self.me, self.hub, self.on_word = settings, me, hub, on_word
         self.hello = msgspec.structs.replace(hello, role="peer")
-        self.others = {number: Peer(self, number, address) for number, address in enumerate(settings.addresses)
-                       if number != me}
+        self.others = {
+            number: Peer(self, number, address) for number, address in enumerate(settings.addresses) if number != me
+        }
         self.by_name = {name: self.others[number] for number, name in enumerate(names) if number != me}
 
     def tell(self, peer: int | None, urgency: Urgency, record: Fields) -> None:
--- a/tansykeel/edge/program.py
+++ b/tansykeel/edge/program.py
@@ -54,9 +54,16 @@
 class Edge:
     """One gateway. `serve` runs it until SIGTERM; `ready` is called with its port once it takes tasks."""
 
-    def __init__(self, settings: Settings, facts: Facts, seed: int, trace: Trace | None = None,
-                 sample: int = 100, decide: Callable[..., Decisions] = Scheduler,
-                 counted: Counted | None = None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        facts: Facts,
+        seed: int,
+        trace: Trace | None = None,
+        sample: int = 100,
+        decide: Callable[..., Decisions] = Scheduler,
+        counted: Counted | None = None,
+    ) -> None:
         self.settings, self.gateway = settings, settings.gateway
         self.log = structlog.get_logger().bind(gateway=self.gateway.named(facts.me))
         self.trace, self.sample, self._logged = trace, sample, 0
@@ -78,17 +85,43 @@
             self.peers = Peers(settings.peers, names, facts.me, self.hub, self.hello, self._word)
             if settings.peers.agree:
                 state = State() if settings.accord else None
-                self.fellows = Fellows(settings.peers, names, facts.me, self.hello, seed, self.peers, self.log,
-                                       lambda: time.time_ns() // 1_000_000, counted, state)
-        self.core = Core(facts, seed, self, clock(), bounds_of(self.gateway), self.native, known_of(settings), decide,
-                         self.fellows.keeper.parts if self.fellows else None)
+                self.fellows = Fellows(
+                    settings.peers,
+                    names,
+                    facts.me,
+                    self.hello,
+                    seed,
+                    self.peers,
+                    self.log,
+                    lambda: time.time_ns() // 1_000_000,
+                    counted,
+                    state,
+                )
+        self.core = Core(
+            facts,
+            seed,
+            self,
+            clock(),
+            bounds_of(self.gateway),
+            self.native,
+            known_of(settings),
+            decide,
+            self.fellows.keeper.parts if self.fellows else None,
+        )
         self.served: dict[str, list[int]] = {}  # by category: answered, and of those delivered in time
         self.leave: Leave | None = None
         if self.fellows and settings.accord and settings.peers and state:
-            self.leave = Leave(settings.accord, state, self.fellows.keeper, self.core,
-                               dict(zip(settings.names(), settings.peers.addresses, strict=True)), self.served,
-                               self._tell_gateway, lambda sent: self.fellows.say(sent) if self.fellows else None,
-                               self.log)
+            self.leave = Leave(
+                settings.accord,
+                state,
+                self.fellows.keeper,
+                self.core,
+                dict(zip(settings.names(), settings.peers.addresses, strict=True)),
+                self.served,
+                self._tell_gateway,
+                lambda sent: self.fellows.say(sent) if self.fellows else None,
+                self.log,
+            )
         self.stores = Stores(self.core, self.hub, self.gateway, self.hello, clock)
 
     async def serve(self, ready: Callable[[int], None] = lambda port: None) -> int:
@@ -158,9 +191,17 @@
             self.trace.answered(held, final)
         self._logged += 1
         if self._logged % self.sample == 0:
-            self.log.info("answered", task=held.id, volume=held.request.volume, category=held.request.category,
-                          result=final.result, reason=final.reason or None, hand_offs=held.task.hand_offs,
-                          lag_ms=(self.core.runner.now - held.task.arrived) / 10, one_in=self.sample)
+            self.log.info(
+                "answered",
+                task=held.id,
+                volume=held.request.volume,
+                category=held.request.category,
+                result=final.result,
+                reason=final.reason or None,
+                hand_offs=held.task.hand_offs,
+                lag_ms=(self.core.runner.now - held.task.arrived) / 10,
+                one_in=self.sample,
+            )
 
     def hand_off(self, attempt: Attempt) -> None:
         if self.trace:
@@ -220,8 +261,10 @@
                 self._accord(link, event.stream, said)
             case FleetAsk() | FleetWithout() as told:
                 if self.fellows is None:
-                    raise ProtocolError("FLEET_ASK: this gateway agrees with no others; legal: one whose settings have "
-                                        "peers(agree = True)")
+                    raise ProtocolError(
+                        "FLEET_ASK: this gateway agrees with no others; legal: one whose settings have "
+                        "peers(agree = True)"
+                    )
                 if isinstance(told, FleetWithout):
                     try:
                         self.fellows.keeper.go_without(told.names)
--- a/tansykeel/edge/stores.py
+++ b/tansykeel/edge/stores.py
@@ -50,8 +50,10 @@
         bounds = self.stores.gateway
         if connection is None or len(connection.out) >= bounds.streams_per_connection:
             opening = sum(not s.ready for s in self.connections)
-            if opening * bounds.streams_per_connection <= len(self.waiting) \
-                    and len(self.connections) < bounds.connections_per_store:
+            if (
+                opening * bounds.streams_per_connection <= len(self.waiting)
+                and len(self.connections) < bounds.connections_per_store
+            ):
                 self._open()
             if connection is None or opening:
                 self.waiting.append(attempt)
@@ -92,8 +94,14 @@
             sock = await connect(self.stores.core.addresses[self.store], timeout)
         except (OSError, ValueError):
             return self._failed(connection)
-        connection.link = Link(self.stores.hub, sock, Codec("store"), self.stores.hello, self._on_event(connection),
-                         lambda link, why: self._lost(connection))
+        connection.link = Link(
+            self.stores.hub,
+            sock,
+            Codec("store"),
+            self.stores.hello,
+            self._on_event(connection),
+            lambda link, why: self._lost(connection),
+        )
         await asyncio.sleep(max(timeout - (loop.time() - begun), 0))
         if not connection.ready and not connection.link.lost:  # accepts, and says nothing
             connection.link.abort("no hello in time")
@@ -140,6 +148,7 @@
             if isinstance(event.record, Hello):
                 return self._ready(connection, event.record)
             self._frame(connection, link, event)
+
         return on_event
 
     def _ready(self, connection: Connection, hello: Hello) -> None:
@@ -172,9 +181,16 @@
         if not connection.out:
             connection.idle_since = asyncio.get_running_loop().time()
         if attempt:
-            self.stores.core.outcome(self.stores.clock(), attempt, HOWS[outcome.how], shard=outcome.shard,
-                                     body=parts, report=outcome.report, used=outcome.used,
-                                     elsewhere=outcome.elsewhere)
+            self.stores.core.outcome(
+                self.stores.clock(),
+                attempt,
+                HOWS[outcome.how],
+                shard=outcome.shard,
+                body=parts,
+                report=outcome.report,
+                used=outcome.used,
+                elsewhere=outcome.elsewhere,
+            )
         if self.waiting and connection.ready and connection.link and not connection.link.lost:
             waiting = self.waiting.popleft()
             if not waiting.over:
--- a/tansykeel/edge/trace.py
+++ b/tansykeel/edge/trace.py
@@ -24,8 +24,9 @@
 
     def __init__(self, gateway: str, path: Path, share: float) -> None:
         self._out = path.open("a")
-        self._provider = TracerProvider(sampler=TraceIdRatioBased(share),
-                                        resource=Resource.create({"service.name": gateway}))
+        self._provider = TracerProvider(
+            sampler=TraceIdRatioBased(share), resource=Resource.create({"service.name": gateway})
+        )
         exporter = ConsoleSpanExporter(out=self._out, formatter=lambda span: span.to_json(indent=None) + "\n")
         self._provider.add_span_processor(BatchSpanProcessor(exporter))
         self._tracer = self._provider.get_tracer("tansykeel.edge")
@@ -50,9 +51,17 @@
     def _begin(self, held: Held, now: int) -> trace.Span:
         request = held.request
         age = max(now - held.task.arrived, 0) * 100_000
-        span = self._tracer.start_span("task", start_time=time.time_ns() - age, attributes={
-            "task": held.id, "volume": request.volume, "category": request.category, "size": request.size,
-            "held_ms": age / 1e6})
+        span = self._tracer.start_span(
+            "task",
+            start_time=time.time_ns() - age,
+            attributes={
+                "task": held.id,
+                "volume": request.volume,
+                "category": request.category,
+                "size": request.size,
+                "held_ms": age / 1e6,
+            },
+        )
         if len(self._open) < MOST_OPEN and isinstance(span, Span):
             self._open[held] = span
         return span
--- a/tansykeel/emulator/clients.py
+++ b/tansykeel/emulator/clients.py
@@ -17,8 +17,9 @@
 class Try:
     __slots__ = ("arrival", "category", "tries", "first_at", "gateway", "client", "life")
 
-    def __init__(self, arrival: Arrival, category: CategoryOf, tries: int, first_at: int, gateway: Gateway,
-                 client: str) -> None:
+    def __init__(
+        self, arrival: Arrival, category: CategoryOf, tries: int, first_at: int, gateway: Gateway, client: str
+    ) -> None:
         self.arrival, self.category, self.tries, self.first_at = arrival, category, tries, first_at
         self.gateway, self.client, self.life = gateway, client, gateway.life
 
@@ -44,21 +45,44 @@
         task = 1 << 40 | self.made
         edges = map(self.fleet.__getitem__, arrival.edges) if patience > 0 else ()
         gateway = next((g for g in edges if g.alive), None)
-        self.scene.record(Sent(now, task, arrival.mark, tries, "client-0", gateway.name if gateway else "",
-                               arrival.volume, arrival.category, arrival.key, float(arrival.units), arrival.shard,
-                               max(patience, 0)))
+        self.scene.record(
+            Sent(
+                now,
+                task,
+                arrival.mark,
+                tries,
+                "client-0",
+                gateway.name if gateway else "",
+                arrival.volume,
+                arrival.category,
+                arrival.key,
+                float(arrival.units),
+                arrival.shard,
+                max(patience, 0),
+            )
+        )
         if gateway is None:
             self.scene.record(Gave(now, task, "no edge"))
             return
         size = arrival.units * self.scene.day.gateway.unit_bytes
-        request = TaskOf(arrival.volume, arrival.category, arrival.key, size, arrival.shard, patience, arrival.mark,
-                         tries > 0, size if category.writes else 0)
+        request = TaskOf(
+            arrival.volume,
+            arrival.category,
+            arrival.key,
+            size,
+            arrival.shard,
+            patience,
+            arrival.mark,
+            tries > 0,
+            size if category.writes else 0,
+        )
         vanishes = arrival.vanishes and tries == 0
         client = f"vanishing-{task}" if vanishes else f"client-{arrival.key % self.scene.day.clients.connections}"
         line = self.there.setdefault((client, gateway.name), Line()) if not vanishes else Line()
         way = self.scene.ways.client() + self.scene.ways.wire_time(request.body)
-        self.engine.at(line.arrival(now + way), gateway.tell, gateway.life, gateway.task, client, task, request,
-                       not vanishes)
+        self.engine.at(
+            line.arrival(now + way), gateway.tell, gateway.life, gateway.task, client, task, request, not vanishes
+        )
         if vanishes:
             self.engine.after(VANISH_AFTER, self._vanish, gateway, gateway.life, client, task)
             return
@@ -74,8 +98,14 @@
         size = 0
         if held and answer.result == DELIVERED and not held.category.writes:
             size = held.arrival.units * self.scene.day.gateway.unit_bytes
-        self.engine.after(self.scene.ways.client() + self.scene.ways.wire_time(size), self._answered, gateway,
-                          gateway.life, task, answer)
+        self.engine.after(
+            self.scene.ways.client() + self.scene.ways.wire_time(size),
+            self._answered,
+            gateway,
+            gateway.life,
+            task,
+            answer,
+        )
 
     def _answered(self, gateway: GatewayEnd, life: int, task: int, answer: Answer) -> None:
         if gateway.life != life:
--- a/tansykeel/emulator/compare.py
+++ b/tansykeel/emulator/compare.py
@@ -38,10 +38,19 @@
     found = []
     for names, days in groups.items():
         services = [day["service"] for day in days]
-        found.append(Figures(
-            *names, len(days), median(services), min(services), max(services), median(day["worst_10s"] for day in days),
-            median(day["p99"] or 0.0 for day in days), max(day["cold_most"] for day in days),
-            sum(day["kept"] for day in days)))
+        found.append(
+            Figures(
+                *names,
+                len(days),
+                median(services),
+                min(services),
+                max(services),
+                median(day["worst_10s"] for day in days),
+                median(day["p99"] or 0.0 for day in days),
+                max(day["cold_most"] for day in days),
+                sum(day["kept"] for day in days),
+            )
+        )
     return found
 
 
@@ -77,8 +86,9 @@
         yield dict(zip(axes, values, strict=True))
 
 
-def shrink(least: Mapping[str, Any], found: Mapping[str, Any], shows: Callable[[dict[str, Any]], bool],
-           most: int) -> dict[str, Any]:
+def shrink(
+    least: Mapping[str, Any], found: Mapping[str, Any], shows: Callable[[dict[str, Any]], bool], most: int
+) -> dict[str, Any]:
     """Cut a day's parameters down towards their least while it still shows what was found.
 
     Each parameter is first set to its least whole, then moved by halves; at most `most` days are tried.
--- a/tansykeel/emulator/cores.py
+++ b/tansykeel/emulator/cores.py
@@ -18,10 +18,12 @@
 
 def end_with(parent: int) -> None:
     """Guards against days that play on after whoever asked for them was killed: this process ends within LOOK."""
+
     def look() -> None:
         while os.getppid() == parent:
             time.sleep(LOOK)
         os._exit(1)
+
     threading.Thread(target=look, daemon=True).start()
 
 
@@ -31,8 +33,8 @@
         return
     cores = cores or os.cpu_count() or 1
     with ProcessPoolExecutor(cores, get_context("spawn"), end_with, (os.getpid(),)) as pool:
-        running = {pool.submit(play, job) for job in jobs[:cores * AHEAD]}
-        rest = iter(jobs[cores * AHEAD:])
+        running = {pool.submit(play, job) for job in jobs[: cores * AHEAD]}
+        rest = iter(jobs[cores * AHEAD :])
         try:
             while running:
                 ended, running = wait(running, return_when=FIRST_COMPLETED)
--- a/tansykeel/emulator/experiments.py
+++ b/tansykeel/emulator/experiments.py
@@ -90,8 +90,16 @@
     day = msgspec.structs.replace(day, troubles=left)
     world = World(day, job.seed, decide)
     verdict = world.run()
-    return Played(job, text_of(job.script), version_digest, world.digest(), msgspec.to_builtins(verdict),
-                  day.fleet.edges, day.fleet.stores, time.monotonic() - begun)
+    return Played(
+        job,
+        text_of(job.script),
+        version_digest,
+        world.digest(),
+        msgspec.to_builtins(verdict),
+        day.fleet.edges,
+        day.fleet.stores,
+        time.monotonic() - begun,
+    )
 
 
 class Project:
@@ -114,23 +122,47 @@
         known = self.base.execute("select digest from days where key = ?", [key]).fetchone()
         if known is not None:
             if known[0] != played.digest:
-                raise Differs(f"{job.script}, seed {job.seed}, {job.params}: digest {played.digest[:12]}, was "
-                              f"{known[0][:12]}")
+                raise Differs(
+                    f"{job.script}, seed {job.seed}, {job.params}: digest {played.digest[:12]}, was {known[0][:12]}"
+                )
             return
         answers = verdict["answers"]
         self.base.execute(
             "insert into days values (?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?)",
-            [key, job.script, played.text, job.told(), job.seed, verdict["seconds"],
-             job.version, played.version_digest, played.digest, verdict["service"], verdict["worst_10s"],
-             not any(verdict["rules"].values()), verdict["tasks"], answers["delivered"], answers["nacked"],
-             answers["broken_off"], verdict["cold_most"], verdict["lag_ms"].get("p50"), verdict["lag_ms"].get("p99"),
-             played.edges, played.stores, played.wall_s, json.dumps(verdict)])
+            [
+                key,
+                job.script,
+                played.text,
+                job.told(),
+                job.seed,
+                verdict["seconds"],
+                job.version,
+                played.version_digest,
+                played.digest,
+                verdict["service"],
+                verdict["worst_10s"],
+                not any(verdict["rules"].values()),
+                verdict["tasks"],
+                answers["delivered"],
+                answers["nacked"],
+                answers["broken_off"],
+                verdict["cold_most"],
+                verdict["lag_ms"].get("p50"),
+                verdict["lag_ms"].get("p99"),
+                played.edges,
+                played.stores,
+                played.wall_s,
+                json.dumps(verdict),
+            ],
+        )
 
     def rows(self, script: str | None = None, version: str | None = None) -> list[dict[str, Any]]:
         """Days in a stated order, whatever the order they were played in."""
         asked = self.base.execute(
             "select * from days where (? is null or script = ?) and (? is null or version = ?) "
-            "order by script, version, params, seed, key", [script, script, version, version])
+            "order by script, version, params, seed, key",
+            [script, script, version, version],
+        )
         names = [column[0] for column in asked.description or []]
         return [dict(zip(names, row, strict=True)) for row in asked.fetchall()]
 
@@ -144,19 +176,25 @@
             days[version] = {(r["script"], r["params"], r["seed"]): r[figure] for r in self.rows(version=version)}
         pairs = sorted(set(days[first]) & set(days[second]))
         if not pairs:
-            raise Unpaired(f"{first} and {second} have no day in common; legal: both swept with the same script, "
-                             "parameters and seeds")
+            raise Unpaired(
+                f"{first} and {second} have no day in common; legal: both swept with the same script, "
+                "parameters and seeds"
+            )
         groups: dict[str, list[tuple[str, str, int]]] = {"all": pairs}
         for pair in pairs:
             groups.setdefault(f"{pair[0]} {pair[1]}", []).append(pair)
-        return {name: interval([days[first][p] for p in group], [days[second][p] for p in group])
-                for name, group in groups.items()}
-
-
-def jobs_of(script: str, axes: Mapping[str, Sequence[Any]], seeds: Iterable[int], versions: Sequence[str],
-            seconds: float | None) -> list[Job]:
-    return [Job(script, params, seed, version, seconds)
-            for params in grid(axes) for seed in seeds for version in versions]
+        return {
+            name: interval([days[first][p] for p in group], [days[second][p] for p in group])
+            for name, group in groups.items()
+        }
+
+
+def jobs_of(
+    script: str, axes: Mapping[str, Sequence[Any]], seeds: Iterable[int], versions: Sequence[str], seconds: float | None
+) -> list[Job]:
+    return [
+        Job(script, params, seed, version, seconds) for params in grid(axes) for seed in seeds for version in versions
+    ]
 
 
 def sweep(project: Project, jobs: list[Job], cores: int, done: Callable[[Played | None], None]) -> int:
--- a/tansykeel/emulator/gateway.py
+++ b/tansykeel/emulator/gateway.py
@@ -52,9 +52,17 @@
         facts = scene.facts[self.index]
         self.native = Native(scene.settings, facts)
         self.fellow = Fellow(self) if scene.settings.peers and scene.settings.peers.agree else None
-        self.core = Core(facts, scene.seed * 1000 + self.index, self, self.clock(), bounds_of(scene.settings.gateway),
-                         self.native, known_of(scene.settings), scene.decide,
-                         self.fellow.keeper.parts if self.fellow else None)
+        self.core = Core(
+            facts,
+            scene.seed * 1000 + self.index,
+            self,
+            self.clock(),
+            bounds_of(scene.settings.gateway),
+            self.native,
+            known_of(scene.settings),
+            scene.decide,
+            self.fellow.keeper.parts if self.fellow else None,
+        )
         if self.asked or scene.day.fleet.list_mode == "push":
             self.ask_list()
 
@@ -241,8 +249,9 @@
             self._outcome(attempt, How.RESET)
         conn.works.clear()
 
-    def told(self, conn: Conn, attempt: Attempt, how: How, shard: int, report: tuple[float, ...],
-             elsewhere: int) -> None:
+    def told(
+        self, conn: Conn, attempt: Attempt, how: How, shard: int, report: tuple[float, ...], elsewhere: int
+    ) -> None:
         if not conn.lost:
             conn.works.pop(attempt, None)
             self.core.outcome(self.clock(), attempt, how, shard=shard, report=report, elsewhere=elsewhere)
@@ -261,8 +270,7 @@
         names = settings.names()
         self.numbers = {name: number for number, name in enumerate(names)}
         chance = Random(f"{self.scene.seed} {gateway.index} {gateway.life}")
-        self.keeper: Keeper = keeper_of(settings.peers, names, gateway.index, self.engine.now, chance,
-                                        gateway.clock())
+        self.keeper: Keeper = keeper_of(settings.peers, names, gateway.index, self.engine.now, chance, gateway.clock())
         self.told: tuple[int, Fraction, int] | None = None
         self._arm()
 
@@ -291,8 +299,11 @@
         me, now, scene = self.gateway, self.engine.now, self.scene
         if self.keeper.counted != self.told:
             self.told = number, part, until = self.keeper.counted
-            scene.record(Counted(now, me.name, self.keeper.me.incarnation, number, part.numerator, part.denominator,
-                                 until * TENTH))
+            scene.record(
+                Counted(
+                    now, me.name, self.keeper.me.incarnation, number, part.numerator, part.denominator, until * TENTH
+                )
+            )
         for name, word in sent:
             to = self.numbers[name]
             what, data = packed(word)
--- a/tansykeel/emulator/hunt.py
+++ b/tansykeel/emulator/hunt.py
@@ -28,8 +28,14 @@
     """Play a day whose troubles are drawn already. Raises RehearsalError on sockets."""
     verdict: Verdict = World(day, seed).run() if stage == "emulator" else play(day, seed, None)
     first = verdict.breaks[0]["what"] if verdict.breaks else ""
-    return Judged(seed, tuple(rule for rule, count in verdict.rules.items() if count), first, verdict.service,
-                  verdict.counted_mean or 0.0, verdict.tasks)
+    return Judged(
+        seed,
+        tuple(rule for rule, count in verdict.rules.items() if count),
+        first,
+        verdict.service,
+        verdict.counted_mean or 0.0,
+        verdict.tasks,
+    )
 
 
 def _drawn_and_played(job: tuple[int, Day, int]) -> tuple[int, Judged]:
--- a/tansykeel/emulator/leaving.py
+++ b/tansykeel/emulator/leaving.py
@@ -67,9 +67,16 @@
         best = max(self.keepers.values(), key=lambda keeper: keeper.ledger.commit if keeper.ledger else 0)
         assert best.ledger is not None and isinstance(best.ledger.machine, State)
         release = best.ledger.machine.kept.releases.get("r1")
-        return Result(release.state if release else "not planned", release.wave if release else 0,
-                      (self.took or self.seconds()) - self.began, self.shortest(), release.why if release else "",
-                      tuple(self.broken), self.most_out, best.ledger.last)
+        return Result(
+            release.state if release else "not planned",
+            release.wave if release else 0,
+            (self.took or self.seconds()) - self.began,
+            self.shortest(),
+            release.why if release else "",
+            tuple(self.broken),
+            self.most_out,
+            best.ledger.last,
+        )
 
     def shortest(self) -> float:
         """Seconds that the release takes at least: steps as wide as its bounds allow, each until it is whole, what each
@@ -116,8 +123,12 @@
         life = 10**12 + self.engine.now // 1000
         chance = Random(self.seed * 10**9 + machine.boot * 1_000 + int(name.rsplit("-", 1)[1]))
         self.keepers[name] = Keeper(name, self.where, life, Ping(), Leases(lease=4 * SECOND), chance, self.now(), state)
-        self.stewards[name] = Steward(state, Pace(patience=SECOND, back=60 * SECOND,
-                                                  settles=int(self.trial.settles_s * SECOND)), Terms(), len(CLASSES))
+        self.stewards[name] = Steward(
+            state,
+            Pace(patience=SECOND, back=60 * SECOND, settles=int(self.trial.settles_s * SECOND)),
+            Terms(),
+            len(CLASSES),
+        )
         self._tick(name, machine.boot)
         self.engine.after(int(self.chance.random() * LOOKS_EVERY), self._look, name, machine.boot)
 
@@ -171,8 +182,13 @@
         gone = {other.name: "died" for other in others.values() if other.seems is Seems.DEAD}
         alive = [other.name for other in others.values() if other.seems is Seems.ALIVE and other.life] + [name]
         stores = [one for one, at in self.machines.items() if at.place.kind == "store"]
-        gone |= {one: "died" for one in stores if not self.machines[one].up and self.machines[one].dead_since >= 0
-                 and self.engine.now - self.machines[one].dead_since > 10**6}
+        gone |= {
+            one: "died"
+            for one in stores
+            if not self.machines[one].up
+            and self.machines[one].dead_since >= 0
+            and self.engine.now - self.machines[one].dead_since > 10**6
+        }
         alive += [one for one in stores if self._whole(one)]
         for entry in steward.wants(self.now(), self.places, self.trial.bounds, gone, alive):
             self._offer(name, packed(entry))
@@ -255,8 +271,12 @@
         if machine.up or not whole:
             if not whole:  # it crashes as it starts, again and again
                 machine.boot += 1
-                self.engine.after(int(self.trial.restart_s * 1e6), self._up, name,
-                                  not (self.trial.crashes and machine.version == "new"))
+                self.engine.after(
+                    int(self.trial.restart_s * 1e6),
+                    self._up,
+                    name,
+                    not (self.trial.crashes and machine.version == "new"),
+                )
             return
         machine.boot += 1
         machine.dead_since = -1
@@ -348,5 +368,8 @@
                 seen[1] += served
         for name, steward in self.stewards.items():
             if self.machines[name].up and steward.led >= 0:
-                steward.figures(self.now(), {key: Seen(*seen) for key, seen in new.items()},
-                                {key: Seen(*seen) for key, seen in old.items()})
+                steward.figures(
+                    self.now(),
+                    {key: Seen(*seen) for key, seen in new.items()},
+                    {key: Seen(*seen) for key, seen in old.items()},
+                )
--- a/tansykeel/emulator/plots.py
+++ b/tansykeel/emulator/plots.py
@@ -53,8 +53,12 @@
     for at, what in world.marks:
         axes.axvline(at, color="grey", linestyle=":")
         axes.annotate(what, (at, 0.05), rotation=90, fontsize=7)
-    axes.set(ylim=(0, 1.05), xlabel="s", ylabel="part of a whole that all count on together",
-             title=f"{world.trial.gateways} gateways (simulated), {world.trial.loss:.0%} of messages lost")
+    axes.set(
+        ylim=(0, 1.05),
+        xlabel="s",
+        ylabel="part of a whole that all count on together",
+        title=f"{world.trial.gateways} gateways (simulated), {world.trial.loss:.0%} of messages lost",
+    )
     made = saved(figure, out, f"parts-{world.trial.gateways}")
     plt.close(figure)
     return made
@@ -74,13 +78,19 @@
             for figure, label in FIGURES.items() if len(values) > 1 else ():
                 drawn, axes = plt.subplots(figsize=(7, 4))
                 for version in sorted({row["version"] for _, row in here}):
-                    found = {value: [row[figure] or 0.0 for params, row in here
-                                     if row["version"] == version and params.get(name) == value]
-                             for value in sorted(values)}
+                    found = {
+                        value: [
+                            row[figure] or 0.0
+                            for params, row in here
+                            if row["version"] == version and params.get(name) == value
+                        ]
+                        for value in sorted(values)
+                    }
                     places = [value for value in found if found[value]]
                     axes.plot(places, [median(found[v]) for v in places], marker="o", label=version)
-                    axes.fill_between(places, [min(found[v]) for v in places], [max(found[v]) for v in places],
-                                      alpha=0.15)
+                    axes.fill_between(
+                        places, [min(found[v]) for v in places], [max(found[v]) for v in places], alpha=0.15
+                    )
                 if min(values) > 0 and max(values) / min(values) >= 10:
                     axes.set_xscale("log")
                 axes.set(xlabel=name, ylabel=label, title=f"{Path(script).stem}: {figure} over {name}")
@@ -100,8 +110,9 @@
     for number, trouble in enumerate(day.troubles):
         axes.axvspan(trouble.at, min(trouble.at + trouble.for_s, day.seconds), color="tab:red", alpha=0.08)
         axes.text(trouble.at, 0.02 + 0.05 * (number % 8), trouble.verb, fontsize=7)
-    axes.set(xlabel="second of arrival", ylabel="gain served / gain due", ylim=(0, 1.1),
-             title=f"service {told.whole:.3f}")
+    axes.set(
+        xlabel="second of arrival", ylabel="gain served / gain due", ylim=(0, 1.1), title=f"service {told.whole:.3f}"
+    )
     return True
 
 
@@ -115,8 +126,12 @@
         if found := sorted(by_category[category.name]):
             line = axes.plot(found, [(n + 1) / len(found) for n in range(len(found))], label=category.name)[0]
             axes.axvline(category.soft_limit_ms, color=line.get_color(), linestyle=":")
-    axes.set(xlabel="ms from the client's sending to the delivery (dotted: soft limit)", xscale="log",
-             ylabel="part of the deliveries", title="lags")
+    axes.set(
+        xlabel="ms from the client's sending to the delivery (dotted: soft limit)",
+        xscale="log",
+        ylabel="part of the deliveries",
+        title="lags",
+    )
     axes.legend()
     return bool(by_category)
 
@@ -127,16 +142,22 @@
     span = shape.fall_s * 1000
     starts = [up for up in passed.ups if up.cold][:MOST_STORES]
     for number, up in enumerate(starts):
-        sent = [((h.at - up.at) / 1000, h.units) for h in passed.hand_offs
-                if h.store == up.store and h.boot == up.boot and h.at - up.at <= shape.cold_s * 1e6]
+        sent = [
+            ((h.at - up.at) / 1000, h.units)
+            for h in passed.hand_offs
+            if h.store == up.store and h.boot == up.boot and h.at - up.at <= shape.cold_s * 1e6
+        ]
         ages = [step * shape.cold_s * 10 for step in range(101)]
         held = [sum(units for at, units in sent if age - span < at <= age) for age in ages]
         axes.plot([age / 1000 for age in ages], held, linewidth=1, label=up.store)
         if not number:
             safe = [borne(shape, max(age - span, 0), max(age - span, 0) + span, up.full_units) for age in ages]
             axes.plot([age / 1000 for age in ages], safe, color="black", label="what it bears")
-    axes.set(xlabel="seconds since the cold start", ylabel=f"units in the last {shape.fall_s:g} s, all gateways",
-             title="cold stores")
+    axes.set(
+        xlabel="seconds since the cold start",
+        ylabel=f"units in the last {shape.fall_s:g} s, all gateways",
+        title="cold stores",
+    )
     if starts:
         axes.legend(fontsize=6, ncols=2)
     return bool(starts)
--- a/tansykeel/emulator/search.py
+++ b/tansykeel/emulator/search.py
@@ -101,6 +101,7 @@
         if good := still_shows(found, now):
             least = now
         return good
+
     without: tuple[int, ...] = found.trial.without
     for number in [n for n in reversed(range(troubles)) if n not in without][:most]:
         if shows(found.trial._replace(without=(*without, number))):
--- a/tansykeel/emulator/stores.py
+++ b/tansykeel/emulator/stores.py
@@ -26,8 +26,18 @@
         self.conns: dict[Conn, None] = {}
         self.due, self.ticket = NEVER, 0
         draw = scene.stream_of_store(index)
-        self.behaviour = Behaviour(name, index, self.zone, scene.day.fleet.shape, draw.random, draw.standard_normal,
-                                   scene.marks, lambda: self.engine.now, scene.record, self._tell)
+        self.behaviour = Behaviour(
+            name,
+            index,
+            self.zone,
+            scene.day.fleet.shape,
+            draw.random,
+            draw.standard_normal,
+            scene.marks,
+            lambda: self.engine.now,
+            scene.record,
+            self._tell,
+        )
         self.boot(cold)
 
     def boot(self, cold: bool) -> None:
@@ -45,8 +55,9 @@
         for conn in list(self.conns):
             self._drop(conn)
             way = self.scene.ways.to_store(conn.gateway, self)
-            self.engine.at(conn.back.arrival(self.engine.now + way), conn.gateway.tell, conn.life,
-                           conn.gateway.reset, conn)
+            self.engine.at(
+                conn.back.arrival(self.engine.now + way), conn.gateway.tell, conn.life, conn.gateway.reset, conn
+            )
 
     def dropped(self, conn: Conn) -> None:
         """The gateway's end is gone."""
@@ -72,8 +83,9 @@
             self.conns[conn] = None
             if now >= self.silent_until:
                 hello = Hello(1, "store", self.name, self.behaviour.boot_id, self.behaviour.age())
-                self.engine.at(conn.back.arrival(now + way), conn.gateway.tell, conn.life, conn.gateway.hello, conn,
-                               hello)
+                self.engine.at(
+                    conn.back.arrival(now + way), conn.gateway.tell, conn.life, conn.gateway.hello, conn, hello
+                )
 
     def arrive(self, conn: Conn, work: Work) -> None:
         if conn.dropped or self.engine.now < self.silent_until:
@@ -96,8 +108,18 @@
         request = work.request
         size = 0 if request.writes or how != "delivered" else request.size
         way = self.scene.ways.to_store(conn.gateway, self) + self.scene.ways.wire_time(size)
-        self.engine.at(conn.back.arrival(self.engine.now + way), conn.gateway.tell, conn.life, conn.gateway.told, conn,
-                       attempt, HOWS[how], self.index, self.behaviour.model.load(), elsewhere)
+        self.engine.at(
+            conn.back.arrival(self.engine.now + way),
+            conn.gateway.tell,
+            conn.life,
+            conn.gateway.told,
+            conn,
+            attempt,
+            HOWS[how],
+            self.index,
+            self.behaviour.model.load(),
+            elsewhere,
+        )
 
     # Its own time
 
--- a/tansykeel/emulator/versions.py
+++ b/tansykeel/emulator/versions.py
@@ -48,12 +48,12 @@
     path = Path(name)
     text = path / "__init__.py" if path.is_dir() else path
     if not text.is_file():
-        raise UnknownVersion(f"version {name!r}; legal: {', '.join(NAMED)}, or a file or folder with the module's "
-                             "text")
+        raise UnknownVersion(f"version {name!r}; legal: {', '.join(NAMED)}, or a file or folder with the module's text")
     digest = digest_of(path)
     within = [str(path)] if path.is_dir() else None
-    spec = importlib.util.spec_from_file_location(f"tansykeel_version_{digest[:12]}", text,
-                                                  submodule_search_locations=within)
+    spec = importlib.util.spec_from_file_location(
+        f"tansykeel_version_{digest[:12]}", text, submodule_search_locations=within
+    )
     assert spec and spec.loader
     module: Any = importlib.util.module_from_spec(spec)
     sys.modules[spec.name] = module
@@ -61,6 +61,7 @@
         spec.loader.exec_module(module)
         decide: Decide = module.Scheduler
     except Exception as error:
-        raise UnknownVersion(f"version {name!r} cannot be loaded: {type(error).__name__}: {error}; legal: a file "
-                             "with the module's text") from None
+        raise UnknownVersion(
+            f"version {name!r} cannot be loaded: {type(error).__name__}: {error}; legal: a file with the module's text"
+        ) from None
     return decide, digest
--- a/tansykeel/emulator/watching.py
+++ b/tansykeel/emulator/watching.py
@@ -77,7 +77,7 @@
         self.died: dict[str, int] = {}
         self.known: dict[str, dict[str, int]] = {}
         self.until: dict[str, int] = {}  # stands still until
-        self.stalls = set(self.names[:int(trial.stalled * trial.gateways)])
+        self.stalls = set(self.names[: int(trial.stalled * trial.gateways)])
         self.seen: dict[str, dict[str, Seems]] = {name: {} for name in self.names}
         self.without: dict[str, dict[str, int]] = {}
         self.numbers: set[int] = set()
@@ -115,11 +115,17 @@
         hours = trial.gateways * trial.seconds / 3600
         pairs = len(self.died) * (trial.gateways - len(self.died))
         heard = sum(name not in self.died for by in self.known.values() for name in by)
-        return Seen(*self._since_death(self.known), pairs - heard,
-                    len(self.suspicions) / hours, len(self.deaths) / hours,
-                    self.bytes / trial.gateways / (trial.seconds / 2),
-                    *self._since_death(self.without), len(self.numbers), float(self.most),
-                    sum(self.sums) / len(self.sums) if self.sums else 0.0)
+        return Seen(
+            *self._since_death(self.known),
+            pairs - heard,
+            len(self.suspicions) / hours,
+            len(self.deaths) / hours,
+            self.bytes / trial.gateways / (trial.seconds / 2),
+            *self._since_death(self.without),
+            len(self.numbers),
+            float(self.most),
+            sum(self.sums) / len(self.sums) if self.sums else 0.0,
+        )
 
     def cpu_us(self) -> float:
         """Microseconds of this machine's CPU that a keeper took in a second, in the mean; not the same twice."""
@@ -240,6 +246,7 @@
             if name not in self.died:
                 self.until[name] = self.engine.now + int(self.trial.stall_s * 1e6)
             self._stall_at(self.engine.now + 10**7, name)
+
         self.engine.at(moment, stall)
 
 
--- a/tansykeel/emulator/world.py
+++ b/tansykeel/emulator/world.py
@@ -30,6 +30,7 @@
 MOST_EVENTS = 400  # of the engine for each task, and MOST_BASE more: a day that needs more does not end
 MOST_BASE = 50_000_000
 
+
 class World(Scene):
     """`decide` makes each gateway's decisions; a baseline may stand in the module's place."""
 
@@ -157,9 +158,20 @@
         self._list(store, state=state)
 
     def _list(self, *stores: SimStore, state: str = "ready") -> None:
-        self.list.change([{
-            "name": s.name, "address": s.address, "zone": s.zone, "shard": s.index, "state": state,
-            "boot": s.behaviour.boot_id, "age": self.engine.now - s.started if s.started else 0} for s in stores])
+        self.list.change(
+            [
+                {
+                    "name": s.name,
+                    "address": s.address,
+                    "zone": s.zone,
+                    "shard": s.index,
+                    "state": state,
+                    "boot": s.behaviour.boot_id,
+                    "age": self.engine.now - s.started if s.started else 0,
+                }
+                for s in stores
+            ]
+        )
 
     def list_verb(self, verb: str, for_s: float, detail: dict[str, Any]) -> None:
         self.list.trouble(verb, for_s, detail)
--- a/tansykeel/fleet/keeper.py
+++ b/tansykeel/fleet/keeper.py
@@ -45,8 +45,17 @@
 class Keeper:
     """`life` is another with each start and later than all before: the wall clock's milliseconds."""
 
-    def __init__(self, name: str, places: Mapping[str, Place], life: int, pace: Pace, terms: Terms, chance: Random,
-                 now: int, machine: ledger.Machine | None = None) -> None:
+    def __init__(
+        self,
+        name: str,
+        places: Mapping[str, Place],
+        life: int,
+        pace: Pace,
+        terms: Terms,
+        chance: Random,
+        now: int,
+        machine: ledger.Machine | None = None,
+    ) -> None:
         self.places, self.terms = places, terms
         self.liveness = Liveness(name, places, life, pace, chance, now)
         self.agreement = Agreement(self._member(name, life), tuple(sorted(places)), terms, now)
@@ -180,8 +189,11 @@
         if self.ledger is None or view is None or self.me not in view.voters:
             return []
         others = self.liveness.others
-        there = sorted(voter.name for voter in view.voters if voter == self.me or voter.name in others
-                       and others[voter.name].seems is not Seems.DEAD)
+        there = sorted(
+            voter.name
+            for voter in view.voters
+            if voter == self.me or voter.name in others and others[voter.name].seems is not Seems.DEAD
+        )
         return list(self.ledger.tick(now, there.index(self.me.name)))
 
     def _once(self, now: int, answers: list[tuple[str, Message]]) -> list[Sent]:
@@ -226,11 +238,20 @@
     def _wanted(self, now: int, members: tuple[Member, ...]) -> tuple[Member, ...]:
         """Those of the view that are not called dead in this life, and others that are there steadily."""
         others = self.liveness.others
-        stay = [m for m in members if m == self.me or m.name in others and others[m.name].life <= m.incarnation
-                and others[m.name].seems is not Seems.DEAD]
+        stay = [
+            m
+            for m in members
+            if m == self.me
+            or m.name in others
+            and others[m.name].life <= m.incarnation
+            and others[m.name].seems is not Seems.DEAD
+        ]
         names = {member.name for member in stay}
-        come = [self._member(name, others[name].life) for name in self.liveness.steady(now)
-                if name in others and name not in names]
+        come = [
+            self._member(name, others[name].life)
+            for name in self.liveness.steady(now)
+            if name in others and name not in names
+        ]
         return tuple(sorted([*stay, *come]))
 
     def _form(self, now: int, wall_ms: int) -> list[Sent]:
--- a/tansykeel/fleet/ledger.py
+++ b/tansykeel/fleet/ledger.py
@@ -163,10 +163,23 @@
 
     def key(self) -> tuple[object, ...]:
         """All that decides what it will do."""
-        leading = self.leading and (self.leading.ballot, self.leading.ready, frozenset(self.leading.held.items()),
-                                    frozenset(self.leading.took.items()))
-        return (self.me, self.view and self.view.number, self.promised, self.accepted, self.base, tuple(self.entries),
-                self.commit, leading, self.by_word)
+        leading = self.leading and (
+            self.leading.ballot,
+            self.leading.ready,
+            frozenset(self.leading.held.items()),
+            frozenset(self.leading.took.items()),
+        )
+        return (
+            self.me,
+            self.view and self.view.number,
+            self.promised,
+            self.accepted,
+            self.base,
+            tuple(self.entries),
+            self.commit,
+            leading,
+            self.by_word,
+        )
 
     # Steps that this gateway takes
 
@@ -231,7 +244,7 @@
                 if self.accepted != ballot or base > self.last:
                     self._take_over(ballot, base, snapshot, entries)
                 elif self.last < base + len(entries):  # a word that comes twice must not undo what was added since
-                    self.entries += entries[self.last - base:]
+                    self.entries += entries[self.last - base :]
                 self._commit(min(commit, self.last))
                 return [(sender.name, Took(ballot, self.last, at))]
             case Append(ballot, after, entries, commit, at):
@@ -239,12 +252,17 @@
                 if self.accepted != ballot:
                     return [(sender.name, Took(ballot, -1, at))]
                 if after <= self.last < after + len(entries):
-                    self.entries += entries[self.last - after:]
+                    self.entries += entries[self.last - after :]
                 self._commit(min(commit, self.last))
                 return [(sender.name, Took(ballot, self.last, at))]
             case Took(ballot, upto, at):
-                if self.leading and self.leading.ready and ballot == self.leading.ballot and self.view \
-                        and sender in self.view.voters:
+                if (
+                    self.leading
+                    and self.leading.ready
+                    and ballot == self.leading.ballot
+                    and self.view
+                    and sender in self.view.voters
+                ):
                     self.leading.took[sender] = max(self.leading.took.get(sender, -1), upto)
                     self.leading.answered[sender] = max(self.leading.answered.get(sender, at), at)
                     self._advance()
@@ -314,8 +332,11 @@
         """To all that are asked for what they hold and have not told it."""
         assert self.view is not None and self.leading is not None
         asked = dict.fromkeys((*self.view.voters, *self.view.electors))
-        return [(member.name, Gather(self.leading.ballot)) for member in asked
-                if member != self.me and member not in self.leading.held]
+        return [
+            (member.name, Gather(self.leading.ballot))
+            for member in asked
+            if member != self.me and member not in self.leading.held
+        ]
 
     def _catch_all(self, now: int) -> list[Sent]:
         assert self.view is not None
@@ -329,7 +350,7 @@
         if took < self.base:
             word: Word = Install(leading.ballot, self.base, self.snapshot, tuple(self.entries), self.commit, now)
         else:
-            word = Append(leading.ballot, took, tuple(self.entries[took - self.base:]), self.commit, now)
+            word = Append(leading.ballot, took, tuple(self.entries[took - self.base :]), self.commit, now)
         return [(voter.name, word)]
 
     def _settled(self) -> int:
@@ -352,5 +373,5 @@
             self.applied += 1
         if self.applied - self.base > MOST_KEPT:
             # Bounded: a voter that lags by more is given the snapshot.
-            del self.entries[:self.applied - self.base]
+            del self.entries[: self.applied - self.base]
             self.base, self.snapshot = self.applied, self.machine.snapshot()
--- a/tansykeel/fleet/liveness.py
+++ b/tansykeel/fleet/liveness.py
@@ -111,9 +111,11 @@
 
     def steady(self, now: int) -> list[str]:
         """Who may be taken into a view: alive for long enough, and longer the more often it fell lately."""
+
         def long_enough(other: Other) -> bool:
             other.falls = [at for at in other.falls if now - at < self.pace.forgives]
             return now - other.since >= self.pace.steady * 2 ** min(len(other.falls), 5)
+
         found = [o.name for o in self.others.values() if o.seems is Seems.ALIVE and o.life and long_enough(o)]
         return sorted([self.me, *found])
 
--- a/tansykeel/fleet/membership.py
+++ b/tansykeel/fleet/membership.py
@@ -11,7 +11,7 @@
 SAFE = Fraction(1, 5)  # of a whole: dealt evenly over all that the settings name, whatever is agreed
 Ballot = tuple[int, str]  # round and proposer
 NONE: Ballot = (0, "")
-NEVER = -10**15  # a grant that was asked for then counts no more
+NEVER = -(10**15)  # a grant that was asked for then counts no more
 
 
 class Member(Struct, frozen=True, order=True, array_like=True):
@@ -133,8 +133,12 @@
 
 def step(before: View, view: View) -> Stepped:
     were, there = set(before.members), {member.name for member in view.members}
-    return Stepped(view.number, tuple(m.name for m in before.members if m.name not in there),
-                   tuple(m for m in view.members if m not in were), tuple(v.name for v in view.voters))
+    return Stepped(
+        view.number,
+        tuple(m.name for m in before.members if m.name not in there),
+        tuple(m for m in view.members if m not in were),
+        tuple(v.name for v in view.voters),
+    )
 
 
 class Done(Struct, frozen=True, array_like=True):
--- a/tansykeel/fleet/search.py
+++ b/tansykeel/fleet/search.py
@@ -82,14 +82,26 @@
         return self.now * self.rates[self.names.index(name) % len(self.rates)]
 
     def key(self) -> tuple[object, ...]:
-        return (self.now, frozenset((name, one.key()) for name, one in self.alive.items()), frozenset(self.sent),
-                tuple(self.used.values()), tuple(self.lives.values()))
+        return (
+            self.now,
+            frozenset((name, one.key()) for name, one in self.alive.items()),
+            frozenset(self.sent),
+            tuple(self.used.values()),
+            tuple(self.lives.values()),
+        )
 
     def events(self, bounds: Bounds) -> list[Event]:
         """All that may happen next, in a fixed order."""
-        free = {name: self.used[name] < most for name, most in (
-            ("tick", bounds.ticks), ("propose", bounds.proposals), ("crash", bounds.crashes),
-            ("restart", bounds.restarts), ("form", bounds.forms))}
+        free = {
+            name: self.used[name] < most
+            for name, most in (
+                ("tick", bounds.ticks),
+                ("propose", bounds.proposals),
+                ("crash", bounds.crashes),
+                ("restart", bounds.restarts),
+                ("form", bounds.forms),
+            )
+        }
         found: list[Event] = [("arrives", *word) for word in self.sent if word[0] in self.alive]
         found += [("renews", name) for name in self.alive]
         if free["tick"]:
@@ -98,8 +110,11 @@
             if free["propose"] and one.view:
                 there = {member.name: member for member in one.view.members}
                 leave = [tuple(m for m in one.view.members if m is not gone) for gone in one.view.members]
-                join = [(*(m for m in one.view.members if m.name != other.me.name), other.me)
-                        for other in self.alive.values() if there.get(other.me.name) != other.me]
+                join = [
+                    (*(m for m in one.view.members if m.name != other.me.name), other.me)
+                    for other in self.alive.values()
+                    if there.get(other.me.name) != other.me
+                ]
                 found += [("proposes", name, members) for members in leave + join if members]
             if free["form"]:  # without the dead, where an operator says that they are
                 found.append(("forms", name))
@@ -160,8 +175,9 @@
                 self.law = f"two views with the number {one.view.number}"
 
 
-def agreed(names: tuple[str, ...], terms: Terms, make: Make, rates: tuple[int, ...] = (1,),
-           kind: type[Fleet] = Fleet) -> Fleet:
+def agreed(
+    names: tuple[str, ...], terms: Terms, make: Make, rates: tuple[int, ...] = (1,), kind: type[Fleet] = Fleet
+) -> Fleet:
     """A fleet that formed its first view, made it active and holds leases on it."""
     fleet = kind(names, terms, make, rates)
     for _ in range(3):  # to form and follow; to end grants; to lease
@@ -255,7 +271,7 @@
     while True:
         index, before = 0, len(events)
         while index < len(events):
-            rest = events[:index] + events[index + size:]
+            rest = events[:index] + events[index + size :]
             if breaks(first, rest):
                 events = rest
             else:
@@ -287,5 +303,3 @@
     if fields:
         return f"{type(what).__name__}({', '.join(_plain(getattr(what, name)) for name in fields)})"
     return str(what)
-
-
--- a/tansykeel/fleet/views.py
+++ b/tansykeel/fleet/views.py
@@ -249,11 +249,31 @@
     def key(self) -> tuple[object, ...]:
         """All that decides what it will do: equal for two that can't be told apart."""
         asked = self.proposal
-        proposal = asked and (asked.ballot, asked.view, frozenset(asked.promises), asked.highest,
-                              frozenset(asked.accepted), asked.asking)
-        return (self.me, self.view, self.active, self.bound, self.ends, frozenset(self.grants.items()),
-                frozenset(self.ended.items()), self.was, self.turns, self.promised, self.accepted, self.next,
-                self.formed, proposal, self.forming and (self.forming[0], frozenset(self.forming[1])))
+        proposal = asked and (
+            asked.ballot,
+            asked.view,
+            frozenset(asked.promises),
+            asked.highest,
+            frozenset(asked.accepted),
+            asked.asking,
+        )
+        return (
+            self.me,
+            self.view,
+            self.active,
+            self.bound,
+            self.ends,
+            frozenset(self.grants.items()),
+            frozenset(self.ended.items()),
+            self.was,
+            self.turns,
+            self.promised,
+            self.accepted,
+            self.next,
+            self.formed,
+            proposal,
+            self.forming and (self.forming[0], frozenset(self.forming[1])),
+        )
 
     # Within
 
@@ -279,8 +299,12 @@
 
     def _vote(self, message: Prepare | Accept) -> Promise | Accepted | None:
         # Guards against two steps at once: leases on the view before the present one might still count.
-        if not (self.active and self.carries) or message.ballot < self.promised or self.view is None \
-                or self.me not in self.view.voters:
+        if (
+            not (self.active and self.carries)
+            or message.ballot < self.promised
+            or self.view is None
+            or self.me not in self.view.voters
+        ):
             return None
         self.promised = message.ballot
         if isinstance(message, Prepare):
--- a/tansykeel/fleet/words.py
+++ b/tansykeel/fleet/words.py
@@ -25,9 +25,33 @@
 )
 from tansykeel.fleet.outbox import Urgency
 
-KINDS = {kind.__name__: kind for kind in (Ping, Ack, Try, NoAnswer, Ask, Grant, Prepare, Promise, Accept, Accepted,
-                                          Form, Formed, Decided, Stepped, Done, ledger.Gather, ledger.Held,
-                                          ledger.Install, ledger.Append, ledger.Took, ledger.Stale, ledger.Offer)}
+KINDS = {
+    kind.__name__: kind
+    for kind in (
+        Ping,
+        Ack,
+        Try,
+        NoAnswer,
+        Ask,
+        Grant,
+        Prepare,
+        Promise,
+        Accept,
+        Accepted,
+        Form,
+        Formed,
+        Decided,
+        Stepped,
+        Done,
+        ledger.Gather,
+        ledger.Held,
+        ledger.Install,
+        ledger.Append,
+        ledger.Took,
+        ledger.Stale,
+        ledger.Offer,
+    )
+}
 DECODERS = {name: msgspec.msgpack.Decoder(kind) for name, kind in KINDS.items()}
 MOST = 60 << 10  # bytes of one word: a view of 1,000 gateways, told with its voters, and some to spare
 
--- a/tansykeel/http1/codec.py
+++ b/tansykeel/http1/codec.py
@@ -100,8 +100,11 @@
             self.fault = self.fault or Malformed(str(error))
         if self.fault is None and self._wire > (MOST_HEAD if self._head else WIRE * self.most + MOST_HEAD):
             # Guards against a head without end, and chunks that are all lines: the library has no bound.
-            self.fault = Malformed(f"a head of more than {MOST_HEAD} bytes", 431) if self._head else Malformed(
-                "a body in chunks that hold next to nothing", 413)
+            self.fault = (
+                Malformed(f"a head of more than {MOST_HEAD} bytes", 431)
+                if self._head
+                else Malformed("a body in chunks that hold next to nothing", 413)
+            )
 
     # What the library calls
 
@@ -291,19 +294,32 @@
 
 
 REASONS = {
-    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
-    409: b"Conflict", 413: b"Content Too Large", 417: b"Expectation Failed", 431: b"Request Header Fields Too Large",
-    500: b"Internal Server Error", 501: b"Not Implemented", 503: b"Service Unavailable",
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
+    413: b"Content Too Large",
+    417: b"Expectation Failed",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    501: b"Not Implemented",
+    503: b"Service Unavailable",
     505: b"HTTP Version Not Supported",
 }
 
 
 def answer(status: int, body: bytes = b"", *, last: bool = False, retry_after: bytes = b"") -> bytes:
     """An answer's bytes; `last` says that the connection ends after it."""
-    return b"".join((
-        b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n" % (status, REASONS[status], len(body)),
-        b"Retry-After: %s\r\n" % retry_after if retry_after else b"",
-        b"Connection: close\r\n\r\n" if last else b"\r\n", body))
+    return b"".join(
+        (
+            b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n" % (status, REASONS[status], len(body)),
+            b"Retry-After: %s\r\n" % retry_after if retry_after else b"",
+            b"Connection: close\r\n\r\n" if last else b"\r\n",
+            body,
+        )
+    )
 
 
 def request(method: bytes, target: bytes, host: bytes, fields: bytes = b"", body: bytes = b"") -> bytes:
--- a/tansykeel/platform/clients.py
+++ b/tansykeel/platform/clients.py
@@ -36,8 +36,20 @@
 class Client:
     """`open`: the id of its request that is not answered."""
 
-    __slots__ = ("owner", "stream", "reader", "since", "asked", "open", "ending", "closed_half", "drained",
-                 "_busy", "_left", "_took")
+    __slots__ = (
+        "owner",
+        "stream",
+        "reader",
+        "since",
+        "asked",
+        "open",
+        "ending",
+        "closed_half",
+        "drained",
+        "_busy",
+        "_left",
+        "_took",
+    )
 
     def __init__(self, owner: Clients, sock: socket.socket) -> None:
         self.owner, self.reader = owner, RequestReader()
@@ -175,8 +187,14 @@
     Who has said nothing for a while makes room first, then who idles longest.
     """
 
-    def __init__(self, handler: Handler, most: int, most_bytes: int, now: Callable[[], float],
-                 later: Callable[[Callable[[], None]], object]) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        most: int,
+        most_bytes: int,
+        now: Callable[[], float],
+        later: Callable[[Callable[[], None]], object],
+    ) -> None:
         self.handler, self.most, self.most_bytes, self.now, self.later = handler, most, most_bytes, now, later
         self.conns: dict[Client, None] = {}
         self.silent: dict[Client, None] = {}  # of them, without a whole request, the oldest first
--- a/tansykeel/platform/discovery.py
+++ b/tansykeel/platform/discovery.py
@@ -53,8 +53,15 @@
     """`up_since_ms` is by the clock that all machines share; its store is as old as that says."""
     since = int(member.up_since_ms)
     age = max(int((time.time() * 1000 - since) * 1000), MICROS) if since > 0 else 0
-    return Row(member.id, member.host_port, zones.get(member.locality, 0), member.cell, PHASES[member.phase],
-               max(since, 0), age)
+    return Row(
+        member.id,
+        member.host_port,
+        zones.get(member.locality, 0),
+        member.cell,
+        PHASES[member.phase],
+        max(since, 0),
+        age,
+    )
 
 
 class Watch:
@@ -107,9 +114,18 @@
 class Discovery:
     """`changed()` after each change that the core was told of."""
 
-    def __init__(self, core: Core, address: str, zones: dict[str, int], revision: int, clock: Callable[[], int],
-                 now: Callable[[], float], changed: Callable[[], None], pressure: Callable[[], None],
-                 note: Callable[..., Any]) -> None:
+    def __init__(
+        self,
+        core: Core,
+        address: str,
+        zones: dict[str, int],
+        revision: int,
+        clock: Callable[[], int],
+        now: Callable[[], float],
+        changed: Callable[[], None],
+        pressure: Callable[[], None],
+        note: Callable[..., Any],
+    ) -> None:
         self.core, self.address, self.zones, self.revision = core, address, zones, revision
         self.clock, self.now, self.changed, self.pressure, self.note = clock, now, changed, pressure, note
         self.watches: list[Watch] = []  # the newest last; an older one goes once a newer one has a word
@@ -146,7 +162,7 @@
         watch.told = True
         if watch.address == self.address:
             self.heard = self.now()
-            for older in self.watches[:self.watches.index(watch)]:
+            for older in self.watches[: self.watches.index(watch)]:
                 self._let_go(older)
 
     def told(self, watch: Watch, members: Members) -> None:
@@ -164,8 +180,12 @@
         rows = [row_of(member, self.zones) for member in members.members]
         self.core.listed(self.clock(), Update(members.complete, members.revision, rows), anew)
         if rows or members.complete:
-            self.note("list", revision=members.revision, complete=members.complete,
-                      members=[(row.name, row.state) for row in rows[:20]])
+            self.note(
+                "list",
+                revision=members.revision,
+                complete=members.complete,
+                members=[(row.name, row.state) for row in rows[:20]],
+            )
         self.first.set()
         self.changed()
 
--- a/tansykeel/platform/intake.py
+++ b/tansykeel/platform/intake.py
@@ -57,8 +57,10 @@
         id = fields.get(b"x-txn", b"")
         if not _ID.fullmatch(id):
             raise Malformed("x-txn is not 16 hex digits")
-        category, plan = self.categories.get(fields.get(b"x-lane", b"")), self.plans.get(
-            fields.get(b"x-storage-class", b""))
+        category, plan = (
+            self.categories.get(fields.get(b"x-lane", b"")),
+            self.plans.get(fields.get(b"x-storage-class", b"")),
+        )
         if category is None or plan is None:
             raise Malformed("x-lane or x-storage-class is not in the settings")
         if request.method != (b"PUT" if category.writes else b"GET") or (request.body and not category.writes):
@@ -69,8 +71,19 @@
         if extent is None or not 0 < float(extent[1]) <= max(self.largest, 1.0) or float(extent[3]) < 1:
             raise Malformed("x-extent is not units=,shard=,hosts= within the settings")
         patience = int(min(float(left) * TENTHS, category.deadline))
-        return Wanted(request, id.lower(), path[1].lower(), int(path[2], 16), category, plan, patience,
-                      float(extent[1]), int(extent[2]), float(extent[3]), fields.get(b"x-resent") == b"1")
+        return Wanted(
+            request,
+            id.lower(),
+            path[1].lower(),
+            int(path[2], 16),
+            category,
+            plan,
+            patience,
+            float(extent[1]),
+            int(extent[2]),
+            float(extent[3]),
+            fields.get(b"x-resent") == b"1",
+        )
 
     def asked(self, now: int, request: Any) -> Asked:
         assert isinstance(request, Wanted)
@@ -84,6 +97,15 @@
             self.volumes.move_to_end(name)
         volume.gateways = request.hosts
         patience = request.patience
-        task = Task(None, request.category, volume, request.units, None if request.shard < 0 else request.shard,
-                    request.key, now, now + patience - min(SPARE, patience // 2), request.again)
+        task = Task(
+            None,
+            request.category,
+            volume,
+            request.units,
+            None if request.shard < 0 else request.shard,
+            request.key,
+            now,
+            now + patience - min(SPARE, patience // 2),
+            request.again,
+        )
         return Asked(task, 0, len(request.request.body))
--- a/tansykeel/platform/objects.py
+++ b/tansykeel/platform/objects.py
@@ -50,7 +50,7 @@
                 if self._depth < 0:
                     raise Unfit("an object ends that did not begin")
                 if not self._depth:
-                    found.append(bytes(self._rest[first:part.end()]))
+                    found.append(bytes(self._rest[first : part.end()]))
                     first = part.end()
         del self._rest[:first]
         self._scanned = scanned - first
--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -71,16 +71,43 @@
         self.reader = Reader(config.facts)
         bounds = Bounds(config.open_tasks, int(limits.memory_mb * 2**20 * BODY_PART), codec.MOST_BODY)
         known = config.file.known
-        self.core = Core(config.facts, config.seed, self, clock(), bounds, self.reader,
-                         [row_of(member, config.zones) for member in known.members])
+        self.core = Core(
+            config.facts,
+            config.seed,
+            self,
+            clock(),
+            bounds,
+            self.reader,
+            [row_of(member, config.zones) for member in known.members],
+        )
         for_stores = int(limits.sockets * STORE_PART)
-        self.clients = Clients(self, limits.sockets - for_stores - OTHERS, bounds.body_memory, loop.time,
-                               loop.call_soon)
-        self.stores = Stores(self.core, for_stores, int(limits.memory_mb * 2**20 * ANSWER_PART),
-                             self.clients, config.connect_within, config.idle_close, config.longest, clock,
-                             loop.time, loop.call_later, log)
-        self.discovery = Discovery(self.core, config.file.discovery, config.zones, known.revision, clock, loop.time,
-                                   self.stores.listed, self.stores.pressure, log)
+        self.clients = Clients(
+            self, limits.sockets - for_stores - OTHERS, bounds.body_memory, loop.time, loop.call_soon
+        )
+        self.stores = Stores(
+            self.core,
+            for_stores,
+            int(limits.memory_mb * 2**20 * ANSWER_PART),
+            self.clients,
+            config.connect_within,
+            config.idle_close,
+            config.longest,
+            clock,
+            loop.time,
+            loop.call_later,
+            log,
+        )
+        self.discovery = Discovery(
+            self.core,
+            config.file.discovery,
+            config.zones,
+            known.revision,
+            clock,
+            loop.time,
+            self.stores.listed,
+            self.stores.pressure,
+            log,
+        )
 
     async def serve(self, listener: socket) -> int:
         """Take tasks until SIGTERM, answer what is held, return the exit code."""
@@ -95,9 +122,17 @@
             # Guards against a send on the word of `known`: the agent may hold a drain that it has not.
             await asyncio.wait_for(self.discovery.first.wait(), FIRST_LIST)
         accepting = loop.create_task(accept_all(listener, self.clients.accept, self.stores.pressure))
-        log("ready", name=file.name, listen=file.listen, clients=self.clients.most, stores=self.stores.most,
-            memory_mb=file.limits.memory_mb, cores=file.limits.cores, known=len(self.core.stores),
-            open_tasks=self.core.bounds.open_tasks)
+        log(
+            "ready",
+            name=file.name,
+            listen=file.listen,
+            clients=self.clients.most,
+            stores=self.stores.most,
+            memory_mb=file.limits.memory_mb,
+            cores=file.limits.cores,
+            known=len(self.core.stores),
+            open_tasks=self.core.bounds.open_tasks,
+        )
         gc.freeze()
         looking = loop.create_task(self._look())
         await self.stopping.wait()
@@ -197,8 +232,15 @@
             self.never_sent[(final.reason or "given up") + (", late" if late else "")] += 1
         self.answers += 1
         if self.answers % SAMPLE == 0:
-            log("answered", id=held.id, result=final.result, reason=final.reason, hand_offs=held.task.hand_offs,
-                lag_ms=(self.core.runner.now - held.task.arrived) / 10, one_in=SAMPLE)
+            log(
+                "answered",
+                id=held.id,
+                result=final.result,
+                reason=final.reason,
+                hand_offs=held.task.hand_offs,
+                lag_ms=(self.core.runner.now - held.task.arrived) / 10,
+                one_in=SAMPLE,
+            )
 
     def hand_off(self, attempt: Attempt) -> None:
         self.stores.hand_off(attempt)
@@ -246,21 +288,35 @@
 
     def _report(self, late: float) -> None:
         counts, use = self.core.counts, resource.getrusage(resource.RUSAGE_SELF)
-        log("figures", taken=counts.taken, delivered=counts.delivered, nacked=counts.nacked,
-            broken_off=counts.broken_off, left=counts.left, outcomes=counts.outcomes, held=len(self.core.held),
-            clients=len(self.clients.conns), errors=self.clients.errors, unanswered=self.clients.unanswered,
+        log(
+            "figures",
+            taken=counts.taken,
+            delivered=counts.delivered,
+            nacked=counts.nacked,
+            broken_off=counts.broken_off,
+            left=counts.left,
+            outcomes=counts.outcomes,
+            held=len(self.core.held),
+            clients=len(self.clients.conns),
+            errors=self.clients.errors,
+            unanswered=self.clients.unanswered,
             never_sent=self.never_sent,
             stores={str(p.store.handle): [len(p.connections), len(p.waiting)] for p in self.stores.pools.values()},
-            loop_late_ms=round(late * 1000, 1), cpu_s=round(use.ru_utime + use.ru_stime, 2),
-            most_memory_mb=use.ru_maxrss // 1024)
+            loop_late_ms=round(late * 1000, 1),
+            cpu_s=round(use.ru_utime + use.ru_stime, 2),
+            most_memory_mb=use.ru_maxrss // 1024,
+        )
 
     def _broken(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """A handler failed: its connection has ended, the gateway goes on; each failure is logged with its cause."""
         import traceback
 
         error = context.get("exception")
-        log("failed", message=context.get("message"),
-            trace=traceback.format_exception(error)[-6:] if isinstance(error, BaseException) else None)
+        log(
+            "failed",
+            message=context.get("message"),
+            trace=traceback.format_exception(error)[-6:] if isinstance(error, BaseException) else None,
+        )
 
 
 async def _serve(path: str, config: Config, listener: socket) -> int:
@@ -276,7 +332,9 @@
         print(f"tansykeel: {error}\n  {error.do}", file=sys.stderr)
         return error.code
     except OSError as error:
-        print(f"tansykeel: {path}: listen: {config.file.listen}: {error.strerror}; legal: a free address here",
-              file=sys.stderr)
+        print(
+            f"tansykeel: {path}: listen: {config.file.listen}: {error.strerror}; legal: a free address here",
+            file=sys.stderr,
+        )
         return USAGE
     return run(lambda: _serve(path, config, listener))
--- a/tansykeel/protocol/codec.py
+++ b/tansykeel/protocol/codec.py
@@ -42,8 +42,19 @@
 ALWAYS: frozenset[int] = frozenset({Kind.ERROR, Kind.GOODBYE, Kind.CUT, Kind.CHUNK})
 SAYS: dict[str, frozenset[int]] = {  # what each role may say after its hello
     "client": ALWAYS | {Kind.TASK, Kind.CANCEL, Kind.FLEET_ASK, Kind.FLEET_WITHOUT, Kind.ACCORD},
-    "edge": ALWAYS | {Kind.ANSWER, Kind.HAND_OFF, Kind.CANCEL, Kind.PROBE, Kind.LIST_ASK, Kind.SHARE, Kind.WATCH,
-                      Kind.FLEET_TOLD, Kind.ACCORD, Kind.ACCORD_TOLD},  # also what a peer says: see `Peers`
+    "edge": ALWAYS
+    | {
+        Kind.ANSWER,
+        Kind.HAND_OFF,
+        Kind.CANCEL,
+        Kind.PROBE,
+        Kind.LIST_ASK,
+        Kind.SHARE,
+        Kind.WATCH,
+        Kind.FLEET_TOLD,
+        Kind.ACCORD,
+        Kind.ACCORD_TOLD,
+    },  # also what a peer says: see `Peers`
     "store": ALWAYS | {Kind.OUTCOME, Kind.PROBED},
     "list": ALWAYS | {Kind.LIST},
     "peer": ALWAYS | {Kind.SHARE, Kind.WATCH, Kind.ACCORD},  # a gateway to another
@@ -101,7 +112,7 @@
             if self._rest:  # a frame that began in an earlier buffer: fill it up as far as it is known
                 need = self._needed()
                 take = min(need - len(self._rest), end - at)
-                self._rest += view[at:at + take]
+                self._rest += view[at : at + take]
                 at += take
                 if len(self._rest) < need or self._needed() > len(self._rest):
                     continue
@@ -144,9 +155,9 @@
         """Read the frame at `at`, all of it at hand (of a CHUNK: its header); returns the bytes used."""
         self._check(head)
         code, _, _, length, stream, check = head
-        found = crc_of(bytes(view[at:at + HEADER.size]))
+        found = crc_of(bytes(view[at : at + HEADER.size]))
         if code != CHUNK:
-            fields = bytes(view[at + HEAD_BYTES:at + HEAD_BYTES + length])
+            fields = bytes(view[at + HEAD_BYTES : at + HEAD_BYTES + length])
             found = crc_extend(found, fields)
         if found != check:
             raise ProtocolError(f"{KINDS[code].name} on stream {stream}: its check does not fit its bytes")
@@ -154,8 +165,9 @@
             if code not in FIRST:
                 raise ProtocolError(f"{KINDS[code].name} before the hello")
         elif code not in self._says:
-            raise ProtocolError(f"{KINDS[code].name} on stream {stream}: not legal from a peer of role "
-                                f"{self.peer.role!r}")
+            raise ProtocolError(
+                f"{KINDS[code].name} on stream {stream}: not legal from a peer of role {self.peer.role!r}"
+            )
         if code == CHUNK:
             self._open_chunk(stream, length)
             return HEAD_BYTES
@@ -199,7 +211,7 @@
     def _body_bytes(self, view: memoryview, at: int, end: int, events: list[Event]) -> int:
         assert self._chunk is not None
         stream, wanted = self._chunk
-        data = bytes(view[at:min(at + wanted, end)])
+        data = bytes(view[at : min(at + wanted, end)])
         self._chunk = (stream, wanted - len(data)) if len(data) < wanted else None
         self._bodies[stream] -= len(data)
         if last := not self._bodies[stream]:
--- a/tansykeel/protocol/frames.py
+++ b/tansykeel/protocol/frames.py
@@ -247,11 +247,26 @@
 
 
 RECORDS: dict[Kind, type[Fields]] = {
-    Kind.HELLO: Hello, Kind.ERROR: Error, Kind.TASK: TaskOf, Kind.ANSWER: Answer, Kind.CANCEL: Cancel,
-    Kind.HAND_OFF: HandOffOf, Kind.OUTCOME: OutcomeOf, Kind.PROBE: Probe, Kind.PROBED: Probed,
-    Kind.LIST_ASK: ListAsk, Kind.LIST: ListOf, Kind.GOODBYE: Goodbye, Kind.CUT: Cut,
-    Kind.SHARE: Share, Kind.WATCH: Watch, Kind.FLEET_ASK: FleetAsk, Kind.FLEET_TOLD: FleetTold,
-    Kind.FLEET_WITHOUT: FleetWithout, Kind.ACCORD: Accord, Kind.ACCORD_TOLD: AccordTold,
+    Kind.HELLO: Hello,
+    Kind.ERROR: Error,
+    Kind.TASK: TaskOf,
+    Kind.ANSWER: Answer,
+    Kind.CANCEL: Cancel,
+    Kind.HAND_OFF: HandOffOf,
+    Kind.OUTCOME: OutcomeOf,
+    Kind.PROBE: Probe,
+    Kind.PROBED: Probed,
+    Kind.LIST_ASK: ListAsk,
+    Kind.LIST: ListOf,
+    Kind.GOODBYE: Goodbye,
+    Kind.CUT: Cut,
+    Kind.SHARE: Share,
+    Kind.WATCH: Watch,
+    Kind.FLEET_ASK: FleetAsk,
+    Kind.FLEET_TOLD: FleetTold,
+    Kind.FLEET_WITHOUT: FleetWithout,
+    Kind.ACCORD: Accord,
+    Kind.ACCORD_TOLD: AccordTold,
 }
 KIND_OF = {record: kind for kind, record in RECORDS.items()}
 DECODERS = {kind: msgspec.msgpack.Decoder(record) for kind, record in RECORDS.items()}
--- a/tansykeel/rehearse/agents.py
+++ b/tansykeel/rehearse/agents.py
@@ -67,8 +67,9 @@
         self.asks, self.leader = self.asks + 1, ""
         boot = self.machines.starts(self.index)
         try:
-            told = await say(f"127.0.0.1:{self.machines.ports[to]}", Ask(self.name, boot, self.went, whole),
-                             ANSWERS_WITHIN)
+            told = await say(
+                f"127.0.0.1:{self.machines.ports[to]}", Ask(self.name, boot, self.went, whole), ANSWERS_WITHIN
+            )
         except NotTold:
             return None
         if isinstance(told, Elsewhere):
@@ -139,11 +140,19 @@
         """What was seen of the release last, beside the records."""
         kept = self.seen.state if self.seen else Kept(known=False)
         release = kept.releases.get(RELEASE)
-        told: dict[str, Any] = {"known": kept.known, "out": sorted(kept.out),
-                                "entries": self.seen.entries if self.seen else 0}
+        told: dict[str, Any] = {
+            "known": kept.known,
+            "out": sorted(kept.out),
+            "entries": self.seen.entries if self.seen else 0,
+        }
         if release:
-            told |= {"state": release.state, "wave": release.wave, "why": release.why, "went": release.went,
-                     "over": release.state in (DONE, GIVEN_UP)}
+            told |= {
+                "state": release.state,
+                "wave": release.wave,
+                "why": release.why,
+                "went": release.went,
+                "over": release.state in (DONE, GIVEN_UP),
+            }
         (folder / "release.json").write_text(json.dumps(told, indent=1))
 
 
--- a/tansykeel/rehearse/chaos.py
+++ b/tansykeel/rehearse/chaos.py
@@ -53,14 +53,17 @@
         count = min(chance.choice((1, 1, 1, 2, 3)), len(edges))
         struck = sorted(chance.sample(edges, count))
         if verb in ("leave_edge", SOLE):
-            struck = struck[:max(len(edges) - LEAST_THERE, 0)]
+            struck = struck[: max(len(edges) - LEAST_THERE, 0)]
             gone |= set(struck)
         if not struck:
             return None
         detail |= {"edges": struck}
         back = round(chance.choice((0.05, 0.5, 2.0)) * chance.uniform(0.5, 1.5), 2)
-        detail |= {"kill_edge": {"back_s": back}, "restart_edge": {"down_s": back},
-                   "stall": {"stall_ms": chance.choice((300.0, 1200.0, 3000.0)), "every_s": 1.0}}.get(verb, {})
+        detail |= {
+            "kill_edge": {"back_s": back},
+            "restart_edge": {"down_s": back},
+            "stall": {"stall_ms": chance.choice((300.0, 1200.0, 3000.0)), "every_s": 1.0},
+        }.get(verb, {})
     return Trouble(verb=verb, at=at, for_s=for_s, detail=detail)
 
 
@@ -72,9 +75,13 @@
         found["pairs"] = [chance.sample(edges, 2) for _ in range(chance.randint(1, 3))]
     elif which != "all":
         found[which] = chance.randrange(zones)
-    figures = {"keeps": chance.random() < 0.5, "ms": round(chance.uniform(5, 400), 1),
-               "spread": round(chance.random(), 2), "share": round(chance.uniform(0.02, 0.5), 2),
-               "bytes_s": round(chance.uniform(300, 20_000), 1)}
+    figures = {
+        "keeps": chance.random() < 0.5,
+        "ms": round(chance.uniform(5, 400), 1),
+        "spread": round(chance.random(), 2),
+        "share": round(chance.uniform(0.02, 0.5), 2),
+        "bytes_s": round(chance.uniform(300, 20_000), 1),
+    }
     return found | {name: value for name, value in figures.items() if name in VERBS[verb][1]}
 
 
@@ -91,11 +98,16 @@
         if good := fails(candidate):
             least = candidate
         return good
+
     for trouble in reversed(day.troubles):
         fewer(tuple(other for other in least.troubles if other is not trouble))
     for trouble in least.troubles:
-        fewer(tuple(msgspec.structs.replace(other, for_s=round(other.for_s / 4, 2)) if other is trouble else other
-                    for other in least.troubles))
+        fewer(
+            tuple(
+                msgspec.structs.replace(other, for_s=round(other.for_s / 4, 2)) if other is trouble else other
+                for other in least.troubles
+            )
+        )
     return least
 
 
--- a/tansykeel/rehearse/clients.py
+++ b/tansykeel/rehearse/clients.py
@@ -103,16 +103,18 @@
 class LoadClients:
     """`number` of `count` client processes; `edges` are names and addresses in the order of the day's indices."""
 
-    def __init__(self, day: Day, seed: int, number: int, count: int, edges: list[tuple[str, str]],
-                 record: Path) -> None:
+    def __init__(
+        self, day: Day, seed: int, number: int, count: int, edges: list[tuple[str, str]], record: Path
+    ) -> None:
         self.day, self.number, self.count = day, number, count
         self.edges = edges
         self.record = Recorder(record)
         self.habits = Habits(day.clients, stream(seed, RETRIES, number))
         self.hub = Hub(Limits(stall=60.0))
         self.hello = Hello(1, "client", f"client-{number}", os.getpid())
-        self.lines: list[list[Line]] = [[Line(self, name, address) for _ in range(day.clients.connections)]
-                                        for name, address in edges]
+        self.lines: list[list[Line]] = [
+            [Line(self, name, address) for _ in range(day.clients.connections)] for name, address in edges
+        ]
         self.categories = {c.name: c for c in day.categories}
         self.made = 0
         self.under_way = 0
@@ -186,18 +188,41 @@
         if data:
             line.link.send_body(task, [data])
         held.timer = asyncio.get_running_loop().call_later(
-            patience + self.day.rules.answer_grace_ms / 1000, self._patience_over, held, task)
+            patience + self.day.rules.answer_grace_ms / 1000, self._patience_over, held, task
+        )
 
     def _request(self, arrival: Arrival, category: CategoryOf, tries: int, patience: float) -> tuple[TaskOf, bytes]:
         size = arrival.units * self.day.gateway.unit_bytes
         data = content.body(arrival.key, arrival.mark, size) if category.writes else b""
-        return TaskOf(arrival.volume, arrival.category, arrival.key, size, arrival.shard, int(patience * 1e6),
-                      arrival.mark, tries > 0, len(data)), data
+        return TaskOf(
+            arrival.volume,
+            arrival.category,
+            arrival.key,
+            size,
+            arrival.shard,
+            int(patience * 1e6),
+            arrival.mark,
+            tries > 0,
+            len(data),
+        ), data
 
     def _sent(self, arrival: Arrival, tries: int, edge: str, task: int, patience: float) -> None:
-        self.record.add(Sent(now_us(), task, arrival.mark, tries, self.hello.name, edge, arrival.volume,
-                             arrival.category, arrival.key, float(arrival.units), arrival.shard,
-                             int(patience * 1e6)))
+        self.record.add(
+            Sent(
+                now_us(),
+                task,
+                arrival.mark,
+                tries,
+                self.hello.name,
+                edge,
+                arrival.volume,
+                arrival.category,
+                arrival.key,
+                float(arrival.units),
+                arrival.shard,
+                int(patience * 1e6),
+            )
+        )
 
     def _id(self) -> int:
         self.made += 1
@@ -230,7 +255,7 @@
             link.outgoing.body(task, [data])
             half = link.outgoing.take(1)  # frames and one chunk at most, in place of the whole body
             link.outgoing.clear()
-            await asyncio.get_running_loop().sock_sendall(sock, b"".join(half)[:-(len(data) % 4096 or 1)])
+            await asyncio.get_running_loop().sock_sendall(sock, b"".join(half)[: -(len(data) % 4096 or 1)])
         await asyncio.sleep(0.02)
         self.record.add(Gave(now_us(), task, "vanished"))
         link.abort("vanished", reset=True)
@@ -287,8 +312,14 @@
     """Play what the conductor wrote: the day's file and who is who. `ready` is called once it only has to be let go."""
     told = json.loads(path.read_text())
     day = msgspec.convert(told["day"], Day)
-    clients = LoadClients(day, told["seed"], told["number"], told["count"],
-                          [(name, address) for name, address in told["edges"]], Path(told["record"]))
+    clients = LoadClients(
+        day,
+        told["seed"],
+        told["number"],
+        told["count"],
+        [(name, address) for name, address in told["edges"]],
+        Path(told["record"]),
+    )
     leash(lambda: os._exit(1))
     ready()
     while not (go := Path(told["go"])).exists():
--- a/tansykeel/rehearse/day.py
+++ b/tansykeel/rehearse/day.py
@@ -72,12 +72,20 @@
     def verbs(self) -> dict[str, Verb]:
         base = self.base.verbs()
         kept = {verb: base[verb] for verb in ("category", "sizes", "rules", "cold", "budget", "gateway", "accord")}
-        return kept | {
-            "day": self._day, "fleet": self._fleet, "clients": self._part("clients", Clients),
-            "traffic": self._part("traffic", Load), "chaos": self._part("chaos", Chaos),
-            "release": self._part("release", ReleaseOf),
-            "volumes": self._volumes, "param": self._param,
-        } | {verb: self._trouble(verb) for verb in VERBS}
+        return (
+            kept
+            | {
+                "day": self._day,
+                "fleet": self._fleet,
+                "clients": self._part("clients", Clients),
+                "traffic": self._part("traffic", Load),
+                "chaos": self._part("chaos", Chaos),
+                "release": self._part("release", ReleaseOf),
+                "volumes": self._volumes,
+                "param": self._param,
+            }
+            | {verb: self._trouble(verb) for verb in VERBS}
+        )
 
     def _param(self, name: str, usual: Any) -> Any:
         """A figure that `--set name=value` or a sweep may change."""
@@ -93,6 +101,7 @@
     def _part(self, verb: str, kind: Any) -> Verb:
         def call(**values: Any) -> None:
             self.parts[verb] = record_of(kind, verb, values)
+
         return call
 
     def _fleet(self, **values: Any) -> None:
@@ -138,16 +147,22 @@
             if verb == "plan_burst" and detail["plan"] not in (names := [v.plan for v in self.volumes]):
                 raise FieldError(f"plan_burst.plan: {detail['plan']!r} is no plan; legal: {', '.join(names)}")
             self.troubles.append(Trouble(verb=verb, at=float(at), for_s=float(for_s), detail=detail))
+
         return call
 
     def _link_fault(self, verb: str, detail: dict[str, Any]) -> None:
         fleet: Fleet = self.parts.get("fleet", Fleet())
         if not fleet.agree:
-            raise FieldError(f"{verb}: gateways that do not know each other have no links; legal: with "
-                             "fleet(agree = True)")
+            raise FieldError(
+                f"{verb}: gateways that do not know each other have no links; legal: with fleet(agree = True)"
+            )
         for pair in detail["pairs"]:
-            good = isinstance(pair, (list, tuple)) and len(pair) == 2 and all(
-                isinstance(n, int) and 0 <= n < fleet.edges for n in pair) and pair[0] != pair[1]
+            good = (
+                isinstance(pair, (list, tuple))
+                and len(pair) == 2
+                and all(isinstance(n, int) and 0 <= n < fleet.edges for n in pair)
+                and pair[0] != pair[1]
+            )
             if not good:
                 raise FieldError(f"{verb}.pairs: {pair!r} is no pair; legal: two of 0 to {fleet.edges - 1}")
         for which in ("zone", "to_zone"):
@@ -171,32 +186,51 @@
         fleet: Fleet = self.parts.get("fleet", Fleet())
         for trouble in self.troubles:
             if trouble.at >= head.seconds:
-                raise ScriptError(f"{where}: {trouble.verb}.at: {trouble.at:g} is past the day's end; "
-                                  f"legal: under {head.seconds:g}")
+                raise ScriptError(
+                    f"{where}: {trouble.verb}.at: {trouble.at:g} is past the day's end; legal: under {head.seconds:g}"
+                )
         load: Load = self.parts["traffic"]
         names = [c.name for c in categories]
         for name in (*load.mix, *load.fresh):
             if name not in names:
                 raise ScriptError(f"{where}: traffic: {name!r} is no category; legal: {', '.join(names)}")
         made = Day(
-            name=head.name, says=head.says, seconds=head.seconds, least_service=head.least_service, fleet=fleet,
-            clients=self.parts.get("clients", Clients()), load=load, categories=categories,
-            volumes=tuple(self.volumes), sizes=self.base.single.get("sizes", SizesOf(largest=8.0, usual=1.8)),
-            rules=self.base.single.get("rules", RulesOf()), troubles=tuple(sorted(self.troubles, key=lambda t: t.at)),
-            gateway=self.base.single.get("gateway", Gateway(name="edge")), chaos=self.parts.get("chaos"),
-            accord=self.base.single.get("accord"), release=self.parts.get("release"))
-        if made.chaos and not (made.chaos.least <= made.chaos.most and made.chaos.after_s <= made.chaos.until_s
-                               < head.seconds and fleet.agree):
-            raise ScriptError(f"{where}: chaos: legal: least up to most, after_s up to until_s, which is under "
-                              f"{head.seconds:g}, with fleet(agree = True)")
+            name=head.name,
+            says=head.says,
+            seconds=head.seconds,
+            least_service=head.least_service,
+            fleet=fleet,
+            clients=self.parts.get("clients", Clients()),
+            load=load,
+            categories=categories,
+            volumes=tuple(self.volumes),
+            sizes=self.base.single.get("sizes", SizesOf(largest=8.0, usual=1.8)),
+            rules=self.base.single.get("rules", RulesOf()),
+            troubles=tuple(sorted(self.troubles, key=lambda t: t.at)),
+            gateway=self.base.single.get("gateway", Gateway(name="edge")),
+            chaos=self.parts.get("chaos"),
+            accord=self.base.single.get("accord"),
+            release=self.parts.get("release"),
+        )
+        if made.chaos and not (
+            made.chaos.least <= made.chaos.most
+            and made.chaos.after_s <= made.chaos.until_s < head.seconds
+            and fleet.agree
+        ):
+            raise ScriptError(
+                f"{where}: chaos: legal: least up to most, after_s up to until_s, which is under "
+                f"{head.seconds:g}, with fleet(agree = True)"
+            )
         if (release := made.release) is not None:
             numbers = [index for wave in release.waves for index in wave]
             if made.accord is None or not fleet.agree:
-                raise ScriptError(f"{where}: release: gateways that give no leave; legal: with accord(...) and "
-                                  "fleet(agree = True)")
+                raise ScriptError(
+                    f"{where}: release: gateways that give no leave; legal: with accord(...) and fleet(agree = True)"
+                )
             if not numbers or len(set(numbers)) < len(numbers) or max(numbers) >= fleet.edges or not all(release.waves):
-                raise ScriptError(f"{where}: release.waves: legal: each of 0 to {fleet.edges - 1} once at most, and no "
-                                  "wave empty")
+                raise ScriptError(
+                    f"{where}: release.waves: legal: each of 0 to {fleet.edges - 1} once at most, and no wave empty"
+                )
             if release.version not in VERSIONS or release.ends not in ENDS:
                 raise ScriptError(f"{where}: release: legal: version {', '.join(VERSIONS)}, ends {', '.join(ENDS)}")
         if not categories:
--- a/tansykeel/rehearse/load.py
+++ b/tansykeel/rehearse/load.py
@@ -45,8 +45,8 @@
         self.day, self.of, self.name, self.index, self.seed = day, of, name, index, seed
         draw = stream(seed, index, SHAPE)
         edges, stores = day.fleet.edges, day.fleet.stores
-        self.edges = [int(e) for e in draw.permutation(edges)[:min(of.hosts or edges, edges)]]
-        self.shards = [int(s) for s in draw.permutation(stores)[:min(of.stores or stores, stores)]]
+        self.edges = [int(e) for e in draw.permutation(edges)[: min(of.hosts or edges, edges)]]
+        self.shards = [int(s) for s in draw.permutation(stores)[: min(of.stores or stores, stores)]]
         self.rate = volume_rate(day, of) / mean_units(day)  # tasks a second
         if draw.random() < of.busy:
             self.rate *= 1 + 2 * draw.random()
@@ -76,7 +76,7 @@
         if trouble.verb in ("hot_key", "scan"):
             total = sum(v.count for v in self.day.volumes)
             chosen = stream(self.seed, STRUCK, round(trouble.at * 1000)).permutation(total)
-            return self.index in chosen[:int(trouble.detail["volumes"])]
+            return self.index in chosen[: int(trouble.detail["volumes"])]
         return trouble.verb == "burst"
 
     def asks(self, at: float) -> float:
@@ -133,8 +133,21 @@
                     elif trouble.verb == "vanish":
                         vanishes = bool(tasks.random() < trouble.detail["share"])
             mark = self.index << 32 | len(made) + 1
-            made.append(Arrival(at, mark, self.name, category.name, key, units, self.lead(at, tasks), shard, patience,
-                                vanishes, reread))
+            made.append(
+                Arrival(
+                    at,
+                    mark,
+                    self.name,
+                    category.name,
+                    key,
+                    units,
+                    self.lead(at, tasks),
+                    shard,
+                    patience,
+                    vanishes,
+                    reread,
+                )
+            )
         return made
 
 
--- a/tansykeel/rehearse/play.py
+++ b/tansykeel/rehearse/play.py
@@ -47,8 +47,13 @@
 AT_ONCE = (*EDGE, "--send-at-once")
 
 
-def play(day: Day, seed: int, folder: Path | None, progress: Callable[[float], None] = lambda at: None,
-         edge: tuple[str, ...] = EDGE) -> Verdict:
+def play(
+    day: Day,
+    seed: int,
+    folder: Path | None,
+    progress: Callable[[float], None] = lambda at: None,
+    edge: tuple[str, ...] = EDGE,
+) -> Verdict:
     """Play and judge a day; without a folder its records are let go. `edge` are the words that start a gateway.
 
     Raises RehearsalError, ScriptError.
--- a/tansykeel/rehearse/relay.py
+++ b/tansykeel/rehearse/relay.py
@@ -71,6 +71,7 @@
                 await joint.run(reader, writer)
             finally:
                 self.joints.discard(joint)
+
         return take
 
 
@@ -186,8 +187,17 @@
             watch: Watch | None = self._record(Kind.WATCH, frame)
             if watch is not None:
                 for passed in out or [0]:
-                    self.relay.recorder.add(Said(now, passed, self.hello.name, self.hello.boot,
-                                                 self.relay.names[self.way[1]], watch.what, watch.word))
+                    self.relay.recorder.add(
+                        Said(
+                            now,
+                            passed,
+                            self.hello.name,
+                            self.hello.boot,
+                            self.relay.names[self.way[1]],
+                            watch.what,
+                            watch.word,
+                        )
+                    )
         self._put(out, frame)
 
     def _record(self, kind: Kind, frame: bytes) -> Any:
@@ -216,6 +226,7 @@
             over.set()
         else:
             relay.cause(told["verb"], told["for_s"], told["detail"])
+
     controls = asyncio.create_task(commands(carry_out))
     while not over.is_set():
         with contextlib.suppress(TimeoutError):
--- a/tansykeel/rehearse/troubles.py
+++ b/tansykeel/rehearse/troubles.py
@@ -145,7 +145,15 @@
 
 
 FLOWS: dict[str, Callable[[Stage, int, Trouble, list[int]], Steps]] = {
-    "drain": drain, "die": die, "restart": restart, "mass_restart": restart, "replace": replace, "preempt": preempt,
-    "stall": stall, "kill_edge": kill_edge, "restart_edge": restart_edge, "leave_edge": leave_edge,
+    "drain": drain,
+    "die": die,
+    "restart": restart,
+    "mass_restart": restart,
+    "replace": replace,
+    "preempt": preempt,
+    "stall": stall,
+    "kill_edge": kill_edge,
+    "restart_edge": restart_edge,
+    "leave_edge": leave_edge,
     "late_edge": late_edge,
 }
--- a/tansykeel/settings/build.py
+++ b/tansykeel/settings/build.py
@@ -72,18 +72,25 @@
 
     def verbs(self) -> dict[str, script.Verb]:
         return {
-            "gateway": self._one("gateway", Gateway), "listing": self._one("listing", ListOf),
-            "sizes": self._one("sizes", SizesOf), "rules": self._one("rules", RulesOf),
-            "peers": self._one("peers", PeersOf), "accord": self._one("accord", AccordOf),
-            "category": self._named("category", CategoryOf), "plan": self._named("plan", PlanOf),
-            "volume": self._named("volume", VolumeOf), "store": self._named("store", StoreOf),
-            "cold": _plain("cold", ColdOf), "budget": _plain("budget", BudgetOf),
+            "gateway": self._one("gateway", Gateway),
+            "listing": self._one("listing", ListOf),
+            "sizes": self._one("sizes", SizesOf),
+            "rules": self._one("rules", RulesOf),
+            "peers": self._one("peers", PeersOf),
+            "accord": self._one("accord", AccordOf),
+            "category": self._named("category", CategoryOf),
+            "plan": self._named("plan", PlanOf),
+            "volume": self._named("volume", VolumeOf),
+            "store": self._named("store", StoreOf),
+            "cold": _plain("cold", ColdOf),
+            "budget": _plain("budget", BudgetOf),
         }
 
     def _one(self, verb: str, kind: type[R]) -> script.Verb:
         def call(*names: str, **values: Any) -> None:
             _once(self.single, verb)
             self.single[verb] = record_of(kind, verb, _with_name(verb, names, values))
+
         return call
 
     def _named(self, verb: str, kind: type[R]) -> script.Verb:
@@ -94,6 +101,7 @@
                 raise FieldError(f"{verb}({name!r}): given twice; legal: each name once")
             self.many[verb][name] = made
             return name
+
         return call
 
     def settings(self, where: str) -> Settings:
@@ -116,9 +124,11 @@
 
 def _plain(verb: str, kind: type[R]) -> script.Verb:
     """A verb whose record stands inside another's field: checked here, so that the error has its line."""
+
     def call(**values: Any) -> dict[str, Any]:
         built: dict[str, Any] = msgspec.to_builtins(record_of(kind, verb, values))
         return built
+
     return call
 
 
@@ -142,8 +152,10 @@
             yield f"{who}.window_ms: 0 is not legal for a stamped category; legal: above 0"
     for p in made.plans:
         if p.limit and p.limit_depth < made.sizes.largest:
-            yield (f"plan({p.name!r}).limit_depth: {p.limit_depth:g} is not legal; legal: "
-                   f"{made.sizes.largest:g} (sizes.largest) or more for each gateway of a volume")
+            yield (
+                f"plan({p.name!r}).limit_depth: {p.limit_depth:g} is not legal; legal: "
+                f"{made.sizes.largest:g} (sizes.largest) or more for each gateway of a volume"
+            )
     shards: dict[int, str] = {}
     for store in made.stores:
         if (other := shards.setdefault(store.shard, store.name)) != store.name:
@@ -158,11 +170,15 @@
     if made.sizes.usual > made.sizes.largest:
         yield f"sizes.usual: {made.sizes.usual:g} is not legal; legal: {made.sizes.largest:g} (largest) or less"
     if made.gateway.largest_body > made.gateway.connection_memory:
-        yield (f"gateway.largest_body: {made.gateway.largest_body} is not legal; legal: "
-               f"{made.gateway.connection_memory} (connection_memory) or less")
+        yield (
+            f"gateway.largest_body: {made.gateway.largest_body} is not legal; legal: "
+            f"{made.gateway.connection_memory} (connection_memory) or less"
+        )
     if made.gateway.connection_memory > made.gateway.body_memory:
-        yield (f"gateway.connection_memory: {made.gateway.connection_memory} is not legal; legal: "
-               f"{made.gateway.body_memory} (body_memory) or less")
+        yield (
+            f"gateway.connection_memory: {made.gateway.connection_memory} is not legal; legal: "
+            f"{made.gateway.body_memory} (body_memory) or less"
+        )
 
 
 def load(path: Path) -> Settings:
@@ -183,26 +199,56 @@
         raise ScriptError(f"peers.addresses: {len(made.peers.addresses)} for {count} gateways; legal: one for each")
     rules, cold, budget = made.rules, made.rules.cold, made.rules.budget
     return Facts(
-        gateways=count, me=number, zone=made.gateway.zone,
+        gateways=count,
+        me=number,
+        zone=made.gateway.zone,
         categories=tuple(
-            make.category(c.name, soft_limit=c.soft_limit_ms * MS, deadline=c.cut_off_ms * MS, gain=c.gain,
-                          late_gain=c.late_gain, repeat=Repeat(c.repeat), scope=Scope(c.scope),
-                          window=c.window_ms * MS, writes=c.writes, ordered=c.ordered)
-            for c in made.categories),
-        plans=tuple(Plan(p.name, p.rate, p.reserve, p.weight, p.price, p.limit, p.limit_depth, p.limit_slack)
-                    for p in made.plans),
+            make.category(
+                c.name,
+                soft_limit=c.soft_limit_ms * MS,
+                deadline=c.cut_off_ms * MS,
+                gain=c.gain,
+                late_gain=c.late_gain,
+                repeat=Repeat(c.repeat),
+                scope=Scope(c.scope),
+                window=c.window_ms * MS,
+                writes=c.writes,
+                ordered=c.ordered,
+            )
+            for c in made.categories
+        ),
+        plans=tuple(
+            Plan(p.name, p.rate, p.reserve, p.weight, p.price, p.limit, p.limit_depth, p.limit_slack)
+            for p in made.plans
+        ),
         sizes=Sizes(made.sizes.largest, made.sizes.usual),
-        allowed=make.allowed(hand_offs=rules.hand_offs, come_back=rules.come_back, copies=rules.copies,
-                             longest_come_back=rules.longest_come_back_ms * MS, cancel=rules.cancel, probes=False,
-                             peers=made.peers is not None),
-        listing=make.listing(must_ask=bool(made.listing and made.listing.mode == "ask"),
-                             ask_within=(made.listing.ask_within_ms if made.listing else 0) * MS,
-                             drain_grace=(made.listing.drain_grace_ms if made.listing else 0) * MS),
+        allowed=make.allowed(
+            hand_offs=rules.hand_offs,
+            come_back=rules.come_back,
+            copies=rules.copies,
+            longest_come_back=rules.longest_come_back_ms * MS,
+            cancel=rules.cancel,
+            probes=False,
+            peers=made.peers is not None,
+        ),
+        listing=make.listing(
+            must_ask=bool(made.listing and made.listing.mode == "ask"),
+            ask_within=(made.listing.ask_within_ms if made.listing else 0) * MS,
+            drain_grace=(made.listing.drain_grace_ms if made.listing else 0) * MS,
+        ),
         answer_grace=make.floor(rules.answer_grace_ms * MS),
-        cold=make.cold_rule(share=cold.share, warm_after=cold.warm_s * 1000 * MS, multiple=cold.multiple,
-                            span=cold.span_s * 1000 * MS, always_safe=cold.always_safe) if cold else None,
+        cold=make.cold_rule(
+            share=cold.share,
+            warm_after=cold.warm_s * 1000 * MS,
+            multiple=cold.multiple,
+            span=cold.span_s * 1000 * MS,
+            always_safe=cold.always_safe,
+        )
+        if cold
+        else None,
         budget=make.budget_rule(span=budget.span_ms * MS, free=budget.free, share=budget.share) if budget else None,
-        key_rest=make.ceil(rules.key_rest_ms * MS), report_fields=(),
+        key_rest=make.ceil(rules.key_rest_ms * MS),
+        report_fields=(),
         tells_elsewhere=rules.tells == "node",
     )
 
@@ -218,17 +264,25 @@
 
 def text_of(made: Settings) -> str:
     """The settings as a script again: `load` of this text gives the same record."""
+
     def call(verb: str, record: Record) -> str:
         parts = msgspec.to_builtins(record)
         return f"{verb}(" + ", ".join(f"{name} = {literal(part)}" for name, part in parts.items()) + ")"
 
-    single: list[tuple[str, Record | None]] = [("gateway", made.gateway), ("sizes", made.sizes),
-                                               ("rules", made.rules), ("listing", made.listing),
-                                               ("peers", made.peers), ("accord", made.accord)]
+    single: list[tuple[str, Record | None]] = [
+        ("gateway", made.gateway),
+        ("sizes", made.sizes),
+        ("rules", made.rules),
+        ("listing", made.listing),
+        ("peers", made.peers),
+        ("accord", made.accord),
+    ]
     groups: list[tuple[str, tuple[Record, ...]]] = [
-        ("category", made.categories), ("plan", made.plans), ("volume", made.volumes), ("store", made.stores)]
+        ("category", made.categories),
+        ("plan", made.plans),
+        ("volume", made.volumes),
+        ("store", made.stores),
+    ]
     lines = [call(verb, record) for verb, record in single if record is not None]
     lines += [call(verb, record) for verb, records in groups for record in records]
     return "\n".join(lines) + "\n"
-
-
--- a/tansykeel/settings/day.py
+++ b/tansykeel/settings/day.py
@@ -168,8 +168,11 @@
         by = seconds / self.seconds
         troubles = tuple(msgspec.structs.replace(t, at=t.at * by, for_s=t.for_s * by) for t in self.troubles)
         load = msgspec.structs.replace(
-            self.load, surge_every_s=self.load.surge_every_s * by, shift_s=self.load.shift_s * by,
-            surge_s=(self.load.surge_s[0] * by, self.load.surge_s[1] * by))
+            self.load,
+            surge_every_s=self.load.surge_every_s * by,
+            shift_s=self.load.shift_s * by,
+            surge_s=(self.load.surge_s[0] * by, self.load.surge_s[1] * by),
+        )
         return msgspec.structs.replace(self, seconds=seconds, troubles=troubles, load=load)
 
 
@@ -187,8 +190,13 @@
     fleet = day.fleet
     if not (fleet.talk or fleet.agree) or fleet.edges < 2:
         return None
-    return PeersOf(addresses=addresses or tuple(f"edge:{n + 1}" for n in range(fleet.edges)), agree=fleet.agree,
-                   zones=tuple(fleet.edge_zones()), lease_ms=fleet.lease_ms, ping_ms=fleet.ping_ms)
+    return PeersOf(
+        addresses=addresses or tuple(f"edge:{n + 1}" for n in range(fleet.edges)),
+        agree=fleet.agree,
+        zones=tuple(fleet.edge_zones()),
+        lease_ms=fleet.lease_ms,
+        ping_ms=fleet.ping_ms,
+    )
 
 
 def settings_of(day: Day, list_address: str, listen: str, addresses: tuple[str, ...] = ()) -> Settings:
@@ -199,21 +207,47 @@
     if rules.cold is None:
         full = shape.cores * shape.speed * 1000 / shape.unit_ms
         safe = shape.fall_multiple * shape.cold_share * full * shape.fall_s
-        rules = msgspec.structs.replace(rules, cold=ColdOf(
-            share=shape.cold_share, warm_s=shape.cold_s, multiple=shape.fall_multiple, span_s=shape.fall_s,
-            always_safe=safe))
+        rules = msgspec.structs.replace(
+            rules,
+            cold=ColdOf(
+                share=shape.cold_share,
+                warm_s=shape.cold_s,
+                multiple=shape.fall_multiple,
+                span_s=shape.fall_s,
+                always_safe=safe,
+            ),
+        )
     plans, volumes = [], []
     for of in day.volumes:
         rate = volume_rate(day, of)
         hosts = min(of.hosts or fleet.edges, fleet.edges)
         limit = of.limit * rate
         depth = max(limit * of.limit_burst_s, 2 * day.sizes.largest * hosts) if limit else 0.0
-        plans.append(PlanOf(name=of.plan, rate=rate, reserve=of.reserve * rate, weight=of.weight, price=of.price,
-                            limit=limit, limit_depth=depth, limit_slack=0.1 * depth))
+        plans.append(
+            PlanOf(
+                name=of.plan,
+                rate=rate,
+                reserve=of.reserve * rate,
+                weight=of.weight,
+                price=of.price,
+                limit=limit,
+                limit_depth=depth,
+                limit_slack=0.1 * depth,
+            )
+        )
         volumes += [VolumeOf(name=name, plan=of.plan, gateways=hosts) for name in volume_names(of)]
     return Settings(
-        gateway=msgspec.structs.replace(day.gateway, listen=listen), categories=day.categories, plans=tuple(plans),
-        volumes=tuple(volumes), sizes=day.sizes, rules=rules,
-        peers=peers_of(day, addresses), accord=day.accord,
-        listing=ListOf(address=list_address, mode=fleet.list_mode,  # type: ignore[arg-type]
-                       drain_grace_ms=fleet.drain_grace_ms))
+        gateway=msgspec.structs.replace(day.gateway, listen=listen),
+        categories=day.categories,
+        plans=tuple(plans),
+        volumes=tuple(volumes),
+        sizes=day.sizes,
+        rules=rules,
+        peers=peers_of(day, addresses),
+        accord=day.accord,
+        listing=ListOf(
+            address=list_address,
+            mode=fleet.list_mode,  # type: ignore[arg-type]
+            drain_grace_ms=fleet.drain_grace_ms,
+        ),
+    )
--- a/tansykeel/settings/facts.py
+++ b/tansykeel/settings/facts.py
@@ -21,14 +21,36 @@
     return int(-(-nanoseconds // TENTH))
 
 
-def category(name: str, *, soft_limit: float, deadline: float, gain: float, late_gain: float, repeat: Repeat,
-             scope: Scope, window: float, writes: bool, ordered: bool, stretch: float = 0.0) -> Category:
-    return Category(name, floor(soft_limit), floor(deadline), gain, late_gain, repeat, scope, floor(window),
-                    writes, ordered, stretch)
-
-
-def cold_rule(*, share: float, warm_after: float, multiple: float, span: float,
-              always_safe: float) -> ColdRule | None:
+def category(
+    name: str,
+    *,
+    soft_limit: float,
+    deadline: float,
+    gain: float,
+    late_gain: float,
+    repeat: Repeat,
+    scope: Scope,
+    window: float,
+    writes: bool,
+    ordered: bool,
+    stretch: float = 0.0,
+) -> Category:
+    return Category(
+        name,
+        floor(soft_limit),
+        floor(deadline),
+        gain,
+        late_gain,
+        repeat,
+        scope,
+        floor(window),
+        writes,
+        ordered,
+        stretch,
+    )
+
+
+def cold_rule(*, share: float, warm_after: float, multiple: float, span: float, always_safe: float) -> ColdRule | None:
     """None where no span is given: such a deployment has no rule on cold stores."""
     return ColdRule(share, ceil(warm_after), multiple, ceil(span), always_safe) if span else None
 
@@ -38,8 +60,16 @@
     return BudgetRule(ceil(span), free, share) if span else None
 
 
-def allowed(*, hand_offs: int, come_back: bool, longest_come_back: float, copies: bool, cancel: bool,
-            probes: bool, peers: bool = False) -> Allowed:
+def allowed(
+    *,
+    hand_offs: int,
+    come_back: bool,
+    longest_come_back: float,
+    copies: bool,
+    cancel: bool,
+    probes: bool,
+    peers: bool = False,
+) -> Allowed:
     return Allowed(hand_offs, come_back, floor(longest_come_back), copies, cancel, probes, peers)
 
 
--- a/tansykeel/settings/fleet.py
+++ b/tansykeel/settings/fleet.py
@@ -33,11 +33,14 @@
     return Comparing(settings.allowed, settings.alpha, settings.harm)
 
 
-def keeper_of(settings: PeersOf, names: list[str], me: int, life: int, chance: Random, now: int,
-              machine: Machine | None = None) -> Keeper:
+def keeper_of(
+    settings: PeersOf, names: list[str], me: int, life: int, chance: Random, now: int, machine: Machine | None = None
+) -> Keeper:
     """The keeper that the settings ask for; times in tenths. Pings are answered within a third of their pace."""
-    places = {name: Place(settings.zones[n] if settings.zones else 0, settings.weights[n] if settings.weights else 1)
-              for n, name in enumerate(names)}
+    places = {
+        name: Place(settings.zones[n] if settings.zones else 0, settings.weights[n] if settings.weights else 1)
+        for n, name in enumerate(names)
+    }
     ping = int(settings.ping_ms * MS)
     pace = Pace(period=ping, answer=max(ping * 3 // 10, 1), steady=2 * ping, forgives=60 * ping)
     return Keeper(names[me], places, life, pace, terms_of(settings), chance, now, machine)
--- a/tansykeel/settings/given.py
+++ b/tansykeel/settings/given.py
@@ -47,28 +47,43 @@
     writes = specifics.get("ChangesData") or [False] * len(raw["Classes"])
     categories = tuple(
         make.category(
-            c["Name"], soft_limit=c["Objective"], deadline=c["Deadline"], gain=c["Value"],
-            late_gain=c.get("LateWorth", 0.0), repeat=_lookup(REPEATS, c["Repeat"], "Repeat"),
-            scope=_lookup(SCOPES, c.get("KeyScope") or "cell", "KeyScope"), window=c.get("Window") or 0,
-            writes=bool(writes[i]), ordered=bool(c.get("SerialByKey")), stretch=c.get("AimStretch") or 0.0,
+            c["Name"],
+            soft_limit=c["Objective"],
+            deadline=c["Deadline"],
+            gain=c["Value"],
+            late_gain=c.get("LateWorth", 0.0),
+            repeat=_lookup(REPEATS, c["Repeat"], "Repeat"),
+            scope=_lookup(SCOPES, c.get("KeyScope") or "cell", "KeyScope"),
+            window=c.get("Window") or 0,
+            writes=bool(writes[i]),
+            ordered=bool(c.get("SerialByKey")),
+            stretch=c.get("AimStretch") or 0.0,
         )
         for i, c in enumerate(raw["Classes"])
     )
     plans = tuple(
         Plan(
-            name=p["Name"], rate=p.get("Rate") or 0.0, reserve=p.get("FloorRate") or 0.0,
-            weight=p.get("Proportion") or 0.0, price=p.get("WorthFactor") or 0.0, limit=p.get("Limit") or 0.0,
-            limit_depth=p.get("CapDepth") or 0.0, limit_slack=p.get("Slack") or 0.0,
+            name=p["Name"],
+            rate=p.get("Rate") or 0.0,
+            reserve=p.get("FloorRate") or 0.0,
+            weight=p.get("Proportion") or 0.0,
+            price=p.get("WorthFactor") or 0.0,
+            limit=p.get("Limit") or 0.0,
+            limit_depth=p.get("CapDepth") or 0.0,
+            limit_slack=p.get("Slack") or 0.0,
         )
         for p in raw.get("Plans") or ()
     )
     cold = make.cold_rule(
-        share=rules.get("ColdShare") or 0.0, warm_after=rules.get("Cold") or 0,
-        multiple=rules.get("FallMultiple") or 0.0, span=rules.get("OverloadFor") or 0,
+        share=rules.get("ColdShare") or 0.0,
+        warm_after=rules.get("Cold") or 0,
+        multiple=rules.get("FallMultiple") or 0.0,
+        span=rules.get("OverloadFor") or 0,
         always_safe=specifics.get("YoungLimit") or 0.0,
     )
-    budget = make.budget_rule(span=rules.get("BudgetSpan") or 0, free=rules.get("MinExtra") or 0.0,
-                              share=rules.get("ExtraRatio") or 0.0)
+    budget = make.budget_rule(
+        span=rules.get("BudgetSpan") or 0, free=rules.get("MinExtra") or 0.0, share=rules.get("ExtraRatio") or 0.0
+    )
     return Facts(
         gateways=raw["Siblings"],
         me=raw["Me"],
@@ -77,13 +92,17 @@
         plans=plans,
         sizes=Sizes(specifics.get("Largest") or 0.0, specifics.get("UsualUnits") or 0.0),
         allowed=make.allowed(
-            hand_offs=limits["MostTries"], come_back=bool(limits.get("RetryAfter")),
-            longest_come_back=limits.get("MaxRetryAfter") or 0, copies=bool(limits.get("MayDuplicate")),
-            cancel=bool(limits.get("Cancel")), probes=bool(limits.get("Probes")),
+            hand_offs=limits["MostTries"],
+            come_back=bool(limits.get("RetryAfter")),
+            longest_come_back=limits.get("MaxRetryAfter") or 0,
+            copies=bool(limits.get("MayDuplicate")),
+            cancel=bool(limits.get("Cancel")),
+            probes=bool(limits.get("Probes")),
             peers=bool(limits.get("Peers")),
         ),
         listing=make.listing(
-            must_ask=raw["MembershipMode"] == "ask", ask_within=rules.get("AskWithin") or 0,
+            must_ask=raw["MembershipMode"] == "ask",
+            ask_within=rules.get("AskWithin") or 0,
             drain_grace=rules.get("StopSendingWithin") or 0,
         ),
         answer_grace=floor(rules.get("GraceToAnswer") or 0),
