--- a/tansykeel/settings/move.py
+++ b/tansykeel/settings/move.py
@@ -28,8 +28,10 @@
     if old.peers is not None:
         raise NotMoved("peers: the file has them already; legal: a file of the old shape, without")
     made = msgspec.structs.replace(
-        old, peers=record_of(PeersOf, "peers", {"addresses": addresses}),
-        rules=record_of(RulesOf, "rules", msgspec.to_builtins(old.rules) | {"tells": tells}))
+        old,
+        peers=record_of(PeersOf, "peers", {"addresses": addresses}),
+        rules=record_of(RulesOf, "rules", msgspec.to_builtins(old.rules) | {"tells": tells}),
+    )
     if faults := list(faults_of(made)):
         raise NotMoved("; ".join(faults))
     return made
@@ -45,17 +47,23 @@
     if any(line.startswith("load(") for line in lines):
         yield "load(): what it brought stands in the counterpart itself"
     if old.gateway.listen not in addresses:
-        yield (f"gateway.listen: {old.gateway.listen} is not used any more: gateway N listens at number N of "
-               "peers.addresses")
+        yield (
+            f"gateway.listen: {old.gateway.listen} is not used any more: gateway N listens at number N of "
+            "peers.addresses"
+        )
     hosts = {plan.name: 1 for plan in old.plans}
     for volume in old.volumes:
         through = volume.gateways or len(addresses)
         hosts[volume.plan] = max(hosts[volume.plan], through)
         if through > len(addresses):
-            yield (f"volume({volume.name!r}).gateways: {through}, with {len(addresses)} gateways; carried over, parts "
-                   "that nobody has are lost to it")
+            yield (
+                f"volume({volume.name!r}).gateways: {through}, with {len(addresses)} gateways; carried over, parts "
+                "that nobody has are lost to it"
+            )
     for plan in old.plans:
         if plan.limit and plan.limit_depth < 2 * old.sizes.largest * hosts[plan.name]:
-            yield (f"plan({plan.name!r}).limit_depth: {plan.limit_depth:g}, carried over; it holds less than two of "
-                   f"the largest tasks for each gateway of a volume ({2 * old.sizes.largest * hosts[plan.name]:g}), so "
-                   "large tasks wait for units of others or are nacked")
+            yield (
+                f"plan({plan.name!r}).limit_depth: {plan.limit_depth:g}, carried over; it holds less than two of "
+                f"the largest tasks for each gateway of a volume ({2 * old.sizes.largest * hosts[plan.name]:g}), so "
+                "large tasks wait for units of others or are nacked"
+            )
--- a/tansykeel/settings/script.py
+++ b/tansykeel/settings/script.py
@@ -57,8 +57,7 @@
     table = starlark.Globals.extended_by([starlark.LibraryExtension.StructType])
     dialect = _dialect()
     deadline = time.monotonic() + RUN_SECONDS
-    options = starlark.EvalOptions(check_cancelled=lambda: time.monotonic() > deadline,
-                                   max_callstack_size=CALLS_DEEP)
+    options = starlark.EvalOptions(check_cancelled=lambda: time.monotonic() > deadline, max_callstack_size=CALLS_DEEP)
     seen: dict[str, starlark.FrozenModule] = {}
     opening: list[str] = []
 
@@ -66,8 +65,7 @@
         module = starlark.Module()
         for verb, call in verbs.items():
             module.add_callable(verb, call)
-        starlark.eval_with(options, module, starlark.parse(name, source, dialect), table,
-                           starlark.FileLoader(load))
+        starlark.eval_with(options, module, starlark.parse(name, source, dialect), table, starlark.FileLoader(load))
         return module
 
     def load(name: str) -> starlark.FrozenModule:
@@ -92,8 +90,9 @@
         evaluate(path.name, text)
     except starlark.StarlarkError as error:
         if time.monotonic() > deadline:
-            raise ScriptError(f"{path.name}: ran for more than {RUN_SECONDS:g} s; legal: a script that "
-                              "ends by then") from None
+            raise ScriptError(
+                f"{path.name}: ran for more than {RUN_SECONDS:g} s; legal: a script that ends by then"
+            ) from None
         raise ScriptError(_plain(str(error))) from None
 
 
--- a/tansykeel/standin/behaviour.py
+++ b/tansykeel/standin/behaviour.py
@@ -74,10 +74,20 @@
 class Behaviour:
     """`tell(work, how, elsewhere)` sends an outcome; `done(work)` does a write's effect. `clock` is in microseconds."""
 
-    def __init__(self, name: str, shard: int, zone: int, shape: Shape, uniform: Callable[[], float],
-                 normal: Callable[[], float], marks: Marks, clock: Callable[[], int],
-                 record: Callable[[Record], None], tell: Callable[[Work, str, int], None],
-                 done: Callable[[Work], None] = lambda work: None) -> None:
+    def __init__(
+        self,
+        name: str,
+        shard: int,
+        zone: int,
+        shape: Shape,
+        uniform: Callable[[], float],
+        normal: Callable[[], float],
+        marks: Marks,
+        clock: Callable[[], int],
+        record: Callable[[Record], None],
+        tell: Callable[[Work, str, int], None],
+        done: Callable[[Work], None] = lambda work: None,
+    ) -> None:
         self.name, self.shard, self.zone, self.shape = name, shard, zone, shape
         self.uniform, self.normal, self.marks, self.clock = uniform, normal, marks, clock
         self.record, self.tell, self.done = record, tell, done
@@ -98,8 +108,19 @@
 
     def take(self, work: Work) -> None:
         request, now = work.request, self.clock()
-        self.record(Arrived(now, self.name, self.boot_id, work.edge, request.task, request.number, request.volume,
-                            request.key, request.units))
+        self.record(
+            Arrived(
+                now,
+                self.name,
+                self.boot_id,
+                work.edge,
+                request.task,
+                request.number,
+                request.volume,
+                request.key,
+                request.units,
+            )
+        )
         self.advance()
         if request.shard not in (-1, self.shard):
             return self._tell(work, "moot")
--- a/tansykeel/standin/book.py
+++ b/tansykeel/standin/book.py
@@ -52,5 +52,15 @@
 
     @staticmethod
     def _told(rows: Iterable[tuple[Row, float]], now: float) -> tuple[Row, ...]:
-        return tuple(Row(row.name, row.address, row.zone, row.shard, row.state, row.boot,
-                         row.age + int((now - moment) * 1e6) if row.age else 0) for row, moment in rows)
+        return tuple(
+            Row(
+                row.name,
+                row.address,
+                row.zone,
+                row.shard,
+                row.state,
+                row.boot,
+                row.age + int((now - moment) * 1e6) if row.age else 0,
+            )
+            for row, moment in rows
+        )
--- a/tansykeel/standin/listing.py
+++ b/tansykeel/standin/listing.py
@@ -95,7 +95,7 @@
 
     def _send(self, link: Link, full: bool, rows: tuple[Row, ...]) -> None:
         for start in range(0, max(len(rows), 1), MOST_ROWS):
-            page = rows[start:start + MOST_ROWS]
+            page = rows[start : start + MOST_ROWS]
             link.send(1, ListOf(full, self.book.version, page, start + MOST_ROWS < len(rows)))
         edge = link.peer.name if link.peer else "?"
         self.record.add(Listed(now_us(), edge, full, tuple((row.name, row.state, row.boot) for row in rows)))
--- a/tansykeel/standin/model.py
+++ b/tansykeel/standin/model.py
@@ -46,8 +46,9 @@
 class Model:
     """`uniform` and `normal` draw numbers: 0 to 1, and around 0 with spread 1."""
 
-    def __init__(self, shape: Shape, now: float, cold: bool, uniform: Callable[[], float],
-                 normal: Callable[[], float]) -> None:
+    def __init__(
+        self, shape: Shape, now: float, cold: bool, uniform: Callable[[], float], normal: Callable[[], float]
+    ) -> None:
         self.shape, self.uniform, self.normal = shape, uniform, normal
         self.faults = Faults()
         self.at, self.born, self.cold = now, now, cold
--- a/tansykeel/standin/store.py
+++ b/tansykeel/standin/store.py
@@ -63,8 +63,17 @@
 
 
 class Store:
-    def __init__(self, name: str, shard: int, zone: int, shape: Shape, data: Path, record: Path, seed: int,
-                 tell: Callable[..., None] = lambda **fields: None) -> None:
+    def __init__(
+        self,
+        name: str,
+        shard: int,
+        zone: int,
+        shape: Shape,
+        data: Path,
+        record: Path,
+        seed: int,
+        tell: Callable[..., None] = lambda **fields: None,
+    ) -> None:
         self.tell = tell  # told of each start: boot, address
         self.name, self.shape = name, shape
         self.record = Recorder(record)
@@ -72,9 +81,19 @@
         # stamped category may say that all stores, or those of a zone, drop its repeats.
         self.objects = self._open(data / f"shard-{shard}")
         draw = numpy.random.Generator(numpy.random.PCG64(numpy.random.SeedSequence([seed, shard])))
-        self.behaviour = Behaviour(name, shard, zone, shape, draw.random, draw.standard_normal,
-                                   LmdbMarks(self._open(data / "marks")), now_us, self.record.add, self._tell,
-                                   self._write)
+        self.behaviour = Behaviour(
+            name,
+            shard,
+            zone,
+            shape,
+            draw.random,
+            draw.standard_normal,
+            LmdbMarks(self._open(data / "marks")),
+            now_us,
+            self.record.add,
+            self._tell,
+            self._write,
+        )
         self.hub = Hub(Limits())
         self.links: set[Link] = set()
         self.coming: dict[tuple[Link, int], Coming] = {}
@@ -84,8 +103,13 @@
         self.refuse_until = self.silent_until = 0.0
         self.ended = asyncio.Event()
         self.verbs = {
-            "die": self._die, "restart": self._restart, "refuse": self._refuse, "reset": self._reset,
-            "silent": self._silent, "cut": self._cut, "end": lambda _: self.ended.set(),
+            "die": self._die,
+            "restart": self._restart,
+            "refuse": self._refuse,
+            "reset": self._reset,
+            "silent": self._silent,
+            "cut": self._cut,
+            "end": lambda _: self.ended.set(),
         }
 
     @staticmethod
@@ -210,8 +234,17 @@
         here: Coming = work.seat
         self.coming.pop((here.link, here.stream), None)
         body = self._read(work.request) if how == "delivered" and not work.request.writes else b""
-        here.link.send(here.stream, OutcomeOf(how, self.behaviour.shard,  # type: ignore[arg-type]
-                                              self.behaviour.model.load(), -1, elsewhere, len(body)))
+        here.link.send(
+            here.stream,
+            OutcomeOf(
+                how,  # type: ignore[arg-type]
+                self.behaviour.shard,
+                self.behaviour.model.load(),
+                -1,
+                elsewhere,
+                len(body),
+            ),
+        )
         if body:
             here.link.send_body(here.stream, [body])
 
@@ -250,4 +283,5 @@
         def up() -> None:
             self.listener = listening(self.address)
             self._boot(cold=True)
+
         asyncio.get_running_loop().call_later(max(command["down_s"], 0.05), up)
--- a/tansykeel/transport/leash.py
+++ b/tansykeel/transport/leash.py
@@ -15,4 +15,5 @@
         if not os.read(0, 4096):
             loop.remove_reader(0)
             end()
+
     loop.add_reader(0, look)
--- a/tansykeel/transport/link.py
+++ b/tansykeel/transport/link.py
@@ -67,8 +67,15 @@
 class Link:
     """`on_event(link, event)` for all that the peer says, hello included; `on_lost(link, why)` once, at the end."""
 
-    def __init__(self, hub: Hub, sock: socket.socket, codec: Codec, hello: Hello,
-                 on_event: Callable[[Link, Event], None], on_lost: Callable[[Link, str], None]) -> None:
+    def __init__(
+        self,
+        hub: Hub,
+        sock: socket.socket,
+        codec: Codec,
+        hello: Hello,
+        on_event: Callable[[Link, Event], None],
+        on_lost: Callable[[Link, str], None],
+    ) -> None:
         self.hub, self.sock, self.codec = hub, sock, codec
         self.on_event, self.on_lost = on_event, on_lost
         self.outgoing = Outgoing()
--- a/tansykeel/transport/sockets.py
+++ b/tansykeel/transport/sockets.py
@@ -64,8 +64,9 @@
     return sock
 
 
-async def accept_all(listener: socket.socket, take: Callable[[socket.socket], None],
-                     pressure: Callable[[], None] = lambda: None) -> None:
+async def accept_all(
+    listener: socket.socket, take: Callable[[socket.socket], None], pressure: Callable[[], None] = lambda: None
+) -> None:
     """Hand over each connection that comes, until cancelled.
 
     Each is handed over in the call that accepts it: guards against one that a waiting task has accepted and not yet
--- a/tansykeel/transport/stream.py
+++ b/tansykeel/transport/stream.py
@@ -50,7 +50,7 @@
             return
         if not self.unsent:
             try:
-                data = data[self.sock.send(data):]
+                data = data[self.sock.send(data) :]
             except (BlockingIOError, InterruptedError):
                 pass
             except OSError as error:
--- a/tests/accord/test_between.py
+++ b/tests/accord/test_between.py
@@ -23,11 +23,17 @@
 def test_an_operator_who_asks_a_gateway_that_gives_no_leave_is_told_so(tmp_path):
     port = free_ports(1)[0]
     script = tmp_path / "one.star"
-    script.write_text(f'gateway("edge", listen = "127.0.0.1:{port}")\nplan("basic", rate = 10)\n'
-                      'category("read", soft_limit_ms = 250, cut_off_ms = 900)\n'
-                      'store("s", address = "127.0.0.1:9", shard = 0)\n')
-    edge = subprocess.Popen([sys.executable, "-m", "tansykeel", "edge", str(script), "--leashed"],
-                            stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+    script.write_text(
+        f'gateway("edge", listen = "127.0.0.1:{port}")\nplan("basic", rate = 10)\n'
+        'category("read", soft_limit_ms = 250, cut_off_ms = 900)\n'
+        'store("s", address = "127.0.0.1:9", shard = 0)\n'
+    )
+    edge = subprocess.Popen(
+        [sys.executable, "-m", "tansykeel", "edge", str(script), "--leashed"],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
     try:
         assert json.loads(edge.stdout.readline())["event"] == "ready"
         told = tansykeel("accord", "status", f"127.0.0.1:{port}")
--- a/tests/accord/test_leaving.py
+++ b/tests/accord/test_leaving.py
@@ -17,8 +17,10 @@
     assert played.took_s <= 1.5 * played.shortest_s
 
 
-@pytest.mark.parametrize("trial, why", [
-    (Trial(seconds=150, bad=0.15), "serve read worse"), (Trial(seconds=150, crashes=True), "not back in its time")])
+@pytest.mark.parametrize(
+    "trial, why",
+    [(Trial(seconds=150, bad=0.15), "serve read worse"), (Trial(seconds=150, crashes=True), "not back in its time")],
+)
 def test_a_bad_canary_is_halted_before_the_second_wave_and_goes_back(trial, why):
     played = World(trial, 1).play()
     assert (played.state, played.wave, played.broken) == ("given up", 0, ()) and why in played.why
@@ -35,8 +37,11 @@
 def counted_back_by_time(self, alive):
     """After eight looks of a leader, 1.6 s."""
     LOOKS.update(out.number for out in self.state.kept.out.values())
-    return [Back(name, out.boot + 1, out.number) for name, out in self.state.kept.out.items()
-            if out.boot and LOOKS[out.number] > 8]
+    return [
+        Back(name, out.boot + 1, out.number)
+        for name, out in self.state.kept.out.items()
+        if out.boot and LOOKS[out.number] > 8
+    ]
 
 
 def test_leave_counted_back_unseen_is_named_by_the_judge(monkeypatch):
--- a/tests/accord/test_search.py
+++ b/tests/accord/test_search.py
@@ -67,9 +67,14 @@
         assert found.law == "" and found.states >= 3_000
 
 
-@pytest.mark.parametrize("kind, law, bounds, step", [
-    (Remembered, "two entries decided", ALL, "restarts"), (Timed, "more out than the bounds", CALM, "sees"),
-    (Obedient, "more out than the bounds", CALM, "gets")])
+@pytest.mark.parametrize(
+    "kind, law, bounds, step",
+    [
+        (Remembered, "two entries decided", ALL, "restarts"),
+        (Timed, "more out than the bounds", CALM, "sees"),
+        (Obedient, "more out than the bounds", CALM, "gets"),
+    ],
+)
 def test_a_planted_fault_is_found(kind, law, bounds, step):
     found = walks(settled(NAMES, TERMS, Agreement, kind), Bounds(states=40_000, **bounds), 1, 150, by_kind=True)
     assert found.law.startswith(law) and any(step in line for line in found.trace) and len(found.trace) < 50
@@ -139,6 +144,7 @@
         for to, word in sent:
             if to in books:
                 hear(books[to].heard(1, sender, word), books[to].me)
+
     for book in books.values():
         book.follow(0, View(2, new, new, old))
     x = books["x"]
--- a/tests/accord/test_state.py
+++ b/tests/accord/test_state.py
@@ -25,12 +25,17 @@
     return Leave(name, boot, "test", "me", release, back)
 
 
-@pytest.mark.parametrize("out, bounds, name, says", [
-    (["g2", "g3"], dict(share=0.2), "g4", "the gateways of the fleet: 2 of 10 are out, 2 at most"),
-    (["g2"], dict(share=0.5, zone=0.2), "g4", "the gateways of zone 0: 1 of 5 are out, 1 at most"),
-    (["g0"], dict(share=0.5, zone=0.9), "g1", "the gateways of volume v: 1 of 2 are out, 1 at most"),
-    (["s0"], dict(share=0.5, zone=0.9), "s1", "the stores of shard 0: 1 of 2 are out, 1 at most"),
-    (["g2"], {}, "g2", "g2 is out already"), ([], {}, "g99", "g99 is not known")])
+@pytest.mark.parametrize(
+    "out, bounds, name, says",
+    [
+        (["g2", "g3"], dict(share=0.2), "g4", "the gateways of the fleet: 2 of 10 are out, 2 at most"),
+        (["g2"], dict(share=0.5, zone=0.2), "g4", "the gateways of zone 0: 1 of 5 are out, 1 at most"),
+        (["g0"], dict(share=0.5, zone=0.9), "g1", "the gateways of volume v: 1 of 2 are out, 1 at most"),
+        (["s0"], dict(share=0.5, zone=0.9), "s1", "the stores of shard 0: 1 of 2 are out, 1 at most"),
+        (["g2"], {}, "g2", "g2 is out already"),
+        ([], {}, "g99", "g99 is not known"),
+    ],
+)
 def test_each_bound_holds_by_itself(out, bounds, name, says):
     made = state(*map(leave, out), **bounds)
     assert list(made.kept.out) == out
@@ -40,6 +45,7 @@
 
 def test_what_is_left_has_to_bear_what_is_asked():
     from tansykeel.accord.entries import Asked
+
     made = state(Asked(45.0, 0.0), share=0.5, zone=0.9)
     assert made.against("s0") == []
     made.take(9, Asked(46.0, 0.0))
@@ -135,10 +141,15 @@
     assert made.kept.releases["r"].state == "given up"
 
 
-@pytest.mark.parametrize("plan, says", [
-    (Plan("r", "newer", "old", (("g1",),), "me"), "has this name already"),
-    (Plan("q", "new", "old", (("g0",),), "me"), "r has g0 too"), (Plan("q", "new", "old", ((),), "me"), "none empty"),
-    (Plan("q", "new", "old", (("zz",),), "me"), "zz: not known")])
+@pytest.mark.parametrize(
+    "plan, says",
+    [
+        (Plan("r", "newer", "old", (("g1",),), "me"), "has this name already"),
+        (Plan("q", "new", "old", (("g0",),), "me"), "r has g0 too"),
+        (Plan("q", "new", "old", ((),), "me"), "none empty"),
+        (Plan("q", "new", "old", (("zz",),), "me"), "zz: not known"),
+    ],
+)
 def test_a_plan_that_can_t_be_is_refused_and_one_told_twice_is_one(plan, says):
     made = release(Plan("r", "new", "old", (("g0",), ("g2", "g4")), "me"))
     assert made.kept.refused == []
@@ -164,8 +175,10 @@
     """Rates of one class of two, the other alike; each stretch as it is in the mean."""
     made = Comparison(Terms(**terms), 2)
     for _ in range(stretches):
-        made.put({("a", 0): Seen(tasks, round(tasks * new)), ("b", 0): Seen(tasks, round(tasks * old))},
-                 {("a", 0): Seen(30, round(30 * old)), ("b", 0): Seen(30, round(30 * old))})
+        made.put(
+            {("a", 0): Seen(tasks, round(tasks * new)), ("b", 0): Seen(tasks, round(tasks * old))},
+            {("a", 0): Seen(30, round(30 * old)), ("b", 0): Seen(30, round(30 * old))},
+        )
     return made
 
 
@@ -177,13 +190,16 @@
 
 def test_the_chance_of_a_halt_for_nothing_is_bounded_whenever_it_is_looked_at():
     from random import Random
+
     halted = 0
     for seed in range(300):
         chance, made = Random(seed), Comparison(Terms(alpha=0.05), 1)
         for _ in range(60):
             rate = 0.5 + 0.45 * chance.random()  # whatever else goes on strikes both
-            made.put({("a", 0): Seen(8, sum(chance.random() < rate for _ in range(8)))},
-                     {("a", 0): Seen(24, sum(chance.random() < rate for _ in range(24)))})
+            made.put(
+                {("a", 0): Seen(8, sum(chance.random() < rate for _ in range(8)))},
+                {("a", 0): Seen(24, sum(chance.random() < rate for _ in range(24)))},
+            )
             if made.worse():
                 halted += 1
                 break
--- a/tests/audit/test_fleet.py
+++ b/tests/audit/test_fleet.py
@@ -29,8 +29,14 @@
 def granted(at, edge, view=7, givers=2):
     """A lease of a second from `at` on, by so many others."""
     others = [n for n in range(3) if n != edge][:givers]
-    return [word for other in others for word in (
-        said(at, edge, other, Ask(view, at // 100)), said(at + 200, other, edge, Grant(view, at // 100, True)))]
+    return [
+        word
+        for other in others
+        for word in (
+            said(at, edge, other, Ask(view, at // 100)),
+            said(at + 200, other, edge, Grant(view, at // 100, True)),
+        )
+    ]
 
 
 def broken(records):
@@ -51,18 +57,21 @@
     assert mean == pytest.approx((1.0 * 999_000 + 0.2 * 1_001_000) / (2 * SECOND), abs=0.01)
 
 
-@pytest.mark.parametrize("claim, says", [
-    (counted(2000, 0, EACH, 3 * SECOND), "longer than it was granted"),
-    (counted(2000, 0, Fraction(1, 2), 1000 + SECOND), "which gives it 0.3333"),
-    (counted(2000, 0, EACH, 1000 + SECOND, life=9), "which gives it 0.0667"),
-    (counted(2000, 0, EACH, 1000 + SECOND, view=8), "which gives it 0.0667")])
+@pytest.mark.parametrize(
+    "claim, says",
+    [
+        (counted(2000, 0, EACH, 3 * SECOND), "longer than it was granted"),
+        (counted(2000, 0, Fraction(1, 2), 1000 + SECOND), "which gives it 0.3333"),
+        (counted(2000, 0, EACH, 1000 + SECOND, life=9), "which gives it 0.0667"),
+        (counted(2000, 0, EACH, 1000 + SECOND, view=8), "which gives it 0.0667"),
+    ],
+)
 def test_a_part_that_nobody_granted_is_found(claim, says):
     assert any(says in what for what in broken([*WHOLE, claim])["parts"])
 
 
 def test_a_grant_that_never_arrived_counts_for_nothing():
-    words = [said(0, 0, 1, Decided(VIEW)), said(1000, 0, 1, Ask(7, 10)),
-             said(1200, 1, 0, Grant(7, 10, True), passed=0)]
+    words = [said(0, 0, 1, Decided(VIEW)), said(1000, 0, 1, Ask(7, 10)), said(1200, 1, 0, Grant(7, 10, True), passed=0)]
     assert "parts" in broken([*words, counted(2000, 0, EACH, 1000 + SECOND)])
     words[-1] = said(1200, 1, 0, Grant(7, 10, True))  # with its own it holds two of three
     assert broken([*words, counted(2000, 0, EACH, 1000 + SECOND)]) == {}
--- a/tests/brain/test_cold.py
+++ b/tests/brain/test_cold.py
@@ -47,9 +47,14 @@
     return node.young.credit - before
 
 
-@pytest.mark.parametrize("clear, age, part", [
-    (False, 100, BY_ASKED * 2.5 * 0.2), (True, 100, BY_ASKED * 2.5 * 0.2 * 2.5),
-    (False, 100_000, BY_ASKED * 2.5 * 0.2 * 3)])
+@pytest.mark.parametrize(
+    "clear, age, part",
+    [
+        (False, 100, BY_ASKED * 2.5 * 0.2),
+        (True, 100, BY_ASKED * 2.5 * 0.2 * 2.5),
+        (False, 100_000, BY_ASKED * 2.5 * 0.2 * 3),
+    ],
+)
 def test_what_is_asked_of_a_young_store_earns_the_part_that_it_bears(clear, age, part):
     """Guards against gateways that were restarted: they know of no past use, and sent a new store next to nothing."""
     at = store(started=1_000_000 - age)
@@ -141,9 +146,14 @@
     assert node.young.credit == 0 and node.young.at == desk.now
 
 
-@pytest.mark.parametrize("hows, room", [
-    ([How.NO_CONNECTION, How.NO_CONNECTION], False), ([How.NO_CONNECTION], True), ([How.RESET] * 2, True),
-])
+@pytest.mark.parametrize(
+    "hows, room",
+    [
+        ([How.NO_CONNECTION, How.NO_CONNECTION], False),
+        ([How.NO_CONNECTION], True),
+        ([How.RESET] * 2, True),
+    ],
+)
 def test_only_a_store_that_stays_out_of_reach_counts_as_just_started(hows, room):
     at = store()
     brain, desk = scheduler([at], cold=ColdRule(0.2, 180_000, 2.5, 10_000, 8.0))
@@ -203,8 +213,7 @@
     rate, chance = load * warm_n / (rule.multiple * rule.share * rule.span), random.Random(7)
     worst = -9.0
     for _ in range(12):
-        brains = [scheduler([store(started=1_000_000)], cold=rule, gateways=gateways, me=me)
-                  for me in range(gateways)]
+        brains = [scheduler([store(started=1_000_000)], cold=rule, gateways=gateways, me=me) for me in range(gateways)]
         nodes = [next(iter(brain.nodes.values())) for brain, _ in brains]
         lines = [brain.line_of(node, Volume("v", PLAN)) for (brain, _), node in zip(brains, nodes, strict=True)]
         weights = [3.0 if n % 4 == 0 else 1.0 for n in range(gateways)]
--- a/tests/brain/test_limits.py
+++ b/tests/brain/test_limits.py
@@ -38,9 +38,15 @@
     assert extras.room(1_501)
 
 
-@pytest.mark.parametrize("units, now, wait", [
-    (5.0, 0, 501), (5.0, 501, 0), (20.0, 10**6, 0), (20.1, 10**6, 11),
-])
+@pytest.mark.parametrize(
+    "units, now, wait",
+    [
+        (5.0, 0, 501),
+        (5.0, 501, 0),
+        (20.0, 10**6, 0),
+        (20.1, 10**6, 11),
+    ],
+)
 def test_a_limit_starts_empty_and_never_gives_more_than_this_gateways_part(units, now, wait):
     brain, desk = scheduler([])
     state = VolumeState(1.0, limit=0.01, depth=20.0, born=desk.now, parts=desk.parts)
@@ -48,10 +54,16 @@
     assert brain.limit_wait(task(desk, units=units), state) == wait
 
 
-@pytest.mark.parametrize("hosts, told, part", [
-    (24, [], 1 / 24), (1, [], 1.0), (0, [], 1 / 2), (24, [(2.0, 0)] * 23, 23 / 24 + 1 / 576),
-    (2, [(2.0, 8)], 0.25),
-])
+@pytest.mark.parametrize(
+    "hosts, told, part",
+    [
+        (24, [], 1 / 24),
+        (1, [], 1.0),
+        (0, [], 1 / 2),
+        (24, [(2.0, 0)] * 23, 23 / 24 + 1 / 576),
+        (2, [(2.0, 8)], 0.25),
+    ],
+)
 def test_a_reserve_is_split_by_the_use_that_answers_tell_of(hosts, told, part):
     brain, _ = scheduler([])
     state = brain.state_of(Volume("v", PLAN, hosts))
@@ -135,10 +147,19 @@
 GREETING, YOUNG, OLD = Word(None, 0.0, False), Word(None, 0.0, True), Word(None, 1.0, True)
 
 
-@pytest.mark.parametrize("words, after, units", [
-    ([YOUNG], 800, 20.0), ([GREETING], 800, 20.0), ([YOUNG], 799, 0.0), ([], 800, 0.0), ([OLD], 800, 0.0),
-    ([YOUNG, OLD], 800, 0.0), ([OLD, YOUNG], 800, 0.0), ([OLD, GREETING], 800, 0.0),
-])
+@pytest.mark.parametrize(
+    "words, after, units",
+    [
+        ([YOUNG], 800, 20.0),
+        ([GREETING], 800, 20.0),
+        ([YOUNG], 799, 0.0),
+        ([], 800, 0.0),
+        ([OLD], 800, 0.0),
+        ([YOUNG, OLD], 800, 0.0),
+        ([OLD, YOUNG], 800, 0.0),
+        ([OLD, GREETING], 800, 0.0),
+    ],
+)
 def test_a_limit_starts_full_only_where_others_start_too_and_none_has_run_for_long(words, after, units):
     """Guards against a gateway that comes back and spends once more what its earlier self has spent."""
     brain, desk = scheduler([store()], allowed=TALK)
@@ -211,6 +232,7 @@
     class Half:
         def earned(self, since, now):
             return (now - since) / 2, 0.5
+
     state = VolumeState(1.0, limit=0.01, depth=20.0, born=0, parts=Half())
     state.fill(1_000)
     assert state.units == 5.0
--- a/tests/brain/test_link.py
+++ b/tests/brain/test_link.py
@@ -35,12 +35,18 @@
     out.transmit(3, 0x712305D3A91C4, bytes.fromhex("0a124a07138b"), 80_000_000)
     out.timer(3, 500_000_000, 77)
     out.show(5, "two servers unknown")
-    assert out.frame() == bytes.fromhex(
-        "00000003 00000073"
-        "0100 00000003 000712305d3a91c4 0000000004c4b400 0a124a07 138b 00000000"
-        "0104 00000003 000000001dcd6500 000000000000004d" + "00" * 10
-        + "0108 00000005 00000000 00000013" + "00" * 18
-    ) + b"two servers unknown"
+    assert (
+        out.frame()
+        == bytes.fromhex(
+            "00000003 00000073"
+            "0100 00000003 000712305d3a91c4 0000000004c4b400 0a124a07 138b 00000000"
+            "0104 00000003 000000001dcd6500 000000000000004d"
+            + "00" * 10
+            + "0108 00000005 00000000 00000013"
+            + "00" * 18
+        )
+        + b"two servers unknown"
+    )
 
 
 def test_a_word_to_all_is_written_as_the_wire_describes_it():
@@ -49,9 +55,15 @@
     assert out.frame() == bytes.fromhex("00000001 00000024 0107 00000003 ffff 00000000 00000004" + "00" * 16) + b"hi!!"
 
 
-@pytest.mark.parametrize("units, gift, back", [
-    (2.129, True, 2.12), (0.0, True, 0.0), (1.0, False, 1.0), (1e6, True, 327.67),
-])
+@pytest.mark.parametrize(
+    "units, gift, back",
+    [
+        (2.129, True, 2.12),
+        (0.0, True, 0.0),
+        (1.0, False, 1.0),
+        (1e6, True, 327.67),
+    ],
+)
 def test_a_word_arrives_rounded_down_so_that_no_unit_is_made_on_the_way(units, gift, back):
     assert words.read(words.write(2**64 - 1, units, gift)) == (2**64 - 1, back, gift)
 
@@ -65,19 +77,28 @@
         words.read(b"123456789")
 
 
-@pytest.mark.parametrize("frame, says", [
-    (FRAME[:10], "short header"), (FRAME[:-1], "short body"),
-    (FRAME.replace(b"\x01\x06", b"\x0f\x06", 1), "unknown code"),
-    (bytes.fromhex("00000001 00000001 0000000000000000 00"), "cannot hold"),
-])
+@pytest.mark.parametrize(
+    "frame, says",
+    [
+        (FRAME[:10], "short header"),
+        (FRAME[:-1], "short body"),
+        (FRAME.replace(b"\x01\x06", b"\x0f\x06", 1), "unknown code"),
+        (bytes.fromhex("00000001 00000001 0000000000000000 00"), "cannot hold"),
+    ],
+)
 def test_a_malformed_frame_is_named(frame, says):
     with pytest.raises(Malformed, match=says):
         list(batches(io.BytesIO(frame)))
 
 
-@pytest.mark.parametrize("text, says", [
-    (b"{", "not JSON"), (b"[]", "not a JSON object"), (b"{}", "lack 'Rules'"),
-])
+@pytest.mark.parametrize(
+    "text, says",
+    [
+        (b"{", "not JSON"),
+        (b"[]", "not a JSON object"),
+        (b"{}", "lack 'Rules'"),
+    ],
+)
 def test_settings_that_cannot_be_used_are_named(text, says):
     with pytest.raises(Malformed, match=says):
         read_facts(text)
--- a/tests/brain/test_rates.py
+++ b/tests/brain/test_rates.py
@@ -82,11 +82,18 @@
     assert (brain.time_out(sent, brain.nodes[at], desk.now + 2_500) > 0) is soon
 
 
-@pytest.mark.parametrize("category, lost, hand_offs, soon", [
-    (HARMLESS, True, 1, True), (HARMLESS, False, 1, False), (ONE_SHOT, True, 1, False), (HARMLESS, True, 2, False),
-])
+@pytest.mark.parametrize(
+    "category, lost, hand_offs, soon",
+    [
+        (HARMLESS, True, 1, True),
+        (HARMLESS, False, 1, False),
+        (ONE_SHOT, True, 1, False),
+        (HARMLESS, True, 2, False),
+    ],
+)
 def test_only_a_harmless_task_is_handed_off_again_early_and_only_while_answers_are_lost(
-        category, lost, hand_offs, soon):
+    category, lost, hand_offs, soon
+):
     at = store()
     brain, desk = scheduler([at])
     heard(brain.nodes[at], 100, 100, 100)
@@ -96,10 +103,17 @@
     assert (0 < brain.time_out(sent, brain.nodes[at], desk.now + 2_500) < 2_000) is soon
 
 
-@pytest.mark.parametrize("wait, age, remains", [
-    (1_000, 0, [1_000]), (1_000, 1_000, [500]), (1_000, 10_001, []), (-5, 0, [0]),
-    (3_000, 10_001, [3_000]), (3_000, 20_001, []),
-])
+@pytest.mark.parametrize(
+    "wait, age, remains",
+    [
+        (1_000, 0, [1_000]),
+        (1_000, 1_000, [500]),
+        (1_000, 10_001, []),
+        (-5, 0, [0]),
+        (3_000, 10_001, [3_000]),
+        (3_000, 20_001, []),
+    ],
+)
 def test_a_short_queue_drains_and_one_past_the_soft_limit_stays(wait, age, remains):
     assert left([(0, wait)], age, 2_500) == remains
 
@@ -144,10 +158,17 @@
     assert node.queueing() == 0
 
 
-@pytest.mark.parametrize("out, debt, lag, turns", [
-    (0, 0.0, None, 1), (1, 0.0, None, 0), (0, -9.0, None, 0), (0, -9.0, 0, 1), (0, -9.0, 9_000, 0),
-    (0, 0.0, 3_000, 0),
-])
+@pytest.mark.parametrize(
+    "out, debt, lag, turns",
+    [
+        (0, 0.0, None, 1),
+        (1, 0.0, None, 0),
+        (0, -9.0, None, 0),
+        (0, -9.0, 0, 1),
+        (0, -9.0, 9_000, 0),
+        (0, 0.0, 3_000, 0),
+    ],
+)
 def test_an_idle_node_lends_and_to_a_line_in_debt_only_on_a_fresh_sample(out, debt, lag, turns):
     brain, desk = scheduler([store()])
     node, asking = next(iter(brain.nodes.values())), task(desk)
--- a/tests/brain/test_tasks.py
+++ b/tests/brain/test_tasks.py
@@ -34,15 +34,18 @@
     assert (node.out, node.tokens_out, node.held) == (0, 0.0, 0)
 
 
-@pytest.mark.parametrize("how, kind, category", [
-    (How.ERROR, BreakOff, ONE_SHOT),
-    (How.TIMED_OUT, BreakOff, ONE_SHOT),
-    (How.RESET, BreakOff, ONE_SHOT),
-    (How.CANCELLED, BreakOff, ONE_SHOT),
-    (How.FULL, Wait, ONE_SHOT),
-    (How.NO_CONNECTION, Wait, ONE_SHOT),
-    (How.ERROR, Wait, HARMLESS),
-])
+@pytest.mark.parametrize(
+    "how, kind, category",
+    [
+        (How.ERROR, BreakOff, ONE_SHOT),
+        (How.TIMED_OUT, BreakOff, ONE_SHOT),
+        (How.RESET, BreakOff, ONE_SHOT),
+        (How.CANCELLED, BreakOff, ONE_SHOT),
+        (How.FULL, Wait, ONE_SHOT),
+        (How.NO_CONNECTION, Wait, ONE_SHOT),
+        (How.ERROR, Wait, HARMLESS),
+    ],
+)
 def test_after_an_outcome_only_what_is_legal_follows(how, kind, category):
     brain, desk = scheduler([store()])
     run = brain.serve(task(desk, category=category))
@@ -50,14 +53,17 @@
     assert isinstance(run.send(outcome(how)), kind)
 
 
-@pytest.mark.parametrize("scope, other, later, legal", [
-    (Scope.SHARD, dict(shard=0), 10, True),
-    (Scope.SHARD, dict(shard=1), 10, False),
-    (Scope.ZONE, dict(shard=1, zone=0), 10, True),
-    (Scope.ZONE, dict(shard=1, zone=1), 10, False),
-    (Scope.ALL, dict(shard=1, zone=1), 10, True),
-    (Scope.ALL, dict(shard=0), 5_000, False),
-])
+@pytest.mark.parametrize(
+    "scope, other, later, legal",
+    [
+        (Scope.SHARD, dict(shard=0), 10, True),
+        (Scope.SHARD, dict(shard=1), 10, False),
+        (Scope.ZONE, dict(shard=1, zone=0), 10, True),
+        (Scope.ZONE, dict(shard=1, zone=1), 10, False),
+        (Scope.ALL, dict(shard=1, zone=1), 10, True),
+        (Scope.ALL, dict(shard=0), 5_000, False),
+    ],
+)
 def test_a_stamped_task_that_may_have_run_stays_in_its_group_and_window(scope, other, later, legal):
     first = store()
     brain, desk = scheduler([first])
@@ -67,10 +73,16 @@
     assert brain.in_group(repeat, store(**other)) is legal
 
 
-@pytest.mark.parametrize("category, ran, answer", [
-    (HARMLESS, True, Nack), (ONE_SHOT, True, BreakOff), (ONE_SHOT, False, Nack),
-    (STAMPED, True, BreakOff), (replace(STAMPED, scope=Scope.ALL), True, Nack),
-])
+@pytest.mark.parametrize(
+    "category, ran, answer",
+    [
+        (HARMLESS, True, Nack),
+        (ONE_SHOT, True, BreakOff),
+        (ONE_SHOT, False, Nack),
+        (STAMPED, True, BreakOff),
+        (replace(STAMPED, scope=Scope.ALL), True, Nack),
+    ],
+)
 def test_a_nack_is_given_only_where_its_promise_holds(category, ran, answer):
     brain, desk = scheduler([store()])
     given_up = task(desk, category=category)
@@ -102,10 +114,17 @@
     assert isinstance(next(brain.serve(task(desk, shard=shard))), Nack)
 
 
-@pytest.mark.parametrize("sent, extras, later, legal", [
-    (0, 0, 0, True), (2, 0, 0, True), (3, 0, 0, False),
-    (1, 1, 0, False), (0, 1, 0, True), (0, 0, 10_000, False),
-])
+@pytest.mark.parametrize(
+    "sent, extras, later, legal",
+    [
+        (0, 0, 0, True),
+        (2, 0, 0, True),
+        (3, 0, 0, False),
+        (1, 1, 0, False),
+        (0, 1, 0, True),
+        (0, 0, 10_000, False),
+    ],
+)
 def test_a_hand_off_is_legal_only_within_tries_budget_and_time(sent, extras, later, legal):
     brain, desk = scheduler([store()], budget=BudgetRule(span=50_000, free=1.0, share=0.0))
     desk.now += 60_000
@@ -167,9 +186,17 @@
     assert len(times) == 8 and min(times) >= 250 and max(times) <= 750
 
 
-@pytest.mark.parametrize("remaining, aim", [
-    (10_000, 2_500), (9_000, 1_500), (7_000, -500), (2_400, 2_400), (800, 800), (2_600, -4_900),
-])
+@pytest.mark.parametrize(
+    "remaining, aim",
+    [
+        (10_000, 2_500),
+        (9_000, 1_500),
+        (7_000, -500),
+        (2_400, 2_400),
+        (800, 800),
+        (2_600, -4_900),
+    ],
+)
 def test_the_soft_limit_runs_from_the_first_try_unless_patience_is_short(remaining, aim):
     brain, desk = scheduler([store()])
     usual, further = task(desk), task(desk)
--- a/tests/broken_edge.py
+++ b/tests/broken_edge.py
@@ -24,6 +24,7 @@
         once(self, held, answer, body, sent)
         if held.id % 20 == 0 and not body:
             once(self, held, answer, body, lambda: None)
+
     Edge.answer = twice
     return facts
 
@@ -31,6 +32,7 @@
 def sends_one_shots_again(facts):
     def again(self, task):
         return task.hand_offs < self.facts.allowed.hand_offs and self.desk.now < task.deadline
+
     Scheduler.may_hand_off = again
     Scheduler.in_group = lambda self, task, store: True
     return facts
@@ -39,8 +41,10 @@
 def hears_of_no_drain(facts):
     def listed(self, now, update, heard=Core.listed):
         import msgspec
+
         rows = tuple(msgspec.structs.replace(row, state="ready") for row in update.rows)
         heard(self, now, msgspec.structs.replace(update, rows=rows))
+
     Core.listed = listed
     return facts
 
@@ -63,8 +67,11 @@
 
 def counts_without_leases(facts):
     """By a view as soon as it is heard of, for good."""
-    Keeper.counts = lambda self, now: (self.agreement.number, SAFE / len(self.places) + (
-        self.agreement.view.part(self.me) if self.agreement.view else 0), now + 10**6)
+    Keeper.counts = lambda self, now: (
+        self.agreement.number,
+        SAFE / len(self.places) + (self.agreement.view.part(self.me) if self.agreement.view else 0),
+        now + 10**6,
+    )
     return facts
 
 
@@ -85,6 +92,7 @@
         edge = Edge(made, facts, told.seed, counted=recorder_of(told.record) if told.record else None)
         leash(edge.stopping.set)
         await edge.serve(lambda port: print(json.dumps({"port": port}), flush=True))
+
     run(serve)
 
 
--- a/tests/cli/test_fleet.py
+++ b/tests/cli/test_fleet.py
@@ -9,15 +9,18 @@
 
 def test_a_small_fleet_is_searched_whole():
     none = [word for name in ("proposals", "crashes", "restarts", "forms") for word in (f"--{name}", "0")]
-    told = CliRunner().invoke(app, ["fleet", "search", "--gateways", "2", "--states", "3000", "--ticks", "1",
-                                    "--events", "4", *none])
+    told = CliRunner().invoke(
+        app, ["fleet", "search", "--gateways", "2", "--states", "3000", "--ticks", "1", "--events", "4", *none]
+    )
     assert told.exit_code == 0 and "all there are; no law broken" in told.output
 
 
 def test_a_broken_law_ends_with_its_trace(monkeypatch):
     monkeypatch.setattr(views.Terms, "binds", lambda terms: 0)  # grants that bind nobody
-    told = CliRunner().invoke(app, ["fleet", "search", "--states", "30000", "--crashes", "0", "--restarts", "0",
-                                    "--forms", "0", "--events", "3"])
+    told = CliRunner().invoke(
+        app,
+        ["fleet", "search", "--states", "30000", "--crashes", "0", "--restarts", "0", "--forms", "0", "--events", "3"],
+    )
     assert told.exit_code == 1 and "parts are more than the whole" in told.output and "proposes" in told.output
 
 
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -21,6 +21,7 @@
         def keep(store, link, stream, request, body):
             got.append(body)
             deliver(store, link, stream, request, body)
+
         async with staged(FakeStore("s0", 0, keep)) as stage:
             client = await stage.client()
             assert (await client.answer(client.ask("write", 200_000))).result == DELIVERED
@@ -30,19 +31,25 @@
             assert (answer.result, answer.shard, answer.body) == (DELIVERED, 0, 300_000)
             assert got[0] == b"w" * 200_000 and client.bodies[task] == bytes([9]) * 300_000
             assert stage.edge.core.memory.used == 0 and not stage.edge.core.held
+
     play(go())
 
 
-@pytest.mark.parametrize("ask, says", [
-    (dict(volume="none"), "volume 'none' is not in the settings"), (dict(category="odd", body=b""), "legal: read"),
-    (dict(size=10 << 20), "legal: 1048576 bytes at most"),
-])
+@pytest.mark.parametrize(
+    "ask, says",
+    [
+        (dict(volume="none"), "volume 'none' is not in the settings"),
+        (dict(category="odd", body=b""), "legal: read"),
+        (dict(size=10 << 20), "legal: 1048576 bytes at most"),
+    ],
+)
 def test_a_task_that_cannot_be_taken_is_nacked_with_the_reason(ask, says):
     async def go():
         async with staged(FakeStore("s0", 0, deliver)) as stage:
             client = await stage.client()
             answer = await client.answer(client.ask(**ask))
             assert answer.result == NACKED and says in answer.reason
+
     play(go())
 
 
@@ -59,6 +66,7 @@
             assert stage.edge.core.memory.used == 0 and not stage.stores[0].handed
             other = await stage.client()
             assert (await other.answer(other.ask())).result == DELIVERED
+
     play(go())
 
 
@@ -76,12 +84,14 @@
             assert (await client.answer(second)).result == DELIVERED
             await until(lambda: not stage.edge.core.held)
             assert [h.task for h in stage.stores[0].handed][-1] == second and first not in client.answers
+
     play(go())
 
 
 @pytest.mark.parametrize("first_ends", ["whole", "cut"])
 def test_a_small_body_does_not_overtake_a_large_one_of_its_key(first_ends):
     """Guards against order by whose body is whole: what counts is which task was taken first."""
+
     async def go():
         async with staged(FakeStore("s0", 0, deliver)) as stage:
             client = await stage.client()
@@ -99,19 +109,23 @@
             assert [h.task for h in stage.stores[0].handed] == order
             await until(lambda: not stage.edge.core.held)
             assert not stage.edge.core.coming
+
     play(go())
 
 
 @pytest.mark.parametrize("category, result, handed", [("write", DELIVERED, 2), ("post", BROKEN_OFF, 1)])
 def test_a_store_that_dies_between_body_and_outcome(category, result, handed):
     """A reset may have run: a harmless task is tried again, a one-shot one broken off at once."""
+
     async def go():
         def first_dies(store, link, stream, request, body):
             (reset if len(store.handed) == 1 else deliver)(store, link, stream, request, body)
+
         async with staged(FakeStore("s0", 0, first_dies)) as stage:
             client = await stage.client()
             assert (await client.answer(client.ask(category, 100_000))).result == result
             assert [h.number for h in stage.stores[0].handed] == list(range(handed))
+
     play(go())
 
 
@@ -119,16 +133,19 @@
     async def go():
         def first_dies(store, link, stream, request, body):
             (reset if len(store.handed) == 1 else deliver)(store, link, stream, request, body)
+
         async with staged(FakeStore("s0", 0, first_dies), FakeStore("s1", 1, deliver)) as stage:
             client = await stage.client()
             assert (await client.answer(client.ask("pay", 1000))).result == DELIVERED
             first, again = stage.stores[0].handed
             assert first.mark == again.mark and again.repeat == "stamped" and not stage.stores[1].handed
+
     play(go())
 
 
 def test_a_store_that_resets_each_connection_counts_as_not_reached():
     """Nothing was sent before its hello: even a one-shot task may be nacked."""
+
     async def go():
         store = FakeStore("s0", 0, deliver)
         store.accept = lambda sock: sock.close()
@@ -136,6 +153,7 @@
             client = await stage.client()
             assert (await client.answer(client.ask("post", patience=1.5))).result == NACKED
             assert stage.edge.core.counts.outcomes["no connection"] >= 1
+
     play(go())
 
 
@@ -147,6 +165,7 @@
             client = await stage.client()
             assert (await client.answer(client.ask("post", patience=2))).result == NACKED
             assert stage.edge.core.counts.outcomes["no connection"] >= 1 and not store.handed
+
     play(go())
 
 
@@ -158,6 +177,7 @@
             assert (await client.answer(harmless)).result == NACKED
             assert (await client.answer(one_shot)).result == BROKEN_OFF
             await until(lambda: len(stage.stores[0].cancelled) == len(stage.stores[0].handed))
+
     play(go())
 
 
@@ -167,6 +187,7 @@
             client = await stage.client()
             assert (await client.answer(client.ask("post", patience=3))).result == NACKED
             assert 1 <= len(stage.stores[0].handed) <= 3
+
     play(go())
 
 
@@ -176,6 +197,7 @@
 
         def later(store, link, stream, request, body):
             held.append((link, stream))
+
         async with staged(FakeStore("s0", 0, later)) as stage:
             client = await stage.client()
             tasks = [client.ask(size=1) for _ in range(10)]
@@ -188,6 +210,7 @@
                 link.send(stream, OutcomeOf("delivered", 0))
             assert [(await client.answer(task)).result for task in tasks] == [DELIVERED] * 10
             assert len(stage.stores[0].handed) == 10
+
     play(go())
 
 
@@ -201,6 +224,7 @@
             assert (await client.answer(client.ask())).result == DELIVERED
             assert not old.handed and len(new.handed) == 1
         await new.stop()
+
     play(go())
 
 
@@ -217,6 +241,7 @@
             # Of what is asked it bears 2 * 0.2, and twice that with no queue there, and a little by time.
             assert NACKED in results and 1 <= sum(h.units for h in store.handed) <= 12 * BY_ASKED * 2 * 2 * 0.2 + 1.5
             assert stage.edge.core.counts.outcomes["moot"] == 1  # granted before the hello, not sent
+
     play(go())
 
 
@@ -230,6 +255,7 @@
             held = stage.edge.core.held
             await until(lambda: not held)
             assert loop.time() - begun < 5  # its category's deadline: far later than its patience
+
     play(go())
 
 
@@ -241,6 +267,7 @@
         async def answer(store, link, stream):
             await until(lambda: stream in store.cancelled)
             link.send(stream, OutcomeOf("cancelled", 0))
+
         async with staged(FakeStore("s0", 0, cancelled)) as stage:
             client = await stage.client()
             task = client.ask()
@@ -248,6 +275,7 @@
             client.link.send(task, Cancel())
             await until(lambda: not stage.edge.core.held)
             assert stage.edge.core.counts.outcomes == {"cancelled": 1} and not client.answers
+
     play(go())
 
 
@@ -259,6 +287,7 @@
             await until(lambda: stage.stores[0].handed)
             answer = await client.answer(client.ask("write", 900_000, patience=30))
             assert answer.result == NACKED and "memory" in answer.reason
+
     play(go())
 
 
@@ -281,6 +310,7 @@
                 assert len(results) < 50 and results == [NACKED] * len(results)
                 results.append((await other.answer(other.ask())).result)
                 await asyncio.sleep(0.1)
+
     play(go(), 60)
 
 
@@ -294,6 +324,7 @@
             assert any(isinstance(said, Error) and "still held" in said.text for said in bad.said)
             task = good.ask(patience=0.4)
             assert (await good.answer(task)).result == NACKED
+
     play(go())
 
 
@@ -311,11 +342,13 @@
                 assert (await client.answer(task)).result == BROKEN_OFF
             await client.lost.wait()
         assert stage.code == 0
+
     play(go())
 
 
 def test_what_was_on_its_way_when_the_gateway_was_told_to_end_is_answered():
     """Nothing is held, so nothing else keeps it: the task comes after its end began and before its client heard so."""
+
     async def go():
         async with staged(FakeStore("s0", 0, deliver)) as stage:
             client = await stage.client()
@@ -326,6 +359,7 @@
             assert (await client.answer(client.ask())).reason == "stopping"
             await client.lost.wait()
         assert stage.code == 0
+
     play(go())
 
 
@@ -338,4 +372,5 @@
             stage.edge.stores.pressure()
             await until(lambda: not any(pool.connections for pool in stage.edge.stores.pools.values()))
             assert (await client.answer(client.ask())).result == DELIVERED
+
     play(go())
--- a/tests/edge/test_fellows.py
+++ b/tests/edge/test_fellows.py
@@ -27,8 +27,13 @@
 
     async def start(self, number):
         port = asyncio.get_running_loop().create_future()
-        edge = Edge(self.made, facts_of(self.made, number, len(self.addresses)), 1, sample=10**9,
-                    counted=lambda *told: self.counted.append(told))
+        edge = Edge(
+            self.made,
+            facts_of(self.made, number, len(self.addresses)),
+            1,
+            sample=10**9,
+            counted=lambda *told: self.counted.append(told),
+        )
         self.edges[number] = edge
         self.serving[number] = asyncio.create_task(edge.serve(port.set_result))
         await port
@@ -63,6 +68,7 @@
     def so(fellows):
         agreement = fellows.keeper.agreement
         return agreement.active and fellows.leased and len(agreement.view.members) == members
+
     return so
 
 
@@ -87,6 +93,7 @@
             await gateways.start(4)
             await gateways.until(settled(5))
             assert gateways.edges[4].fellows.view.number == first + 2
+
     play(go(), 40)
 
 
@@ -106,6 +113,7 @@
             told = await ask(gateways.addresses[3], 5)
             assert told.leased and told.active and told.part == float(EACH) and len(told.members) == 5
             assert sorted(told.voters) == sorted(name for name, _ in told.members) == gateways.edges[0].fellows.names
+
     play(go(), 40)
 
 
@@ -119,23 +127,30 @@
                 await ask(gateways.addresses[1], 5)
             with pytest.raises(NotTold, match="host:port"):
                 await ask("nowhere", 5)
+
     play(go(), 20)
 
 
 def test_a_gateway_that_takes_connections_and_says_nothing_holds_up_no_other():
     """The fifth accepts and is silent: words to it wait and go, the others' are not behind them."""
+
     async def go():
         async with fleet() as gateways:
             hole = listening(gateways.addresses[4])
             for number in range(4):
                 await gateways.start(number)
             await gateways.until(lambda fellows: fellows.keeper.liveness.others["edge-4"].seems.name == "DEAD")
-            await gateways.until(lambda fellows: all(
-                fellows.keeper.liveness.others[f"edge-{n}"].life for n in range(4) if f"edge-{n}" != fellows.names[
-                    fellows.peers.me]))
+            await gateways.until(
+                lambda fellows: all(
+                    fellows.keeper.liveness.others[f"edge-{n}"].life
+                    for n in range(4)
+                    if f"edge-{n}" != fellows.names[fellows.peers.me]
+                )
+            )
             hole.close()
             await gateways.start(4)
             await gateways.until(settled(5))
+
     play(go(), 40)
 
 
@@ -146,11 +161,22 @@
     from tansykeel.edge import ask as asking
     from tansykeel.protocol.frames import Fellow, FleetTold
 
-    told = FleetTold("edge-0", 5, 3, True, 900_000, 0.2, 1, (("edge-0", 5), ("edge-1", 6)), ("edge-0",), (
-        Fellow("edge-1", 0, "suspect", 1_000_000, 7, ("edge-2",), "up", 2, 9),))
+    told = FleetTold(
+        "edge-0",
+        5,
+        3,
+        True,
+        900_000,
+        0.2,
+        1,
+        (("edge-0", 5), ("edge-1", 6)),
+        ("edge-0",),
+        (Fellow("edge-1", 0, "suspect", 1_000_000, 7, ("edge-2",), "up", 2, 9),),
+    )
 
     async def answer(address, seconds):
         return told
+
     monkeypatch.setattr(asking, "ask", answer)
     shown = CliRunner().invoke(app, ["fleet", "status", "h:1"])
     assert shown.exit_code == 0 and "view 3" in shown.output and "suspect" in shown.output
--- a/tests/edge/test_listing.py
+++ b/tests/edge/test_listing.py
@@ -27,8 +27,16 @@
 
     def accept(self, sock):
         says = self.says.pop(0) if self.says else "whole, then quiet"
-        self.links.append(Link(self.hub, sock, Codec("edge"), Hello(1, "list", "list"),
-                               lambda link, event: self.event(link, event, says), lambda link, why: None))
+        self.links.append(
+            Link(
+                self.hub,
+                sock,
+                Codec("edge"),
+                Hello(1, "list", "list"),
+                lambda link, event: self.event(link, event, says),
+                lambda link, why: None,
+            )
+        )
 
     def event(self, link, event, says):
         if isinstance(event, Frame) and isinstance(event.record, ListAsk):
@@ -73,6 +81,7 @@
                 accepting.cancel()
                 await hub.stop()
                 listener.close()
+
     asyncio.run(go())
 
 
@@ -85,10 +94,12 @@
 @pytest.mark.parametrize("says", [["nothing"], ["page"], ["whole"], ["nothing", "page", "whole"]])
 def test_a_list_that_stands_still_is_called_anew(says):
     """Silent after the hello, in the middle of an answer, and after a whole one."""
+
     async def check(fake, core):
         while fake.asked < len(says) + 1 or not core.updates:
             await asyncio.sleep(0.01)
         assert core.lost == len(says) and core.updates[-1].rows == (ROW,)
+
     play(says, check)
 
 
@@ -98,6 +109,7 @@
             await asyncio.sleep(0.01)
         await asyncio.sleep(4 * listing_module.SILENT)
         assert (fake.asked, core.lost, len(core.updates)) == (1, 0, 1)
+
     play([], check)
 
 
@@ -106,6 +118,7 @@
 
     async def no_commands(carry_out):
         await asyncio.get_running_loop().create_future()
+
     monkeypatch.setattr(standin_module, "commands", no_commands)
 
     async def go():
@@ -128,4 +141,5 @@
             service.ended.set()
             await serving
             await hub.stop()
+
     asyncio.run(go())
--- a/tests/edge/test_peers.py
+++ b/tests/edge/test_peers.py
@@ -61,6 +61,7 @@
             for _ in range(2):  # 400 units through a gateway that has 300
                 assert (await first.answer(first.ask(size=200 * UNITS, volume="w"))).result == DELIVERED
             assert units_of(edges[0]) + units_of(edges[1]) == pytest.approx(600 - 401, abs=1)
+
     play(go())
 
 
@@ -74,6 +75,7 @@
                     sent += 100
             assert 300 < sent <= 600
             assert sum(map(units_of, edges)) == pytest.approx(600 - sent, abs=1)
+
     play(go())
 
 
@@ -82,6 +84,7 @@
         async with gateways(FakeStore("s0", 0, deliver), talk=False) as (edges, (first, second)):
             assert (await second.answer(second.ask(size=UNITS, volume="w"))).result == NACKED  # starts empty
             assert edges[0].peers is None
+
     play(go())
 
 
@@ -91,4 +94,5 @@
             begun = asyncio.get_running_loop().time()
             assert (await only.answer(only.ask(size=250 * UNITS, volume="w", patience=4.0))).result == NACKED
             assert asyncio.get_running_loop().time() - begun < 2.0  # half of its patience
+
     play(go())
--- a/tests/emulator/test_emulator.py
+++ b/tests/emulator/test_emulator.py
@@ -37,13 +37,16 @@
     def make(more="", seed=3, **options):
         (tmp_path / "d.star").write_text(DAY + more)
         return World(load_day(tmp_path / "d.star"), seed, **options)
+
     return make
 
 
 def test_gateways_that_talk_use_more_of_a_limit_and_keep_it(world):
     """Three gateways of each volume; surges ask for several times the limit, mostly through one gateway."""
-    thin = ("volumes('thin', count = 4, hosts = 3, stores = 2, limit = 0.8)\n"
-            "traffic(part = 0.6, surges = 0.6, mix = {'read': 0.7, 'write': 0.3})\n")
+    thin = (
+        "volumes('thin', count = 4, hosts = 3, stores = 2, limit = 0.8)\n"
+        "traffic(part = 0.6, surges = 0.6, mix = {'read': 0.7, 'write': 0.3})\n"
+    )
     fleet = "fleet(edges = 3, stores = 3, zones = 3, cores = 2, unit_ms = 8, talk = {talk})\n"
     served = [world(thin + fleet.format(talk=talk)).run() for talk in (False, True)]
     assert all(verdict.kept for verdict in served)
@@ -63,6 +66,7 @@
 
     def again():
         engine.after(0, again)
+
     again()
     assert not engine.run(START + 10, 1000) and engine.events == 1000
 
@@ -73,9 +77,23 @@
     digests = {here.digest()}
     for hash_seed in ("1", "77"):
         told = subprocess.run(
-            [sys.executable, "-m", "tansykeel", "rehearse", str(tmp_path / "d.star"), "--stage", "emulator", "--seed",
-             "3", "--quiet", "--digest"],
-            env=os.environ | {"PYTHONHASHSEED": hash_seed}, capture_output=True, text=True)
+            [
+                sys.executable,
+                "-m",
+                "tansykeel",
+                "rehearse",
+                str(tmp_path / "d.star"),
+                "--stage",
+                "emulator",
+                "--seed",
+                "3",
+                "--quiet",
+                "--digest",
+            ],
+            env=os.environ | {"PYTHONHASHSEED": hash_seed},
+            capture_output=True,
+            text=True,
+        )
         assert told.returncode == 0, told.stderr
         digests.add(told.stdout.splitlines()[-1])
     assert len(digests) == 1
@@ -137,10 +155,14 @@
     assert judge_folder(tmp_path / "left").to_json() == verdict.to_json()
 
 
-@pytest.mark.parametrize("more, ahead_by", [
-    # With a cold and a slow store the mark is no upper one: it lay 0.03 behind over five seeds, and still does.
-    ("", 0.0), ("restart(at = 1, stores = [0], down_s = 0.5)\nslow(at = 1, for_s = 2, stores = [1])", -0.06),
-])
+@pytest.mark.parametrize(
+    "more, ahead_by",
+    [
+        # With a cold and a slow store the mark is no upper one: it lay 0.03 behind over five seeds, and still does.
+        ("", 0.0),
+        ("restart(at = 1, stores = [0], down_s = 0.5)\nslow(at = 1, for_s = 2, stores = [1])", -0.06),
+    ],
+)
 def test_the_upper_mark_answers_every_task_and_serves_no_less_than_the_module(world, more, ahead_by):
     load = "traffic(part = 1.1, surges = 0, mix = {'read': 0.6, 'write': 0.4})\n"
     ahead = 0.0  # over five seeds: four seconds of one may go either way
--- a/tests/emulator/test_experiments.py
+++ b/tests/emulator/test_experiments.py
@@ -36,10 +36,15 @@
     return str(tmp_path / "d.star")
 
 
-@pytest.mark.parametrize("gaps, verdict", [
-    ([0.1, 0.12, 0.09, 0.11, 0.1], "better"), ([-0.1, -0.12, -0.09, -0.11], "worse"),
-    ([0.1, -0.1, 0.09, -0.11, 0.02], "not told apart"), ([0.5, 0.5, 0.5], "not told apart"),
-])
+@pytest.mark.parametrize(
+    "gaps, verdict",
+    [
+        ([0.1, 0.12, 0.09, 0.11, 0.1], "better"),
+        ([-0.1, -0.12, -0.09, -0.11], "worse"),
+        ([0.1, -0.1, 0.09, -0.11, 0.02], "not told apart"),
+        ([0.5, 0.5, 0.5], "not told apart"),
+    ],
+)
 def test_a_verdict_is_what_the_pairs_allow(gaps, verdict):
     told = interval([0.5] * len(gaps), [0.5 + gap for gap in gaps])
     assert told.verdict == verdict and told.low <= told.mean <= told.high
@@ -62,6 +67,7 @@
     def shows(params):
         tried.append(params)
         return params["part"] >= 0.5 and params["struck"] >= 3
+
     least = shrink({"part": 0.1, "struck": 0, "late": 0.0}, {"part": 1.0, "struck": 9, "late": 4.0}, shows, 40)
     assert shows(least) and least["late"] == 0.0 and least["struck"] <= 5 and least["part"] < 0.8
     assert len(tried) <= 41
@@ -121,7 +127,8 @@
     with pytest.raises(UnknownVersion, match="cannot be loaded: SyntaxError"):
         decide_of(str(text))
     assert experiments.key_of(Job("s", {"a": 1}, 1, "module"), "t", "d") != experiments.key_of(
-        Job("s", {"a": 1}, 1, "module"), "t", "e")
+        Job("s", {"a": 1}, 1, "module"), "t", "e"
+    )
 
 
 def test_a_day_is_drawn_as_pictures(tmp_path):
@@ -129,8 +136,9 @@
     world = World(load_day(tmp_path / "d.star"), 1)
     world.play()
     made = draw_day(world, tmp_path)
-    assert {path.name for path in made} == {f"d-{name}.{kind}" for name in ("service", "lags", "cold", "shares")
-                                            for kind in ("png", "svg")}
+    assert {path.name for path in made} == {
+        f"d-{name}.{kind}" for name in ("service", "lags", "cold", "shares") for kind in ("png", "svg")
+    }
     assert all(path.stat().st_size > 2_000 for path in made)
 
 
@@ -147,8 +155,9 @@
     for job in jobs_of(script, {"part": [0.3, 1.2]}, [1, 2], ["module", "at-once"], None):
         project.put(play(job))
     made = draw_sweep(project.rows(), tmp_path)
-    assert {path.name for path in made} == {f"d-{figure}-over-part.{kind}" for kind in ("png", "svg")
-                                            for figure in ("service", "p99", "cold_most")}
+    assert {path.name for path in made} == {
+        f"d-{figure}-over-part.{kind}" for kind in ("png", "svg") for figure in ("service", "p99", "cold_most")
+    }
     text = page_of_project("p", project.rows(), {"module less at-once": project.compare("at-once", "module")})
     project.close()
     assert text.count("<svg") == 3 and "module less at-once" in text
@@ -166,14 +175,17 @@
 def test_days_in_play_end_with_whoever_asked_for_them(tmp_path):
     """Guards against processes left behind by a sweep that was killed."""
     (tmp_path / "long.star").write_text(DAY.replace("seconds = 2", "seconds = 3000"))
-    program = ("from tansykeel.emulator.experiments import Job, over_cores\n"
-               f"list(over_cores([Job({str(tmp_path / 'long.star')!r}, {{}}, n, 'module') for n in (1, 2)], 2))\n")
+    program = (
+        "from tansykeel.emulator.experiments import Job, over_cores\n"
+        f"list(over_cores([Job({str(tmp_path / 'long.star')!r}, {{}}, n, 'module') for n in (1, 2)], 2))\n"
+    )
     (tmp_path / "asks.py").write_text(f"if __name__ == '__main__':\n    {program.replace(chr(10), chr(10) + '    ')}")
     asks = subprocess.Popen([sys.executable, str(tmp_path / "asks.py")], start_new_session=True)
 
     def playing():
         told = subprocess.run(["ps", "-o", "pid=", "-s", str(asks.pid)], capture_output=True, text=True)
         return {int(pid) for pid in told.stdout.split()} - {asks.pid}
+
     asyncio.run(until(lambda: len(playing()) >= 2, 30))
     asks.kill()
     asks.wait()
--- a/tests/emulator/test_search.py
+++ b/tests/emulator/test_search.py
@@ -7,9 +7,14 @@
 from tansykeel.emulator.search import Range, Shown, Trial, cut_down, drawn, range_of, still_shows, worst_first
 
 
-@pytest.mark.parametrize("text, low, high, whole", [
-    ("edges=3:150", 3, 150, True), ("part=0.3:1", 0.3, 1, False), ("calm=9:-2", 9, -2, True),
-])
+@pytest.mark.parametrize(
+    "text, low, high, whole",
+    [
+        ("edges=3:150", 3, 150, True),
+        ("part=0.3:1", 0.3, 1, False),
+        ("calm=9:-2", 9, -2, True),
+    ],
+)
 def test_a_range_says_whether_it_is_of_whole_numbers(text, low, high, whole):
     given = range_of(text)
     assert (given.low, given.high, given.whole) == (low, high, whole)
@@ -39,10 +44,16 @@
     assert worst_first([calm, lossy, broken]) == [broken, lossy, calm]
 
 
-@pytest.mark.parametrize("found, now, still", [
-    (shown(0.4), shown(0.33), True), (shown(0.4), shown(0.3), False), (shown(0.4), shown(0.3, order=1), False),
-    (shown(0.0, order=3), shown(0.0, order=1), True), (shown(0.0, order=3), shown(0.9, drains=1), False),
-])
+@pytest.mark.parametrize(
+    "found, now, still",
+    [
+        (shown(0.4), shown(0.33), True),
+        (shown(0.4), shown(0.3), False),
+        (shown(0.4), shown(0.3, order=1), False),
+        (shown(0.0, order=3), shown(0.0, order=1), True),
+        (shown(0.0, order=3), shown(0.9, drains=1), False),
+    ],
+)
 def test_what_still_shows_a_find(found, now, still):
     assert still_shows(found, now) is still
 
@@ -54,6 +65,7 @@
     def look(trial):
         looked.append(trial)
         return Shown(trial, {}, 0.5 if 2 not in trial.without and trial.params["edges"] >= 20 else 0.0)
+
     found = Shown(Trial({"edges": 100, "part": 0.9}, 7), {}, 0.5)
     least = cut_down(found, [Range("edges", 4, 150), Range("part", 0.1, 1.0)], 4, look, 12)
     assert least.trial.without == (3, 1, 0) and least.trial.seed == 7 and least.loss == 0.5
--- a/tests/fleet/test_keeper.py
+++ b/tests/fleet/test_keeper.py
@@ -16,9 +16,15 @@
 from tansykeel.fleet.views import Agreement, Terms
 
 
-@pytest.mark.parametrize("trial", [
-    Trial(10, seconds=40), Trial(10, seconds=40, loss=0.05, back_s=4.0), Trial(12, seconds=40, stalled=0.25, dead=1),
-    Trial(5, seconds=40, dead=1, back_s=0.3)])
+@pytest.mark.parametrize(
+    "trial",
+    [
+        Trial(10, seconds=40),
+        Trial(10, seconds=40, loss=0.05, back_s=4.0),
+        Trial(12, seconds=40, stalled=0.25, dead=1),
+        Trial(5, seconds=40, dead=1, back_s=0.3),
+    ],
+)
 def test_parts_never_make_up_more_than_the_whole_and_are_nearly_all_used(trial):
     seen = watched(trial, 1)
     assert seen.most_of_whole <= 1
@@ -34,25 +40,40 @@
         world.engine.at(world.engine.now + 30 * 10**6, world._back, name)
     parts = {}
     for at in (14, 29, 59):
-        world.engine.at(world.engine.now + at * 10**6, lambda at=at: parts.update(
-            {at: {one.part(world.now()) for name, one in world.all.items() if name not in world.died}}))
+        world.engine.at(
+            world.engine.now + at * 10**6,
+            lambda at=at: parts.update(
+                {at: {one.part(world.now()) for name, one in world.all.items() if name not in world.died}}
+            ),
+        )
     seen = world.play()
     assert parts == {14: {Fraction(1, 5)}, 29: {SAFE / 5}, 59: {Fraction(1, 5)}} and seen.most_of_whole <= 1
 
 
 def test_one_seed_plays_the_same_in_every_process():
     """Guards against an order that hangs on how a process hashes names."""
-    program = ("from tansykeel.emulator.watching import Trial, watched\n"
-               "print(watched(Trial(7, seconds=12, loss=0.1, dead=2, back_s=3.0), 1))")
-    played = {subprocess.run([sys.executable, "-c", program], env=os.environ | {"PYTHONHASHSEED": seed}, check=True,
-                             capture_output=True, text=True).stdout for seed in ("1", "2", "3")}
+    program = (
+        "from tansykeel.emulator.watching import Trial, watched\n"
+        "print(watched(Trial(7, seconds=12, loss=0.1, dead=2, back_s=3.0), 1))"
+    )
+    played = {
+        subprocess.run(
+            [sys.executable, "-c", program],
+            env=os.environ | {"PYTHONHASHSEED": seed},
+            check=True,
+            capture_output=True,
+            text=True,
+        ).stdout
+        for seed in ("1", "2", "3")
+    }
     assert len(played) == 1 and "views=" in played.pop()
 
 
 def test_a_law_that_is_broken_is_seen(monkeypatch):
     """Gateways that count by a view as soon as they hear of it, whatever the leases on the one before."""
-    monkeypatch.setattr(Agreement, "part", lambda one, now: SAFE / len(one.names) + (
-        one.view.part(one.me) if one.view else 0))
+    monkeypatch.setattr(
+        Agreement, "part", lambda one, now: SAFE / len(one.names) + (one.view.part(one.me) if one.view else 0)
+    )
     assert watched(Trial(10, seconds=40, dead=2, back_s=4.0), 1).most_of_whole > 1
 
 
--- a/tests/fleet/test_liveness.py
+++ b/tests/fleet/test_liveness.py
@@ -23,7 +23,7 @@
 
 def pinged(watcher):
     """Its next probe: whom it pings, and under which number."""
-    (to, ping), = watcher.tick(watcher.due())
+    ((to, ping),) = watcher.tick(watcher.due())
     assert isinstance(ping, Ping)
     return to, ping.seq
 
@@ -56,10 +56,10 @@
 
 def test_a_helper_passes_an_answer_on_and_says_when_it_has_none():
     helper = one("b")
-    (to, ping), = helper.heard(0, "a", Try(7, "c"))
-    (back, answer), = helper.heard(10, "c", Ack(ping.seq))
+    ((to, ping),) = helper.heard(0, "a", Try(7, "c"))
+    ((back, answer),) = helper.heard(10, "c", Ack(ping.seq))
     assert (to, back, type(answer), answer.seq) == ("c", "a", Ack, 7)
-    (_, ping), = helper.heard(20, "a", Try(8, "d"))
+    ((_, ping),) = helper.heard(20, "a", Try(8, "d"))
     helper.next_ping = 10 * SECOND
     said = helper.tick(helper.due())
     assert ("a", NoAnswer, 8) in [(name, type(word), word.seq) for name, word in said]
@@ -110,7 +110,7 @@
     other.heard(0, "c", Ping(1, (News("a", Seems.SUSPECT, 1, 0, "c"),)))
     assert other.others["a"].seems is Seems.SUSPECT
     suspected.heard(0, "c", Ping(1, (News("a", Seems.SUSPECT, 1, 0, "c"),)))
-    (_, ack), = suspected.heard(0, "b", Ping(2))
+    ((_, ack),) = suspected.heard(0, "b", Ping(2))
     other.heard(1, "a", ack)
     assert other.others["a"].seems is Seems.ALIVE and other.others["a"].denials == 1
     other.heard(2, "c", Ping(2, (News("a", Seems.SUSPECT, 1, 0, "d"),)))  # the old suspicion, late
@@ -121,7 +121,7 @@
     watcher = Liveness("a", [f"g{n}" for n in range(50)], 1, Pace(), Random(1), 0)
     watcher.heard(0, "g1", Ping(1, tuple(News(f"g{n}", Seems.ALIVE, 1, 0) for n in range(2, 50))))
     watcher.heard(0, "g1", Ping(2, (News("a", Seems.SUSPECT, 1, 0, "g1"),)))
-    (_, ack), = watcher.heard(0, "g2", Ping(3))
+    ((_, ack),) = watcher.heard(0, "g2", Ping(3))
     assert ack.news[0] == News("a", Seems.ALIVE, 1, 1) and len(ack.news) == len(watcher.others) // 3  # in a crowd
 
 
@@ -150,8 +150,9 @@
     assert watcher.others["b"].falls
 
 
-told = st.lists(st.tuples(st.sampled_from(list(Seems)), st.integers(1, 3), st.integers(0, 3), st.sampled_from("bcd")),
-                max_size=12)
+told = st.lists(
+    st.tuples(st.sampled_from(list(Seems)), st.integers(1, 3), st.integers(0, 3), st.sampled_from("bcd")), max_size=12
+)
 
 
 @settings(max_examples=60, deadline=None)
@@ -187,13 +188,13 @@
     """Guards against a gateway that is called dead for good: its denial was told as often as news are, and all lost."""
     awake = one("a")
     dead = News("a", Seems.DEAD, 1, 0, "b")
-    (_, ack), = awake.heard(0, "b", Ping(1, (dead,)))
+    ((_, ack),) = awake.heard(0, "b", Ping(1, (dead,)))
     assert News("a", Seems.ALIVE, 1, 1) in ack.news
     for seq in range(20):
         awake.heard(1, "c", Ping(seq))
-    (_, quiet), = awake.heard(2, "c", Ping(30))
+    ((_, quiet),) = awake.heard(2, "c", Ping(30))
     assert quiet.news == ()
-    (_, again), = awake.heard(3, "b", Ping(2, (dead,)))
+    ((_, again),) = awake.heard(3, "b", Ping(2, (dead,)))
     assert News("a", Seems.ALIVE, 1, 1) in again.news and awake.denials == 1
 
 
@@ -203,5 +204,5 @@
     assert sorted(name for name, _ in said) == sorted(leaving.others)
     other.heard(6, "a", dict(said)["b"])
     assert other.others["a"].seems is Seems.DEAD
-    (_, ack), = leaving.heard(7, "b", Ping(3, (News("a", Seems.DEAD, 1, 0, "b"),)))
+    ((_, ack),) = leaving.heard(7, "b", Ping(3, (News("a", Seems.DEAD, 1, 0, "b"),)))
     assert all(news.seems is Seems.DEAD for news in ack.news) and leaving.denials == 0
--- a/tests/fleet/test_outbox.py
+++ b/tests/fleet/test_outbox.py
@@ -53,8 +53,15 @@
 def test_each_kind_of_word_comes_back_as_it_was():
     a, b = Member("a", 2**60, 3, 2), Member("b", 1)
     view = View(7, (a, b), (a,), (b,))
-    words = [Ping(1, (News("b", Seems.SUSPECT, 2, 1, "a"),)), Promise(6, (2, "a"), (1, "b"), view),
-             Promise(6, (2, "a"), (0, ""), None), Form(view, ("c",)), Decided(view), Ask(6, -5), Done(7)]
+    words = [
+        Ping(1, (News("b", Seems.SUSPECT, 2, 1, "a"),)),
+        Promise(6, (2, "a"), (1, "b"), view),
+        Promise(6, (2, "a"), (0, ""), None),
+        Form(view, ("c",)),
+        Decided(view),
+        Ask(6, -5),
+        Done(7),
+    ]
     assert [unpacked(*packed(word)) for word in words] == words
     assert [number_of(word) for word in words] == [None, 6, 6, 7, 7, 6, 7]
     assert [urgency_of(word) for word in words[:2]] == [Urgency.LIVENESS, Urgency.PROMISE]
@@ -66,9 +73,15 @@
     assert len(packed(Decided(View(9, members, members[:5], members[:5])))[1]) <= MOST
 
 
-@pytest.mark.parametrize("what, data, says", [
-    ("Poke", b"", "legal: Ping"), ("Ask", b"\x01", "word 'Ask'"), ("Ask", msgspec.msgpack.encode([1]), "length"),
-    ("Decided", bytes(MOST + 1), "bytes; legal")])
+@pytest.mark.parametrize(
+    "what, data, says",
+    [
+        ("Poke", b"", "legal: Ping"),
+        ("Ask", b"\x01", "word 'Ask'"),
+        ("Ask", msgspec.msgpack.encode([1]), "length"),
+        ("Decided", bytes(MOST + 1), "bytes; legal"),
+    ],
+)
 def test_what_is_no_word_is_refused(what, data, says):
     with pytest.raises(ValueError, match=says):
         unpacked(what, data)
--- a/tests/fleet/test_views.py
+++ b/tests/fleet/test_views.py
@@ -172,8 +172,10 @@
     assert walks(agreed(NAMES, APART, Agreement, RATES), Bounds(states=8_000), 3).law == ""
 
 
-@pytest.mark.parametrize("make, law, bounds", [
-    (Hasty, "parts are more than the whole", CALM), (Forgetful, "two views with the number", CALM)])
+@pytest.mark.parametrize(
+    "make, law, bounds",
+    [(Hasty, "parts are more than the whole", CALM), (Forgetful, "two views with the number", CALM)],
+)
 def test_a_planted_fault_is_found_and_its_trace_is_short(make, law, bounds):
     first = agreed(NAMES, SMALL, make)
     found = walks(first, Bounds(states=100_000, crashes=0, restarts=0, forms=0), 1)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -63,9 +63,19 @@
 
 def facts(**changes: Any) -> Facts:
     base: dict[str, Any] = dict(
-        gateways=2, me=0, zone=0, categories=(HARMLESS,), plans=(PLAN,), sizes=Sizes(8.0, 2.0),
-        allowed=Allowed(3, False, 0, False, True, False), listing=Listing(False, 0, 10_000), answer_grace=80,
-        cold=None, budget=None, key_rest=0, report_fields=(),
+        gateways=2,
+        me=0,
+        zone=0,
+        categories=(HARMLESS,),
+        plans=(PLAN,),
+        sizes=Sizes(8.0, 2.0),
+        allowed=Allowed(3, False, 0, False, True, False),
+        listing=Listing(False, 0, 10_000),
+        answer_grace=80,
+        cold=None,
+        budget=None,
+        key_rest=0,
+        report_fields=(),
     )
     return Facts(**(base | changes))
 
@@ -84,10 +94,17 @@
     return made, desk
 
 
-def task(desk: Desk, shard: int | None = 0, units: float = 2.0, category: Category = HARMLESS, key: int = 0,
-         volume: Volume | None = None) -> Task:
-    return Task("t", category, volume or Volume("v", PLAN, 1.0), units, shard, key, desk.now,
-                desk.now + category.deadline)
+def task(
+    desk: Desk,
+    shard: int | None = 0,
+    units: float = 2.0,
+    category: Category = HARMLESS,
+    key: int = 0,
+    volume: Volume | None = None,
+) -> Task:
+    return Task(
+        "t", category, volume or Volume("v", PLAN, 1.0), units, shard, key, desk.now, desk.now + category.deadline
+    )
 
 
 def outcome(how: How, lag: int = 100, over: bool | None = None) -> Outcome:
--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -30,6 +30,7 @@
             assert stage.gateway.core.stores["s0"].state.value == "gone"
             assert (await (await stage.client()).ask(1)).status == 200 and other.got and not store.got
             await other.stop()
+
     play(go())
 
 
@@ -51,27 +52,42 @@
             assert [watch.host.decode() for watch in gateway.discovery.watches] == [moved.address]
             assert moved.asked == ["/catalog/members?stream=1&index=5"]
             await moved.stop()
+
     play(go())
 
 
 OBJECTS = [{"a": 1}, {"b": [{"c": "}{"}, {"d": 'a "quoted" \\\\ one'}]}, {}]
 
 
-@pytest.mark.parametrize("text", [
-    "\n".join(map(json.dumps, OBJECTS)), "".join(map(json.dumps, OBJECTS)),
-    " \r\n\n".join(map(json.dumps, OBJECTS)) + "\n", "\n".join(json.dumps(one, indent=2) for one in OBJECTS),
-    "".join(json.dumps(one, indent="\t") for one in OBJECTS)])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "\n".join(map(json.dumps, OBJECTS)),
+        "".join(map(json.dumps, OBJECTS)),
+        " \r\n\n".join(map(json.dumps, OBJECTS)) + "\n",
+        "\n".join(json.dumps(one, indent=2) for one in OBJECTS),
+        "".join(json.dumps(one, indent="\t") for one in OBJECTS),
+    ],
+)
 @pytest.mark.parametrize("size", [1, 2, 3, 1000])
 def test_objects_are_found_wherever_lines_and_pieces_end(text, size):
     objects, found = Objects(200), []
     for at in range(0, len(text), size):
-        found += objects.feed(text.encode()[at:at + size])
+        found += objects.feed(text.encode()[at : at + size])
     assert [json.loads(one) for one in found] == OBJECTS
 
 
-@pytest.mark.parametrize("text, says", [
-    (b"}", "did not begin"), (b"error\n", "no object"), (b'{"a": 1} x', "no object"), (b'"{', "no object"),
-    (b'{"a": "' + b"x" * 300, "more than 200 bytes"), (b'{"a":' * 60, "more than 200 bytes")])
+@pytest.mark.parametrize(
+    "text, says",
+    [
+        (b"}", "did not begin"),
+        (b"error\n", "no object"),
+        (b'{"a": 1} x', "no object"),
+        (b'"{', "no object"),
+        (b'{"a": "' + b"x" * 300, "more than 200 bytes"),
+        (b'{"a":' * 60, "more than 200 bytes"),
+    ],
+)
 def test_what_is_no_sequence_of_objects_is_refused(text, says):
     with pytest.raises(Unfit, match=says):
         Objects(200).feed(text)
@@ -80,6 +96,7 @@
 @pytest.mark.parametrize("indent", [2, "\t"])
 def test_an_indented_list_and_indented_changes_are_taken(tmp_path, indent):
     """Guards against a watch that ends at the first line end within an object and begins again for ever."""
+
     async def go():
         store, other = Store("s0", 0), Store("s1", 0)
         async with staged(tmp_path, store, known=False, list_=List(indent=indent)) as stage:
@@ -88,9 +105,12 @@
             stage.list.tell([store.row(), other.row(phase="Terminating")])
             await until(lambda: stage.gateway.core.list_version == 6)
             assert {name: one.state.value for name, one in stage.gateway.core.stores.items()} == {
-                "s0": "ready", "s1": "draining"}
+                "s0": "ready",
+                "s1": "draining",
+            }
             assert len(stage.list.asked) == 1
             await other.stop()
+
     play(go())
 
 
@@ -116,15 +136,18 @@
                 discovery.look()
                 if discovery.watches[-1] is not newest:
                     await until(lambda tried=tried: len(list_.asked) > tried)
-                    await until(lambda: list_.mute or list_.muted and len(list_.asked) == more + 1
-                                or core.list_version == 5)
+                    await until(
+                        lambda: list_.mute or list_.muted and len(list_.asked) == more + 1 or core.list_version == 5
+                    )
             assert len(list_.asked) == more + 2
             await until(lambda: len(discovery.watches) == 1)
+
     play(go())
 
 
 def test_a_watch_that_ends_is_opened_anew_before_a_drain_s_grace_is_over(tmp_path):
     """Guards against news that the agent holds while no watch is open: it counts as told."""
+
     async def go():
         async with staged(tmp_path, Store("s0", 0)) as stage:
             await until(lambda: stage.gateway.core.list_version == 5)
@@ -132,6 +155,7 @@
                 stage.list.revision += 1
                 stage.list.writers[-1].transport.abort()
                 await until(lambda turn=turn: stage.gateway.core.list_version == 6 + turn)
+
     play(go())
 
 
@@ -141,6 +165,7 @@
         store.phase = "Terminating"
         async with staged(tmp_path, store, known={"phase": "Ready"}) as stage:
             assert (await (await stage.client()).ask(1, x_remaining="0.4")).status == 503 and not store.got
+
     play(go())
 
 
@@ -152,6 +177,7 @@
     def counted(watch, text):
         came.append(text)
         data(watch, text)
+
     monkeypatch.setattr(Watch, "_data", counted)
 
     async def go():
@@ -173,6 +199,7 @@
                 if len(discovery.watches) > opened:
                     await until(lambda: core.list_version == 5)
             await until(lambda: len(discovery.watches) == 1)
+
     play(go())
 
 
@@ -184,6 +211,7 @@
 @pytest.mark.parametrize("first", ["refused", "end", "silent"])
 def test_a_new_address_is_tried_again_though_the_old_watch_lives(tmp_path, first):
     """Guards against a gateway that goes on with what the old discovery tells, for good."""
+
     async def go():
         async with staged(tmp_path, Store("s0", 0)) as stage:
             discovery = stage.gateway.discovery
@@ -203,12 +231,14 @@
             await until(lambda: stage.gateway.core.list_version == 9, 4.0)
             assert old.stream.closed and [watch.host.decode() for watch in discovery.watches] == [moved.address]
             await moved.stop()
+
     play(go())
 
 
 @pytest.mark.parametrize("whole", [True, False])
 def test_a_new_discovery_that_counts_lower_is_believed_but_undoes_no_drain(tmp_path, whole):
     """Guards against news that is not believed for good, and against a list behind the one before."""
+
     class Changes(List):
         def text(self, rows, full):
             return super().text(rows, full and (whole or self.asked != []))
@@ -236,6 +266,7 @@
             assert [core.stores[f"s{n}"].state.value for n in range(3)] == ["ready", "draining", "ready"]
             assert moved.asked[0].endswith("index=6") and len(moved.asked) == (1 if whole else 2)
             await moved.stop()
+
     play(go())
 
 
@@ -256,6 +287,7 @@
             assert [watch.host.decode() for watch in discovery.watches] == [last.address] and len(last.asked) == 1
             await between.stop()
             await last.stop()
+
     play(go())
 
 
@@ -271,4 +303,5 @@
             stage.list.writers[0].transport.abort()
             await until(lambda: stage.gateway.core.list_version == 6)
             assert len(refused) == 3 and await idle.ended()
+
     play(go())
--- a/tests/platform/test_ending.py
+++ b/tests/platform/test_ending.py
@@ -19,8 +19,13 @@
 @pytest.fixture(autouse=True)
 def soon(monkeypatch):
     """Killed 2.5 s after SIGTERM: takes tasks for 1 s, has answered all after 2 s, is gone after 2.4 s."""
-    for name, seconds in (("LONGEST", 0.5), ("KILLS_AFTER", 2.0), ("SERVES_UNTIL", 1.5), ("ENDS_BEFORE", 0.5),
-                          ("FLUSHES_BEFORE", 0.1)):
+    for name, seconds in (
+        ("LONGEST", 0.5),
+        ("KILLS_AFTER", 2.0),
+        ("SERVES_UNTIL", 1.5),
+        ("ENDS_BEFORE", 0.5),
+        ("FLUSHES_BEFORE", 0.1),
+    ):
         monkeypatch.setattr(program, name, seconds)
     monkeypatch.setattr("tansykeel.platform.clients.UNASKED", 10.0)
 
@@ -42,6 +47,7 @@
             assert answer.status == 503 and not answer.lasts
             held.writer.close()
             assert await stage.serving == 0
+
     play(go())
 
 
@@ -58,12 +64,14 @@
                     answers.append(answer)
                     if answer is None or not answer.lasts:
                         return client.writer.close()
+
             asking_on = [asyncio.create_task(ask_on(client)) for client in clients]
             await until(lambda: len(answers) > 10)
             stage.gateway.stop()
             assert await stage.serving == 0
             await asyncio.gather(*asking_on)
             assert None not in answers and len(answers) == asked[0] and not stage.gateway.clients.conns
+
     play(go())
 
 
@@ -83,6 +91,7 @@
             assert (answer.status, answer.lasts, len(store.got)) == ((200, False, 1) if goes_on else (503, False, 0))
             client.writer.close()
             assert await stage.serving == 0
+
     play(go())
 
 
@@ -91,6 +100,7 @@
 def test_who_connects_at_the_last_moment_is_heard(tmp_path, monkeypatch, moment, status, asks):
     """Guards against connections that wait to be accepted and are reset as the listener closes: who comes while
     answers are last ones is served, who comes in the moment in which the listener closes is refused and not sent on."""
+
     async def go():
         store = Store("s0", 0)
         async with staged(tmp_path, store) as stage:
@@ -108,6 +118,7 @@
             async def connect_then_close(gateway, killed):
                 connect()
                 await close(gateway, killed)
+
             if moment == "_end":
                 monkeypatch.setattr(program, "accept_waiting", connect_then_accept)
                 monkeypatch.setattr(program, "ENDS_BEFORE", 1.0)
@@ -126,11 +137,13 @@
             late.close()
             assert (answer.status, answer.lasts, len(store.got)) == (status, False, int(status == 200))
             assert await stage.serving == 0
+
     play(go())
 
 
 def test_a_connection_accepted_in_the_moment_of_the_end_is_handed_over():
     """The end is told within the accept itself, between its two lines."""
+
     async def go():
         plain, taken = listening("127.0.0.1:0"), []
 
@@ -139,6 +152,7 @@
                 found = super().accept()
                 accepting.cancel()
                 return found
+
         listener = Listener(fileno=plain.detach())
         accepting = asyncio.create_task(accept_all(listener, taken.append))
         client = socket.create_connection(listener.getsockname())
@@ -149,12 +163,14 @@
         assert len(taken) == 1
         for sock in (*taken, client):
             sock.close()
+
     for run in (asyncio.run, uvloop.run):
         run(go())
 
 
 def test_a_request_that_crosses_the_end_of_a_resting_connection_resets_nothing(tmp_path, monkeypatch):
     """The request comes after the look at the connection and before its end, and the last answer is not read yet."""
+
     async def go():
         store = Store("s0", 0)
         async with staged(tmp_path, store) as stage:
@@ -167,6 +183,7 @@
                 if was and stage.gateway.closing and len(sent) < 1:
                     sent.append(client.send(asking(2)))
                 return was
+
             sent = []
             monkeypatch.setattr(Stream, "quiet", quiet_then_asked)
             stage.gateway.stop()
@@ -178,6 +195,7 @@
             assert await loop.sock_recv(client, 1) == b""  # an orderly end: what crossed may be sent again elsewhere
             client.close()
             assert await stage.serving == 0 and len(store.got) == 1
+
     play(go())
 
 
@@ -192,13 +210,18 @@
             client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             client.connect(("127.0.0.1", stage.port))
             client.send(asking(1))
-            await until(lambda: stage.gateway.core.counts.delivered
-                        and not any(one.stream.unsent for one in stage.gateway.clients.conns))
+            await until(
+                lambda: (
+                    stage.gateway.core.counts.delivered
+                    and not any(one.stream.unsent for one in stage.gateway.clients.conns)
+                )
+            )
             close_all = stage.gateway.clients.close_all
 
             def send_then_close():
                 client.send(b"x" * 1000)
                 close_all()
+
             stage.gateway.clients.close_all = send_then_close
             stage.gateway.stop()
             assert await stage.serving == 0
@@ -208,6 +231,7 @@
                 answers.feed(data)
             assert len(answers.next().body) == 300_000
             client.close()
+
     play(go())
 
 
@@ -223,10 +247,12 @@
             async def ends(killed):
                 told.append(killed - begun)
                 await end(killed)
+
             stage.gateway._end = ends
             stage.gateway.stop()
             stage.gateway.stop()
             assert await stage.serving == 0 and 2.4 < told[0] < 2.6
+
     play(go())
 
 
@@ -240,6 +266,7 @@
             stage.gateway.read_anew()
             assert not stage.gateway.discovery.watches
             await moved.stop()
+
     play(go())
 
 
@@ -256,4 +283,5 @@
             answer = await (await stage.client()).ask(1)
             assert (answer.status, answer.lasts) == (200, False)
             assert await stage.serving == 0
+
     play(go())
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -25,6 +25,7 @@
             await asyncio.sleep(0.02)
             conns = len(store.writers)
             assert (await client.ask(3)).status == 200 and len(store.writers) == conns  # a rested one is used again
+
     play(go())
 
 
@@ -35,17 +36,34 @@
             client.writer.write(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n")
             assert (await client.answer()).status == 200
             assert (await client.ask(1)).status == 200
+
     play(go())
 
 
-@pytest.mark.parametrize("changes, status", [
-    (dict(x_lane="none"), 400), (dict(x_storage_class="none"), 400), (dict(x_txn="xyz"), 400), (dict(x_txn=None), 400),
-    (dict(x_remaining="nan"), 400), (dict(x_remaining="inf"), 400), (dict(x_remaining="-1"), 400),
-    (dict(x_remaining="1e3"), 400), (dict(x_remaining=None), 400), (dict(x_extent="units=0,shard=0,hosts=1"), 400),
-    (dict(x_extent="units=9,shard=0,hosts=1"), 400), (dict(x_extent="units=2,shard=-2,hosts=1"), 400),
-    (dict(x_extent=None), 400), (dict(path=b"/api/xx/yy"), 404), (dict(method=b"POST"), 405),
-    (dict(x_lane="write"), 405), (dict(body=b"x", x_lane="read"), 405),
-    (dict(content_length="60000000"), 413), (dict(transfer_encoding="chunked", content_length="3"), 400)])
+@pytest.mark.parametrize(
+    "changes, status",
+    [
+        (dict(x_lane="none"), 400),
+        (dict(x_storage_class="none"), 400),
+        (dict(x_txn="xyz"), 400),
+        (dict(x_txn=None), 400),
+        (dict(x_remaining="nan"), 400),
+        (dict(x_remaining="inf"), 400),
+        (dict(x_remaining="-1"), 400),
+        (dict(x_remaining="1e3"), 400),
+        (dict(x_remaining=None), 400),
+        (dict(x_extent="units=0,shard=0,hosts=1"), 400),
+        (dict(x_extent="units=9,shard=0,hosts=1"), 400),
+        (dict(x_extent="units=2,shard=-2,hosts=1"), 400),
+        (dict(x_extent=None), 400),
+        (dict(path=b"/api/xx/yy"), 404),
+        (dict(method=b"POST"), 405),
+        (dict(x_lane="write"), 405),
+        (dict(body=b"x", x_lane="read"), 405),
+        (dict(content_length="60000000"), 413),
+        (dict(transfer_encoding="chunked", content_length="3"), 400),
+    ],
+)
 def test_what_can_t_be_a_task_gets_an_error_and_no_store_hears_of_it(tmp_path, changes, status):
     async def go():
         store = Store("s0", 0)
@@ -53,6 +71,7 @@
             client = await stage.client()
             assert (await client.ask(1, **changes)).status == status
             assert await client.ended() and not store.got and not stage.gateway.open
+
     play(go())
 
 
@@ -63,6 +82,7 @@
             client.writer.write(asking(1, content_length="60000000") + b"x" * (8 << 20))
             assert (await client.answer()).status == 413
             await until(lambda: not stage.gateway.clients.conns)
+
     play(go())
 
 
@@ -76,14 +96,22 @@
             assert (await second.ask(7)).status == 409 and len(store.got) == 1
             store.writers[0].write(ok())
             assert (await first.answer()).status == 200
+
     play(go())
 
 
-@pytest.mark.parametrize("first, hand_offs", [
-    (b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", 2), (b"", 2), (b"\x00noise\r\n\r\n", 2),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxxx", 2),
-    (b"HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", 2),
-    (b"HTTP/1.1 100 C\r\n\r\n" + ok(), 1), (ok(fields=b"X-Meter: many\r\nX-Delta: -4\r\nX-Pressure: {\r\n"), 1)])
+@pytest.mark.parametrize(
+    "first, hand_offs",
+    [
+        (b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", 2),
+        (b"", 2),
+        (b"\x00noise\r\n\r\n", 2),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxxx", 2),
+        (b"HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", 2),
+        (b"HTTP/1.1 100 C\r\n\r\n" + ok(), 1),
+        (ok(fields=b"X-Meter: many\r\nX-Delta: -4\r\nX-Pressure: {\r\n"), 1),
+    ],
+)
 def test_a_spoilt_answer_is_a_failed_hand_off_and_a_good_one_counts(tmp_path, first, hand_offs):
     async def go():
         store = Store("s0", 0, lambda request: first if len(store.got) == 1 else ok())
@@ -91,6 +119,7 @@
             answer = await (await stage.client()).ask(1)
             assert (answer.status, answer.body, len(store.got)) == (200, b"data", hand_offs)
             assert {request.fields[b"x-txn"] for request in store.got} == {b"%016x" % 1}
+
     play(go())
 
 
@@ -103,6 +132,7 @@
             stage.gateway.stores.most_bytes = 200_000
             assert (await client.ask(2)).status == 503
             assert stage.gateway.core.counts.outcomes == {"delivered": 1, "error": 3}
+
     play(go())
 
 
@@ -124,6 +154,7 @@
             for _ in range(80):
                 stores.look()
             assert stores.trusted == 12.0
+
     play(go())
 
 
@@ -143,9 +174,11 @@
                 elif make:
                     left[0] -= 1
                 return look(make)
+
             gateway.stores.room = room
             assert (await client.ask(1)).status == 200
             assert gateway.core.counts.outcomes == ends and len(store.got) == 1
+
     play(go())
 
 
@@ -153,6 +186,7 @@
 @pytest.mark.parametrize("at_once", [True, False])
 def test_more_than_an_answer_is_never_passed_on_and_ends_the_connection(tmp_path, behind, at_once):
     """Guards against a second copy read as the answer to the next request."""
+
     async def go():
         store = Store("s0", 0, lambda request: ok(request.fields[b"x-txn"]) + (behind if at_once else b""))
         async with staged(tmp_path, store) as stage:
@@ -164,6 +198,7 @@
                     writer.write(behind)
                     await until(lambda: not any(pool.idle for pool in stage.gateway.stores.pools.values()))
             assert len(store.writers) == 3
+
     play(go())
 
 
@@ -178,6 +213,7 @@
             await until(lambda: not stage.gateway.core.held and not stage.gateway.open)
             assert stage.gateway.core.counts.outcomes == {"cancelled": 1}
             await until(lambda: not stage.gateway.stores.pools[stage.gateway.core.stores["s0"]].connections)
+
     play(go())
 
 
@@ -191,6 +227,7 @@
             answer = await (await stage.client()).ask(1, x_remaining="0.8")
             assert answer.status == 503
             assert set(stage.gateway.core.counts.outcomes) == {"no connection"}
+
     play(go())
 
 
@@ -208,6 +245,7 @@
             stage.list.tell([store.row(phase="Terminating"), other.row()])
             assert (await client.answer()).status == 200 and not store.got and len(other.got) == 1
             await other.stop()
+
     play(go())
 
 
@@ -223,6 +261,7 @@
             last = await stage.client()
             assert (await last.ask(2)).status == 200 and (await usual.ask(3)).status == 200
             assert len(clients.conns) <= 6 and clients.unanswered["no room"] == 0
+
     play(go())
 
 
@@ -243,6 +282,7 @@
                 assert (await (await stage.client()).ask(id)).status == 200
             await until(lambda: len(clients.conns) == 2)
             assert await first.ended()
+
     play(go())
 
 
@@ -255,6 +295,7 @@
             half.writer.write(asking(1, body=b"abc")[:-1])
             assert (await silent.answer()).status == 408 and (await half.answer()).status == 408
             assert await half.ended()
+
     play(go())
 
 
@@ -264,6 +305,7 @@
             client = await stage.client()
             answer = await client.ask(1, connection="close")
             assert answer.status == 200 and not answer.lasts and await client.ended()
+
     play(go())
 
 
@@ -280,11 +322,13 @@
             assert [task.result().status for task in done] == [503] and len(waiting) == 1
             (first if answers[0] in waiting else second).writer.write(b"x")
             assert (await waiting.pop()).status == 200 and len(store.got) == 1
+
     play(go())
 
 
 def test_what_waits_gets_a_connection_though_the_one_it_waited_for_breaks(tmp_path):
     """Guards against a hand-off left behind in a pool that may open no second connection."""
+
     async def go():
         store = Store("s0", 0, lambda request: ok())
         async with staged(tmp_path, store) as stage:
@@ -293,6 +337,7 @@
             clients = [await stage.client() for _ in range(3)]
             answers = await asyncio.gather(*(client.ask(id) for id, client in enumerate(clients, 1)))
             assert [answer.status for answer in answers] == [200, 200, 200]
+
     play(go())
 
 
@@ -303,6 +348,7 @@
             client = await stage.client()
             client.writer.write(b"".join(asking(id) for id in range(1, 30)))
             assert [(await client.answer()).body for _ in range(1, 30)] == [b"%016x" % id for id in range(1, 30)]
+
     play(go())
 
 
@@ -328,6 +374,7 @@
             await until(lambda: not gateway.clients.conns and not gateway.stores.pools)
             assert len(gateway.reader.volumes) == 10 and len(gateway.core.stores) == 3
             assert not gateway.core.held and not gateway.open and not gateway.core.memory.by_client
+
     play(go())
 
 
@@ -341,4 +388,5 @@
             gateway.reader.wanted = wanted
             assert (await second.ask(2)).status == 200
             assert len(gateway.clients.conns) == 1
+
     play(go())
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -58,6 +58,7 @@
             assert (await other.ask(2)).status == 200
             assert [request.fields[b"x-txn"][-1:] for request in store.got] == [b"2"]
             await until(lambda: not stage.gateway.core.held)
+
     play(go())
 
 
@@ -66,6 +67,7 @@
 @pytest.mark.parametrize("ahead", [0, 20_000, 300_000])
 def test_an_end_behind_what_was_sent_ahead_is_seen(tmp_path, settings, way, ahead):
     """Guards against reading that stops while a request is open: the end stands behind what was sent ahead."""
+
     async def go():
         store = Store("s0", 0)
         async with staged(tmp_path, store, settings=settings) as stage:
@@ -84,6 +86,7 @@
             stores.room = room
             assert (await (await stage.client()).ask(3)).status == 200
             assert [request.fields[b"x-txn"][-1:] for request in store.got] == [b"3"]
+
     play(go())
 
 
@@ -92,6 +95,7 @@
 @pytest.mark.parametrize("rested", [True, False])
 def test_an_end_that_is_not_read_yet_when_its_turn_comes_is_seen_first(tmp_path, monkeypatch, settings, way, rested):
     """The client leaves within the call that hands off, as while the loop is busy."""
+
     async def go():
         store = Store("s0", 0)
         async with staged(tmp_path, store, settings=settings) as stage:
@@ -105,6 +109,7 @@
                 if stage.gateway.core.counts.left == 0 and client.fileno() >= 0:
                     leave(client, way)
                 hand_off(attempt)
+
             stage.gateway.stores.hand_off = leaves_then
             before = len(store.got)
             client.send(asking(1))
@@ -112,6 +117,7 @@
             assert (await (await stage.client()).ask(2)).status == 200
             assert [request.fields[b"x-txn"][-1:] for request in store.got[before:]] == [b"2"]
             await until(lambda: not stage.gateway.core.held)
+
     play(go())
 
 
@@ -119,6 +125,7 @@
 @ways
 def test_no_further_attempt_begins_for_who_left_after_the_first(tmp_path, settings, way):
     """The client leaves within the call that learns of the first attempt's failure, which a further one follows."""
+
     async def go():
         failure = b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
         store = Store("s0", 0, lambda request: failure if request.fields[b"x-txn"][-1:] == b"1" else ok())
@@ -129,17 +136,20 @@
                 if answer.status == 500:
                     leave(client, way)
                 answered(attempt, answer)
+
             stage.gateway.stores.answered = leaves_then
             client.send(asking(1))
             await left(stage)
             assert (await (await stage.client()).ask(2)).status == 200
             assert [request.fields[b"x-txn"][-1:] for request in store.got] == [b"1", b"2"]
+
     play(go())
 
 
 @both
 def test_a_burst_that_leaves_at_once_begins_nothing_more(tmp_path, settings):
     """Twenty wait at a store that answers one of them; all leave in the turn of the loop in which it does."""
+
     async def go():
         store = Store("s0", 0, lambda request: None)
         async with staged(tmp_path, store, settings=settings) as stage:
@@ -154,6 +164,7 @@
                 while clients:
                     leave(clients.pop(), "closes")
                 answered(attempt, answer)
+
             stage.gateway.stores.answered = leave_then
             begun = {request.fields[b"x-txn"] for request in store.got}
             store.writers[0].write(ok())
@@ -161,6 +172,7 @@
             store.reply = lambda request: ok()
             assert (await (await stage.client()).ask(99)).status == 200
             assert {request.fields[b"x-txn"] for request in store.got} - begun == {b"%016x" % 99}
+
     play(go())
 
 
@@ -177,4 +189,5 @@
             store.reply = lambda request: ok()
             assert (await other.ask(3)).status == 200 and len(store.got) == 2
             assert not stage.gateway.open and stage.gateway.clients.unread() == 0
+
     play(go())
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -32,13 +32,22 @@
 class Process:
     def __init__(self, tmp_path, discovery, stores, sockets, **changes):
         self.port, self.log = free_port(), (tmp_path / "log").open("w+")
-        configuration(tmp_path, discovery, [store.row() for store in stores], listen=f"127.0.0.1:{self.port}",
-                      limits={"cores": 1.0, "memory_mb": 64, "sockets": sockets}, **changes)
+        configuration(
+            tmp_path,
+            discovery,
+            [store.row() for store in stores],
+            listen=f"127.0.0.1:{self.port}",
+            limits={"cores": 1.0, "memory_mb": 64, "sockets": sockets},
+            **changes,
+        )
         self.begun = time.monotonic()
         self.child = subprocess.Popen(
-            [sys.executable, "-m", "tansykeel.platform"], stdout=self.log, stderr=self.log,
+            [sys.executable, "-m", "tansykeel.platform"],
+            stdout=self.log,
+            stderr=self.log,
             env=os.environ | {"EDGE_CONFIG": str(tmp_path / "config.json")},
-            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)))
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)),
+        )
 
     async def ask(self, data, seconds=10.0):
         """One answer on a new connection, which is tried until it comes up."""
@@ -90,6 +99,7 @@
 def test_it_is_ready_soon_whatever_discovery_does(tmp_path, discovery):
     """In processor time: at a twentieth of a core, 0.5 s of it are the 10 s that a restarted process may take. What it
     waits for the first list comes to that."""
+
     async def go():
         list_ = await List(mute=["connect"] * 99 if discovery == "silent" else ()).start()
         address = f"127.0.0.1:{free_port()}" if discovery == "refused" else list_.address
@@ -97,6 +107,7 @@
             assert (await gateway.ask(HEALTH)).status == 200
             assert gateway.processor_s() < 2.0 and time.monotonic() - gateway.begun < 10.0
         await list_.stop()
+
     play(go())
 
 
@@ -104,6 +115,7 @@
 def test_idle_clients_that_fill_the_descriptors_keep_neither_list_nor_attempts_away(tmp_path, sockets):
     """Discovery is down and the stores refuse while more clients connect and stay than the process has descriptors:
     some say nothing, some have asked and rest, some sent half a request. Then all returns."""
+
     async def go():
         port, store, list_ = free_port(), Store("s0", 0), List()
         await store.start()
@@ -131,6 +143,7 @@
                 sock.close()
         await store.stop()
         await list_.stop()
+
     play(go(), 40)
 
 
@@ -152,11 +165,13 @@
             assert gateway.child.returncode == 0 and time.monotonic() - begun < 3.7
             assert '"left_unanswered": 0' in gateway.said()
         await list_.stop()
+
     play(go())
 
 
 def test_floods_and_slow_ones_are_told_so_and_paying_requests_go_on(tmp_path):
     """Silence, a byte at a time, a body never ended, errors never read, answers taken at a trickle; all at once."""
+
     async def go():
         store = Store("s0", 0, lambda request: ok(b"x" * 60_000))
         await store.start()
@@ -171,8 +186,15 @@
                 sock.connect(("127.0.0.1", gateway.port))
                 sock.setblocking(False)
                 with suppress(OSError):
-                    sock.send([b"", asking(n)[:1], asking(n, body=b"x" * 60_000)[:50_000],
-                               asking(n, content_length="60000000") + b"x" * 100_000, asking(n + 100)][n % 5])
+                    sock.send(
+                        [
+                            b"",
+                            asking(n)[:1],
+                            asking(n, body=b"x" * 60_000)[:50_000],
+                            asking(n, content_length="60000000") + b"x" * 100_000,
+                            asking(n + 100),
+                        ][n % 5]
+                    )
                 bad.append(sock)
             end, statuses, at, served, id = time.monotonic() + 4.0, {}, {}, 0, 1 << 40
             while time.monotonic() < end:
@@ -182,7 +204,7 @@
                     with suppress(OSError):
                         if n % 5 == 1 and (due := int((time.monotonic() - end + 4.0) * 20)) > at.get(n, 0):
                             at[n] = due
-                            sock.send(asking(n)[due:due + 1])
+                            sock.send(asking(n)[due : due + 1])
                         if n % 5 != 3 and (said := sock.recv(64)):  # the fourth kind never reads its error
                             statuses.setdefault(n % 5, re.search(rb"HTTP/1.1 (\d+)", said))
             assert served > 20
@@ -193,4 +215,5 @@
                 sock.close()
         await store.stop()
         await list_.stop()
+
     play(go(), 40)
--- a/tests/platform/test_slow.py
+++ b/tests/platform/test_slow.py
@@ -32,12 +32,14 @@
             slow.writer.transport.resume_reading()
             assert len((await slow.answer()).body) == 1_000_000
             await until(lambda: clients.make_place() or not clients.conns)
+
     play(go())
 
 
 @pytest.mark.parametrize("reads", [True, False])
 def test_an_answer_that_is_taken_slowly_is_left_to_its_end_and_one_that_is_not_taken_is_not(tmp_path, reads):
     """By the gateway's clock, moved by hand between looks: 4 s at a time, of 5 s without any byte taken."""
+
     async def go():
         async with staged(tmp_path, Store("s0", 0, lambda request: ok(b"x" * 1_000_000))) as stage:
             clients: Clients = stage.gateway.clients
@@ -65,4 +67,5 @@
             if reads:
                 slow.writer.transport.resume_reading()
                 assert len((await slow.answer()).body) == 1_000_000
+
     play(go())
--- a/tests/platform/test_stores.py
+++ b/tests/platform/test_stores.py
@@ -48,6 +48,7 @@
                 answer = await client.answer()
                 assert (answer.status, answer.body) == (200, b"x" * size)
             assert len(store.writers) == 2 and stage.gateway.core.counts.outcomes == {"delivered": 2}
+
     play(go())
 
 
@@ -55,17 +56,24 @@
 @pytest.mark.parametrize("head", [NO_LENGTH, b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"])
 def test_a_reset_is_no_end_of_an_answer(tmp_path, settings, head):
     """What was asked may have run: it goes again only where that is allowed."""
+
     async def go():
         store = Store("s0", 0, lambda request: head + b"bod" if len(store.got) == 1 else ok())
         async with staged(tmp_path, store, settings=settings) as stage:
             client = await stage.client()
             client.writer.write(asking(1))
-            await until(lambda: any(connection.reader and not connection.reader._head and connection.reader.size == 3
-                                    for pool in stage.gateway.stores.pools.values() for connection in pool.connections))
+            await until(
+                lambda: any(
+                    connection.reader and not connection.reader._head and connection.reader.size == 3
+                    for pool in stage.gateway.stores.pools.values()
+                    for connection in pool.connections
+                )
+            )
             reset(store.writers[0])
             answer = await client.answer()
             assert (answer.status, len(store.got)) == ((500, 1) if settings is ONCE else (200, 2))
             assert stage.gateway.core.counts.outcomes["reset"] == 1
+
     play(go())
 
 
@@ -75,6 +83,7 @@
         async with staged(tmp_path, store) as stage:
             assert (await (await stage.client()).ask(1)).status == 503
             assert stage.gateway.core.counts.outcomes == {"error": 3} and stage.gateway.stores.held_bytes() == 0
+
     play(go())
 
 
@@ -90,11 +99,13 @@
             await until(lambda: not any(pool.connections for pool in stage.gateway.stores.pools.values()))
             store.reply = lambda request: ok(b"own")
             assert (await served(client)).body == b"own"
+
     play(go())
 
 
 def test_an_endless_answer_to_a_task_that_has_its_own_is_let_go_in_time(tmp_path, monkeypatch):
     """Guards against connections held for good where attempts may not be cancelled."""
+
     async def go():
         store = Store("s0", 0, lambda request: NO_LENGTH + b"x")
         settings = SETTINGS | {"Limits": SETTINGS["Limits"] | {"Cancel": False}}
@@ -108,6 +119,7 @@
             stores.now = lambda: now() + stores.longest + stores_module.OWED
             pool.look(stores.now())
             assert not pool.connections
+
     play(go())
 
 
@@ -116,6 +128,7 @@
 def test_bytes_on_a_resting_connection_belong_to_no_next_request(tmp_path, what, crowded):
     """They come between an answer and the next request, and are not read yet when that one is handed off, also where
     no other connection may be opened."""
+
     async def go():
         store = Store("s0", 0, lambda request: ok(request.fields[b"x-txn"]))
         async with staged(tmp_path, store) as stage:
@@ -130,10 +143,12 @@
                 if len(store.got) == 1 and sock.fileno() >= 0:
                     socket.socket.send(socket.socket(fileno=socket.dup(sock.fileno())), what)
                 hand_off(attempt)
+
             stores.hand_off = late_then
             assert (await client.ask(2)).body == b"%016x" % 2
             assert (await client.ask(3)).body == b"%016x" % 3
             assert [request.fields[b"x-txn"] for request in store.got] == [b"%016x" % id for id in (1, 2, 3)]
+
     play(go())
 
 
@@ -152,6 +167,7 @@
             assert len(store.got) == 1
             store.writers[0].write(ok(b"copy"))
             assert (await client.answer()).body == b"%016x" % 2
+
     play(go())
 
 
@@ -172,6 +188,7 @@
                         stream.unsent += data[-1:]
                         return
                 write(stream, data)
+
             monkeypatch.setattr(Stream, "write", part)
             client.writer.write(asking(1, body=b"abc"))
             await until(lambda: held and store.writers and (store.got or not whole))
@@ -181,12 +198,14 @@
             ran = whole and settings is ONCE
             assert (answer.status, len(store.got)) == ((500, 1) if ran else (200, 2 if whole else 1))
             assert ("reset" in stage.gateway.core.counts.outcomes) is whole
+
     play(go())
 
 
 @pytest.mark.parametrize("leaves", [True, False])
-def test_a_connection_that_comes_up_after_its_task_left_or_its_store_drains_carries_nothing(tmp_path, monkeypatch,
-                                                                                           leaves):
+def test_a_connection_that_comes_up_after_its_task_left_or_its_store_drains_carries_nothing(
+    tmp_path, monkeypatch, leaves
+):
     async def go():
         store = Store("s0", 0)
         async with staged(tmp_path, store) as stage:
@@ -199,6 +218,7 @@
                     stage.gateway.loop.remove_writer(stream.sock)
                 else:
                     connected(stream)
+
             monkeypatch.setattr(Stream, "_connected", held_back)
             client = await stage.client()
             client.writer.write(asking(1, x_remaining="1.0"))
@@ -215,11 +235,13 @@
             await asyncio.sleep(0)
             pool = next(iter(stage.gateway.stores.pools.values()))
             assert not pool.waiting and not store.got and not any(one.attempt for one in pool.connections)
+
     play(go())
 
 
 def test_an_answer_that_is_there_when_the_time_is_up_and_an_end_behind_it(tmp_path):
     """All three in one turn of the loop, the time first: one outcome, nothing sent twice, and the gateway goes on."""
+
     async def go():
         store = Store("s0", 0, lambda request: None)
         async with staged(tmp_path, store, settings=ONCE) as stage:
@@ -236,6 +258,7 @@
             await until(lambda: not core.held and not any(p.connections for p in stage.gateway.stores.pools.values()))
             store.reply = lambda request: ok()
             await served(client)
+
     play(go())
 
 
@@ -248,4 +271,5 @@
             refused = no_descriptors(monkeypatch, stores_module, 3)
             assert (await (await stage.client()).ask(1)).status == 200
             assert len(refused) == 3 and stage.gateway.core.counts.outcomes == {"delivered": 1}
+
     play(go())
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -17,10 +17,17 @@
 from tansykeel.transport.sockets import listening
 
 SETTINGS = {
-    "Classes": [{"Deadline": 3e9, "Name": "read", "Objective": 6e8, "Repeat": "idempotent", "Value": 2.0},
-                {"Deadline": 6e9, "Name": "write", "Objective": 75e7, "Repeat": "idempotent", "Value": 2.0}],
+    "Classes": [
+        {"Deadline": 3e9, "Name": "read", "Objective": 6e8, "Repeat": "idempotent", "Value": 2.0},
+        {"Deadline": 6e9, "Name": "write", "Objective": 75e7, "Repeat": "idempotent", "Value": 2.0},
+    ],
     "Limits": {"MostTries": 3, "Cancel": True, "DialTimeout": 25e7, "IdleClose": 15e9},
-    "Rules": {}, "Siblings": 1, "Me": 0, "Zone": 0, "MembershipMode": "push", "Dcs": ["a"],
+    "Rules": {},
+    "Siblings": 1,
+    "Me": 0,
+    "Zone": 0,
+    "MembershipMode": "push",
+    "Dcs": ["a"],
     "Plans": [{"Name": "basic", "Rate": 1000.0}],
     "Specifics": {"Largest": 8, "UsualUnits": 2.0, "ChangesData": [False, True], "TellsElsewhere": True},
 }
@@ -72,8 +79,16 @@
                     writer.write(answer)
 
     def row(self, **changes):
-        return {"id": self.name, "host_port": self.address, "locality": "a", "flavor": "m", "cell": self.shard,
-                "phase": self.phase, "size": 1.0, "up_since_ms": self.since} | changes
+        return {
+            "id": self.name,
+            "host_port": self.address,
+            "locality": "a",
+            "flavor": "m",
+            "cell": self.shard,
+            "phase": self.phase,
+            "size": 1.0,
+            "up_since_ms": self.since,
+        } | changes
 
 
 class List(Port):
@@ -127,8 +142,9 @@
 
     async def answer(self):
         """The next answer; None where the connection ends without one."""
-        while not (head := re.search(rb"(?s)^.*?Content-Length: (\d+)\r\n(?:.*?\r\n)?\r\n", self.rest)) \
-                or len(self.rest) < head.end() + int(head[1]):
+        while not (head := re.search(rb"(?s)^.*?Content-Length: (\d+)\r\n(?:.*?\r\n)?\r\n", self.rest)) or len(
+            self.rest
+        ) < head.end() + int(head[1]):
             try:
                 data = await self.reader.read(65536)
             except OSError:
@@ -137,8 +153,8 @@
                 return None
             self.rest += data
         whole = codec.AnswerReader()
-        whole.feed(bytes(self.rest[:head.end() + int(head[1])]))
-        del self.rest[:head.end() + int(head[1])]
+        whole.feed(bytes(self.rest[: head.end() + int(head[1])]))
+        del self.rest[: head.end() + int(head[1])]
         return whole.next()
 
     async def ended(self):
@@ -152,8 +168,14 @@
 
 
 def asking(id=1, method=b"GET", body=b"", path=b"/api/" + VOLUME + b"/" + DATA, **changes):
-    fields = {"host": "origin.svc", "x-txn": f"{id:016x}", "x-lane": "write" if body else "read",
-              "x-storage-class": "basic", "x-remaining": "2.5", "x-extent": "units=2,shard=0,hosts=1"}
+    fields = {
+        "host": "origin.svc",
+        "x-txn": f"{id:016x}",
+        "x-lane": "write" if body else "read",
+        "x-storage-class": "basic",
+        "x-remaining": "2.5",
+        "x-extent": "units=2,shard=0,hosts=1",
+    }
     fields |= {name.replace("_", "-"): value for name, value in changes.items()}
     lines = [f"{name}: {value}".encode() for name, value in fields.items() if value is not None]
     if body:
@@ -179,9 +201,15 @@
 
 
 def configuration(tmp_path: Path, discovery: str, known=(), **changes):
-    file = {"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f",
-            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
-            "known": {"revision": 1, "complete": True, "members": list(known)}, "settings": SETTINGS} | changes
+    file = {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": discovery,
+        "seed": "8c1f",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+        "known": {"revision": 1, "complete": True, "members": list(known)},
+        "settings": SETTINGS,
+    } | changes
     path = tmp_path / "config.json"
     path.write_text(json.dumps(file))
     return path
@@ -228,6 +256,7 @@
             refused.append(address)
             raise OSError(errno.EMFILE, "no descriptor")
         return opened(address)
+
     monkeypatch.setattr(module, "open_socket", none_left)
     return refused
 
@@ -243,4 +272,5 @@
     async def bounded():
         async with asyncio.timeout(seconds):
             await coroutine
+
     asyncio.run(bounded())
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -29,8 +29,20 @@
 
 def talk() -> bytes:
     """A hello, two writes whose bodies interleave, one of them cut, a cancel."""
-    return (HELLO + pack(1, WRITE) + pack(2, WRITE) + chunk_head(1, 4) + b"abcd" + chunk_head(2, 3) + b"xyz"
-            + pack(2, Cut()) + chunk_head(1, 6) + b"efghij" + pack(3, TASK) + pack(3, Cancel()))
+    return (
+        HELLO
+        + pack(1, WRITE)
+        + pack(2, WRITE)
+        + chunk_head(1, 4)
+        + b"abcd"
+        + chunk_head(2, 3)
+        + b"xyz"
+        + pack(2, Cut())
+        + chunk_head(1, 6)
+        + b"efghij"
+        + pack(3, TASK)
+        + pack(3, Cancel())
+    )
 
 
 def heard(cuts: list[int], data: bytes) -> tuple[list[object], dict[int, bytes]]:
@@ -65,7 +77,7 @@
     if frames == right:  # only bytes of bodies have no check of their own in a frame
         assert {n: len(body) for n, body in bodies.items()} == {1: 10, 2: 3} and bodies != whole
     else:  # a longer length: it waits for bytes that the check will then refuse
-        assert frames == right[:len(frames)]
+        assert frames == right[: len(frames)]
         with pytest.raises(ProtocolError):
             heard([], bytes(data) + bytes(70_000))
 
@@ -84,24 +96,28 @@
         assert not events or len(data) >= 20
 
 
-@pytest.mark.parametrize("data, says", [
-    (pack(1, TASK), "TASK before the hello"),
-    (pack(0, Hello(2, "client", "c")), "version 2; spoken here: 1"),
-    (pack(0, Hello(1, "store", "c")), "role 'store'; expected: client"),
-    (HELLO + HELLO, "HELLO on stream 0: not legal"),
-    (HELLO + pack(1, Answer(0)), "ANSWER on stream 1: not legal from a peer of role 'client'"),
-    (HELLO + pack(1, HandOffOf(1, 0, "v", "c", 1, 1, 1.0, 0, 1, 1, False, "harmless")), "HAND_OFF on stream 1"),
-    (HELLO + chunk_head(4, 4), "CHUNK on stream 4: no body"),
-    (HELLO + pack(1, WRITE) + chunk_head(1, 11), "11 bytes; legal: 1 to 10"),
-    (HELLO + pack(1, WRITE) + chunk_head(1, 0), "0 bytes; legal: 1 to 10"),
-    (HELLO + pack(1, WRITE) + pack(1, WRITE), "a body is still under way"),
-    (HELLO + pack(1, Cut()), "CUT on stream 1: no body"),
-    (b"\x00" * 20, "unknown frame kind 0"), (b"\x63" + b"\x00" * 19, "unknown frame kind 99"),
-    (HELLO[:1] + b"\x01" + HELLO[2:], "flags 1"),
-    (HELLO[:4] + b"\x7f" + HELLO[5:], "legal: 65536 at most"),
-    (chunk_head(1, MOST_CHUNK + 1), "legal: 65536 at most"),
-    (HELLO[:-1] + b"!", "its check does not fit"),
-])
+@pytest.mark.parametrize(
+    "data, says",
+    [
+        (pack(1, TASK), "TASK before the hello"),
+        (pack(0, Hello(2, "client", "c")), "version 2; spoken here: 1"),
+        (pack(0, Hello(1, "store", "c")), "role 'store'; expected: client"),
+        (HELLO + HELLO, "HELLO on stream 0: not legal"),
+        (HELLO + pack(1, Answer(0)), "ANSWER on stream 1: not legal from a peer of role 'client'"),
+        (HELLO + pack(1, HandOffOf(1, 0, "v", "c", 1, 1, 1.0, 0, 1, 1, False, "harmless")), "HAND_OFF on stream 1"),
+        (HELLO + chunk_head(4, 4), "CHUNK on stream 4: no body"),
+        (HELLO + pack(1, WRITE) + chunk_head(1, 11), "11 bytes; legal: 1 to 10"),
+        (HELLO + pack(1, WRITE) + chunk_head(1, 0), "0 bytes; legal: 1 to 10"),
+        (HELLO + pack(1, WRITE) + pack(1, WRITE), "a body is still under way"),
+        (HELLO + pack(1, Cut()), "CUT on stream 1: no body"),
+        (b"\x00" * 20, "unknown frame kind 0"),
+        (b"\x63" + b"\x00" * 19, "unknown frame kind 99"),
+        (HELLO[:1] + b"\x01" + HELLO[2:], "flags 1"),
+        (HELLO[:4] + b"\x7f" + HELLO[5:], "legal: 65536 at most"),
+        (chunk_head(1, MOST_CHUNK + 1), "legal: 65536 at most"),
+        (HELLO[:-1] + b"!", "its check does not fit"),
+    ],
+)
 def test_each_fault_is_named(data, says):
     with pytest.raises(ProtocolError, match=says):
         Codec("client").receive(data)
--- a/tests/rehearse/test_chaos.py
+++ b/tests/rehearse/test_chaos.py
@@ -30,8 +30,9 @@
     day = drawn(base, 5)
     script = tmp_path / "again.star"
     (tmp_path / "_fellows.star").write_text((Path("examples/rehearsals") / "_fellows.star").read_text())
-    script.write_text('load("_fellows.star", "fellows")\nday("chaos", seconds = 14)\nfellows()\n'
-                      + "\n".join(script_of(day.troubles)))
+    script.write_text(
+        'load("_fellows.star", "fellows")\nday("chaos", seconds = 14)\nfellows()\n' + "\n".join(script_of(day.troubles))
+    )
     assert load_day(script).troubles == day.troubles
     assert drawn(load_day(script), 9).troubles == day.troubles  # nothing more is drawn
 
@@ -74,6 +75,7 @@
     def fails(less):
         played.append(less)
         return any(t.verb == needed.verb and t.at == needed.at for t in less.troubles)
+
     assert [t.at for t in cut_down(day, fails, 40).troubles] == [needed.at]
     assert cut_down(day, fails, 0) == day
     played.clear()
@@ -84,8 +86,10 @@
 @pytest.mark.parametrize("line", ["chaos(least = 4, most = 3)", "chaos(until_s = 30)", "chaos(most = 99)"])
 def test_chaos_that_cannot_be_is_refused(tmp_path, line):
     script = tmp_path / "d.star"
-    script.write_text('day("d", seconds = 14)\nfleet(edges = 3, agree = True)\ncategory("r", soft_limit_ms = 9, '
-                      f'cut_off_ms = 9)\nvolumes("b", count = 1)\ntraffic()\n{line}\n')
+    script.write_text(
+        'day("d", seconds = 14)\nfleet(edges = 3, agree = True)\ncategory("r", soft_limit_ms = 9, '
+        f'cut_off_ms = 9)\nvolumes("b", count = 1)\ntraffic()\n{line}\n'
+    )
     with pytest.raises(ScriptError, match="chaos"):
         load_day(script)
 
--- a/tests/rehearse/test_day.py
+++ b/tests/rehearse/test_day.py
@@ -25,29 +25,35 @@
     def make(more="", given=None, head=HEAD):
         (tmp_path / "d.star").write_text(head + more)
         return load_day(tmp_path / "d.star", given)
+
     return make
 
 
-@pytest.mark.parametrize("more, says", [
-    ("slow(at = 3, stores = [7])", r"d.star:8: slow.stores: 7 does not exist; legal: 0 to 3"),
-    ("stall(at = 3, edges = [3])", r"stall.edges: 3 does not exist; legal: 0 to 2"),
-    ("slow(at = 3, speed = 2)", r"slow: no field 'speed'; legal: at, factor, for_s, stores"),
-    ("slow(at = -1)", "slow.at: -1 is not legal"), ("slow(for_s = 3)", "slow.at: None is not legal"),
-    ("slow(at = 1, for_s = 0)", "slow.for_s: 0 is not legal"),
-    ("slow(at = 1, factor = -2)", "slow.factor: -2 is not legal"),
-    ("slow(at = 25)", "slow.at: 25 is past the day's end; legal: under 20"),
-    ("plan_burst(at = 2, plan = 'gold')", "'gold' is no plan; legal: basic"),
-    ("storm(at = 2)", "`storm` not found"),
-    ('traffic(part = 0.5, mix = {"odd": 1})', "'odd' is no category; legal: read, write"),
-    ("fleet(edges = 3, disks = 4)", r"no field 'disks'; legal: edges, .*cold_s"),
-])
+@pytest.mark.parametrize(
+    "more, says",
+    [
+        ("slow(at = 3, stores = [7])", r"d.star:8: slow.stores: 7 does not exist; legal: 0 to 3"),
+        ("stall(at = 3, edges = [3])", r"stall.edges: 3 does not exist; legal: 0 to 2"),
+        ("slow(at = 3, speed = 2)", r"slow: no field 'speed'; legal: at, factor, for_s, stores"),
+        ("slow(at = -1)", "slow.at: -1 is not legal"),
+        ("slow(for_s = 3)", "slow.at: None is not legal"),
+        ("slow(at = 1, for_s = 0)", "slow.for_s: 0 is not legal"),
+        ("slow(at = 1, factor = -2)", "slow.factor: -2 is not legal"),
+        ("slow(at = 25)", "slow.at: 25 is past the day's end; legal: under 20"),
+        ("plan_burst(at = 2, plan = 'gold')", "'gold' is no plan; legal: basic"),
+        ("storm(at = 2)", "`storm` not found"),
+        ('traffic(part = 0.5, mix = {"odd": 1})', "'odd' is no category; legal: read, write"),
+        ("fleet(edges = 3, disks = 4)", r"no field 'disks'; legal: edges, .*cold_s"),
+    ],
+)
 def test_a_fault_in_a_day_names_its_place(day, more, says):
     with pytest.raises(ScriptError, match=says):
         day(more)
 
 
-@pytest.mark.parametrize("missing, says", [("day(", "day is missing"), ("traffic(", "traffic is missing"),
-                                           ("volumes(", "volumes: none")])
+@pytest.mark.parametrize(
+    "missing, says", [("day(", "day is missing"), ("traffic(", "traffic is missing"), ("volumes(", "volumes: none")]
+)
 def test_a_day_without_a_part_says_which(day, missing, says):
     with pytest.raises(ScriptError, match=says):
         day(head="\n".join(line for line in HEAD.splitlines() if not line.startswith(missing)))
@@ -91,9 +97,14 @@
     assert all(len(set(a.edges)) == 2 for a in arrivals) and mean_units(one) == pytest.approx(2.05)
 
 
-@pytest.mark.parametrize("trouble, times", [("burst(at = 5, for_s = 10, times = 3)", 3.0),
-                                            ('plan_burst(at = 5, for_s = 10, plan = "basic", times = 3)', 3.0),
-                                            ("hot_key(at = 5, for_s = 10, volumes = 1, share = 1.0)", 1.7)])
+@pytest.mark.parametrize(
+    "trouble, times",
+    [
+        ("burst(at = 5, for_s = 10, times = 3)", 3.0),
+        ('plan_burst(at = 5, for_s = 10, plan = "basic", times = 3)', 3.0),
+        ("hot_key(at = 5, for_s = 10, volumes = 1, share = 1.0)", 1.7),
+    ],
+)
 def test_a_burst_asks_for_more_while_it_lasts(day, trouble, times):
     arrivals = arrivals_of(day(trouble), 5)
     inside = sum(5 <= a.at < 15 for a in arrivals)
--- a/tests/rehearse/test_faults.py
+++ b/tests/rehearse/test_faults.py
@@ -21,11 +21,16 @@
     return faults
 
 
-@pytest.mark.parametrize("given, found", [
-    ({"pairs": [[0, 1]], "both": False}, {(0, 1)}), ({"pairs": [[0, 1]]}, {(0, 1), (1, 0)}),
-    ({"zone": 0}, {(a, b) for a in (0, 2) for b in (1, 3)} | {(b, a) for a in (0, 2) for b in (1, 3)}),
-    ({"to_zone": 1, "both": False}, {(0, 1), (0, 3), (2, 1), (2, 3)}),
-    ({}, {(a, b) for a in range(4) for b in range(4) if a != b})])
+@pytest.mark.parametrize(
+    "given, found",
+    [
+        ({"pairs": [[0, 1]], "both": False}, {(0, 1)}),
+        ({"pairs": [[0, 1]]}, {(0, 1), (1, 0)}),
+        ({"zone": 0}, {(a, b) for a in (0, 2) for b in (1, 3)} | {(b, a) for a in (0, 2) for b in (1, 3)}),
+        ({"to_zone": 1, "both": False}, {(0, 1), (0, 3), (2, 1), (2, 3)}),
+        ({}, {(a, b) for a in range(4) for b in range(4) if a != b}),
+    ],
+)
 def test_which_ways_a_trouble_strikes(given, found):
     assert ways_of(detail("link_cut", **given), ZONES) == found
 
@@ -63,15 +68,25 @@
     assert half.passes(1, (0, 1), 10) == [] and half.passes(1, (1, 0), 10) == [1]
 
 
-HEAD = 'day("d", seconds = 9)\nfleet(edges = 3, zones = 2, agree = {agree})\ncategory("r", soft_limit_ms = 9, ' \
-       'cut_off_ms = 9)\nvolumes("b", count = 1)\ntraffic()\n'
-
-
-@pytest.mark.parametrize("line, says", [
-    ("link_cut(at = 1, pairs = [[0, 3]])", "two of 0 to 2"), ("link_cut(at = 1, pairs = [[1, 1]])", "is no pair"),
-    ("link_cut(at = 1, zone = 2)", "0 to 1"), ("link_cut(at = 1, zone = 1, to_zone = 0)", "one of them"),
-    ("link_drop(at = 1, share = 1.5)", "share of 1 at most"), ("link_trickle(at = 1, bytes_s = 0)", "bytes_s above 0"),
-    ("link_cut(at = 1, both = 3)", "link_cut.both"), ("link_cut(at = 1, edges = [0])", "no field 'edges'")])
+HEAD = (
+    'day("d", seconds = 9)\nfleet(edges = 3, zones = 2, agree = {agree})\ncategory("r", soft_limit_ms = 9, '
+    'cut_off_ms = 9)\nvolumes("b", count = 1)\ntraffic()\n'
+)
+
+
+@pytest.mark.parametrize(
+    "line, says",
+    [
+        ("link_cut(at = 1, pairs = [[0, 3]])", "two of 0 to 2"),
+        ("link_cut(at = 1, pairs = [[1, 1]])", "is no pair"),
+        ("link_cut(at = 1, zone = 2)", "0 to 1"),
+        ("link_cut(at = 1, zone = 1, to_zone = 0)", "one of them"),
+        ("link_drop(at = 1, share = 1.5)", "share of 1 at most"),
+        ("link_trickle(at = 1, bytes_s = 0)", "bytes_s above 0"),
+        ("link_cut(at = 1, both = 3)", "link_cut.both"),
+        ("link_cut(at = 1, edges = [0])", "no field 'edges'"),
+    ],
+)
 def test_a_fault_that_cannot_be_is_refused(tmp_path, line, says):
     script = tmp_path / "d.star"
     script.write_text(HEAD.format(agree="True") + line + "\n")
--- a/tests/rehearse/test_rehearse.py
+++ b/tests/rehearse/test_rehearse.py
@@ -29,20 +29,29 @@
     script = tmp_path / "day.star"
     script.write_text(text)
     day = load_day(script)
-    return play(day, 5, tmp_path / "run", edge=(sys.executable, str(BROKEN), *edge)) if edge \
+    return (
+        play(day, 5, tmp_path / "run", edge=(sys.executable, str(BROKEN), *edge))
+        if edge
         else play(day, 5, tmp_path / "run")
-
-
-@pytest.mark.parametrize("rule, fault, text", [
-    ("one_answer", "answers_twice", HEAD + PLAIN),
-    ("no_effect_twice", "sends_one_shots_again",
-     HEAD + PLAIN + "fast_errors(at = 1, for_s = 3, stores = [0, 1], share = 0.5)\n"),
-    ("drains", "hears_of_no_drain", HEAD + PLAIN + "drain(at = 1, stores = [0])\n"),
-    ("cold_stores", "knows_no_cold_store", HEAD + PLAIN + "restart(at = 1, stores = [0, 1], down_s = 0.2)\n"),
-    ("order", "keeps_no_order", HEAD + PLAIN),
-    ("budget", "has_no_budget", HEAD + PLAIN + "fast_errors(at = 1, for_s = 3, stores = [0, 1], share = 0.5)\n"),
-    ("limits", "knows_no_limit", HEAD + 'volumes("basic", count = 4, limit = 0.3, limit_burst_s = 0.5)\n'),
-])
+    )
+
+
+@pytest.mark.parametrize(
+    "rule, fault, text",
+    [
+        ("one_answer", "answers_twice", HEAD + PLAIN),
+        (
+            "no_effect_twice",
+            "sends_one_shots_again",
+            HEAD + PLAIN + "fast_errors(at = 1, for_s = 3, stores = [0, 1], share = 0.5)\n",
+        ),
+        ("drains", "hears_of_no_drain", HEAD + PLAIN + "drain(at = 1, stores = [0])\n"),
+        ("cold_stores", "knows_no_cold_store", HEAD + PLAIN + "restart(at = 1, stores = [0, 1], down_s = 0.2)\n"),
+        ("order", "keeps_no_order", HEAD + PLAIN),
+        ("budget", "has_no_budget", HEAD + PLAIN + "fast_errors(at = 1, for_s = 3, stores = [0, 1], share = 0.5)\n"),
+        ("limits", "knows_no_limit", HEAD + 'volumes("basic", count = 4, limit = 0.3, limit_burst_s = 0.5)\n'),
+    ],
+)
 def test_a_gateway_broken_on_purpose_is_caught_and_its_rule_named(tmp_path, rule, fault, text):
     verdict = played(tmp_path, text, fault)
     assert verdict.rules[rule] > 0 and not verdict.kept
@@ -67,11 +76,14 @@
 
 
 @pytest.mark.parametrize("faults, broken", [((), False), (("counts_without_leases",), True)])
-def test_five_gateways_with_faults_between_them_keep_their_parts_and_one_that_does_not_is_found(tmp_path, faults,
-                                                                                                broken):
+def test_five_gateways_with_faults_between_them_keep_their_parts_and_one_that_does_not_is_found(
+    tmp_path, faults, broken
+):
     """Cut off, a gateway that counts on its part for good is held against the grants that the relay saw."""
-    text = FELLOWS + PLAIN + "link_cut(at = 1, for_s = 2, pairs = [[0, 1], [0, 2], [0, 3], [0, 4]])\n" \
+    text = (
+        FELLOWS + PLAIN + "link_cut(at = 1, for_s = 2, pairs = [[0, 1], [0, 2], [0, 3], [0, 4]])\n"
         "kill_edge(at = 1.5, edges = [3], back_s = 0.5)\n"
+    )
     verdict = played(tmp_path, text, *faults)
     assert bool(verdict.rules["parts"]) is broken, verdict.breaks
     if not broken:
--- a/tests/settings/test_move.py
+++ b/tests/settings/test_move.py
@@ -29,6 +29,7 @@
     def write(depth=40, hosts=2):
         (tmp_path / "old.star").write_text(OLD.format(depth=depth, hosts=hosts))
         return tmp_path / "old.star"
+
     return write
 
 
@@ -59,10 +60,14 @@
     assert new.exists() and listed[0] == listed[1] != []
 
 
-@pytest.mark.parametrize("depth, hosts, addresses, says", [
-    (16, 2, TWO, "limit_depth: 16"), (40, 5, TWO, "gateways: 5, with 2 gateways"),
-    (40, 2, ("10.0.0.1:1", "10.0.0.2:1"), "gateway.listen: 127.0.0.1:7000 is not used"),
-])
+@pytest.mark.parametrize(
+    "depth, hosts, addresses, says",
+    [
+        (16, 2, TWO, "limit_depth: 16"),
+        (40, 5, TWO, "gateways: 5, with 2 gateways"),
+        (40, 2, ("10.0.0.1:1", "10.0.0.2:1"), "gateway.listen: 127.0.0.1:7000 is not used"),
+    ],
+)
 def test_what_does_not_work_as_it_stands_is_listed(old, depth, hosts, addresses, says):
     source = old(depth, hosts)
     assert any(says in line for line in left_behind(load(source), source.read_text(), addresses))
@@ -71,14 +76,20 @@
 def test_what_works_is_not_listed(old):
     source = old()
     assert [line.split(":")[0] for line in left_behind(load(source), source.read_text(), TWO)] == [
-        "comments", "loops, functions and names"]
-
-
-@pytest.mark.parametrize("more, says", [
-    (["--gateway=127.0.0.1:7000"], "length >= 2"), (["--gateway=here", "--gateway=127.0.0.1:1"], "matching regex"),
-    (["--gateway=127.0.0.1:1", "--gateway=127.0.0.1:1"], "stands there twice"),
-    ([f"--gateway={address}" for address in TWO] + ["--tells=all"], "legal: node or fleet"),
-])
+        "comments",
+        "loops, functions and names",
+    ]
+
+
+@pytest.mark.parametrize(
+    "more, says",
+    [
+        (["--gateway=127.0.0.1:7000"], "length >= 2"),
+        (["--gateway=here", "--gateway=127.0.0.1:1"], "matching regex"),
+        (["--gateway=127.0.0.1:1", "--gateway=127.0.0.1:1"], "stands there twice"),
+        ([f"--gateway={address}" for address in TWO] + ["--tells=all"], "legal: node or fleet"),
+    ],
+)
 def test_bad_input_gets_one_error_and_nothing_is_written(old, tmp_path, more, says):
     result = run(old(), tmp_path / "new.star", *more)
     assert result.exit_code == 2 and says in result.output and not (tmp_path / "new.star").exists()
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -26,6 +26,7 @@
     def write(text, name="s.star"):
         (tmp_path / name).write_text(text)
         return tmp_path / name
+
     return write
 
 
@@ -65,24 +66,31 @@
     assert load(written(text_of(made), "again.star")) == made
 
 
-@pytest.mark.parametrize("old, new, says", [
-    ("soft_limit_ms=250,", "soft_limit_ms=-1,", r"s.star:4: category\('pay'\).soft_limit_ms: -1 is not legal; .*> 0"),
-    ("rate=10", "rote=10", r"s.star:5: plan\('basic'\): no field 'rote'; legal: name, rate"),
-    ("rate=10,", "", "s.star:5: plan.*'rate' is missing"),
-    ('plan="basic")', 'plan="gold")', r"volume\('v0'\).plan: 'gold' is no plan; legal: basic"),
-    ("limit_depth=40", "limit_depth=4", r"limit_depth: 4 is not legal; legal: 16"),
-    ("share=0.2", "share=2", r"cold.share: 2 is not legal"),
-    ('"stamped"', '"twice"', r"category\('pay'\).repeat: 'twice' is not legal"),
-    ("window_ms=5000", "window_ms=0", "window_ms: 0 is not legal for a stamped"),
-    ('gateway("edge")', "", "gateway is missing; legal: one call"),
-    ('gateway("edge")', 'gateway("edge")\ngateway("edge")', "s.star:3: gateway: given twice"),
-    ('gateway("edge")', 'gateway("edge", "two")', "2 unnamed values"),
-    ('gateway("edge")', 'gateway("edge"', r"s.star:3: Parse error"),
-    ("cut_off_ms=1500)", "cut_off_ms=1)", r"category\('read'\).cut_off_ms: 1 is not legal; legal: 250.05"),
-    ('listing(address="127.0.0.1:99", mode="ask")', "", "stores: none and no listing"),
-    ('"v%d" % i', '"v"', r"volume\('v'\): given twice"),
-    ('gateway("edge")', 'gateway("edge", largest_body=99000000)', "largest_body: 99000000 is not legal"),
-])
+@pytest.mark.parametrize(
+    "old, new, says",
+    [
+        (
+            "soft_limit_ms=250,",
+            "soft_limit_ms=-1,",
+            r"s.star:4: category\('pay'\).soft_limit_ms: -1 is not legal; .*> 0",
+        ),
+        ("rate=10", "rote=10", r"s.star:5: plan\('basic'\): no field 'rote'; legal: name, rate"),
+        ("rate=10,", "", "s.star:5: plan.*'rate' is missing"),
+        ('plan="basic")', 'plan="gold")', r"volume\('v0'\).plan: 'gold' is no plan; legal: basic"),
+        ("limit_depth=40", "limit_depth=4", r"limit_depth: 4 is not legal; legal: 16"),
+        ("share=0.2", "share=2", r"cold.share: 2 is not legal"),
+        ('"stamped"', '"twice"', r"category\('pay'\).repeat: 'twice' is not legal"),
+        ("window_ms=5000", "window_ms=0", "window_ms: 0 is not legal for a stamped"),
+        ('gateway("edge")', "", "gateway is missing; legal: one call"),
+        ('gateway("edge")', 'gateway("edge")\ngateway("edge")', "s.star:3: gateway: given twice"),
+        ('gateway("edge")', 'gateway("edge", "two")', "2 unnamed values"),
+        ('gateway("edge")', 'gateway("edge"', r"s.star:3: Parse error"),
+        ("cut_off_ms=1500)", "cut_off_ms=1)", r"category\('read'\).cut_off_ms: 1 is not legal; legal: 250.05"),
+        ('listing(address="127.0.0.1:99", mode="ask")', "", "stores: none and no listing"),
+        ('"v%d" % i', '"v"', r"volume\('v'\): given twice"),
+        ('gateway("edge")', 'gateway("edge", largest_body=99000000)', "largest_body: 99000000 is not legal"),
+    ],
+)
 def test_each_fault_says_where_what_and_what_is_legal(written, old, new, says):
     assert old in GOOD
     with pytest.raises(ScriptError, match=says):
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -36,8 +36,13 @@
 sizes(largest = 300, usual = 1)
 rules({rules})
 """
-USUAL = {"stall": 5, "memory": 64 << 20, "connect": 500, "deadline": 5000,
-         "rules": "hand_offs = 3, answer_grace_ms = 50"}
+USUAL = {
+    "stall": 5,
+    "memory": 64 << 20,
+    "connect": 500,
+    "deadline": 5000,
+    "rules": "hand_offs = 3, answer_grace_ms = 50",
+}
 
 
 class FakeStore:
@@ -57,8 +62,14 @@
         return self
 
     def accept(self, sock):
-        link = Link(self.hub, sock, Codec("edge"), Hello(1, "store", self.name, self.boot, self.age),
-                    self.event, lambda link, why: None)
+        link = Link(
+            self.hub,
+            sock,
+            Codec("edge"),
+            Hello(1, "store", self.name, self.boot, self.age),
+            self.event,
+            lambda link, why: None,
+        )
         if not self.says_hello:
             link.outgoing.clear()
         self.links.append(link)
@@ -131,8 +142,10 @@
         """Send a task; a write's body goes with it, or only the bytes given."""
         self.count += 1
         writes = category != "read"
-        self.link.send(self.count, TaskOf(volume, category, key, size, shard, int(patience * 1e6), self.count, False,
-                                          size if writes else 0))
+        self.link.send(
+            self.count,
+            TaskOf(volume, category, key, size, shard, int(patience * 1e6), self.count, False, size if writes else 0),
+        )
         if writes and body is None:
             self.link.send_body(self.count, [b"w" * size])
         return self.count
@@ -217,4 +230,5 @@
     async def bounded():
         async with asyncio.timeout(seconds):
             await coroutine
+
     asyncio.run(bounded())
--- a/tests/standin/test_model.py
+++ b/tests/standin/test_model.py
@@ -9,8 +9,13 @@
 
 
 def model(now=0.0, cold=False, **shape):
-    return Model(Shape(**({"noise": 0.0, "unit_ms": 10.0, "cores": 2, "slots": 4, "queue": 3} | shape)), now, cold,
-                 lambda: 0.5, lambda: 0.0)
+    return Model(
+        Shape(**({"noise": 0.0, "unit_ms": 10.0, "cores": 2, "slots": 4, "queue": 3} | shape)),
+        now,
+        cold,
+        lambda: 0.5,
+        lambda: 0.0,
+    )
 
 
 def job(name="j", units=1.0, writes=False, key=None, number=0):
@@ -33,8 +38,9 @@
     assert told == ["taken"] * 7 + ["full"]
 
 
-@pytest.mark.parametrize("cancel, waiting, working", [("none", False, False), ("queued", True, False),
-                                                      ("all", True, True)])
+@pytest.mark.parametrize(
+    "cancel, waiting, working", [("none", False, False), ("queued", True, False), ("all", True, True)]
+)
 def test_a_cancel_stops_what_this_store_stops(cancel, waiting, working):
     store = model(cancel=cancel, slots=1)
     first, second = job("first"), job("second")
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -15,12 +15,19 @@
 ROOT = Path(__file__).parents[1]
 PROGRAMMING = {"AssertionError", "NotImplementedError", "StopIteration"}
 KEPT = {  # a caller in this program gave what it must not: no operator can do anything about it
-    "benchlink/words.py", "emulator/compare.py", "fleet/views.py", "protocol/frames.py"}
+    "benchlink/words.py",
+    "emulator/compare.py",
+    "fleet/views.py",
+    "protocol/frames.py",
+}
 
 
 def builtin_raises(text: str) -> list[str]:
-    found = [node.exc.func.id for node in ast.walk(ast.parse(text)) if isinstance(node, ast.Raise)
-             and isinstance(node.exc, ast.Call) and isinstance(node.exc.func, ast.Name)]
+    found = [
+        node.exc.func.id
+        for node in ast.walk(ast.parse(text))
+        if isinstance(node, ast.Raise) and isinstance(node.exc, ast.Call) and isinstance(node.exc.func, ast.Name)
+    ]
     return [name for name in found if hasattr(builtins, name) and name not in PROGRAMMING]
 
 
@@ -40,10 +47,14 @@
     assert builtin_raises("def late():\n    raise ValueError(f'{1}: bad')") == ["ValueError"]
 
 
-@pytest.mark.parametrize("arguments, code, says, do", [
-    (["check", "no.star"], 2, "no.star: cannot be read", "correct the place"),
-    (["fleet", "status", "127.0.0.1:1"], 3, "127.0.0.1:1: ", "look whether it runs"),
-    (["audit", "nowhere"], 2, "nowhere", "give the folder of a day")])
+@pytest.mark.parametrize(
+    "arguments, code, says, do",
+    [
+        (["check", "no.star"], 2, "no.star: cannot be read", "correct the place"),
+        (["fleet", "status", "127.0.0.1:1"], 3, "127.0.0.1:1: ", "look whether it runs"),
+        (["audit", "nowhere"], 2, "nowhere", "give the folder of a day"),
+    ],
+)
 def test_a_command_that_fails_says_where_what_and_what_to_do(arguments, code, says, do):
     result = CliRunner().invoke(app, arguments)
     first, second = result.stderr.splitlines()
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -6,9 +6,13 @@
 PACKAGE = Path(__file__).parents[1] / "tansykeel"
 MOST_LINES = 400
 RANKS = (  # a package imports from its own row and those under it
-    {"cli"}, {"edge", "platform", "standin", "rehearse", "emulator", "benchlink"},
+    {"cli"},
+    {"edge", "platform", "standin", "rehearse", "emulator", "benchlink"},
     {"fleet", "accord", "quota", "ahead", "holdings", "recovery", "audit", "settings"},
-    {"protocol", "transport", "state", "http1"}, {"brain", "runner", "baselines"}, {"interface", "errors"})
+    {"protocol", "transport", "state", "http1"},
+    {"brain", "runner", "baselines"},
+    {"interface", "errors"},
+)
 
 
 def imports(root: Path) -> dict[str, set[str]]:
@@ -18,8 +22,11 @@
         parts = path.relative_to(root.parent).with_suffix("").parts
         name = ".".join(parts[:-1] if parts[-1] == "__init__" else parts)
         froms = [node for node in ast.walk(ast.parse(path.read_text())) if isinstance(node, ast.ImportFrom)]
-        whole = {".".join([*parts[:-node.level], node.module] if node.level else [node.module])
-                 for node in froms if node.module}
+        whole = {
+            ".".join([*parts[: -node.level], node.module] if node.level else [node.module])
+            for node in froms
+            if node.module
+        }
         named[name] = {name for name in whole if name.split(".")[0] == root.name}
     return named
 
@@ -30,7 +37,7 @@
 
     def go(module: str, path: list[str]) -> list[str]:
         if module in path:
-            return path[path.index(module):] + [module]
+            return path[path.index(module) :] + [module]
         if module not in done:
             for other in sorted(named.get(module, ())):
                 if found := go(other, [*path, module]):
@@ -52,6 +59,7 @@
 
     def row(module: str) -> int:
         return rank[module.split(".")[1]]
+
     whole = imports(PACKAGE)
     named = {module: whole[module] for module in whole if module.count(".") and not module.endswith("__main__")}
     up = [(module, other) for module, others in named.items() for other in others if row(other) < row(module)]
@@ -60,9 +68,12 @@
 
 def test_no_file_is_longer_than_it_may_be():
     root = PACKAGE.parent
-    long = {str(path.relative_to(root)): lines for folder in ("tansykeel", "tests", "benchmarks")
-            for path in (root / folder).rglob("*.py")
-            if (lines := len(path.read_text().splitlines())) > MOST_LINES}
+    long = {
+        str(path.relative_to(root)): lines
+        for folder in ("tansykeel", "tests", "benchmarks")
+        for path in (root / folder).rglob("*.py")
+        if (lines := len(path.read_text().splitlines())) > MOST_LINES
+    }
     assert long == {}
 
 
@@ -89,5 +100,15 @@
     for start in ("tansykeel.platform.__main__", "tansykeel.benchlink.__main__"):
         packages = {module.split(".")[1] for module in reached(start, set())}
         assert "brain" in packages
-        assert not packages & {"audit", "cli", "emulator", "fleet", "holdings", "protocol", "recovery", "rehearse",
-                               "standin", "state"}
+        assert not packages & {
+            "audit",
+            "cli",
+            "emulator",
+            "fleet",
+            "holdings",
+            "protocol",
+            "recovery",
+            "rehearse",
+            "standin",
+            "state",
+        }
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -30,8 +30,12 @@
     shutil.copy(Path(__file__).with_name("conftest.py"), tmp_path / "tests")
     if rows is not None:
         (tmp_path / "KNOWN-RED.txt").write_text(rows)
-    done = subprocess.run([sys.executable, "-m", "pytest", "-p", "no:cacheprovider", "-p", "no:xdist"], cwd=tmp_path,
-                          capture_output=True, text=True)
+    done = subprocess.run(
+        [sys.executable, "-m", "pytest", "-p", "no:cacheprovider", "-p", "no:xdist"],
+        cwd=tmp_path,
+        capture_output=True,
+        text=True,
+    )
     return done.returncode, done.stdout + done.stderr
 
 
@@ -46,14 +50,19 @@
     assert "KNOWN RED tests/test_it.py::test_bad: the reader stops at its bound (issue 36)" in said
 
 
-@pytest.mark.parametrize("rows, text, says", [
-    (ROW, TESTS.replace("n > 9", "n > 0"), "2 failed, 1 passed"),  # mended: its line has to go
-    (ROW, TESTS.replace("pass\n", "assert False\n", 1), "1 failed, 2 xfailed"),
-    (ROW.replace("test_bad", "test_gone"), TESTS, "no such test"),
-    (ROW.replace("test_it", "test_lost"), TESTS, "no such test"),
-    ("tests/test_it.py::test_bad, no issue named\n", TESTS, "legal: test, cause, issue"),
-    ("tests/test_it.py::test_bad, , issue 36\n", TESTS, "legal: test, cause, issue"), ("\n", TESTS, "legal: test"),
-    (ROW * 4, TESTS, "3 at most")])
+@pytest.mark.parametrize(
+    "rows, text, says",
+    [
+        (ROW, TESTS.replace("n > 9", "n > 0"), "2 failed, 1 passed"),  # mended: its line has to go
+        (ROW, TESTS.replace("pass\n", "assert False\n", 1), "1 failed, 2 xfailed"),
+        (ROW.replace("test_bad", "test_gone"), TESTS, "no such test"),
+        (ROW.replace("test_it", "test_lost"), TESTS, "no such test"),
+        ("tests/test_it.py::test_bad, no issue named\n", TESTS, "legal: test, cause, issue"),
+        ("tests/test_it.py::test_bad, , issue 36\n", TESTS, "legal: test, cause, issue"),
+        ("\n", TESTS, "legal: test"),
+        (ROW * 4, TESTS, "3 at most"),
+    ],
+)
 def test_anything_else_fails_the_run(tmp_path, rows, text, says):
     code, said = run(tmp_path, rows, text)
     assert code != 0 and says in said
--- a/tests/transport/test_link.py
+++ b/tests/transport/test_link.py
@@ -34,6 +34,7 @@
     async def bounded():
         async with asyncio.timeout(seconds):
             return await coroutine
+
     return asyncio.run(bounded())
 
 
@@ -66,6 +67,7 @@
         await hub.stop()
         far.close()
         return [event.record for event in Codec("edge").receive(got)]
+
     hello, error = within(10, play())
     assert hello == HELLO and isinstance(error, Error) and "unknown frame kind 255" in error.text
 
@@ -81,6 +83,7 @@
                 link.send(stream, Answer(0, body=60_000))
                 link.send_body(stream, [bytes(60_000)], lambda: freed.append(1))
             sent.set()
+
         link.on_event = send_all
         await loop.sock_sendall(far, pack(0, Hello(1, "client", "c")))
         await sent.wait()
@@ -90,6 +93,7 @@
         far.close()
         await hub.stop()
         return seen, len(freed)
+
     seen, freed = within(20, play())
     assert "took nothing for 0.4 s" in seen.why and freed == 400
     assert not any(isinstance(e, Frame) and isinstance(e.record, TaskOf) for e in seen.events)
@@ -114,6 +118,7 @@
         far.close()
         await seen.lost.wait()
         await hub.stop()
+
     within(20, play())
 
 
@@ -124,11 +129,13 @@
         far.close()
         await hub.stop()
         return seen.why
+
     assert "no hello within 0.3 s" in within(10, play())
 
 
 def test_out_of_descriptors_it_rests_and_accepts_when_some_are_free():
     """Guards against an accept loop that spins, or ends, when no descriptor is left."""
+
     async def play():
         listener, taken, pressed = listening("127.0.0.1:0"), [], []
         accepting = asyncio.create_task(accept_all(listener, taken.append, lambda: pressed.append(1)))
@@ -153,6 +160,7 @@
         accepting.cancel()
         for sock in [*taken, *held, far, waiting, listener]:
             sock.close()
+
     within(10, play())
 
 
