--- a/tansykeel/audit/fleet.py
+++ b/tansykeel/audit/cluster.py
@@ -15,23 +15,23 @@
 from tansykeel.audit.join import Passed
 from tansykeel.audit.records import Counted, Said
 from tansykeel.audit.rules import SLACK, Break
-from tansykeel.fleet.keeper import Said as FleetWord
-from tansykeel.fleet.membership import (
+from tansykeel.cluster.member import ClusterMessage
+from tansykeel.cluster.membership import (
     SAFE,
     Accepted,
-    Ask,
     Decided,
-    Done,
     Form,
     Formed,
-    Grant,
+    LeaseGrant,
+    LeaseRequest,
     Promise,
+    Revoked,
     Stepped,
     View,
     majority,
 )
-from tansykeel.fleet.views import Terms
-from tansykeel.fleet.words import number_of, unpacked
+from tansykeel.cluster.messages import number_of, unpacked
+from tansykeel.cluster.view_agreement import LeaseTerms
 
 TENTH = 100  # microseconds
 CLOCKS = 20_000  # microseconds by which a gateway's own word for a moment may be off from what was seen
@@ -45,14 +45,14 @@
     edge: str
     life: int
     hearer: str
-    word: FleetWord
+    word: ClusterMessage
 
 
 class FleetLaw(NamedTuple):
     """`words`: all that was seen between gateways, in the order in which it came by."""
 
     gateways: int
-    terms: Terms
+    terms: LeaseTerms
     words: list[Seen]
 
 
@@ -89,14 +89,14 @@
         if number is None:
             continue
         latest, since = known.get(who, (0, 0))
-        if isinstance(seen.word, Grant | Promise | Accepted) and number < latest and seen.at > since + SLACK:
+        if isinstance(seen.word, LeaseGrant | Promise | Accepted) and number < latest and seen.at > since + SLACK:
             late = (seen.at - since) / 1000
             yield Break(
                 "old_epochs",
                 f"{seen.edge} gave its {type(seen.word).__name__} for view {number} {late:.0f} "
                 f"ms after it knew of {latest}",
             )
-        if isinstance(seen.word, Done | Decided | Grant) and number > latest:
+        if isinstance(seen.word, Revoked | Decided | LeaseGrant) and number > latest:
             known[who] = number, seen.at
 
 
@@ -112,10 +112,10 @@
             match seen.word:
                 case Decided(view) | Form(view) | Formed(view):
                     self.views.setdefault(view.number, view)
-                case Ask(number, stamp):
+                case LeaseRequest(number, stamp):
                     asked.setdefault((seen.edge, number, stamp), (seen.life, seen.at))
         for seen in law.words:
-            if not isinstance(seen.word, Grant) or not seen.passed:
+            if not isinstance(seen.word, LeaseGrant) or not seen.passed:
                 continue
             if (of := asked.get((seen.hearer, seen.word.number, seen.word.at))) is not None:
                 life, at = of
--- a/tansykeel/audit/leave.py
+++ b/tansykeel/audit/maintenance.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from tansykeel.accord.room import Bounds, Place, hindrances
 from tansykeel.audit.join import Passed
 from tansykeel.audit.rules import Break
+from tansykeel.maintenance.disruption_budget import Bounds, Place, hindrances
 
 KNOWN_AFTER = 10_000_000  # microseconds after which a death has to be counted
 
--- a/tansykeel/audit/report.py
+++ b/tansykeel/audit/report.py
@@ -9,16 +9,16 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from tansykeel.accord.room import Place
-from tansykeel.audit.fleet import FLEET_RULES, FleetLaw, counted_mean, words_of
+from tansykeel.audit.cluster import FLEET_RULES, FleetLaw, counted_mean, words_of
 from tansykeel.audit.join import Passed, TaskSeen, read_folder
-from tansykeel.audit.leave import LEAVE_RULES, LeaveLaw
+from tansykeel.audit.maintenance import LEAVE_RULES, LeaveLaw
 from tansykeel.audit.records import RecordsError
 from tansykeel.audit.rules import RULES, Break, Law, cold_margins
 from tansykeel.audit.service import count
+from tansykeel.maintenance.disruption_budget import Place
 from tansykeel.settings.build import facts_of
+from tansykeel.settings.cluster import bounds_of, terms_of
 from tansykeel.settings.day import Day, peers_of, settings_of
-from tansykeel.settings.fleet import bounds_of, terms_of
 
 ANSWERS = ("delivered", "nacked", "broken_off")
 MOST_BREAKS = 50  # that a report names, of each rule
--- a/tansykeel/cli/accord.py
+++ b/tansykeel/cli/accord.py
@@ -22,8 +22,8 @@
     Exit."""
     import asyncio
 
-    from tansykeel.accord.words import Elsewhere
     from tansykeel.edge.ask import NotTold, say
+    from tansykeel.maintenance.messages import Elsewhere
 
     try:
         for _ in range(HOPS):
@@ -48,7 +48,7 @@
 
 def offered(address: str, entry: Any) -> None:
     """Raises Exit where it was not taken."""
-    from tansykeel.accord.words import Offered
+    from tansykeel.maintenance.messages import Offered
 
     answer = told(address, Offered(entry))
     if not answer.so:
@@ -64,8 +64,8 @@
     """
     import msgspec
 
-    from tansykeel.accord.words import StatusAsk
     from tansykeel.cli.show import leave
+    from tansykeel.maintenance.messages import StatusAsk
 
     answer = told(address, StatusAsk())
     if json_:
@@ -84,8 +84,8 @@
     yes: Annotated[bool, typer.Option(help="do it; without it only say what is meant")] = False,
 ) -> None:
     """Say what is out after the fleet's state was lost. All else is taken for granted to be there and whole."""
-    from tansykeel.accord.entries import Recover
-    from tansykeel.accord.words import StatusAsk
+    from tansykeel.maintenance.entries import Recover
+    from tansykeel.maintenance.messages import StatusAsk
 
     entry = Recover(tuple((name, "an operator's word") for name in out or []), by)
     if (status := told(address, StatusAsk(), led=False)) is None:
@@ -120,14 +120,14 @@
     by: By = "operator",
 ) -> None:
     """Plan a release; it begins when no other is under way."""
-    from tansykeel.accord.steward import plan_of
+    from tansykeel.maintenance.controller import plan_of
 
     offered(address, plan_of(name, version, before, [one.split(",") for one in wave], by))
 
 
 def _moves(what: str, says: str) -> None:
     def move(address: Address, name: Name, why: Annotated[str, typer.Option()] = "", by: By = "operator") -> None:
-        from tansykeel.accord.entries import Move
+        from tansykeel.maintenance.entries import Move
 
         offered(address, Move(name, what, why, by))
 
--- a/tansykeel/cli/fleet.py
+++ b/tansykeel/cli/fleet.py
@@ -39,7 +39,7 @@
 
     import msgspec
 
-    from tansykeel.cli.show import fellows
+    from tansykeel.cli.show import cluster_agent
     from tansykeel.edge.ask import NotTold, ask
 
     legal("timeout", timeout, 0.1, 600)
@@ -51,7 +51,7 @@
         rows = [msgspec.structs.asdict(other) for other in told.others]
         typer.echo(json.dumps(msgspec.structs.asdict(told) | {"others": rows}))
     else:
-        fellows(told)
+        cluster_agent(told)
     if not told.leased:
         raise typer.Exit(BROKEN)
 
@@ -98,7 +98,7 @@
 ) -> None:
     """How soon a death is known in a fleet that watches over itself and the view is without it, what is suspected
     wrongly, and how much of a whole the parts make up. Exit code 1 if that is ever more than the whole."""
-    from tansykeel.emulator.watching import Trial, Watchers
+    from tansykeel.emulator.cluster_simulation import Trial, Watchers
 
     for name, value, least, most in (
         ("gateways", gateways, 2, 2_000),
@@ -151,9 +151,9 @@
 
     Exit code 1 with the fewest events that show it, if parts make up more than the whole or a number has two views.
     """
-    from tansykeel.fleet.search import APART, RATES, SMALL, Bounds, agreed, walks
-    from tansykeel.fleet.search import search as every_order
-    from tansykeel.fleet.views import Agreement
+    from tansykeel.cluster.model_checker import APART, RATES, SMALL, Bounds, agreed, walks
+    from tansykeel.cluster.model_checker import search as every_order
+    from tansykeel.cluster.view_agreement import ViewAgreement
 
     legal("gateways", gateways, 2, MOST_GATEWAYS)
     legal("states", states, 1)
@@ -167,7 +167,7 @@
     ):
         legal(name, value, 0)
     terms, rates = (APART, RATES) if apart else (SMALL, (1,))
-    first = agreed(tuple("abcde"[:gateways]), terms, Agreement, rates)
+    first = agreed(tuple("abcde"[:gateways]), terms, ViewAgreement, rates)
     bounds = Bounds(ticks, proposals, crashes, restarts, forms, events, states)
     for how, found in (
         ("every order, deepest first", every_order(first, bounds, seed)),
--- a/tansykeel/cli/show.py
+++ b/tansykeel/cli/show.py
@@ -7,8 +7,8 @@
 from rich.console import Console
 from rich.table import Table
 
-from tansykeel.accord.words import Status
 from tansykeel.audit.report import Verdict
+from tansykeel.maintenance.messages import Status
 from tansykeel.protocol.frames import FleetTold
 from tansykeel.rehearse.day import load_day
 from tansykeel.rehearse.play import folders
@@ -67,7 +67,7 @@
         )
 
 
-def fellows(told: FleetTold) -> None:
+def cluster_agent(told: FleetTold) -> None:
     """What one gateway believes of its fleet."""
     console = Console()
     lease = f"lease for {told.leased / 1e6:.1f} s more" if told.leased else "no lease: its safe part alone"
--- a/tansykeel/fleet/parts.py
+++ b/tansykeel/cluster/allotments.py
@@ -13,7 +13,7 @@
 MOST = 64  # changes remembered; before them the least part counted
 
 
-class Parts:
+class Allotments:
     """`least`: the part that counts whatever is agreed; times are whole tenths of the gateway's own clock."""
 
     def __init__(self, gateways: int, least: Fraction, now: int) -> None:
--- a/tansykeel/fleet/liveness.py
+++ b/tansykeel/cluster/failure_detector.py
@@ -19,19 +19,19 @@
 
 from msgspec import Struct
 
-from tansykeel.fleet.news import News, Seems, Telling
+from tansykeel.cluster.gossip import GossipItem, GossipQueue, MemberState
 
 SECOND = 10_000
 
 
 class Ping(Struct, frozen=True, array_like=True):
     seq: int
-    news: tuple[News, ...] = ()
+    news: tuple[GossipItem, ...] = ()
 
 
 class Ack(Struct, frozen=True, array_like=True):
     seq: int
-    news: tuple[News, ...] = ()
+    news: tuple[GossipItem, ...] = ()
 
 
 class Try(Struct, frozen=True, array_like=True):
@@ -39,18 +39,18 @@
 
     seq: int
     name: str
-    news: tuple[News, ...] = ()
+    news: tuple[GossipItem, ...] = ()
 
 
 class NoAnswer(Struct, frozen=True, array_like=True):
     """A helper's word that its own ping was not answered so far: it is the asker's own link that works."""
 
     seq: int
-    news: tuple[News, ...] = ()
+    news: tuple[GossipItem, ...] = ()
 
 
-Word = Ping | Ack | Try | NoAnswer
-Sent = tuple[str, Word]
+DetectorMessage = Ping | Ack | Try | NoAnswer
+Sent = tuple[str, DetectorMessage]
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +74,7 @@
 @dataclass(eq=False, slots=True)
 class Other:
     name: str
-    seems: Seems = Seems.ALIVE
+    seems: MemberState = MemberState.ALIVE
     life: int = 0
     denials: int = 0
     since: int = 0
@@ -93,7 +93,7 @@
     asked_for: tuple[str, int] | None = None
 
 
-class Liveness:
+class FailureDetector:
     def __init__(self, me: str, names: Iterable[str], life: int, pace: Pace, chance: Random, now: int) -> None:
         self.me, self.life, self.pace, self.chance = me, life, pace, chance
         self.others = {name: Other(name, since=now) for name in names if name != me}
@@ -103,9 +103,9 @@
         self.order: list[Other] = []
         self.probes: dict[int, Probe] = {}
         self.next_ping = now + chance.randrange(max(pace.period, 1))  # a fleet that starts at once is no herd
-        self.telling = Telling()
+        self.telling = GossipQueue()
         self.ends: dict[Other, int] = {}  # when each suspicion makes its gateway dead
-        self.telling.put(News(me, Seems.ALIVE, life, 0))
+        self.telling.put(GossipItem(me, MemberState.ALIVE, life, 0))
 
     # What it says
 
@@ -116,7 +116,7 @@
             other.falls = [at for at in other.falls if now - at < self.pace.forgives]
             return now - other.since >= self.pace.steady * 2 ** min(len(other.falls), 5)
 
-        found = [o.name for o in self.others.values() if o.seems is Seems.ALIVE and o.life and long_enough(o)]
+        found = [o.name for o in self.others.values() if o.seems is MemberState.ALIVE and o.life and long_enough(o)]
         return sorted([self.me, *found])
 
     def changes(self) -> list[Other]:
@@ -138,7 +138,7 @@
         for seq, probe in [(s, p) for s, p in self.probes.items() if now >= p.due]:
             sent += self._unanswered(now, seq, probe)
         for other in [o for o, end in self.ends.items() if now >= end]:
-            self._take(now, News(other.name, Seems.DEAD, other.life, other.denials, self.me))
+            self._take(now, GossipItem(other.name, MemberState.DEAD, other.life, other.denials, self.me))
         if now >= self.next_ping:
             self.next_ping = now + self.pace.period * (1 + self.doubt)
             if (turn := self._next()) is not None:
@@ -147,7 +147,7 @@
             sent += [self._ping(now, o, None) for o in self.ends if self.me in o.suspected_by and o is not turn]
         return sent
 
-    def heard(self, now: int, sender: str, word: Word) -> list[Sent]:
+    def heard(self, now: int, sender: str, word: DetectorMessage) -> list[Sent]:
         if sender not in self.others:
             return []
         for news in word.news:
@@ -171,12 +171,12 @@
     def met(self, now: int, name: str, life: int) -> None:
         """A message came from this life of a gateway."""
         if name in self.others and life > self.others[name].life:
-            self._take(now, News(name, Seems.ALIVE, life, 0))
+            self._take(now, GossipItem(name, MemberState.ALIVE, life, 0))
 
     def leave(self, now: int) -> list[Sent]:
         """Tell those that seem to be there that this gateway ends: nobody needs to wait until it is missed."""
         self.leaving = True
-        return [self._ping(now, other, None) for other in self.others.values() if other.seems is Seems.ALIVE]
+        return [self._ping(now, other, None) for other in self.others.values() if other.seems is MemberState.ALIVE]
 
     # Within
 
@@ -200,7 +200,7 @@
             asker, theirs = probe.asked_for
             return [(asker, NoAnswer(theirs, self._news(asker)))]
         if not probe.helped:
-            helpers = [o for o in self.others.values() if o.seems is Seems.ALIVE and o is not probe.other]
+            helpers = [o for o in self.others.values() if o.seems is MemberState.ALIVE and o is not probe.other]
             helpers = self.chance.sample(helpers, min(self.pace.helpers, len(helpers)))
             probe.helped, probe.silent = True, len(helpers)
             probe.due = now + 2 * self.pace.answer * (1 + self.doubt)
@@ -209,7 +209,7 @@
         # Helpers that are silent too tell of this gateway's own links.
         self._doubts(1 + probe.silent)
         other = probe.other
-        self._take(now, News(other.name, Seems.SUSPECT, other.life, other.denials, self.me))
+        self._take(now, GossipItem(other.name, MemberState.SUSPECT, other.life, other.denials, self.me))
         return []
 
     def _doubts(self, more: int) -> None:
@@ -231,36 +231,36 @@
         shorter = math.log(sharers) / math.log(self.pace.sharers + 1) if sharers > 1 else 0.0
         return int(max(most - (most - least) * shorter, least))
 
-    def _take(self, now: int, news: News) -> None:
+    def _take(self, now: int, news: GossipItem) -> None:
         """News of a gateway, old or new: what is later of its lives, then its denials, then the worse word, holds."""
         if news.name == self.me:
-            if self.leaving or news.seems is Seems.ALIVE or news.life > self.life:
+            if self.leaving or news.seems is MemberState.ALIVE or news.life > self.life:
                 return
             if (news.life, news.denials) >= (self.life, self.denials):
                 self.denials = max(self.denials, news.denials) + 1
                 self._doubts(1)
             # Told anew even where it was denied before. Guards against a denial whose few repeats all went into
             # connections that others had closed: it would be called dead for good.
-            self.telling.put(News(self.me, Seems.ALIVE, self.life, self.denials))
+            self.telling.put(GossipItem(self.me, MemberState.ALIVE, self.life, self.denials))
             return
         other = self.others.get(news.name)
         if other is None:
             return
         known = (other.life, other.denials, other.seems)
         if (news.life, news.denials, news.seems) <= known:
-            if (news.life, news.denials, news.seems) == known and news.seems is Seems.SUSPECT:
+            if (news.life, news.denials, news.seems) == known and news.seems is MemberState.SUSPECT:
                 self._shared(other, news.by)
             return
-        came_back = other.seems is Seems.DEAD and news.seems is Seems.ALIVE
+        came_back = other.seems is MemberState.DEAD and news.seems is MemberState.ALIVE
         if other.seems is not news.seems or news.life != other.life:
             other.since = now
             self.changed[other] = None
-        if came_back or news.seems is Seems.DEAD and other.seems is not Seems.DEAD:
+        if came_back or news.seems is MemberState.DEAD and other.seems is not MemberState.DEAD:
             other.falls = [*other.falls[-7:], now]
         other.life, other.denials, other.seems = news.life, news.denials, news.seems
         self.ends.pop(other, None)
         other.suspected_by = set()
-        if news.seems is Seems.SUSPECT:
+        if news.seems is MemberState.SUSPECT:
             other.since = now
             self._shared(other, news.by)
         self.telling.put(news)
@@ -270,16 +270,16 @@
             other.suspected_by.add(by)
             self.ends[other] = other.since + self._lasts(len(other.suspected_by))
             if len(other.suspected_by) > 1:
-                self.telling.put(News(other.name, Seems.SUSPECT, other.life, other.denials, by))
+                self.telling.put(GossipItem(other.name, MemberState.SUSPECT, other.life, other.denials, by))
 
-    def _news(self, to: str) -> tuple[News, ...]:
+    def _news(self, to: str) -> tuple[GossipItem, ...]:
         """What is told with a message: first what was told least; to one that is suspected, that it is."""
         if self.leaving:  # guards against its own farewell that is crowded out, or told too often to go on
-            return (News(self.me, Seems.DEAD, self.life, self.denials, self.me),)
+            return (GossipItem(self.me, MemberState.DEAD, self.life, self.denials, self.me),)
         # Guards against a fleet that starts, or loses a third, and knows itself after minutes: a crowd of news.
         count = max(self.pace.news, min(len(self.telling) // 3, self.pace.crowd))
         told = self.telling.take(count, math.ceil(self.pace.repeats * self._size()))
         other = self.others[to]
-        if other.seems is not Seems.ALIVE and all(news.name != to for news in told):
-            told += (News(to, other.seems, other.life, other.denials, self.me),)
+        if other.seems is not MemberState.ALIVE and all(news.name != to for news in told):
+            told += (GossipItem(to, other.seems, other.life, other.denials, self.me),)
         return told
--- a/tansykeel/fleet/news.py
+++ b/tansykeel/cluster/gossip.py
@@ -10,44 +10,47 @@
 from msgspec import Struct
 
 
-class Seems(IntEnum):
+class MemberState(IntEnum):
     ALIVE = 0
     SUSPECT = 1
     DEAD = 2
 
 
-class News(Struct, frozen=True, array_like=True):
+class GossipItem(Struct, frozen=True, array_like=True):
     """What is said of a gateway: its start (`life`), how often it denied a suspicion since, by whom it is suspected."""
 
     name: str
-    seems: Seems
+    seems: MemberState
     life: int
     denials: int
     by: str = ""
 
     @property
     def greeting(self) -> bool:
-        return self.seems is Seems.ALIVE and not self.denials
+        return self.seems is MemberState.ALIVE and not self.denials
 
 
-class Telling:
+class GossipQueue:
     """One news of each gateway, the newest; each is let go after it was told `most` times."""
 
     def __init__(self) -> None:
         # Guards against denials that come too late: a fleet that starts has hundreds of greetings to tell.
-        self._lines: dict[bool, list[dict[str, News]]] = {False: [{}], True: [{}]}  # by greeting, then by times told
+        self._lines: dict[bool, list[dict[str, GossipItem]]] = {
+            False: [{}],
+            True: [{}],
+        }  # by greeting, then by times told
         self._place: dict[str, tuple[bool, int]] = {}
 
     def __len__(self) -> int:
         return len(self._place)
 
-    def put(self, news: News) -> None:
+    def put(self, news: GossipItem) -> None:
         self._drop(news.name)
         self._put(news, 0)
 
-    def take(self, count: int, most: int) -> tuple[News, ...]:
+    def take(self, count: int, most: int) -> tuple[GossipItem, ...]:
         """The next to be told, so many at most; they count as told once more."""
-        taken: list[tuple[News, int]] = []
+        taken: list[tuple[GossipItem, int]] = []
         for lines in self._lines.values():
             for times, line in enumerate(lines):
                 for news in line.values():
@@ -60,7 +63,7 @@
                 self._put(news, times + 1)
         return tuple(news for news, _ in taken)
 
-    def _put(self, news: News, times: int) -> None:
+    def _put(self, news: GossipItem, times: int) -> None:
         lines = self._lines[news.greeting]
         while len(lines) <= times:
             lines.append({})
--- a/tansykeel/fleet/membership.py
+++ b/tansykeel/cluster/membership.py
@@ -59,14 +59,14 @@
     return tuple(sorted(chosen))
 
 
-class Ask(Struct, frozen=True, array_like=True):
+class LeaseRequest(Struct, frozen=True, array_like=True):
     """For a lease on a view, of its voters; `at` is the asker's own clock, which comes back."""
 
     number: int
     at: int
 
 
-class Grant(Struct, frozen=True, array_like=True):
+class LeaseGrant(Struct, frozen=True, array_like=True):
     """`active`: the view is so at its giver, and what is so at one gateway holds for all."""
 
     number: int
@@ -141,11 +141,13 @@
     )
 
 
-class Done(Struct, frozen=True, array_like=True):
+class Revoked(Struct, frozen=True, array_like=True):
     """The sender grants nothing for a view under `number` any more, and all that it granted is over."""
 
     number: int
 
 
-Message = Ask | Grant | Prepare | Promise | Accept | Accepted | Form | Formed | Decided | Stepped | Done
-Sent = tuple[str, Message]  # to whom
+ViewMessage = (
+    LeaseRequest | LeaseGrant | Prepare | Promise | Accept | Accepted | Form | Formed | Decided | Stepped | Revoked
+)
+Sent = tuple[str, ViewMessage]  # to whom
--- a/tansykeel/fleet/words.py
+++ b/tansykeel/cluster/messages.py
@@ -1,4 +1,4 @@
-"""A keeper's words as bytes, for whatever carries them: each by its kind's name and its fields."""
+"""Messages between cluster members as bytes, for whatever carries them: each by its type's name and its fields."""
 
 from __future__ import annotations
 
@@ -6,24 +6,24 @@
 
 import msgspec
 
-from tansykeel.errors import Problem
-from tansykeel.fleet import ledger
-from tansykeel.fleet.keeper import Said
-from tansykeel.fleet.liveness import Ack, NoAnswer, Ping, Try, Word
-from tansykeel.fleet.membership import (
+from tansykeel.cluster import replicated_log
+from tansykeel.cluster.failure_detector import Ack, DetectorMessage, NoAnswer, Ping, Try
+from tansykeel.cluster.member import ClusterMessage
+from tansykeel.cluster.membership import (
     Accept,
     Accepted,
-    Ask,
     Decided,
-    Done,
     Form,
     Formed,
-    Grant,
+    LeaseGrant,
+    LeaseRequest,
     Prepare,
     Promise,
+    Revoked,
     Stepped,
 )
-from tansykeel.fleet.outbox import Urgency
+from tansykeel.cluster.send_queue import Urgency
+from tansykeel.errors import Problem
 
 KINDS = {
     kind.__name__: kind
@@ -32,8 +32,8 @@
         Ack,
         Try,
         NoAnswer,
-        Ask,
-        Grant,
+        LeaseRequest,
+        LeaseGrant,
         Prepare,
         Promise,
         Accept,
@@ -42,14 +42,14 @@
         Formed,
         Decided,
         Stepped,
-        Done,
-        ledger.Gather,
-        ledger.Held,
-        ledger.Install,
-        ledger.Append,
-        ledger.Took,
-        ledger.Stale,
-        ledger.Offer,
+        Revoked,
+        replicated_log.LogPrepare,
+        replicated_log.LogPromise,
+        replicated_log.InstallSnapshot,
+        replicated_log.LogAccept,
+        replicated_log.LogAccepted,
+        replicated_log.LogRejected,
+        replicated_log.Propose,
     )
 }
 DECODERS = {name: msgspec.msgpack.Decoder(kind) for name, kind in KINDS.items()}
@@ -62,28 +62,28 @@
     advice = "look at the version of the gateway that is named: all of a fleet speak the same words"
 
 
-def packed(word: Said) -> tuple[str, bytes]:
+def packed(word: ClusterMessage) -> tuple[str, bytes]:
     return type(word).__name__, msgspec.msgpack.encode(word)
 
 
-def unpacked(what: str, data: bytes) -> Said:
+def unpacked(what: str, data: bytes) -> ClusterMessage:
     """Raises WordError for what is no word."""
     if what not in DECODERS:
         raise WordError(f"word {what!r}; legal: {', '.join(KINDS)}")
     if len(data) > MOST:
         raise WordError(f"word {what!r}: {len(data)} bytes; legal: {MOST} at most")
     try:
-        return cast(Said, DECODERS[what].decode(data))
+        return cast(ClusterMessage, DECODERS[what].decode(data))
     except msgspec.DecodeError as error:
         raise WordError(f"word {what!r}: {error}") from None
 
 
-def urgency_of(word: Said) -> Urgency:
-    return Urgency.LIVENESS if isinstance(word, Word) else Urgency.PROMISE
+def urgency_of(word: ClusterMessage) -> Urgency:
+    return Urgency.LIVENESS if isinstance(word, DetectorMessage) else Urgency.PROMISE
 
 
-def number_of(word: Said) -> int | None:
+def number_of(word: ClusterMessage) -> int | None:
     """Of the view that a word of the agreement is about; None for those of liveness and the ledger."""
-    if isinstance(word, Word | ledger.Word):
+    if isinstance(word, DetectorMessage | replicated_log.LogMessage):
         return None
     return word.view.number if isinstance(word, Form | Formed | Decided) else word.number
--- a/tansykeel/fleet/search.py
+++ b/tansykeel/cluster/model_checker.py
@@ -12,14 +12,14 @@
 from dataclasses import dataclass
 from fractions import Fraction
 
+from tansykeel.cluster.membership import Member, View, ViewMessage
+from tansykeel.cluster.view_agreement import LeaseTerms, ViewAgreement
 from tansykeel.errors import Problem
-from tansykeel.fleet.membership import Member, Message, View
-from tansykeel.fleet.views import Agreement, Terms
 
-Make = Callable[[Member, tuple[str, ...], Terms, int], Agreement]
+Make = Callable[[Member, tuple[str, ...], LeaseTerms, int], ViewAgreement]
 Event = tuple[object, ...]  # its name, then whom and what
-SMALL = Terms(lease=2, drift=0.0)  # in ticks, by clocks that agree
-APART = Terms(lease=20, drift=0.1)  # in tenths of a tick, by clocks that are off by as much
+SMALL = LeaseTerms(lease=2, drift=0.0)  # in ticks, by clocks that agree
+APART = LeaseTerms(lease=20, drift=0.1)  # in tenths of a tick, by clocks that are off by as much
 RATES = (11, 9)  # tenths that a fast and a slow clock show in a tick: of three gateways two are fast
 STEPS = 80  # events of a drawn run
 FRESH = 0.7  # part of the steps of a drawn run in which something arrives that had not yet
@@ -57,12 +57,12 @@
 class Fleet:
     """A state: who lives, what was ever sent, what time it is, what was decided by anybody."""
 
-    def __init__(self, names: tuple[str, ...], terms: Terms, make: Make, rates: tuple[int, ...] = (1,)) -> None:
+    def __init__(self, names: tuple[str, ...], terms: LeaseTerms, make: Make, rates: tuple[int, ...] = (1,)) -> None:
         self.names, self.terms, self.make, self.rates = names, terms, make, rates
         self.now = 0
         self.lives = dict.fromkeys(names, 0)
-        self.alive: dict[str, Agreement] = {}
-        self.sent: dict[tuple[str, Member, Message], None] = {}  # in the order in which they were first sent
+        self.alive: dict[str, ViewAgreement] = {}
+        self.sent: dict[tuple[str, Member, ViewMessage], None] = {}  # in the order in which they were first sent
         self.decided: dict[int, View] = {}
         self.used = {"tick": 0, "propose": 0, "crash": 0, "restart": 0, "form": 0}
         self.law = ""
@@ -176,7 +176,7 @@
 
 
 def agreed(
-    names: tuple[str, ...], terms: Terms, make: Make, rates: tuple[int, ...] = (1,), kind: type[Fleet] = Fleet
+    names: tuple[str, ...], terms: LeaseTerms, make: Make, rates: tuple[int, ...] = (1,), kind: type[Fleet] = Fleet
 ) -> Fleet:
     """A fleet that formed its first view, made it active and holds leases on it."""
     fleet = kind(names, terms, make, rates)
--- a/tansykeel/fleet/ledger.py
+++ b/tansykeel/cluster/replicated_log.py
@@ -8,7 +8,8 @@
 forgot; no one votes for the successor of a view whose ledger it has not taken over, so that one view back is always
 enough; and what a view that all formed knows is a guess: its first entry says that the state is lost, until an
 operator's word.
-`docs/accord.md` has the argument; `tansykeel.accord.search` tries orders of events on it. Times are tenths.
+`docs/maintenance.md` has the argument; `tansykeel.maintenance.model_checker` tries orders of events on it. Times are
+tenths of a millisecond.
 """
 
 from __future__ import annotations
@@ -18,47 +19,47 @@
 
 from msgspec import Struct
 
-from tansykeel.fleet.membership import Member, View, majority
+from tansykeel.cluster.membership import Member, View, majority
 
-Number = tuple[int, int, str]  # a ballot: the view's number, round, name of the leader
-ZERO: Number = (0, 0, "")
+Ballot = tuple[int, int, str]  # a ballot: the view's number, round, name of the leader
+ZERO: Ballot = (0, 0, "")
 MOST_KEPT = 128  # entries that are applied and kept, for voters that lag; then a snapshot takes their place
 MOST_OPEN = 64  # entries that wait for a majority; more are not taken
 MOST_ENTRY = 16 << 10  # bytes
 PATIENCE = 2  # leases without a word of a leader after which the next voter tries
 
 
-class Machine(Protocol):
+class StateMachine(Protocol):
     """What the entries are for. All voters apply the same ones in the same order."""
 
     def apply(self, index: int, entry: bytes) -> None: ...
     def snapshot(self) -> bytes: ...
     def restore(self, data: bytes) -> None: ...
     def lost(self, number: int) -> bytes: ...  # the entry by which view `number` says that the state is a guess
-    def copy(self) -> Machine: ...
+    def copy(self) -> StateMachine: ...
 
 
-class Gather(Struct, frozen=True, array_like=True):
+class LogPrepare(Struct, frozen=True, array_like=True):
     """Asks for what was accepted, and for nothing to be accepted under a lower ballot."""
 
-    ballot: Number
+    ballot: Ballot
 
 
-class Held(Struct, frozen=True, array_like=True):
+class LogPromise(Struct, frozen=True, array_like=True):
     """The answer: a snapshot after `base` entries and those that follow, as accepted under a ballot."""
 
-    ballot: Number
-    accepted: Number
+    ballot: Ballot
+    accepted: Ballot
     base: int
     snapshot: bytes
     entries: tuple[bytes, ...]
     commit: int
 
 
-class Install(Struct, frozen=True, array_like=True):
+class InstallSnapshot(Struct, frozen=True, array_like=True):
     """Takes the place of a voter's whole log. `at`: the leader's clock, which comes back."""
 
-    ballot: Number
+    ballot: Ballot
     base: int
     snapshot: bytes
     entries: tuple[bytes, ...]
@@ -66,47 +67,47 @@
     at: int
 
 
-class Append(Struct, frozen=True, array_like=True):
+class LogAccept(Struct, frozen=True, array_like=True):
     """Entries after the first `after`, of a log that was installed under the same ballot."""
 
-    ballot: Number
+    ballot: Ballot
     after: int
     entries: tuple[bytes, ...]
     commit: int
     at: int
 
 
-class Took(Struct, frozen=True, array_like=True):
+class LogAccepted(Struct, frozen=True, array_like=True):
     """Accepted under the ballot up to this entry; -1: nothing yet, the whole log is wanted."""
 
-    ballot: Number
+    ballot: Ballot
     upto: int
     at: int
 
 
-class Stale(Struct, frozen=True, array_like=True):
+class LogRejected(Struct, frozen=True, array_like=True):
     """A higher ballot was promised."""
 
-    ballot: Number
+    ballot: Ballot
 
 
-class Offer(Struct, frozen=True, array_like=True):
+class Propose(Struct, frozen=True, array_like=True):
     """An entry for whoever leads; passed on by voters."""
 
     entry: bytes
     hops: int = 0
 
 
-Word = Gather | Held | Install | Append | Took | Stale | Offer
-Sent = tuple[str, Word]
+LogMessage = LogPrepare | LogPromise | InstallSnapshot | LogAccept | LogAccepted | LogRejected | Propose
+Sent = tuple[str, LogMessage]
 
 
 class Leading:
     """What a leader, or who tries to be one, knows of the others."""
 
-    def __init__(self, ballot: Number) -> None:
+    def __init__(self, ballot: Ballot) -> None:
         self.ballot = ballot
-        self.held: dict[Member, Held] = {}
+        self.held: dict[Member, LogPromise] = {}
         self.took: dict[Member, int] = {}
         self.answered: dict[Member, int] = {}  # when what each answered last was said, by the leader's clock
         self.ready = False  # the log is settled
@@ -117,10 +118,10 @@
         return made
 
 
-class Ledger:
+class ReplicatedLog:
     """One gateway's side of it. What is lost is sent anew by `tick`, to be called several times a lease."""
 
-    def __init__(self, me: Member, machine: Machine, lease: int, now: int) -> None:
+    def __init__(self, me: Member, machine: StateMachine, lease: int, now: int) -> None:
         self.me, self.machine, self.lease = me, machine, lease
         self.view: View | None = None
         self.promised = self.accepted = ZERO
@@ -155,7 +156,7 @@
         answered = [now if voter == self.me else self.leading.answered.get(voter, -1) for voter in self.view.voters]
         return sorted(answered, reverse=True)[majority(self.view.voters) - 1]
 
-    def copy(self) -> Ledger:
+    def copy(self) -> ReplicatedLog:
         made = copy(self)
         made.machine, made.entries = self.machine.copy(), list(self.entries)
         made.leading = self.leading and self.leading.copy()
@@ -231,31 +232,31 @@
 
     # What comes in
 
-    def heard(self, now: int, sender: Member, word: Word) -> list[Sent]:
-        if isinstance(word, Gather | Install | Append) and word.ballot < self.promised:
-            return [(sender.name, Stale(self.promised))]
+    def heard(self, now: int, sender: Member, word: LogMessage) -> list[Sent]:
+        if isinstance(word, LogPrepare | InstallSnapshot | LogAccept) and word.ballot < self.promised:
+            return [(sender.name, LogRejected(self.promised))]
         match word:
-            case Gather(ballot):
+            case LogPrepare(ballot):
                 return [(sender.name, self._hold(ballot))]
-            case Held():
+            case LogPromise():
                 return self._held(sender, word)
-            case Install(ballot, base, snapshot, entries, commit, at):
+            case InstallSnapshot(ballot, base, snapshot, entries, commit, at):
                 self._under(now, ballot, sender)
                 if self.accepted != ballot or base > self.last:
                     self._take_over(ballot, base, snapshot, entries)
                 elif self.last < base + len(entries):  # a word that comes twice must not undo what was added since
                     self.entries += entries[self.last - base :]
                 self._commit(min(commit, self.last))
-                return [(sender.name, Took(ballot, self.last, at))]
-            case Append(ballot, after, entries, commit, at):
+                return [(sender.name, LogAccepted(ballot, self.last, at))]
+            case LogAccept(ballot, after, entries, commit, at):
                 self._under(now, ballot, sender)
                 if self.accepted != ballot:
-                    return [(sender.name, Took(ballot, -1, at))]
+                    return [(sender.name, LogAccepted(ballot, -1, at))]
                 if after <= self.last < after + len(entries):
                     self.entries += entries[self.last - after :]
                 self._commit(min(commit, self.last))
-                return [(sender.name, Took(ballot, self.last, at))]
-            case Took(ballot, upto, at):
+                return [(sender.name, LogAccepted(ballot, self.last, at))]
+            case LogAccepted(ballot, upto, at):
                 if (
                     self.leading
                     and self.leading.ready
@@ -267,35 +268,35 @@
                     self.leading.answered[sender] = max(self.leading.answered.get(sender, at), at)
                     self._advance()
                     return self._catch_up(now, sender) if upto < self.last else []
-            case Stale(ballot):
+            case LogRejected(ballot):
                 if self.leading and ballot > self.leading.ballot:
                     self._promise(max(self.promised, ballot))
         return []
 
     # Within
 
-    def _take_over(self, ballot: Number, base: int, snapshot: bytes, entries: tuple[bytes, ...]) -> None:
+    def _take_over(self, ballot: Ballot, base: int, snapshot: bytes, entries: tuple[bytes, ...]) -> None:
         """A whole log, and the state from its snapshot on: after a loss it may lack what was applied here."""
         self.accepted, self.base, self.snapshot, self.entries = ballot, base, snapshot, list(entries)
         self.machine.restore(snapshot)
         self.commit = self.applied = base
 
-    def _promise(self, ballot: Number) -> None:
+    def _promise(self, ballot: Ballot) -> None:
         """Accept nothing lower from now on, and lead no longer under a lower one."""
         self.promised = ballot
         if self.leading and self.leading.ballot < ballot:
             self.leading = None
 
-    def _under(self, now: int, ballot: Number, leader: Member) -> None:
+    def _under(self, now: int, ballot: Ballot, leader: Member) -> None:
         self._promise(ballot)
         self.heard_at, self.leader = now, leader.name
 
-    def _hold(self, ballot: Number) -> Held:
+    def _hold(self, ballot: Ballot) -> LogPromise:
         """Promise, and tell what was accepted."""
         self._promise(ballot)
-        return Held(ballot, self.accepted, self.base, self.snapshot, tuple(self.entries), self.commit)
+        return LogPromise(ballot, self.accepted, self.base, self.snapshot, tuple(self.entries), self.commit)
 
-    def _held(self, sender: Member, held: Held) -> list[Sent]:
+    def _held(self, sender: Member, held: LogPromise) -> list[Sent]:
         if self.leading is None or self.leading.ready or held.ballot != self.leading.ballot:
             return []
         self.leading.held[sender] = held
@@ -333,7 +334,7 @@
         assert self.view is not None and self.leading is not None
         asked = dict.fromkeys((*self.view.voters, *self.view.electors))
         return [
-            (member.name, Gather(self.leading.ballot))
+            (member.name, LogPrepare(self.leading.ballot))
             for member in asked
             if member != self.me and member not in self.leading.held
         ]
@@ -348,9 +349,11 @@
         assert leading is not None
         took = leading.took.get(voter, -1)
         if took < self.base:
-            word: Word = Install(leading.ballot, self.base, self.snapshot, tuple(self.entries), self.commit, now)
+            word: LogMessage = InstallSnapshot(
+                leading.ballot, self.base, self.snapshot, tuple(self.entries), self.commit, now
+            )
         else:
-            word = Append(leading.ballot, took, tuple(self.entries[took - self.base :]), self.commit, now)
+            word = LogAccept(leading.ballot, took, tuple(self.entries[took - self.base :]), self.commit, now)
         return [(voter.name, word)]
 
     def _settled(self) -> int:
--- a/tansykeel/fleet/outbox.py
+++ b/tansykeel/cluster/send_queue.py
@@ -25,7 +25,7 @@
     lasts: int
 
 
-class Outbox:
+class SendQueue:
     """The words to one gateway. Each of them may be lost by what it says, so it may be dropped here too."""
 
     def __init__(self, bounds: Mapping[Urgency, Bound]) -> None:
--- a/tansykeel/fleet/views.py
+++ b/tansykeel/cluster/view_agreement.py
@@ -8,9 +8,9 @@
 
 Who may count its part of a view holds a lease on it, granted by a majority of its voters (quorum leases: Moraru,
 Andersen, Kaminsky, SoCC 2014, here for the membership itself). A view is active once a majority of the voters before
-has said that all its grants are over for good; only then may a next one be accepted. `docs/fleet.md` has the argument,
-`tansykeel.fleet.search` tries every order of events on small fleets. Times are whole tenths of a millisecond of each
-gateway's own monotonic clock.
+has said that all its grants are over for good; only then may a next one be accepted. `docs/cluster.md` has the
+argument, `tansykeel.cluster.model_checker` tries every order of events on small fleets. Times are whole tenths of a
+millisecond of each gateway's own monotonic clock.
 """
 
 from __future__ import annotations
@@ -20,26 +20,26 @@
 from dataclasses import dataclass, field, replace
 from fractions import Fraction
 
-from tansykeel.fleet.membership import (
+from tansykeel.cluster.membership import (
     NEVER,
     NONE,
     SAFE,
     Accept,
     Accepted,
-    Ask,
     Ballot,
     Decided,
-    Done,
     Form,
     Formed,
-    Grant,
+    LeaseGrant,
+    LeaseRequest,
     Member,
-    Message,
     Prepare,
     Promise,
+    Revoked,
     Sent,
     Stepped,
     View,
+    ViewMessage,
     majority,
     step,
     voters_of,
@@ -47,7 +47,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Terms:
+class LeaseTerms:
     """`lease` in tenths; no clock of the fleet runs faster or slower than time by more than its part `drift`."""
 
     lease: int
@@ -79,10 +79,10 @@
         return Accept(number, self.ballot, self.view) if self.asking else Prepare(number, self.ballot)
 
 
-class Agreement:
+class ViewAgreement:
     """One gateway's side of it. Each call gives what is to be sent; whatever is lost is asked for again by `renew`."""
 
-    def __init__(self, me: Member, names: tuple[str, ...], terms: Terms, now: int) -> None:
+    def __init__(self, me: Member, names: tuple[str, ...], terms: LeaseTerms, now: int) -> None:
         self.me, self.names, self.terms = me, names, terms
         self.view: View | None = None
         self.active = False  # no lease on an earlier view can count any more
@@ -137,13 +137,13 @@
         """Ask for the lease anew, and go on with whatever waits for an answer. To be called several times a lease."""
         sent: list[Sent] = []
         if self.view and self.me in self.view.members:
-            sent += self._to(self.view.voters, Ask(self.number, now))
-            sent += self._grant(now, self.me, Ask(self.number, now))
+            sent += self._to(self.view.voters, LeaseRequest(self.number, now))
+            sent += self._grant(now, self.me, LeaseRequest(self.number, now))
         if not self.leased(now) and len(self.names) > 1:
             # Guards against a view that was missed, whose voters are not known here: one after the other is asked.
             others = [name for name in self.names if name != self.me.name]
             self.turns = (self.turns + 1) % len(others)
-            sent.append((others[self.turns], Ask(self.number, now)))
+            sent.append((others[self.turns], LeaseRequest(self.number, now)))
         sent += self._end_grants(now)
         if self.proposal and self.view:
             sent += self._to(self.view.voters, self.proposal.word(self.number))
@@ -184,7 +184,7 @@
 
     # What comes in
 
-    def heard(self, now: int, sender: Member, message: Message) -> list[Sent]:
+    def heard(self, now: int, sender: Member, message: ViewMessage) -> list[Sent]:
         """A message of another gateway, late or repeated as it may be."""
         match message:
             case Decided(view):
@@ -192,15 +192,15 @@
             case Stepped():
                 if message.number == self.number + 1 and self.view:
                     return self._follow(now, message.after(self.view))
-                return [(sender.name, Ask(self.number, now))] if message.number > self.number else []
-            case Done(number):
+                return [(sender.name, LeaseRequest(self.number, now))] if message.number > self.number else []
+            case Revoked(number):
                 self.ended[sender] = max(self.ended.get(sender, 0), number)
                 self._look()
                 if number > self.number:
-                    return [(sender.name, Ask(self.number, now))]
+                    return [(sender.name, LeaseRequest(self.number, now))]
                 # Guards against one that was left out and says it for ever: it need not any more.
                 over = number == self.number and self.active
-                return [(sender.name, Grant(number, NEVER, True))] if over and sender != self.me else []
+                return [(sender.name, LeaseGrant(number, NEVER, True))] if over and sender != self.me else []
             case Form(view, without):
                 # Guards against two views with one number: a forming gateway that restarts may use its stamp again.
                 if view == self.formed or self._all_named(view.members, without) and self._takes_up(now, view):
@@ -215,15 +215,17 @@
         if message.number < self.number and self.view:
             return [(sender.name, Decided(self.view))]  # of an older epoch: refused, and told of the newer one
         if message.number > self.number:
-            return [(sender.name, Ask(self.number, now))]  # which will be refused, with the view that is missed here
+            return [
+                (sender.name, LeaseRequest(self.number, now))
+            ]  # which will be refused, with the view that is missed here
         if self.view is None or sender not in self.view.members:
             return []
-        if isinstance(message, Grant | Promise | Accepted) and sender not in self.view.voters:
+        if isinstance(message, LeaseGrant | Promise | Accepted) and sender not in self.view.voters:
             return []
         match message:
-            case Ask():
+            case LeaseRequest():
                 return self._grant(now, sender, message)
-            case Grant(_, at, active):
+            case LeaseGrant(_, at, active):
                 self.grants[sender] = max(self.grants.get(sender, 0), at + self.terms.holds())
                 self.active = self.active or active
                 return []
@@ -236,7 +238,7 @@
                 return self._accepted(now, sender, message)
         return []
 
-    def copy(self) -> Agreement:
+    def copy(self) -> ViewAgreement:
         """One that goes its own way from here on."""
         made = copy(self)
         made.grants, made.ended = dict(self.grants), dict(self.ended)
@@ -277,7 +279,7 @@
 
     # Within
 
-    def _to(self, members: Iterable[Member], message: Message) -> list[Sent]:
+    def _to(self, members: Iterable[Member], message: ViewMessage) -> list[Sent]:
         return [(member.name, message) for member in members if member.name != self.me.name]
 
     def _put(self, now: int, proposal: Proposal, view: View) -> list[Sent]:
@@ -288,14 +290,14 @@
             sent += self.heard(now, self.me, answer)
         return sent
 
-    def _grant(self, now: int, member: Member, ask: Ask) -> list[Sent]:
+    def _grant(self, now: int, member: Member, ask: LeaseRequest) -> list[Sent]:
         if self.view is None or ask.number != self.number or self.me not in self.view.voters:
             return []
         self.bound = max(self.bound, now + self.terms.binds())
         if member == self.me:
             self.grants[member] = ask.at + self.terms.holds()
             return []
-        return [(member.name, Grant(ask.number, ask.at, self.active))]
+        return [(member.name, LeaseGrant(ask.number, ask.at, self.active))]
 
     def _vote(self, message: Prepare | Accept) -> Promise | Accepted | None:
         # Guards against two steps at once: leases on the view before the present one might still count.
@@ -376,7 +378,7 @@
             self.ended[self.me] = self.number
             self._look()
         enders, _ = self.view.enders()
-        return self._to(self.view.voters, Done(self.number)) if self.me in enders else []
+        return self._to(self.view.voters, Revoked(self.number)) if self.me in enders else []
 
     def _look(self) -> None:
         if self.view and not self.active:
--- a/tansykeel/edge/ask.py
+++ b/tansykeel/edge/ask.py
@@ -4,8 +4,8 @@
 
 import asyncio
 
-from tansykeel.accord.words import Word, WordError, packed, unpacked
 from tansykeel.errors import NOT_PLAYED, Problem
+from tansykeel.maintenance.messages import Word, WordError, packed, unpacked
 from tansykeel.protocol.codec import Codec, Event, Frame
 from tansykeel.protocol.frames import Accord, AccordTold, Error, Fields, FleetAsk, FleetTold, FleetWithout, Hello
 from tansykeel.transport.link import Hub, Limits, Link
--- a/tansykeel/edge/fellows.py
+++ b/tansykeel/edge/cluster_agent.py
@@ -1,4 +1,4 @@
-"""A running gateway among its fellows: the keeper on the program's clock and connections, and what is logged of it."""
+"""Runs a cluster member on the program's clock and connections, and logs what changes."""
 
 from __future__ import annotations
 
@@ -7,24 +7,24 @@
 from random import Random
 from typing import Any
 
+from tansykeel.cluster.gossip import MemberState
+from tansykeel.cluster.member import ClusterMessage
+from tansykeel.cluster.membership import Member, View
+from tansykeel.cluster.messages import number_of, packed, unpacked, urgency_of
+from tansykeel.cluster.replicated_log import StateMachine
+from tansykeel.cluster.send_queue import Urgency
 from tansykeel.edge.clock import EPOCH, Reminder, clock
 from tansykeel.edge.peers import Peers
-from tansykeel.fleet.keeper import Said
-from tansykeel.fleet.ledger import Machine
-from tansykeel.fleet.membership import Member, View
-from tansykeel.fleet.news import Seems
-from tansykeel.fleet.outbox import Urgency
-from tansykeel.fleet.words import number_of, packed, unpacked, urgency_of
 from tansykeel.protocol.frames import Fellow, FleetTold, Hello, ProtocolError, Watch
-from tansykeel.settings.fleet import keeper_of
+from tansykeel.settings.cluster import cluster_member_of
 from tansykeel.settings.records import PeersOf
 
 MICROS = 100  # microseconds in a tenth
-SEEMS = {Seems.ALIVE: "alive", Seems.SUSPECT: "suspect", Seems.DEAD: "dead"}
+SEEMS = {MemberState.ALIVE: "alive", MemberState.SUSPECT: "suspect", MemberState.DEAD: "dead"}
 Counted = Callable[[int, str, int, int, Fraction, int], None]  # at, who, life, view, part, until; microseconds
 
 
-class Fellows:
+class ClusterAgent:
     """`counted` hears of each change of what this gateway counts as its own."""
 
     def __init__(
@@ -38,13 +38,15 @@
         log: Any,
         wall_ms: Callable[[], int],
         counted: Counted | None = None,
-        machine: Machine | None = None,
+        machine: StateMachine | None = None,
     ) -> None:
         self.names, self.peers, self.log, self.wall_ms, self.counted = names, peers, log, wall_ms, counted
         self.numbers = {name: number for number, name in enumerate(names)}
-        self.keeper = keeper_of(settings, names, me, hello.boot, Random(f"{seed} {hello.boot}"), clock(), machine)
+        self.cluster_member = cluster_member_of(
+            settings, names, me, hello.boot, Random(f"{seed} {hello.boot}"), clock(), machine
+        )
         self.reminder = Reminder(self._tick)
-        self.seems = dict.fromkeys(names, Seems.ALIVE)
+        self.seems = dict.fromkeys(names, MemberState.ALIVE)
         self.view: View | None = None
         self.leased = self.ended = False
         self.told: tuple[int, Fraction, int] | None = None
@@ -52,55 +54,55 @@
     def start(self) -> None:
         self._done(clock(), [])
 
-    def say(self, sent: list[tuple[str, Said]]) -> None:
-        """What the keeper wants said beside its own steps."""
+    def say(self, sent: list[tuple[str, ClusterMessage]]) -> None:
+        """Send what the cluster member wants said beside its own steps."""
         self._done(clock(), sent)
 
     def leave(self) -> None:
-        self._done(clock(), self.keeper.leave(clock()))
+        self._done(clock(), self.cluster_member.leave(clock()))
 
     def end(self) -> None:
         self.ended = True
 
     def heard(self, hello: Hello, watch: Watch) -> None:
         """A word of the gateway that said this hello. Raises ProtocolError for one that is none."""
-        if self.ended or hello.name not in self.numbers or hello.name == self.keeper.me.name:
+        if self.ended or hello.name not in self.numbers or hello.name == self.cluster_member.me.name:
             return
         try:
             word = unpacked(watch.what, watch.word)
         except ValueError as error:
             raise ProtocolError(f"WATCH: {error}") from None
-        place, now = self.keeper.places[hello.name], clock()
-        self._done(now, self.keeper.heard(now, Member(hello.name, hello.boot, place.zone, place.weight), word))
+        place, now = self.cluster_member.places[hello.name], clock()
+        self._done(now, self.cluster_member.heard(now, Member(hello.name, hello.boot, place.zone, place.weight), word))
 
     def told_of(self) -> FleetTold:
         """What this gateway believes, for an operator."""
-        now, keeper = clock(), self.keeper
-        agreement, view = keeper.agreement, keeper.agreement.view
+        now, cluster_member = clock(), self.cluster_member
+        agreement, view = cluster_member.agreement, cluster_member.agreement.view
         others = []
-        for other in keeper.liveness.others.values():
+        for other in cluster_member.failure_detector.others.values():
             peer = self.peers.by_name[other.name]
             others.append(
                 Fellow(
                     other.name,
-                    keeper.places[other.name].zone,
+                    cluster_member.places[other.name].zone,
                     SEEMS[other.seems] if other.life else "unseen",  # type: ignore[arg-type]
                     (now - other.since) * MICROS,
                     other.life,
                     tuple(sorted(other.suspected_by)),
                     peer.state(),  # type: ignore[arg-type]
-                    len(peer.outbox),
-                    sum(peer.outbox.dropped.values()),
+                    len(peer.send_queue),
+                    sum(peer.send_queue.dropped.values()),
                 )
             )
         return FleetTold(
-            keeper.me.name,
-            keeper.me.incarnation,
+            cluster_member.me.name,
+            cluster_member.me.incarnation,
             agreement.number,
             agreement.active,
             max(agreement.until() - now, 0) * MICROS,
             float(agreement.part(now)),
-            keeper.liveness.doubt,
+            cluster_member.failure_detector.doubt,
             tuple((m.name, m.incarnation) for m in view.members) if view else (),
             tuple(v.name for v in view.voters) if view else (),
             tuple(others),
@@ -111,27 +113,27 @@
     def _tick(self, now: int) -> None:
         if self.ended:
             return
-        sent: list[tuple[str, Said]] = []
-        if now >= self.keeper.due():
-            sent = self.keeper.tick(now, self.wall_ms())
+        sent: list[tuple[str, ClusterMessage]] = []
+        if now >= self.cluster_member.due():
+            sent = self.cluster_member.tick(now, self.wall_ms())
         self._done(now, sent)
 
-    def _done(self, now: int, sent: list[tuple[str, Said]]) -> None:
+    def _done(self, now: int, sent: list[tuple[str, ClusterMessage]]) -> None:
         self._look(now)
         for name, word in sent:
             self.peers.tell(self.numbers[name], urgency_of(word), Watch(*packed(word)))
-        self.reminder.set(max(self.keeper.due(), now + 1))
+        self.reminder.set(max(self.cluster_member.due(), now + 1))
 
     def _look(self, now: int) -> None:
         """Say what changed since it was looked at last."""
-        agreement = self.keeper.agreement
+        agreement = self.cluster_member.agreement
         if agreement.view is not self.view:
             self._followed(self.view, agreement.view)
             self.view = agreement.view
         if (leased := agreement.leased(now)) is not self.leased:
             self.leased = leased
             self.log.info("lease", held=leased, view=agreement.number, part=float(agreement.part(now)))
-        for other in self.keeper.liveness.changes():
+        for other in self.cluster_member.failure_detector.changes():
             if other.seems is not self.seems[other.name]:
                 self.seems[other.name] = other.seems
                 self.log.info(
@@ -141,14 +143,14 @@
                     suspected_by=sorted(other.suspected_by) or None,
                     view=agreement.number,
                 )
-                if other.seems is Seems.DEAD:
+                if other.seems is MemberState.DEAD:
                     self.peers.by_name[other.name].drop("it is called dead")
-        if self.counted and self.keeper.counted != self.told:
-            self.told = number, part, until = self.keeper.counted
+        if self.counted and self.cluster_member.counted != self.told:
+            self.told = number, part, until = self.cluster_member.counted
             self.counted(
                 (now - EPOCH) * MICROS,
-                self.keeper.me.name,
-                self.keeper.me.incarnation,
+                self.cluster_member.me.name,
+                self.cluster_member.me.incarnation,
                 number,
                 part,
                 max(until - EPOCH, 0) * MICROS,
@@ -158,7 +160,7 @@
         """Guards against words of an older view that wait still: their receivers would refuse them."""
         assert view is not None
         for peer in self.peers.others.values():
-            peer.outbox.drop(Urgency.PROMISE, lambda watch: self._older(watch, view.number))
+            peer.send_queue.drop(Urgency.PROMISE, lambda watch: self._older(watch, view.number))
         was, now = set(before.members if before else ()), set(view.members)
         left = {member.name: SEEMS[self.seems[member.name]] for member in was - now if member.name in self.seems}
         cause = (
--- a/tansykeel/edge/leave.py
+++ b/tansykeel/edge/maintenance.py
@@ -1,22 +1,22 @@
-"""A running gateway's part in leave: its steward on the program's clock, agents and operators answered, its figures."""
+"""Runs the maintenance controller on the program's clock: answers agents and operators, passes on figures."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from typing import Any
 
-from tansykeel.accord.comparing import Seen
-from tansykeel.accord.entries import Recover, packed
-from tansykeel.accord.room import Place
-from tansykeel.accord.state import State
-from tansykeel.accord.steward import Ask, Steward
-from tansykeel.accord.words import Elsewhere, Figures, Offered, Status, StatusAsk, Taken, Wait, Word
+from tansykeel.cluster.gossip import MemberState
+from tansykeel.cluster.member import ClusterMember, Sent
 from tansykeel.edge.clock import clock
 from tansykeel.edge.core import Core
-from tansykeel.fleet.keeper import Keeper, Sent
-from tansykeel.fleet.news import Seems
 from tansykeel.interface import State as StoreState
-from tansykeel.settings.fleet import bounds_of, comparing_of, pace_of
+from tansykeel.maintenance.canary_analysis import Seen
+from tansykeel.maintenance.controller import Ask, Controller
+from tansykeel.maintenance.disruption_budget import Place
+from tansykeel.maintenance.entries import Recover, packed
+from tansykeel.maintenance.messages import Elsewhere, Figures, Offered, Status, StatusAsk, Taken, Wait, Word
+from tansykeel.maintenance.state import State
+from tansykeel.settings.cluster import bounds_of, comparing_of, pace_of
 from tansykeel.settings.records import AccordOf
 
 LOOKS_EVERY = 0.2  # seconds
@@ -26,13 +26,13 @@
 
 
 class Leave:
-    """`tell(name, word)` to another gateway; `sent` takes what the keeper wants said."""
+    """`tell(name, word)` to another gateway; `sent` takes what the cluster member wants said."""
 
     def __init__(
         self,
         settings: AccordOf,
         state: State,
-        keeper: Keeper,
+        cluster_member: ClusterMember,
         core: Core,
         addresses: dict[str, str],
         served: dict[str, list[int]],
@@ -40,9 +40,15 @@
         sent: Callable[[list[Sent]], None],
         log: Any,
     ) -> None:
-        self.state, self.keeper, self.core, self.addresses, self.served = state, keeper, core, addresses, served
+        self.state, self.cluster_member, self.core, self.addresses, self.served = (
+            state,
+            cluster_member,
+            core,
+            addresses,
+            served,
+        )
         self.tell, self.sent, self.log = tell, sent, log
-        self.steward = Steward(state, pace_of(settings), comparing_of(settings), len(core.facts.categories))
+        self.controller = Controller(state, pace_of(settings), comparing_of(settings), len(core.facts.categories))
         self.bounds = bounds_of(settings)
         self.pending: dict[str, tuple[int, Reply]] = {}  # agents that wait for a majority, by name: since when
         self.stretch = 0
@@ -52,25 +58,25 @@
 
     def look(self) -> None:
         """To be called every LOOKS_EVERY."""
-        now, book = clock(), self.keeper.ledger
+        now, book = clock(), self.cluster_member.replicated_log
         assert book is not None
         if book.leads is not self.led:
             self.led = book.leads
-            self.log.info("ledger", leads=self.led, view=self.keeper.agreement.number, entries=book.last)
-        self.steward.leads(now, book.leads)
+            self.log.info("ledger", leads=self.led, view=self.cluster_member.agreement.number, entries=book.last)
+        self.controller.leads(now, book.leads)
         if now // STRETCH != self.stretch:
             self.stretch = now // STRETCH
             self._figures()
         if book.leads:
             gone, alive = self._seen()
-            for entry in self.steward.wants(now, self._places(), self.bounds, gone, alive):
-                self.sent(self.keeper.offer(now, packed(entry))[1])
+            for entry in self.controller.wants(now, self._places(), self.bounds, gone, alive):
+                self.sent(self.cluster_member.offer(now, packed(entry))[1])
         for name, (since, reply) in list(self.pending.items()):
             self._answer(now, name, since, reply)
 
     def heard(self, word: Word, reply: Reply) -> None:
         """An agent or an operator says something; what gateways say comes by `told_by`."""
-        now, book = clock(), self.keeper.ledger
+        now, book = clock(), self.cluster_member.replicated_log
         assert book is not None
         match word:
             case Offered(entry) if isinstance(entry, Recover) and not book.carried and not book.leads:
@@ -80,7 +86,7 @@
             case _ if not book.leads:
                 reply(Elsewhere(book.leader, self.addresses.get(book.leader, "")))
             case Ask():
-                self.steward.asked(now, word)
+                self.controller.asked(now, word)
                 self.pending[word.name] = now, reply
                 self._answer(now, word.name, now, reply)
             case StatusAsk():
@@ -88,17 +94,17 @@
                 steps = release.steps()[:1] if release else []
                 reply(
                     Status(
-                        self.keeper.me.name,
-                        self.keeper.agreement.number,
+                        self.cluster_member.me.name,
+                        self.cluster_member.agreement.number,
                         book.last,
                         self.state.kept,
                         tuple(self.state.against(steps[0])) if steps else (),
                     )
                 )
             case Offered(entry):
-                if isinstance(entry, Recover) and self.steward.recover(now, entry.out, entry.by) is None:
+                if isinstance(entry, Recover) and self.controller.recover(now, entry.out, entry.by) is None:
                     return reply(Taken(False, "orders of before may still be obeyed; legal: a few seconds later"))
-                added, sent = self.keeper.offer(now, packed(entry))
+                added, sent = self.cluster_member.offer(now, packed(entry))
                 self.sent(sent)
                 reply(Taken(added))
 
@@ -108,19 +114,19 @@
     # Within
 
     def _answer(self, now: int, name: str, since: int, reply: Reply) -> None:
-        book = self.keeper.ledger
+        book = self.cluster_member.replicated_log
         assert book is not None
         out = self.state.kept.out.get(name)
-        if (order := self.steward.answer(now, name, book.confirmed(now))) is not None:
+        if (order := self.controller.answer(now, name, book.confirmed(now))) is not None:
             reply(order)
-        elif out is not None and book.leads and now - since < self.steward.pace.patience:
+        elif out is not None and book.leads and now - since < self.controller.pace.patience:
             return  # until a majority has confirmed that this gateway leads, or it is too late
         else:
             reply(Wait(tuple(self.state.against(name))))
         self.pending.pop(name, None)
 
     def _places(self) -> dict[str, Place]:
-        gateways = {name: Place(name, "gateway", place.zone) for name, place in self.keeper.places.items()}
+        gateways = {name: Place(name, "gateway", place.zone) for name, place in self.cluster_member.places.items()}
         stores = {
             str(store.handle): Place(str(store.handle), "store", store.zone, store.shard)
             for store in self.core.stores.values()
@@ -131,15 +137,15 @@
     def _seen(self) -> tuple[dict[str, str], list[str]]:
         """Who went unasked and how, and who of those that did is there and whole."""
         now, cold = self.core.runner.now, self.core.facts.cold
-        others = self.keeper.liveness.others.values()
-        gone = {other.name: "died" for other in others if other.seems is Seems.DEAD}
-        alive = [other.name for other in others if other.seems is Seems.ALIVE and other.life]
+        others = self.cluster_member.failure_detector.others.values()
+        gone = {other.name: "died" for other in others if other.seems is MemberState.DEAD}
+        alive = [other.name for other in others if other.seems is MemberState.ALIVE and other.life]
         for name, store in self.core.stores.items():
             if store.state is not StoreState.READY:
                 gone[name] = "drains" if store.state is StoreState.DRAINING else "is gone"
             elif not cold or not store.started or now - store.started >= cold.warm_after + cold.span:
                 alive.append(name)
-        return gone, [*alive, self.keeper.me.name]
+        return gone, [*alive, self.cluster_member.me.name]
 
     def _figures(self) -> None:
         """Tell whoever leads what was served in the last stretch; a leader compares those that are whole."""
@@ -151,11 +157,11 @@
             for name, of in counts.items()
         }
         self.before = counts
-        book = self.keeper.ledger
+        book = self.cluster_member.replicated_log
         assert book is not None
         word = Figures(self.stretch - 1, {name: seen for name, seen in last.items() if seen.tasks})
         if book.leads:
-            self.told_by(self.keeper.me.name, word)
+            self.told_by(self.cluster_member.me.name, word)
         elif book.leader:
             self.tell(book.leader, word)
         for stretch in [stretch for stretch in self.figures if stretch <= self.stretch - KEPT]:
@@ -170,10 +176,10 @@
         newer = {name for name in release.went if name not in release.returned}
         sides: tuple[dict[tuple[str, int], Seen], dict[tuple[str, int], Seen]] = ({}, {})
         for name, by_class in told.items():
-            if name in self.state.kept.out or name not in self.keeper.places:
+            if name in self.state.kept.out or name not in self.cluster_member.places:
                 continue
-            side, zone = sides[name not in newer], self.keeper.places[name].zone
+            side, zone = sides[name not in newer], self.cluster_member.places[name].zone
             for of, seen in by_class.items():
                 was = side.get((of, zone), Seen(0, 0))
                 side[of, zone] = Seen(was.tasks + seen.tasks, was.served + min(seen.served, seen.tasks))
-        self.steward.figures(clock(), *sides)
+        self.controller.figures(clock(), *sides)
--- a/tansykeel/edge/peers.py
+++ b/tansykeel/edge/peers.py
@@ -13,8 +13,8 @@
 
 import msgspec
 
+from tansykeel.cluster.send_queue import Bound, SendQueue, Urgency
 from tansykeel.edge.clock import clock
-from tansykeel.fleet.outbox import Bound, Outbox, Urgency
 from tansykeel.protocol.codec import Codec, Event, Frame
 from tansykeel.protocol.frames import Fields, Hello
 from tansykeel.settings.records import PeersOf
@@ -43,10 +43,10 @@
         self.opening: asyncio.Task[None] | None = None
         self.pumping: asyncio.TimerHandle | None = None
         self.tried = 0.0
-        self.outbox = Outbox(BOUNDS)
+        self.send_queue = SendQueue(BOUNDS)
 
     def tell(self, urgency: Urgency, record: Fields) -> None:
-        self.outbox.put(clock(), urgency, record)
+        self.send_queue.put(clock(), urgency, record)
         self._pump()
 
     def state(self) -> str:
@@ -85,12 +85,12 @@
         self.pumping = None
         if self._up():
             assert self.link is not None
-            while self.link.outgoing.held < MOST_HELD and (record := self.outbox.take(clock())) is not None:
+            while self.link.outgoing.held < MOST_HELD and (record := self.send_queue.take(clock())) is not None:
                 self.link.send(0, record)
-            if self.outbox:
+            if self.send_queue:
                 self._pump_in(PUMP)
             return
-        if self.opening is None and self.outbox:
+        if self.opening is None and self.send_queue:
             loop = asyncio.get_running_loop()
             if loop.time() < self.tried + REST:
                 return self._pump_in(REST)
--- a/tansykeel/edge/program.py
+++ b/tansykeel/edge/program.py
@@ -10,23 +10,23 @@
 
 import structlog
 
-from tansykeel.accord.state import State
-from tansykeel.accord.words import Figures, WordError, packed, unpacked
-from tansykeel.accord.words import Word as AccordWord
 from tansykeel.brain import Scheduler
+from tansykeel.cluster.member import MemberStillAlive
+from tansykeel.cluster.send_queue import Urgency
 from tansykeel.edge.clock import Reminder, clock
+from tansykeel.edge.cluster_agent import ClusterAgent, Counted
 from tansykeel.edge.core import Core
-from tansykeel.edge.fellows import Counted, Fellows
-from tansykeel.edge.leave import LOOKS_EVERY, Leave
 from tansykeel.edge.listing import Listing
+from tansykeel.edge.maintenance import LOOKS_EVERY, Leave
 from tansykeel.edge.native import Native, answer_of, bounds_of, known_of
 from tansykeel.edge.peers import Peers
 from tansykeel.edge.stores import Stores
 from tansykeel.edge.tasks import DELIVERED, Attempt, Decisions, Final, Held, StillHeld
 from tansykeel.edge.trace import Trace
-from tansykeel.fleet.keeper import NotGone
-from tansykeel.fleet.outbox import Urgency
 from tansykeel.interface import Facts, Word
+from tansykeel.maintenance.messages import Figures, WordError, packed, unpacked
+from tansykeel.maintenance.messages import Word as AccordWord
+from tansykeel.maintenance.state import State
 from tansykeel.protocol.codec import Codec, Event, Piece
 from tansykeel.protocol.frames import (
     Accord,
@@ -79,13 +79,13 @@
         self.native = Native(settings, facts)
         self.peers: Peers | None = None
         state: State | None = None
-        self.fellows: Fellows | None = None
+        self.cluster_agent: ClusterAgent | None = None
         if settings.peers:
             names = settings.names()
             self.peers = Peers(settings.peers, names, facts.me, self.hub, self.hello, self._word)
             if settings.peers.agree:
                 state = State() if settings.accord else None
-                self.fellows = Fellows(
+                self.cluster_agent = ClusterAgent(
                     settings.peers,
                     names,
                     facts.me,
@@ -106,20 +106,20 @@
             self.native,
             known_of(settings),
             decide,
-            self.fellows.keeper.parts if self.fellows else None,
+            self.cluster_agent.cluster_member.parts if self.cluster_agent else None,
         )
         self.served: dict[str, list[int]] = {}  # by category: answered, and of those delivered in time
         self.leave: Leave | None = None
-        if self.fellows and settings.accord and settings.peers and state:
+        if self.cluster_agent and settings.accord and settings.peers and state:
             self.leave = Leave(
                 settings.accord,
                 state,
-                self.fellows.keeper,
+                self.cluster_agent.cluster_member,
                 self.core,
                 dict(zip(settings.names(), settings.peers.addresses, strict=True)),
                 self.served,
                 self._tell_gateway,
-                lambda sent: self.fellows.say(sent) if self.fellows else None,
+                lambda sent: self.cluster_agent.say(sent) if self.cluster_agent else None,
                 self.log,
             )
         self.stores = Stores(self.core, self.hub, self.gateway, self.hello, clock)
@@ -140,16 +140,16 @@
             if self._asked or self.settings.listing.mode == "push":
                 self.listing.ask()
         port = listener.getsockname()[1]
-        if self.fellows:
-            self.fellows.start()
+        if self.cluster_agent:
+            self.cluster_agent.start()
         self.log.info("ready", port=port)
         ready(port)
         await self.stopping.wait()
         self.log.info("stopping", held=len(self.core.held))
         accepting.cancel()
         self.core.stop()
-        if self.fellows:
-            self.fellows.leave()
+        if self.cluster_agent:
+            self.cluster_agent.leave()
         await asyncio.sleep(0)
         listener.close()
         for link in list(self.clients):
@@ -167,8 +167,8 @@
         looking.cancel()
         if self.listing:
             self.listing.end()
-        if self.fellows:
-            self.fellows.end()
+        if self.cluster_agent:
+            self.cluster_agent.end()
         if self.peers:
             self.peers.end()
         await self.hub.stop()
@@ -260,18 +260,18 @@
             case Accord() as said:
                 self._accord(link, event.stream, said)
             case FleetAsk() | FleetWithout() as told:
-                if self.fellows is None:
+                if self.cluster_agent is None:
                     raise ProtocolError(
                         "FLEET_ASK: this gateway agrees with no others; legal: one whose settings have "
                         "peers(agree = True)"
                     )
                 if isinstance(told, FleetWithout):
                     try:
-                        self.fellows.keeper.go_without(told.names)
-                    except NotGone as error:
+                        self.cluster_agent.cluster_member.go_without(told.names)
+                    except MemberStillAlive as error:
                         raise ProtocolError(f"FLEET_WITHOUT: {error}; {error.do}") from None
                     self.log.info("goes without", names=list(told.names))
-                link.send(event.stream, self.fellows.told_of())
+                link.send(event.stream, self.cluster_agent.told_of())
 
     def _word(self, link: Link, word: Any) -> None:
         """Another gateway says something, on whichever connection there is."""
@@ -280,8 +280,8 @@
                 if told := self.native.word_of(word):
                     self.core.heard(clock(), word.sender, told)
             case Watch():
-                if self.fellows and link.peer:
-                    self.fellows.heard(link.peer, word)
+                if self.cluster_agent and link.peer:
+                    self.cluster_agent.heard(link.peer, word)
             case Accord():
                 self._accord(link, 0, word)
             case Goodbye():
--- a/tansykeel/emulator/watching.py
+++ b/tansykeel/emulator/cluster_simulation.py
@@ -11,13 +11,13 @@
 
 import numpy
 
+from tansykeel.cluster.failure_detector import SECOND, Pace
+from tansykeel.cluster.gossip import MemberState
+from tansykeel.cluster.member import ClusterMember, ClusterMessage, Place, Sent
+from tansykeel.cluster.membership import Member
+from tansykeel.cluster.messages import packed
+from tansykeel.cluster.view_agreement import LeaseTerms
 from tansykeel.emulator.engine import START, Engine, NoEnd
-from tansykeel.fleet.keeper import Keeper, Place, Said, Sent
-from tansykeel.fleet.liveness import SECOND, Pace
-from tansykeel.fleet.membership import Member
-from tansykeel.fleet.news import Seems
-from tansykeel.fleet.views import Terms
-from tansykeel.fleet.words import packed
 from tansykeel.rehearse.load import stream
 
 TENTH = 100  # microseconds
@@ -26,7 +26,7 @@
 SAMPLE = 500_000  # microseconds between looks at the sum of all parts
 HEADER = 28  # bytes that a datagram has beside what is told
 MOST_EVENTS = 50_000_000
-PACE, TERMS = Pace(), Terms(lease=4 * SECOND)
+PACE, TERMS = Pace(), LeaseTerms(lease=4 * SECOND)
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,7 +67,7 @@
 
 
 class Watchers:
-    def __init__(self, trial: Trial, seed: int, pace: Pace = PACE, terms: Terms = TERMS) -> None:
+    def __init__(self, trial: Trial, seed: int, pace: Pace = PACE, terms: LeaseTerms = TERMS) -> None:
         self.trial, self.engine, self.chance = trial, Engine(), stream(seed, WATCHING)
         self.names = [f"edge-{n}" for n in range(trial.gateways)]
         self.bytes = 0  # in the second half, when the news of the start have been told
@@ -78,17 +78,17 @@
         self.known: dict[str, dict[str, int]] = {}
         self.until: dict[str, int] = {}  # stands still until
         self.stalls = set(self.names[: int(trial.stalled * trial.gateways)])
-        self.seen: dict[str, dict[str, Seems]] = {name: {} for name in self.names}
+        self.seen: dict[str, dict[str, MemberState]] = {name: {} for name in self.names}
         self.without: dict[str, dict[str, int]] = {}
         self.numbers: set[int] = set()
         self.most, self.sums = Fraction(0), list[float]()
         self.whole = Fraction(0)  # the sum of what is believed
         self.marks: list[tuple[float, str]] = []  # seconds from when things are counted: who died, or came back
-        self.spent = 0.0  # CPU seconds in the keepers, in the second half
+        self.spent = 0.0  # CPU seconds in the cluster members, in the second half
         self.believed = dict.fromkeys(self.names, Fraction(0))  # what each counted when it was last looked at
         self.seed, self.pace, self.terms = seed, pace, terms
         self.places = {name: Place(n % trial.zones) for n, name in enumerate(self.names)}
-        self.all = {name: self._keeper(name) for name in self.names}
+        self.all = {name: self._make_member(name) for name in self.names}
 
     def now(self) -> int:
         return self.engine.now // TENTH
@@ -96,9 +96,9 @@
     def wall_ms(self) -> int:
         return self.engine.now // 1_000
 
-    def _keeper(self, name: str) -> Keeper:
+    def _make_member(self, name: str) -> ClusterMember:
         chance = Random(self.seed * 10**9 + self.names.index(name) * 1_000 + self.wall_ms() % 1_000)
-        return Keeper(name, self.places, self.wall_ms(), self.pace, self.terms, chance, self.now())
+        return ClusterMember(name, self.places, self.wall_ms(), self.pace, self.terms, chance, self.now())
 
     def play(self) -> Seen:
         trial = self.trial
@@ -128,7 +128,7 @@
         )
 
     def cpu_us(self) -> float:
-        """Microseconds of this machine's CPU that a keeper took in a second, in the mean; not the same twice."""
+        """Mean microseconds of CPU that a cluster member took in a second on this machine; not the same twice."""
         return self.spent * 1e6 / self.trial.gateways / (self.trial.seconds / 2)
 
     def _since_death(self, by_dead: dict[str, dict[str, int]]) -> tuple[float, float]:
@@ -148,7 +148,7 @@
         self._do_due(name)
         self._arm(name)
 
-    def _send(self, name: str, words: list[tuple[str, Said]]) -> None:
+    def _send(self, name: str, words: list[tuple[str, ClusterMessage]]) -> None:
         sender = self.all[name].me
         for to, word in words:
             if self.engine.now >= self.half:
@@ -157,7 +157,7 @@
                 way = int(self.trial.way_ms * 1000 * (0.5 + self.chance.random()))
                 self.engine.after(way, self._arrive, to, sender, word)
 
-    def _arrive(self, to: str, sender: Member, word: Said) -> None:
+    def _arrive(self, to: str, sender: Member, word: ClusterMessage) -> None:
         if to in self.died:
             return
         if (until := self.until.get(to, 0)) > self.engine.now:
@@ -188,15 +188,17 @@
         """What this gateway has come to believe of others since it was looked at."""
         believes, counted = self.seen[name], self.engine.now >= self.first
         self._audit(name)
-        for other in self.all[name].liveness.changes():
+        for other in self.all[name].failure_detector.changes():
             if believes.get(other.name) is other.seems:
                 continue
             believes[other.name] = other.seems
             if other.name in self.died:
-                if other.seems is Seems.DEAD:
+                if other.seems is MemberState.DEAD:
                     self.known[other.name].setdefault(name, self.now())
-            elif counted and other.name not in self.stalls and other.seems is not Seems.ALIVE:
-                (self.suspicions if other.seems is Seems.SUSPECT else self.deaths).add((other.name, other.denials))
+            elif counted and other.name not in self.stalls and other.seems is not MemberState.ALIVE:
+                (self.suspicions if other.seems is MemberState.SUSPECT else self.deaths).add(
+                    (other.name, other.denials)
+                )
 
     def _audit(self, name: str) -> None:
         """Parts shrink by themselves and grow only at what a gateway does, so the sum is judged then."""
@@ -238,7 +240,7 @@
     def _back(self, name: str) -> None:
         self.marks.append((self.seconds(), f"{name} is back"))
         del self.died[name], self.known[name], self.without[name]
-        self.all[name] = self._keeper(name)
+        self.all[name] = self._make_member(name)
         self._arm(name)
 
     def _stall_at(self, moment: int, name: str) -> None:
--- a/tansykeel/emulator/gateway.py
+++ b/tansykeel/emulator/gateway.py
@@ -9,19 +9,18 @@
 from typing import Any
 
 from tansykeel.audit.records import Counted, Listed, Said
+from tansykeel.cluster.member import ClusterMember, ClusterMessage
+from tansykeel.cluster.member import Sent as FleetSent
+from tansykeel.cluster.membership import Member
+from tansykeel.cluster.messages import packed
 from tansykeel.edge.core import Core
 from tansykeel.edge.native import Native, answer_of, bounds_of, hand_off_of, known_of
 from tansykeel.edge.tasks import Attempt, Final, Held
 from tansykeel.emulator.scene import Scene
 from tansykeel.emulator.ways import Conn, GatewayEnd, Line, StoreEnd
-from tansykeel.fleet.keeper import Keeper
-from tansykeel.fleet.keeper import Said as FleetWord
-from tansykeel.fleet.keeper import Sent as FleetSent
-from tansykeel.fleet.membership import Member
-from tansykeel.fleet.words import packed
 from tansykeel.interface import How, Word
 from tansykeel.protocol.frames import HEAD_BYTES, Hello, ListOf, Row, Share, TaskOf
-from tansykeel.settings.fleet import keeper_of
+from tansykeel.settings.cluster import cluster_member_of
 from tansykeel.standin.behaviour import Work
 from tansykeel.standin.book import Book
 
@@ -37,7 +36,7 @@
         self.engine = scene.engine
         self.life = 0
         self.alive = self.stalled = self.ending = False
-        self.fellow: Fellow | None = None
+        self.fellow: ClusterMemberHost | None = None
 
     def start(self) -> None:
         """Start, or start again with nothing known but the settings and the list."""
@@ -51,7 +50,7 @@
         scene = self.scene
         facts = scene.facts[self.index]
         self.native = Native(scene.settings, facts)
-        self.fellow = Fellow(self) if scene.settings.peers and scene.settings.peers.agree else None
+        self.fellow = ClusterMemberHost(self) if scene.settings.peers and scene.settings.peers.agree else None
         self.core = Core(
             facts,
             scene.seed * 1000 + self.index,
@@ -61,13 +60,13 @@
             self.native,
             known_of(scene.settings),
             scene.decide,
-            self.fellow.keeper.parts if self.fellow else None,
+            self.fellow.cluster_member.parts if self.fellow else None,
         )
         if self.asked or scene.day.fleet.list_mode == "push":
             self.ask_list()
 
     def end(self) -> None:
-        """Told to end: it takes no more, says so to its fellows, answers what it holds and is gone."""
+        """Told to end: it takes no more, says so to the other gateways, answers what it holds and is gone."""
         self.ending = True
         self.alive = False  # clients that were told so go to others
         self.core.stop()
@@ -134,7 +133,7 @@
     def list_lost(self) -> None:
         self.core.list_lost(self.clock())
 
-    def word(self, sender: Member, word: FleetWord) -> None:
+    def word(self, sender: Member, word: ClusterMessage) -> None:
         if self.fellow:
             self.fellow.heard(sender, word)
 
@@ -260,8 +259,8 @@
         self.core.outcome(self.clock(), attempt, how)
 
 
-class Fellow:
-    """The keeper of a gateway's present life, behind simulated ways."""
+class ClusterMemberHost:
+    """The cluster member of a gateway's present incarnation, behind simulated ways."""
 
     def __init__(self, gateway: Gateway) -> None:
         self.gateway, self.scene, self.engine, self.life = gateway, gateway.scene, gateway.engine, gateway.life
@@ -270,19 +269,21 @@
         names = settings.names()
         self.numbers = {name: number for number, name in enumerate(names)}
         chance = Random(f"{self.scene.seed} {gateway.index} {gateway.life}")
-        self.keeper: Keeper = keeper_of(settings.peers, names, gateway.index, self.engine.now, chance, gateway.clock())
+        self.cluster_member: ClusterMember = cluster_member_of(
+            settings.peers, names, gateway.index, self.engine.now, chance, gateway.clock()
+        )
         self.told: tuple[int, Fraction, int] | None = None
         self._arm()
 
-    def heard(self, sender: Member, word: FleetWord) -> None:
-        self._say(self.keeper.heard(self.gateway.clock(), sender, word))
+    def heard(self, sender: Member, word: ClusterMessage) -> None:
+        self._say(self.cluster_member.heard(self.gateway.clock(), sender, word))
         self._arm()
 
     def leave(self) -> None:
-        self._say(self.keeper.leave(self.gateway.clock()))
+        self._say(self.cluster_member.leave(self.gateway.clock()))
 
     def _arm(self) -> None:
-        self.engine.at(max(self.keeper.due() * TENTH, self.engine.now + TENTH), self._tick)
+        self.engine.at(max(self.cluster_member.due() * TENTH, self.engine.now + TENTH), self._tick)
 
     def _tick(self) -> None:
         if self.gateway.life != self.life:
@@ -291,17 +292,23 @@
             self.gateway.backlog.append((self.engine.after, (1_000, self._tick)))
             return
         now = self.gateway.clock()
-        if now >= self.keeper.due():
-            self._say(self.keeper.tick(now, self.engine.now // 1_000))
+        if now >= self.cluster_member.due():
+            self._say(self.cluster_member.tick(now, self.engine.now // 1_000))
             self._arm()
 
     def _say(self, sent: list[FleetSent]) -> None:
         me, now, scene = self.gateway, self.engine.now, self.scene
-        if self.keeper.counted != self.told:
-            self.told = number, part, until = self.keeper.counted
+        if self.cluster_member.counted != self.told:
+            self.told = number, part, until = self.cluster_member.counted
             scene.record(
                 Counted(
-                    now, me.name, self.keeper.me.incarnation, number, part.numerator, part.denominator, until * TENTH
+                    now,
+                    me.name,
+                    self.cluster_member.me.incarnation,
+                    number,
+                    part.numerator,
+                    part.denominator,
+                    until * TENTH,
                 )
             )
         for name, word in sent:
@@ -309,10 +316,10 @@
             what, data = packed(word)
             out = scene.faults.passes(now, (me.index, to), HEAD_BYTES + len(data), scene.ways.client())
             for passed in out or [0]:
-                scene.record(Said(now, passed, me.name, self.keeper.me.incarnation, name, what, data))
+                scene.record(Said(now, passed, me.name, self.cluster_member.me.incarnation, name, what, data))
             other = me.fleet[to]
             for moment in out:
-                self.engine.at(moment, other.tell, other.life, other.word, self.keeper.me, word)
+                self.engine.at(moment, other.tell, other.life, other.word, self.cluster_member.me, word)
 
 
 class SimList:
--- a/tansykeel/emulator/machines.py
+++ b/tansykeel/emulator/machines.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from tansykeel.accord.room import Bounds, Place
+from tansykeel.maintenance.disruption_budget import Bounds, Place
 
 
 @dataclass(frozen=True, slots=True)
--- a/tansykeel/emulator/plots.py
+++ b/tansykeel/emulator/plots.py
@@ -16,7 +16,7 @@
 from tansykeel.audit.join import Passed  # noqa: E402
 from tansykeel.audit.report import law_of  # noqa: E402
 from tansykeel.audit.service import count  # noqa: E402
-from tansykeel.emulator.watching import SAMPLE, Watchers  # noqa: E402
+from tansykeel.emulator.cluster_simulation import SAMPLE, Watchers  # noqa: E402
 from tansykeel.emulator.world import World  # noqa: E402
 from tansykeel.settings.shape import borne  # noqa: E402
 
--- a/tansykeel/emulator/leaving.py
+++ b/tansykeel/emulator/rollout_simulation.py
@@ -6,21 +6,21 @@
 from math import ceil, log
 from random import Random
 
-from tansykeel.accord.comparing import SURE, Seen, Terms, apart
-from tansykeel.accord.entries import Move, packed
-from tansykeel.accord.releases import DONE, GIVEN_UP, HALTED
-from tansykeel.accord.room import Place, hindrances, most
-from tansykeel.accord.state import State
-from tansykeel.accord.steward import Ask, Order, Pace, Steward, plan_of
+from tansykeel.cluster.failure_detector import SECOND
+from tansykeel.cluster.failure_detector import Pace as Ping
+from tansykeel.cluster.gossip import MemberState
+from tansykeel.cluster.member import ClusterMember, ClusterMessage
+from tansykeel.cluster.member import Place as Where
+from tansykeel.cluster.membership import Member
+from tansykeel.cluster.view_agreement import LeaseTerms as Leases
 from tansykeel.emulator.engine import START, Engine, NoEnd
 from tansykeel.emulator.machines import Machine, Result, Trial
-from tansykeel.fleet.keeper import Keeper, Said
-from tansykeel.fleet.keeper import Place as Where
-from tansykeel.fleet.liveness import SECOND
-from tansykeel.fleet.liveness import Pace as Ping
-from tansykeel.fleet.membership import Member
-from tansykeel.fleet.news import Seems
-from tansykeel.fleet.views import Terms as Leases
+from tansykeel.maintenance.canary_analysis import SURE, Seen, Terms, apart
+from tansykeel.maintenance.controller import Ask, Controller, Order, Pace, plan_of
+from tansykeel.maintenance.disruption_budget import Place, hindrances, most
+from tansykeel.maintenance.entries import Move, packed
+from tansykeel.maintenance.rollouts import DONE, GIVEN_UP, HALTED
+from tansykeel.maintenance.state import State
 
 TENTH = 100  # microseconds
 ASKS_EVERY, LOOKS_EVERY = 300_000, 200_000  # microseconds between an agent's questions, and a leader's looks
@@ -41,8 +41,8 @@
             name = f"store-{n}"
             self.machines[name] = Machine(Place(name, "store", n % trial.zones, n))
         self.places = {name: one.place for name, one in self.machines.items()}
-        self.keepers: dict[str, Keeper] = {}
-        self.stewards: dict[str, Steward] = {}
+        self.cluster_members: dict[str, ClusterMember] = {}
+        self.controllers: dict[str, Controller] = {}
         self.stalled: dict[str, int] = {}
         self.cut: dict[tuple[str, str], int] = {}  # until when words from one to the other are lost
         self.broken: list[str] = []
@@ -64,9 +64,12 @@
         self._draw_troubles()
         if not self.engine.run(START + self.trial.seconds * 10**6, MOST_EVENTS):
             raise NoEnd(f"{self.trial} did not end within {MOST_EVENTS} events")
-        best = max(self.keepers.values(), key=lambda keeper: keeper.ledger.commit if keeper.ledger else 0)
-        assert best.ledger is not None and isinstance(best.ledger.machine, State)
-        release = best.ledger.machine.kept.releases.get("r1")
+        best = max(
+            self.cluster_members.values(),
+            key=lambda cluster_member: cluster_member.replicated_log.commit if cluster_member.replicated_log else 0,
+        )
+        assert best.replicated_log is not None and isinstance(best.replicated_log.machine, State)
+        release = best.replicated_log.machine.kept.releases.get("r1")
         return Result(
             release.state if release else "not planned",
             release.wave if release else 0,
@@ -75,7 +78,7 @@
             release.why if release else "",
             tuple(self.broken),
             self.most_out,
-            best.ledger.last,
+            best.replicated_log.last,
         )
 
     def shortest(self) -> float:
@@ -122,8 +125,10 @@
         state = State()
         life = 10**12 + self.engine.now // 1000
         chance = Random(self.seed * 10**9 + machine.boot * 1_000 + int(name.rsplit("-", 1)[1]))
-        self.keepers[name] = Keeper(name, self.where, life, Ping(), Leases(lease=4 * SECOND), chance, self.now(), state)
-        self.stewards[name] = Steward(
+        self.cluster_members[name] = ClusterMember(
+            name, self.where, life, Ping(), Leases(lease=4 * SECOND), chance, self.now(), state
+        )
+        self.controllers[name] = Controller(
             state,
             Pace(patience=SECOND, back=60 * SECOND, settles=int(self.trial.settles_s * SECOND)),
             Terms(),
@@ -142,13 +147,13 @@
         if (until := self.stalled.get(name, 0)) > self.engine.now:
             self.engine.at(until + 1, self._tick, name, boot)
             return
-        keeper = self.keepers[name]
-        if self.now() >= keeper.due():
-            self._send(name, keeper.tick(self.now(), 10**12 + self.engine.now // 1000))
-        self.engine.at(max(keeper.due() * TENTH, self.engine.now + 10 * TENTH), self._tick, name, boot)
+        cluster_member = self.cluster_members[name]
+        if self.now() >= cluster_member.due():
+            self._send(name, cluster_member.tick(self.now(), 10**12 + self.engine.now // 1000))
+        self.engine.at(max(cluster_member.due() * TENTH, self.engine.now + 10 * TENTH), self._tick, name, boot)
 
-    def _send(self, name: str, words: list[tuple[str, Said]]) -> None:
-        me = self.keepers[name].me
+    def _send(self, name: str, words: list[tuple[str, ClusterMessage]]) -> None:
+        me = self.cluster_members[name].me
         for to, word in words:
             if self._passes(name, to):
                 self.engine.after(self._way(), self._arrive, to, me, word)
@@ -159,14 +164,14 @@
     def _passes(self, sender: str, to: str) -> bool:
         return self.cut.get((sender, to), 0) <= self.engine.now and self.chance.random() >= self.trial.loss
 
-    def _arrive(self, to: str, sender: Member, word: Said) -> None:
+    def _arrive(self, to: str, sender: Member, word: ClusterMessage) -> None:
         machine = self.machines[to]
         if not machine.up:
             return
         if (until := self.stalled.get(to, 0)) > self.engine.now:
             self.engine.at(until + 2, self._arrive, to, sender, word)
             return
-        self._send(to, self.keepers[to].heard(self.now(), sender, word))
+        self._send(to, self.cluster_members[to].heard(self.now(), sender, word))
 
     def _look(self, name: str, boot: int) -> None:
         """What whoever leads does from time to time."""
@@ -175,12 +180,12 @@
         self.engine.after(LOOKS_EVERY, self._look, name, boot)
         if self.stalled.get(name, 0) > self.engine.now:
             return
-        keeper, steward = self.keepers[name], self.stewards[name]
-        assert keeper.ledger is not None
-        steward.leads(self.now(), keeper.ledger.leads)
-        others = keeper.liveness.others
-        gone = {other.name: "died" for other in others.values() if other.seems is Seems.DEAD}
-        alive = [other.name for other in others.values() if other.seems is Seems.ALIVE and other.life] + [name]
+        cluster_member, controller = self.cluster_members[name], self.controllers[name]
+        assert cluster_member.replicated_log is not None
+        controller.leads(self.now(), cluster_member.replicated_log.leads)
+        others = cluster_member.failure_detector.others
+        gone = {other.name: "died" for other in others.values() if other.seems is MemberState.DEAD}
+        alive = [other.name for other in others.values() if other.seems is MemberState.ALIVE and other.life] + [name]
         stores = [one for one, at in self.machines.items() if at.place.kind == "store"]
         gone |= {
             one: "died"
@@ -190,25 +195,25 @@
             and self.engine.now - self.machines[one].dead_since > 10**6
         }
         alive += [one for one in stores if self._whole(one)]
-        for entry in steward.wants(self.now(), self.places, self.trial.bounds, gone, alive):
+        for entry in controller.wants(self.now(), self.places, self.trial.bounds, gone, alive):
             self._offer(name, packed(entry))
-        kept = steward.state.kept
-        if steward.led >= 0 and not kept.known:
+        kept = controller.state.kept
+        if controller.led >= 0 and not kept.known:
             out = [(one, "seen") for one, at in self.machines.items() if not at.up or not self._whole(one)]
-            if (word := steward.recover(self.now(), out, "operator")) is not None:
+            if (word := controller.recover(self.now(), out, "operator")) is not None:
                 self._offer(name, packed(word))
-        if steward.led >= 0 and kept.known and "r1" not in kept.releases and len(kept.places) == len(self.places):
+        if controller.led >= 0 and kept.known and "r1" not in kept.releases and len(kept.places) == len(self.places):
             self.began = self.began or self.seconds()
             self._offer(name, packed(plan_of("r1", "new", "old", self.waves(), "operator")))
         release = kept.releases.get("r1")
-        if steward.led >= 0 and release and release.state == HALTED:
+        if controller.led >= 0 and release and release.state == HALTED:
             what = "back" if "worse" in release.why or "not back" in release.why else "resume"
             self._offer(name, packed(Move("r1", what, release.why, "operator")))
         if release and release.state in (DONE, GIVEN_UP) and not self.took:
             self.took = self.seconds()
 
     def _offer(self, name: str, entry: bytes) -> None:
-        self._send(name, self.keepers[name].offer(self.now(), entry)[1])
+        self._send(name, self.cluster_members[name].offer(self.now(), entry)[1])
 
     # Agents
 
@@ -228,24 +233,24 @@
     def _asked(self, gateway: str, ask: Ask, at: int) -> None:
         if not self.machines[gateway].up or self.stalled.get(gateway, 0) > self.engine.now:
             return
-        keeper, steward = self.keepers[gateway], self.stewards[gateway]
-        assert keeper.ledger is not None
-        if not keeper.ledger.leads:
-            if keeper.ledger.leader and self._passes(gateway, ask.name):
-                self.machines[ask.name].target = keeper.ledger.leader
+        cluster_member, controller = self.cluster_members[gateway], self.controllers[gateway]
+        assert cluster_member.replicated_log is not None
+        if not cluster_member.replicated_log.leads:
+            if cluster_member.replicated_log.leader and self._passes(gateway, ask.name):
+                self.machines[ask.name].target = cluster_member.replicated_log.leader
             return
-        steward.asked(self.now(), ask)
+        controller.asked(self.now(), ask)
         self.machines[ask.name].target = gateway
         self._answer(gateway, ask.name, at, 0)
 
     def _answer(self, gateway: str, name: str, at: int, tries: int) -> None:
-        keeper, steward = self.keepers[gateway], self.stewards[gateway]
-        if not self.machines[gateway].up or keeper.ledger is None:
+        cluster_member, controller = self.cluster_members[gateway], self.controllers[gateway]
+        if not self.machines[gateway].up or cluster_member.replicated_log is None:
             return
-        order = steward.answer(self.now(), name, keeper.ledger.confirmed(self.now()))
+        order = controller.answer(self.now(), name, cluster_member.replicated_log.confirmed(self.now()))
         if order is not None and self._passes(gateway, name):
             self.engine.after(self._way(), self._ordered, order, at)
-        elif order is None and tries < 5 and name in steward.state.kept.out:
+        elif order is None and tries < 5 and name in controller.state.kept.out:
             self.engine.after(LOOKS_EVERY, self._answer, gateway, name, at, tries + 1)
 
     def _ordered(self, order: Order, asked: int) -> None:
@@ -288,7 +293,7 @@
             return False
         if machine.place.kind == "store":
             return machine.boot == 1 or self.engine.now - machine.since >= self.trial.warm_s * 1e6
-        whole = self.keepers[name].agreement.leased(self.now())
+        whole = self.cluster_members[name].agreement.leased(self.now())
         if whole:
             machine.by_leave = False
         return whole
@@ -366,9 +371,9 @@
                 seen = (new if machine.version == "new" else old).setdefault((of, machine.place.zone), [0, 0])
                 seen[0] += tasks
                 seen[1] += served
-        for name, steward in self.stewards.items():
-            if self.machines[name].up and steward.led >= 0:
-                steward.figures(
+        for name, controller in self.controllers.items():
+            if self.machines[name].up and controller.led >= 0:
+                controller.figures(
                     self.now(),
                     {key: Seen(*seen) for key, seen in new.items()},
                     {key: Seen(*seen) for key, seen in old.items()},
--- a/tansykeel/accord/steward.py
+++ b/tansykeel/maintenance/controller.py
@@ -10,11 +10,11 @@
 
 from msgspec import Struct
 
-from tansykeel.accord.comparing import Comparison, Seen, Terms
-from tansykeel.accord.entries import AnyEntry, Back, Bounded, Leave, Move, Plan, Recover, There, Went
-from tansykeel.accord.releases import GOING, GOING_BACK, SETTLING, WAITING, Release
-from tansykeel.accord.room import Bounds, Place
-from tansykeel.accord.state import State
+from tansykeel.maintenance.canary_analysis import Comparison, Seen, Terms
+from tansykeel.maintenance.disruption_budget import Bounds, Place
+from tansykeel.maintenance.entries import AnyEntry, Back, Bounded, Leave, Move, Plan, Recover, There, Went
+from tansykeel.maintenance.rollouts import GOING, GOING_BACK, SETTLING, WAITING, Release
+from tansykeel.maintenance.state import State
 
 AT_ONCE, MOST_PLACES = 8, 64  # entries offered at a time; places told in one
 
@@ -49,7 +49,7 @@
     settles: int = 100_000
 
 
-class Steward:
+class Controller:
     """`classes`: of tasks that are compared."""
 
     def __init__(self, state: State, pace: Pace, terms: Terms, classes: int) -> None:
--- a/tansykeel/accord/entries.py
+++ b/tansykeel/maintenance/entries.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Struct
 
-from tansykeel.accord.room import Bounds, Place
+from tansykeel.maintenance.disruption_budget import Bounds, Place
 
 
 class Entry(Struct, frozen=True, array_like=True, tag=True):
--- a/tansykeel/accord/words.py
+++ b/tansykeel/maintenance/messages.py
@@ -7,11 +7,11 @@
 import msgspec
 from msgspec import Struct
 
-from tansykeel.accord.comparing import Seen
-from tansykeel.accord.entries import Move, Plan, Recover
-from tansykeel.accord.state import Kept
-from tansykeel.accord.steward import Ask, Order
 from tansykeel.errors import Problem
+from tansykeel.maintenance.canary_analysis import Seen
+from tansykeel.maintenance.controller import Ask, Order
+from tansykeel.maintenance.entries import Move, Plan, Recover
+from tansykeel.maintenance.state import Kept
 
 
 class WordError(Problem, ValueError):
--- a/tansykeel/accord/search.py
+++ b/tansykeel/maintenance/model_checker.py
@@ -1,7 +1,7 @@
 """Tries orders of events on a small fleet that agrees on views, keeps a ledger over them and gives leave by it.
 
-The search of `fleet.search` with ledgers beside the agreements, and two things that may go out, one at a time: gateways
-lead, offer, confirm and order, crash and come back, views change and are formed anew, an operator says what is out,
+The search of `cluster.model_checker` with ledgers beside the agreements, and two things that may go out, one at a
+time: gateways lead, offer, confirm and order, crash and come back, views change and are formed anew, an operator says what is out,
 while words are lost, late and told twice. Judged from what happens: who is out, and what was decided. Without I/O.
 """
 
@@ -10,14 +10,14 @@
 from dataclasses import dataclass, replace
 from typing import cast
 
-from tansykeel.accord.entries import Back, Leave, Recover, There, packed, unpacked
-from tansykeel.accord.room import Bounds as Room
-from tansykeel.accord.room import Place
-from tansykeel.accord.state import State
-from tansykeel.fleet.ledger import Ledger, Word
-from tansykeel.fleet.membership import Member, Message, majority
-from tansykeel.fleet.search import Bounds, Event, Fleet, Make, NoFirstView, agreed
-from tansykeel.fleet.views import Terms
+from tansykeel.cluster.membership import Member, ViewMessage, majority
+from tansykeel.cluster.model_checker import Bounds, Event, Fleet, Make, NoFirstView, agreed
+from tansykeel.cluster.replicated_log import LogMessage, ReplicatedLog
+from tansykeel.cluster.view_agreement import LeaseTerms
+from tansykeel.maintenance.disruption_budget import Bounds as Room
+from tansykeel.maintenance.disruption_budget import Place
+from tansykeel.maintenance.entries import Back, Leave, Recover, There, packed, unpacked
+from tansykeel.maintenance.state import State
 
 SUBJECTS = ("x", "y")
 PATIENCE = 1  # ticks for which an order counts from when it was asked for, and before an operator may say what is out
@@ -49,8 +49,8 @@
 class Books(Fleet):
     """A state of the search: what `Fleet` holds, ledgers, subjects, orders on their way, what was ever decided."""
 
-    def __init__(self, names: tuple[str, ...], terms: Terms, make: Make, rates: tuple[int, ...] = (1,)) -> None:
-        self.ledgers: dict[str, Ledger] = {}
+    def __init__(self, names: tuple[str, ...], terms: LeaseTerms, make: Make, rates: tuple[int, ...] = (1,)) -> None:
+        self.ledgers: dict[str, ReplicatedLog] = {}
         self.subjects = {name: Subject() for name in SUBJECTS}
         self.orders: dict[Order, None] = {}
         self.entries: dict[tuple[int, int], bytes] = {}  # by the last view that says that all was lost, and index
@@ -75,18 +75,18 @@
     def events(self, bounds: Bounds) -> list[Event]:
         free = {kind: self.used[kind] < most for kind, most in MORE.items()}
         found = super().events(bounds)
-        for name, ledger in self.ledgers.items():
+        for name, replicated_log in self.ledgers.items():
             if name not in self.alive:
                 continue
-            if free["lead"] and ledger.view and ledger.me in ledger.view.voters:
+            if free["lead"] and replicated_log.view and replicated_log.me in replicated_log.view.voters:
                 found.append(("leads", name))
-            if ledger.leads and free["offer"]:
+            if replicated_log.leads and free["offer"]:
                 found += [("offers", name, subject) for subject in SUBJECTS]
-            if ledger.leading and free["recover"]:
+            if replicated_log.leading and free["recover"]:
                 found.append(("recovers", name))
-            if ledger.leading and free["order"]:
-                found += [("orders", name, subject) for subject in SUBJECTS if self._granted(ledger, subject)]
-            found += [("sees", name, subject) for subject in SUBJECTS if self._seen_back(ledger, subject)]
+            if replicated_log.leading and free["order"]:
+                found += [("orders", name, subject) for subject in SUBJECTS if self._granted(replicated_log, subject)]
+            found += [("sees", name, subject) for subject in SUBJECTS if self._seen_back(replicated_log, subject)]
         found += [("gets", order) for order in self.orders]
         if free["return"]:
             found += [("returns", name) for name, subject in self.subjects.items() if subject.out]
@@ -101,17 +101,17 @@
         elif kind in ("leads", "offers", "orders", "sees", "recovers"):
             if str(what[0]) not in self.alive or not self._of_leader(str(kind), str(what[0]), what[1:]):
                 return False
-        elif kind == "arrives" and isinstance(what[2], Word):
+        elif kind == "arrives" and isinstance(what[2], LogMessage):
             if str(what[0]) not in self.alive or tuple(what) not in self.sent:
                 return False
             to, sender, word = str(what[0]), cast(Member, what[1]), what[2]
-            ledger = self._own(to)
-            self._say(to, ledger.heard(self.clock(to), sender, word))
+            replicated_log = self._own(to)
+            self._say(to, replicated_log.heard(self.clock(to), sender, word))
         else:
             if not super()._happens(event):
                 return False
-            if kind == "renews" and (ledger := self._own(str(what[0]))).leading:
-                self._say(str(what[0]), ledger.tick(self.clock(str(what[0])), 0))
+            if kind == "renews" and (replicated_log := self._own(str(what[0]))).leading:
+                self._say(str(what[0]), replicated_log.tick(self.clock(str(what[0])), 0))
         self._carry()
         self._judge()
         return True
@@ -121,98 +121,98 @@
         state = State(known=True)
         state.kept.bounds = ROOM
         state.take(0, PLACES)
-        self.ledgers[name] = Ledger(self.alive[name].me, state, LEASE, self.clock(name))
+        self.ledgers[name] = ReplicatedLog(self.alive[name].me, state, LEASE, self.clock(name))
 
-    def _own(self, name: str) -> Ledger:
+    def _own(self, name: str) -> ReplicatedLog:
         self.ledgers[name] = self.ledgers[name].copy()
         return self.ledgers[name]
 
-    def _say(self, name: str, told: list[tuple[str, Word]]) -> None:
+    def _say(self, name: str, told: list[tuple[str, LogMessage]]) -> None:
         me = self.alive[name].me
         self.sent |= cast(
-            "dict[tuple[str, Member, Message], None]",
+            "dict[tuple[str, Member, ViewMessage], None]",
             dict.fromkeys((to, me, word) for to, word in told if to in self.names),
         )
 
     def _carry(self) -> None:
-        """What a keeper does between the two: views are followed, formed ones wedge, voting waits for the ledger."""
+        """What a cluster member does between the two: it follows views, wedges formed ones, and votes after the log."""
         for name, one in self.alive.items():
-            ledger = self.ledgers[name]
+            replicated_log = self.ledgers[name]
             if (
-                one.view is not ledger.view
+                one.view is not replicated_log.view
                 and one.view is not None
-                and (ledger.view is None or one.view.number > ledger.view.number)
+                and (replicated_log.view is None or one.view.number > replicated_log.view.number)
             ):
-                ledger = self._own(name)
-                ledger.follow(self.clock(name), one.view)
-            if one.formed and ledger.promised < (one.formed.number, 0, ""):
-                ledger = self._own(name)
-                ledger.wedge(one.formed.number)
-            if one.carries is not ledger.carried:
+                replicated_log = self._own(name)
+                replicated_log.follow(self.clock(name), one.view)
+            if one.formed and replicated_log.promised < (one.formed.number, 0, ""):
+                replicated_log = self._own(name)
+                replicated_log.wedge(one.formed.number)
+            if one.carries is not replicated_log.carried:
                 self.alive[name] = one = one.copy()
-                one.carries = ledger.carried
+                one.carries = replicated_log.carried
 
-    def _state(self, ledger: Ledger) -> State:
-        return cast(State, ledger.machine)
+    def _state(self, replicated_log: ReplicatedLog) -> State:
+        return cast(State, replicated_log.machine)
 
-    def _granted(self, ledger: Ledger, name: str) -> bool:
-        out = self._state(ledger).kept.out.get(name)
+    def _granted(self, replicated_log: ReplicatedLog, name: str) -> bool:
+        out = self._state(replicated_log).kept.out.get(name)
         return out is not None and out.boot == self.subjects[name].boot
 
-    def _seen_back(self, ledger: Ledger, name: str) -> bool:
+    def _seen_back(self, replicated_log: ReplicatedLog, name: str) -> bool:
         """A life that is there, of one that is out by an earlier life's leave."""
-        out, subject = self._state(ledger).kept.out.get(name), self.subjects[name]
-        return ledger.leads and out is not None and not subject.out and out.boot != subject.boot
+        out, subject = self._state(replicated_log).kept.out.get(name), self.subjects[name]
+        return replicated_log.leads and out is not None and not subject.out and out.boot != subject.boot
 
-    def _confirmed(self, ledger: Ledger) -> bool:
+    def _confirmed(self, replicated_log: ReplicatedLog) -> bool:
         """A majority of its voters promised nothing higher: it led at this moment, which is after it was asked."""
-        view = ledger.view
-        assert view is not None and ledger.leading is not None
+        view = replicated_log.view
+        assert view is not None and replicated_log.leading is not None
         still = [
             voter
             for voter in view.voters
             if voter.name in self.alive
             and self.alive[voter.name].me == voter
-            and self.ledgers[voter.name].promised <= ledger.leading.ballot
+            and self.ledgers[voter.name].promised <= replicated_log.leading.ballot
         ]
         return len(still) >= majority(view.voters)
 
     def _of_leader(self, kind: str, name: str, what: list[object]) -> bool:
-        now, ledger = self.clock(name), self._own(name)
+        now, replicated_log = self.clock(name), self._own(name)
         if kind == "leads":
             self.used["lead"] += 1
-            self._say(name, ledger.lead(now))
+            self._say(name, replicated_log.lead(now))
             return True
-        if ledger.leading is None or not ledger.leading.ready:
+        if replicated_log.leading is None or not replicated_log.leading.ready:
             return False
         subject = str(what[0]) if what else ""
         if kind == "offers":
             self.used["offer"] += 1
-            self._offer(name, ledger, Leave(subject, self.subjects[subject].boot, "search", name))
+            self._offer(name, replicated_log, Leave(subject, self.subjects[subject].boot, "search", name))
         elif kind == "sees":
-            if not self._seen_back(ledger, subject):
+            if not self._seen_back(replicated_log, subject):
                 return False
-            out = self._state(ledger).kept.out[subject]
-            self._offer(name, ledger, Back(subject, self.subjects[subject].boot, out.number))
+            out = self._state(replicated_log).kept.out[subject]
+            self._offer(name, replicated_log, Back(subject, self.subjects[subject].boot, out.number))
         elif kind == "recovers":
-            assert ledger.view is not None
-            since = self.lost_at.setdefault((name, ledger.view.number), self.now)
-            if self._state(ledger).kept.known or self.now - since <= PATIENCE:
-                return not self._state(ledger).kept.known  # from now on time passes
+            assert replicated_log.view is not None
+            since = self.lost_at.setdefault((name, replicated_log.view.number), self.now)
+            if self._state(replicated_log).kept.known or self.now - since <= PATIENCE:
+                return not self._state(replicated_log).kept.known  # from now on time passes
             self.used["recover"] += 1
             out_now = tuple((one, "seen") for one, at in self.subjects.items() if at.out)
-            self._offer(name, ledger, Recover(out_now, "operator"))
+            self._offer(name, replicated_log, Recover(out_now, "operator"))
         else:
             self.used["order"] += 1
-            if not self._granted(ledger, subject) or not self._confirmed(ledger):
+            if not self._granted(replicated_log, subject) or not self._confirmed(replicated_log):
                 return False
-            assert ledger.view is not None
-            number = ledger.view.number, self._state(ledger).kept.out[subject].number
+            assert replicated_log.view is not None
+            number = replicated_log.view.number, self._state(replicated_log).kept.out[subject].number
             self.orders[Order(subject, self.subjects[subject].boot, number, self.now)] = None
         return True
 
-    def _offer(self, name: str, ledger: Ledger, entry: Leave | Back | Recover) -> None:
-        self._say(name, ledger.offer(self.clock(name), packed(entry))[1])
+    def _offer(self, name: str, replicated_log: ReplicatedLog, entry: Leave | Back | Recover) -> None:
+        self._say(name, replicated_log.offer(self.clock(name), packed(entry))[1])
 
     def _of_subject(self, kind: object, what: object) -> None:
         if kind == "returns":
@@ -238,16 +238,16 @@
         super()._judge()
         if (out := [name for name, subject in self.subjects.items() if subject.out]) and len(out) > 1:
             self.law = f"more out than the bounds allow: {', '.join(out)}"
-        for ledger in self.ledgers.values():
-            state = self._state(ledger)
-            for index in range(ledger.base + 1, ledger.commit + 1):
-                entry = ledger.entries[index - ledger.base - 1]
+        for replicated_log in self.ledgers.values():
+            state = self._state(replicated_log)
+            for index in range(replicated_log.base + 1, replicated_log.commit + 1):
+                entry = replicated_log.entries[index - replicated_log.base - 1]
                 epoch = state.kept.guess
                 if self.entries.setdefault((epoch, index), entry) != entry:
                     self.law = f"two entries decided as number {index}: {unpacked(entry)}"
 
 
-def settled(names: tuple[str, ...], terms: Terms, make: Make, kind: type[Books] = Books) -> Books:
+def settled(names: tuple[str, ...], terms: LeaseTerms, make: Make, kind: type[Books] = Books) -> Books:
     """A fleet that agreed, has a leader of its ledger, and was told by an operator that nothing is out."""
     fleet: Fleet = agreed(names, terms, make, kind=kind)
 
@@ -268,7 +268,7 @@
     all_hear([*everyone])
     all_hear([*everyone])
     made = cast(Books, fleet)
-    if not all(made._state(ledger).kept.known for ledger in made.ledgers.values()):
+    if not all(made._state(replicated_log).kept.known for replicated_log in made.ledgers.values()):
         raise NoFirstView(f"no ledger among {names}: legal: terms under which one can be led")
     made.sent, made.used = {}, dict.fromkeys(made.used, 0)
     return made
--- a/tansykeel/accord/state.py
+++ b/tansykeel/maintenance/state.py
@@ -11,7 +11,8 @@
 import msgspec
 from msgspec import Struct
 
-from tansykeel.accord.entries import (
+from tansykeel.maintenance.disruption_budget import Bounds, Place, hindrances
+from tansykeel.maintenance.entries import (
     AnyEntry,
     Asked,
     Back,
@@ -26,8 +27,7 @@
     packed,
     unpacked,
 )
-from tansykeel.accord.releases import BY_LEADER, GOING_BACK, OVER, PLANNED, SETTLING, Release
-from tansykeel.accord.room import Bounds, Place, hindrances
+from tansykeel.maintenance.rollouts import BY_LEADER, GOING_BACK, OVER, PLANNED, SETTLING, Release
 
 MOST_REFUSED = 64  # refusals that are kept, the newest
 MOST_RELEASES = 32  # releases that are over and kept, the newest
--- a/tansykeel/protocol/frames.py
+++ b/tansykeel/protocol/frames.py
@@ -186,8 +186,8 @@
 
 
 class Watch(Fields):
-    """One gateway to another that agrees with it on views: a word of `fleet.words`. Who says it, and in which of its
-    lives, is told by the connection's hello."""
+    """One cluster member to another: a message of `cluster.messages`. The connection's hello names the sender and its
+    incarnation."""
 
     what: Name
     word: Annotated[bytes, Meta(max_length=MOST_FIELDS - 1024)]
@@ -233,7 +233,7 @@
 
 
 class Accord(Fields):
-    """An agent, an operator or another gateway says something of leave: a word of `accord.words`."""
+    """An agent, an operator or another gateway says something of leave: a word of `maintenance.messages`."""
 
     what: Name
     word: Annotated[bytes, Meta(max_length=MOST_FIELDS - 1024)]
--- a/tansykeel/rehearse/agents.py
+++ b/tansykeel/rehearse/agents.py
@@ -11,14 +11,14 @@
 from pathlib import Path
 from typing import Any, Protocol
 
-from tansykeel.accord.entries import Move, Recover
-from tansykeel.accord.releases import DONE, GIVEN_UP, HALTED
-from tansykeel.accord.state import Kept
-from tansykeel.accord.steward import Ask, Order, plan_of
-from tansykeel.accord.words import Elsewhere, Offered, Status, StatusAsk, Taken, Word
 from tansykeel.audit.records import Left, Recorder, now_us
 from tansykeel.edge.ask import NotTold, ask, say
 from tansykeel.errors import Problem
+from tansykeel.maintenance.controller import Ask, Order, plan_of
+from tansykeel.maintenance.entries import Move, Recover
+from tansykeel.maintenance.messages import Elsewhere, Offered, Status, StatusAsk, Taken, Word
+from tansykeel.maintenance.rollouts import DONE, GIVEN_UP, HALTED
+from tansykeel.maintenance.state import Kept
 from tansykeel.settings.day import ReleaseOf
 
 EVERY = 0.3  # seconds between an agent's questions
--- a/tests/audit/test_fleet.py
+++ b/tests/audit/test_cluster.py
@@ -4,15 +4,15 @@
 
 import pytest
 
-from tansykeel.audit.fleet import FLEET_RULES, FleetLaw, counted_mean, words_of
+from tansykeel.audit.cluster import FLEET_RULES, FleetLaw, counted_mean, words_of
 from tansykeel.audit.join import join
 from tansykeel.audit.records import Counted, Killed, Said
-from tansykeel.fleet.membership import Ask, Decided, Grant, Member, View, voters_of
-from tansykeel.fleet.views import Terms
-from tansykeel.fleet.words import packed
+from tansykeel.cluster.membership import Decided, LeaseGrant, LeaseRequest, Member, View, voters_of
+from tansykeel.cluster.messages import packed
+from tansykeel.cluster.view_agreement import LeaseTerms
 
 SECOND = 1_000_000
-TERMS = Terms(lease=10_000, drift=0.0)
+TERMS = LeaseTerms(lease=10_000, drift=0.0)
 MEMBERS = tuple(Member(f"edge-{n}", n + 1) for n in range(3))
 VIEW = View(7, MEMBERS, voters_of(MEMBERS, 5))
 SAFE, EACH = Fraction(1, 15), Fraction(1, 3)
@@ -33,8 +33,8 @@
         word
         for other in others
         for word in (
-            said(at, edge, other, Ask(view, at // 100)),
-            said(at + 200, other, edge, Grant(view, at // 100, True)),
+            said(at, edge, other, LeaseRequest(view, at // 100)),
+            said(at + 200, other, edge, LeaseGrant(view, at // 100, True)),
         )
     ]
 
@@ -52,7 +52,7 @@
     claims = [counted(0, n, SAFE, 0, view=0) for n in range(3)]
     claims += [counted(2000, n, EACH, 1000 + SECOND) for n in range(3)]
     assert broken([*WHOLE, *claims]) == {}
-    passed = join([*WHOLE, *claims, said(2 * SECOND, 0, 1, Ask(7, 20_000))])
+    passed = join([*WHOLE, *claims, said(2 * SECOND, 0, 1, LeaseRequest(7, 20_000))])
     mean = counted_mean(passed, FleetLaw(3, TERMS, words_of(passed)))
     assert mean == pytest.approx((1.0 * 999_000 + 0.2 * 1_001_000) / (2 * SECOND), abs=0.01)
 
@@ -71,9 +71,13 @@
 
 
 def test_a_grant_that_never_arrived_counts_for_nothing():
-    words = [said(0, 0, 1, Decided(VIEW)), said(1000, 0, 1, Ask(7, 10)), said(1200, 1, 0, Grant(7, 10, True), passed=0)]
+    words = [
+        said(0, 0, 1, Decided(VIEW)),
+        said(1000, 0, 1, LeaseRequest(7, 10)),
+        said(1200, 1, 0, LeaseGrant(7, 10, True), passed=0),
+    ]
     assert "parts" in broken([*words, counted(2000, 0, EACH, 1000 + SECOND)])
-    words[-1] = said(1200, 1, 0, Grant(7, 10, True))  # with its own it holds two of three
+    words[-1] = said(1200, 1, 0, LeaseGrant(7, 10, True))  # with its own it holds two of three
     assert broken([*words, counted(2000, 0, EACH, 1000 + SECOND)]) == {}
 
 
@@ -94,5 +98,5 @@
 
 def test_a_grant_for_an_old_view_is_found_but_not_one_that_was_on_its_way():
     knows = said(SECOND, 1, 0, Decided(View(8, MEMBERS, MEMBERS, MEMBERS)))
-    assert broken([*WHOLE, knows, said(SECOND + 10_000, 1, 2, Grant(7, 5, True))]) == {}
-    assert list(broken([*WHOLE, knows, said(2 * SECOND, 1, 2, Grant(7, 5, True))])) == ["old_epochs"]
+    assert broken([*WHOLE, knows, said(SECOND + 10_000, 1, 2, LeaseGrant(7, 5, True))]) == {}
+    assert list(broken([*WHOLE, knows, said(2 * SECOND, 1, 2, LeaseGrant(7, 5, True))])) == ["old_epochs"]
--- a/tests/audit/test_leave.py
+++ b/tests/audit/test_maintenance.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from tansykeel.accord.room import Bounds, Place
 from tansykeel.audit.join import join
-from tansykeel.audit.leave import KNOWN_AFTER, LEAVE_RULES, LeaveLaw
+from tansykeel.audit.maintenance import KNOWN_AFTER, LEAVE_RULES, LeaveLaw
 from tansykeel.audit.records import Killed, Left
+from tansykeel.maintenance.disruption_budget import Bounds, Place
 
 NAMES = [f"edge-{n}" for n in range(5)]
 LAW = LeaveLaw({name: Place(name, "gateway", n % 2) for n, name in enumerate(NAMES)}, Bounds(share=0.2, zone=0.5))
--- a/tests/broken_edge.py
+++ b/tests/broken_edge.py
@@ -10,10 +10,10 @@
 from tansykeel.brain import Scheduler
 from tansykeel.cli.logs import set_up
 from tansykeel.cli.main import recorder_of
+from tansykeel.cluster.member import ClusterMember
+from tansykeel.cluster.membership import SAFE
 from tansykeel.edge.core import Core
 from tansykeel.edge.program import Edge
-from tansykeel.fleet.keeper import Keeper
-from tansykeel.fleet.membership import SAFE
 from tansykeel.settings.build import facts_of, load
 from tansykeel.transport.leash import leash
 from tansykeel.transport.sockets import run
@@ -67,7 +67,7 @@
 
 def counts_without_leases(facts):
     """By a view as soon as it is heard of, for good."""
-    Keeper.counts = lambda self, now: (
+    ClusterMember.counts = lambda self, now: (
         self.agreement.number,
         SAFE / len(self.places) + (self.agreement.view.part(self.me) if self.agreement.view else 0),
         now + 10**6,
--- a/tests/fleet/test_parts.py
+++ b/tests/cluster/test_allotments.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from tansykeel.fleet.parts import MOST, Parts
+from tansykeel.cluster.allotments import MOST, Allotments
 
 LEAST = Fraction(1, 25)  # a fifth of an even part of five
 
 
 def parts():
-    return Parts(5, LEAST, 0)
+    return Allotments(5, LEAST, 0)
 
 
 def test_before_anything_is_agreed_the_safe_part_counts():
--- a/tests/fleet/test_liveness.py
+++ b/tests/cluster/test_failure_detector.py
@@ -6,19 +6,19 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tansykeel.emulator.watching import Trial, watched
-from tansykeel.fleet.liveness import SECOND, Ack, Liveness, NoAnswer, Pace, Ping, Try
-from tansykeel.fleet.news import News, Seems
+from tansykeel.cluster.failure_detector import SECOND, Ack, FailureDetector, NoAnswer, Pace, Ping, Try
+from tansykeel.cluster.gossip import GossipItem, MemberState
+from tansykeel.emulator.cluster_simulation import Trial, watched
 
 NAMES = ("a", "b", "c", "d")
 
 
 def one(name="a", **pace):
-    return Liveness(name, NAMES, 1, Pace(**pace), Random(1), 0)
+    return FailureDetector(name, NAMES, 1, Pace(**pace), Random(1), 0)
 
 
 def alive(*names, life=1):
-    return tuple(News(name, Seems.ALIVE, life, 0) for name in names)
+    return tuple(GossipItem(name, MemberState.ALIVE, life, 0) for name in names)
 
 
 def pinged(watcher):
@@ -51,7 +51,7 @@
         for name, word in watcher.tick(watcher.due()):
             if isinstance(word, Ping):
                 watcher.heard(watcher.due() - 1, name, Ack(word.seq))
-    assert watcher.others[to].seems is Seems.ALIVE
+    assert watcher.others[to].seems is MemberState.ALIVE
 
 
 def test_a_helper_passes_an_answer_on_and_says_when_it_has_none():
@@ -84,12 +84,12 @@
     """Guards against a gateway stopped for seconds that calls all others dead when it goes on."""
     watcher = one()
     to, _ = pinged(watcher)
-    watcher.heard(1, "b", Ping(1, (News("c", Seems.SUSPECT, 1, 0, "b"),)))
+    watcher.heard(1, "b", Ping(1, (GossipItem("c", MemberState.SUSPECT, 1, 0, "b"),)))
     ends = watcher.ends[watcher.others["c"]]
     woke = watcher.due() + 100 * SECOND
     assert watcher.tick(woke) == [] and watcher.doubt == watcher.pace.doubts
     watcher.tick(watcher.due())
-    assert watcher.others[to].seems is not Seems.DEAD and watcher.others["c"].seems is Seems.SUSPECT
+    assert watcher.others[to].seems is not MemberState.DEAD and watcher.others["c"].seems is MemberState.SUSPECT
     assert watcher.ends[watcher.others["c"]] == ends + 100 * SECOND
 
 
@@ -99,30 +99,32 @@
     for _ in range(2):  # no answer, and none to helpers
         watcher.next_ping = 10 * SECOND
         watcher.tick(watcher.due())
-    assert watcher.others[to].seems is Seems.SUSPECT
+    assert watcher.others[to].seems is MemberState.SUSPECT
     watcher.next_ping = watcher.due() - 1
     told = dict(watcher.tick(watcher.due()))
-    assert News(to, Seems.SUSPECT, 0, 0, "a") in told[to].news
+    assert GossipItem(to, MemberState.SUSPECT, 0, 0, "a") in told[to].news
 
 
 def test_who_is_suspected_denies_it_and_is_alive_again_for_all():
     suspected, other = one("a"), one("b")
-    other.heard(0, "c", Ping(1, (News("a", Seems.SUSPECT, 1, 0, "c"),)))
-    assert other.others["a"].seems is Seems.SUSPECT
-    suspected.heard(0, "c", Ping(1, (News("a", Seems.SUSPECT, 1, 0, "c"),)))
+    other.heard(0, "c", Ping(1, (GossipItem("a", MemberState.SUSPECT, 1, 0, "c"),)))
+    assert other.others["a"].seems is MemberState.SUSPECT
+    suspected.heard(0, "c", Ping(1, (GossipItem("a", MemberState.SUSPECT, 1, 0, "c"),)))
     ((_, ack),) = suspected.heard(0, "b", Ping(2))
     other.heard(1, "a", ack)
-    assert other.others["a"].seems is Seems.ALIVE and other.others["a"].denials == 1
-    other.heard(2, "c", Ping(2, (News("a", Seems.SUSPECT, 1, 0, "d"),)))  # the old suspicion, late
-    assert other.others["a"].seems is Seems.ALIVE
+    assert other.others["a"].seems is MemberState.ALIVE and other.others["a"].denials == 1
+    other.heard(2, "c", Ping(2, (GossipItem("a", MemberState.SUSPECT, 1, 0, "d"),)))  # the old suspicion, late
+    assert other.others["a"].seems is MemberState.ALIVE
 
 
 def test_a_denial_is_told_before_greetings():
-    watcher = Liveness("a", [f"g{n}" for n in range(50)], 1, Pace(), Random(1), 0)
-    watcher.heard(0, "g1", Ping(1, tuple(News(f"g{n}", Seems.ALIVE, 1, 0) for n in range(2, 50))))
-    watcher.heard(0, "g1", Ping(2, (News("a", Seems.SUSPECT, 1, 0, "g1"),)))
+    watcher = FailureDetector("a", [f"g{n}" for n in range(50)], 1, Pace(), Random(1), 0)
+    watcher.heard(0, "g1", Ping(1, tuple(GossipItem(f"g{n}", MemberState.ALIVE, 1, 0) for n in range(2, 50))))
+    watcher.heard(0, "g1", Ping(2, (GossipItem("a", MemberState.SUSPECT, 1, 0, "g1"),)))
     ((_, ack),) = watcher.heard(0, "g2", Ping(3))
-    assert ack.news[0] == News("a", Seems.ALIVE, 1, 1) and len(ack.news) == len(watcher.others) // 3  # in a crowd
+    assert (
+        ack.news[0] == GossipItem("a", MemberState.ALIVE, 1, 1) and len(ack.news) == len(watcher.others) // 3
+    )  # in a crowd
 
 
 def test_a_suspicion_that_others_share_lasts_shorter():
@@ -130,12 +132,12 @@
     for sharers in ("c", "cd"):
         watcher = one("b")
         for by in sharers:
-            watcher.heard(0, by, Ping(1, (News("a", Seems.SUSPECT, 1, 0, by),)))
+            watcher.heard(0, by, Ping(1, (GossipItem("a", MemberState.SUSPECT, 1, 0, by),)))
         ends.append(watcher.ends[watcher.others["a"]])
     assert ends[1] < ends[0] == 6 * SECOND
     watcher.next_ping = 100 * SECOND
     watcher.tick(ends[1])
-    assert watcher.others["a"].seems is Seems.DEAD and "a" not in watcher.steady(10**9)
+    assert watcher.others["a"].seems is MemberState.DEAD and "a" not in watcher.steady(10**9)
 
 
 def test_who_falls_again_and_again_is_steady_only_after_longer():
@@ -143,7 +145,7 @@
     watcher.heard(0, "b", Ping(1, alive("b", "c")))
     assert watcher.steady(2 * SECOND) == ["a", "b", "c"]  # d was never heard of
     for life in (2, 3):
-        watcher.heard(2 * SECOND, "c", Ping(life, (News("b", Seems.DEAD, life - 1, 0, "c"),)))
+        watcher.heard(2 * SECOND, "c", Ping(life, (GossipItem("b", MemberState.DEAD, life - 1, 0, "c"),)))
         watcher.heard(2 * SECOND, "c", Ping(life, alive("b", life=life)))
     assert watcher.steady(4 * SECOND) == ["a", "c"]
     assert watcher.steady(2 * SECOND + 32 * SECOND) == ["a", "b", "c"]
@@ -151,7 +153,8 @@
 
 
 told = st.lists(
-    st.tuples(st.sampled_from(list(Seems)), st.integers(1, 3), st.integers(0, 3), st.sampled_from("bcd")), max_size=12
+    st.tuples(st.sampled_from(list(MemberState)), st.integers(1, 3), st.integers(0, 3), st.sampled_from("bcd")),
+    max_size=12,
 )
 
 
@@ -159,7 +162,7 @@
 @given(told, st.randoms(use_true_random=False))
 def test_news_in_any_order_and_repeated_come_to_the_same(told, chance):
     """But for the clock: what is later of lives, denials and the worse word holds."""
-    news = [News("b", *rest) for rest in told]
+    news = [GossipItem("b", *rest) for rest in told]
     mixed = news + news[:4]
     chance.shuffle(mixed)
     ends = []
@@ -169,7 +172,7 @@
             watcher.heard(0, "c", Ping(number, (word,)))
         other = watcher.others["b"]
         ends.append((other.life, other.denials, other.seems))
-    assert ends[0] == ends[1] == max([(n.life, n.denials, n.seems) for n in news], default=(0, 0, Seems.ALIVE))
+    assert ends[0] == ends[1] == max([(n.life, n.denials, n.seems) for n in news], default=(0, 0, MemberState.ALIVE))
 
 
 @pytest.mark.parametrize("loss", [0.0, 0.05])
@@ -187,15 +190,15 @@
 def test_a_denial_that_was_lost_is_told_again():
     """Guards against a gateway that is called dead for good: its denial was told as often as news are, and all lost."""
     awake = one("a")
-    dead = News("a", Seems.DEAD, 1, 0, "b")
+    dead = GossipItem("a", MemberState.DEAD, 1, 0, "b")
     ((_, ack),) = awake.heard(0, "b", Ping(1, (dead,)))
-    assert News("a", Seems.ALIVE, 1, 1) in ack.news
+    assert GossipItem("a", MemberState.ALIVE, 1, 1) in ack.news
     for seq in range(20):
         awake.heard(1, "c", Ping(seq))
     ((_, quiet),) = awake.heard(2, "c", Ping(30))
     assert quiet.news == ()
     ((_, again),) = awake.heard(3, "b", Ping(2, (dead,)))
-    assert News("a", Seems.ALIVE, 1, 1) in again.news and awake.denials == 1
+    assert GossipItem("a", MemberState.ALIVE, 1, 1) in again.news and awake.denials == 1
 
 
 def test_one_that_leaves_says_so_to_all_and_denies_nothing():
@@ -203,6 +206,6 @@
     said = leaving.leave(5)
     assert sorted(name for name, _ in said) == sorted(leaving.others)
     other.heard(6, "a", dict(said)["b"])
-    assert other.others["a"].seems is Seems.DEAD
-    ((_, ack),) = leaving.heard(7, "b", Ping(3, (News("a", Seems.DEAD, 1, 0, "b"),)))
-    assert all(news.seems is Seems.DEAD for news in ack.news) and leaving.denials == 0
+    assert other.others["a"].seems is MemberState.DEAD
+    ((_, ack),) = leaving.heard(7, "b", Ping(3, (GossipItem("a", MemberState.DEAD, 1, 0, "b"),)))
+    assert all(news.seems is MemberState.DEAD for news in ack.news) and leaving.denials == 0
--- a/tests/fleet/test_keeper.py
+++ b/tests/cluster/test_member.py
@@ -8,12 +8,12 @@
 
 import pytest
 
-from tansykeel.emulator.watching import Trial, Watchers, watched
-from tansykeel.fleet.keeper import Keeper, Place
-from tansykeel.fleet.liveness import SECOND, Pace, Ping
-from tansykeel.fleet.membership import SAFE, Member, View, voters_of
-from tansykeel.fleet.news import News, Seems
-from tansykeel.fleet.views import Agreement, Terms
+from tansykeel.cluster.failure_detector import SECOND, Pace, Ping
+from tansykeel.cluster.gossip import GossipItem, MemberState
+from tansykeel.cluster.member import ClusterMember, Place
+from tansykeel.cluster.membership import SAFE, Member, View, voters_of
+from tansykeel.cluster.view_agreement import LeaseTerms, ViewAgreement
+from tansykeel.emulator.cluster_simulation import Trial, Watchers, watched
 
 
 @pytest.mark.parametrize(
@@ -34,7 +34,7 @@
 
 
 def test_a_fleet_that_lost_most_at_once_keeps_to_its_safe_parts_until_they_are_back():
-    world = Watchers(Trial(5, seconds=40, dead=0), 1, Pace(), Terms(lease=4 * SECOND))
+    world = Watchers(Trial(5, seconds=40, dead=0), 1, Pace(), LeaseTerms(lease=4 * SECOND))
     for name in ("edge-0", "edge-1", "edge-2"):
         world.engine.at(world.engine.now + 15 * 10**6, world._die, name)
         world.engine.at(world.engine.now + 30 * 10**6, world._back, name)
@@ -53,7 +53,7 @@
 def test_one_seed_plays_the_same_in_every_process():
     """Guards against an order that hangs on how a process hashes names."""
     program = (
-        "from tansykeel.emulator.watching import Trial, watched\n"
+        "from tansykeel.emulator.cluster_simulation import Trial, watched\n"
         "print(watched(Trial(7, seconds=12, loss=0.1, dead=2, back_s=3.0), 1))"
     )
     played = {
@@ -72,7 +72,7 @@
 def test_a_law_that_is_broken_is_seen(monkeypatch):
     """Gateways that count by a view as soon as they hear of it, whatever the leases on the one before."""
     monkeypatch.setattr(
-        Agreement, "part", lambda one, now: SAFE / len(one.names) + (one.view.part(one.me) if one.view else 0)
+        ViewAgreement, "part", lambda one, now: SAFE / len(one.names) + (one.view.part(one.me) if one.view else 0)
     )
     assert watched(Trial(10, seconds=40, dead=2, back_s=4.0), 1).most_of_whole > 1
 
@@ -88,13 +88,17 @@
 
 def test_only_voters_in_turn_propose_and_others_wait():
     names = {name: Place() for name in "abc"}
-    keepers = {name: Keeper(name, names, 1, Pace(steady=0), Terms(lease=300), Random(1), 0) for name in names}
-    members = tuple(keeper.me for keeper in keepers.values())
-    for name, keeper in keepers.items():
-        one = keeper.agreement
+    cluster_members = {
+        name: ClusterMember(name, names, 1, Pace(steady=0), LeaseTerms(lease=300), Random(1), 0) for name in names
+    }
+    members = tuple(cluster_member.me for cluster_member in cluster_members.values())
+    for name, cluster_member in cluster_members.items():
+        one = cluster_member.agreement
         one.view, one.active = View(1, members, members), True
         one.grants = dict.fromkeys(members, 10**9)
-        keeper.liveness.heard(0, "b" if name != "b" else "a", Ping(1, (News("c", Seems.DEAD, 1, 0),)))
-    assert keepers["a"]._change(0, 0) != [] and keepers["b"]._change(0, 0) == []
-    assert keepers["b"]._change(299, 0) == [] and keepers["b"]._change(300, 0) != []
-    assert keepers["c"]._change(300, 0) == []  # it believes nothing of its own death
+        cluster_member.failure_detector.heard(
+            0, "b" if name != "b" else "a", Ping(1, (GossipItem("c", MemberState.DEAD, 1, 0),))
+        )
+    assert cluster_members["a"]._change(0, 0) != [] and cluster_members["b"]._change(0, 0) == []
+    assert cluster_members["b"]._change(299, 0) == [] and cluster_members["b"]._change(300, 0) != []
+    assert cluster_members["c"]._change(300, 0) == []  # it believes nothing of its own death
--- a/tests/fleet/test_outbox.py
+++ b/tests/cluster/test_send_queue.py
@@ -3,11 +3,11 @@
 import msgspec
 import pytest
 
-from tansykeel.fleet.liveness import Ping
-from tansykeel.fleet.membership import Ask, Decided, Done, Form, Member, Promise, View
-from tansykeel.fleet.news import News, Seems
-from tansykeel.fleet.outbox import Bound, Outbox, Urgency
-from tansykeel.fleet.words import DECODERS, KINDS, MOST, number_of, packed, unpacked, urgency_of
+from tansykeel.cluster.failure_detector import Ping
+from tansykeel.cluster.gossip import GossipItem, MemberState
+from tansykeel.cluster.membership import Decided, Form, LeaseRequest, Member, Promise, Revoked, View
+from tansykeel.cluster.messages import DECODERS, KINDS, MOST, number_of, packed, unpacked, urgency_of
+from tansykeel.cluster.send_queue import Bound, SendQueue, Urgency
 
 BOUNDS = {Urgency.HINT: Bound(2, 100), Urgency.LIVENESS: Bound(2, 10), Urgency.PROMISE: Bound(2, 50)}
 
@@ -20,14 +20,14 @@
 
 
 def test_the_urgent_goes_first_and_each_kind_in_its_order():
-    box = Outbox(BOUNDS)
+    box = SendQueue(BOUNDS)
     for urgency, word in [(Urgency.HINT, "h"), (Urgency.PROMISE, "p"), (Urgency.LIVENESS, "l"), (Urgency.PROMISE, "q")]:
         box.put(0, urgency, word)
     assert len(box) == 4 and taken(box, 1) == ["l", "p", "q", "h"] and not len(box)
 
 
 def test_what_is_too_late_is_dropped_where_it_waits():
-    box = Outbox(BOUNDS)
+    box = SendQueue(BOUNDS)
     for urgency in Urgency:
         box.put(0, urgency, urgency.name)
     assert taken(box, 50) == ["HINT"]
@@ -35,7 +35,7 @@
 
 
 def test_one_kind_in_a_crowd_takes_no_room_of_another_and_keeps_the_newest():
-    box = Outbox(BOUNDS)
+    box = SendQueue(BOUNDS)
     box.put(0, Urgency.LIVENESS, "l")
     for number in range(9):
         box.put(0, Urgency.HINT, number)
@@ -43,7 +43,7 @@
 
 
 def test_moot_words_are_let_go():
-    box = Outbox(BOUNDS)
+    box = SendQueue(BOUNDS)
     box.put(0, Urgency.PROMISE, 3)
     box.put(0, Urgency.PROMISE, 4)
     box.drop(Urgency.PROMISE, lambda word: word < 4)
@@ -54,13 +54,13 @@
     a, b = Member("a", 2**60, 3, 2), Member("b", 1)
     view = View(7, (a, b), (a,), (b,))
     words = [
-        Ping(1, (News("b", Seems.SUSPECT, 2, 1, "a"),)),
+        Ping(1, (GossipItem("b", MemberState.SUSPECT, 2, 1, "a"),)),
         Promise(6, (2, "a"), (1, "b"), view),
         Promise(6, (2, "a"), (0, ""), None),
         Form(view, ("c",)),
         Decided(view),
-        Ask(6, -5),
-        Done(7),
+        LeaseRequest(6, -5),
+        Revoked(7),
     ]
     assert [unpacked(*packed(word)) for word in words] == words
     assert [number_of(word) for word in words] == [None, 6, 6, 7, 7, 6, 7]
@@ -77,8 +77,8 @@
     "what, data, says",
     [
         ("Poke", b"", "legal: Ping"),
-        ("Ask", b"\x01", "word 'Ask'"),
-        ("Ask", msgspec.msgpack.encode([1]), "length"),
+        ("LeaseRequest", b"\x01", "word 'LeaseRequest'"),
+        ("LeaseRequest", msgspec.msgpack.encode([1]), "length"),
         ("Decided", bytes(MOST + 1), "bytes; legal"),
     ],
 )
--- a/tests/edge/test_fellows.py
+++ b/tests/edge/test_cluster_agent.py
@@ -46,7 +46,7 @@
 
     async def until(self, so):
         """Wait until something is so at all gateways; the test's own bound ends it else."""
-        while not all(so(edge.fellows) for edge in self.edges.values()):
+        while not all(so(edge.cluster_agent) for edge in self.edges.values()):
             await asyncio.sleep(0.02)
 
 
@@ -65,9 +65,9 @@
 
 
 def settled(members):
-    def so(fellows):
-        agreement = fellows.keeper.agreement
-        return agreement.active and fellows.leased and len(agreement.view.members) == members
+    def so(cluster_agent):
+        agreement = cluster_agent.cluster_member.agreement
+        return agreement.active and cluster_agent.leased and len(agreement.view.members) == members
 
     return so
 
@@ -78,21 +78,21 @@
             for number in range(5):
                 await gateways.start(number)
             await gateways.until(settled(5))
-            assert {edge.fellows.told[1] for edge in gateways.edges.values()} == {EACH}
+            assert {edge.cluster_agent.told[1] for edge in gateways.edges.values()} == {EACH}
             links = sum(len(edge.hub.links) for edge in gateways.edges.values())
             while links > 2 * 10:  # of two that were opened at once one closes
                 await asyncio.sleep(0.02)
                 links = sum(len(edge.hub.links) for edge in gateways.edges.values())
-            first = gateways.edges[0].fellows.view.number
+            first = gateways.edges[0].cluster_agent.view.number
             await gateways.stop(4)
             await gateways.until(settled(4))
-            assert {edge.fellows.view.number for edge in gateways.edges.values()} == {first + 1}
-            assert {edge.fellows.told[1] for edge in gateways.edges.values()} == {SAFE + Fraction(1, 5)}
+            assert {edge.cluster_agent.view.number for edge in gateways.edges.values()} == {first + 1}
+            assert {edge.cluster_agent.told[1] for edge in gateways.edges.values()} == {SAFE + Fraction(1, 5)}
             # It said that it leaves: nobody had to suspect it.
-            assert all(e.fellows.seems["edge-4"].name == "DEAD" for e in gateways.edges.values())
+            assert all(e.cluster_agent.seems["edge-4"].name == "DEAD" for e in gateways.edges.values())
             await gateways.start(4)
             await gateways.until(settled(5))
-            assert gateways.edges[4].fellows.view.number == first + 2
+            assert gateways.edges[4].cluster_agent.view.number == first + 2
 
     play(go(), 40)
 
@@ -102,7 +102,11 @@
         async with fleet() as gateways:
             for number in range(3):  # of five: no first view without the others
                 await gateways.start(number)
-            await gateways.until(lambda fellows: fellows.keeper.liveness.others["edge-4"].seems.name == "DEAD")
+            await gateways.until(
+                lambda cluster_agent: (
+                    cluster_agent.cluster_member.failure_detector.others["edge-4"].seems.name == "DEAD"
+                )
+            )
             told = await ask(gateways.addresses[0], 5)
             assert (told.name, told.number, told.leased, told.part) == ("edge-0", 0, 0, float(SAFE))
             seen = {other.name: (other.seems, other.link) for other in told.others}
@@ -112,7 +116,9 @@
             await gateways.until(settled(5))
             told = await ask(gateways.addresses[3], 5)
             assert told.leased and told.active and told.part == float(EACH) and len(told.members) == 5
-            assert sorted(told.voters) == sorted(name for name, _ in told.members) == gateways.edges[0].fellows.names
+            assert (
+                sorted(told.voters) == sorted(name for name, _ in told.members) == gateways.edges[0].cluster_agent.names
+            )
 
     play(go(), 40)
 
@@ -139,12 +145,16 @@
             hole = listening(gateways.addresses[4])
             for number in range(4):
                 await gateways.start(number)
-            await gateways.until(lambda fellows: fellows.keeper.liveness.others["edge-4"].seems.name == "DEAD")
             await gateways.until(
-                lambda fellows: all(
-                    fellows.keeper.liveness.others[f"edge-{n}"].life
+                lambda cluster_agent: (
+                    cluster_agent.cluster_member.failure_detector.others["edge-4"].seems.name == "DEAD"
+                )
+            )
+            await gateways.until(
+                lambda cluster_agent: all(
+                    cluster_agent.cluster_member.failure_detector.others[f"edge-{n}"].life
                     for n in range(4)
-                    if f"edge-{n}" != fellows.names[fellows.peers.me]
+                    if f"edge-{n}" != cluster_agent.names[cluster_agent.peers.me]
                 )
             )
             hole.close()
--- a/tests/accord/test_search.py
+++ b/tests/maintenance/test_model_checker.py
@@ -6,15 +6,15 @@
 
 import pytest
 
-from tansykeel.accord.entries import Back, Leave, Lost, packed, unpacked
-from tansykeel.accord.search import Books, settled
-from tansykeel.accord.state import State
-from tansykeel.fleet.ledger import Ledger
-from tansykeel.fleet.membership import Member, View
-from tansykeel.fleet.search import Bounds, walks
-from tansykeel.fleet.views import Agreement, Terms
-
-NAMES, TERMS = ("a", "b", "c"), Terms(lease=2, drift=0.0)
+from tansykeel.cluster.membership import Member, View
+from tansykeel.cluster.model_checker import Bounds, walks
+from tansykeel.cluster.replicated_log import ReplicatedLog
+from tansykeel.cluster.view_agreement import LeaseTerms, ViewAgreement
+from tansykeel.maintenance.entries import Back, Leave, Lost, packed, unpacked
+from tansykeel.maintenance.model_checker import Books, settled
+from tansykeel.maintenance.state import State
+
+NAMES, TERMS = ("a", "b", "c"), LeaseTerms(lease=2, drift=0.0)
 ALL = dict(ticks=8, proposals=2, crashes=1, restarts=2, forms=1)
 CALM = dict(ticks=3, proposals=0, crashes=0, restarts=0, forms=0)
 
@@ -30,17 +30,17 @@
 class Timed(Books):
     """Leave is counted back though nobody saw it back."""
 
-    def _seen_back(self, ledger, name):
-        return ledger.leads and name in self._state(ledger).kept.out
+    def _seen_back(self, replicated_log, name):
+        return replicated_log.leads and name in self._state(replicated_log).kept.out
 
     def _of_leader(self, kind, name, what):
         if kind != "sees":
             return super()._of_leader(kind, name, what)
-        ledger = self._own(name)
-        if not self._seen_back(ledger, what[0]):
+        replicated_log = self._own(name)
+        if not self._seen_back(replicated_log, what[0]):
             return False
-        out = self._state(ledger).kept.out[what[0]]
-        self._offer(name, ledger, Back(what[0], out.boot + 1, out.number))
+        out = self._state(replicated_log).kept.out[what[0]]
+        self._offer(name, replicated_log, Back(what[0], out.boot + 1, out.number))
         return True
 
 
@@ -54,7 +54,7 @@
 class Deaf(Books):
     """A leader's orders need nobody who still follows it."""
 
-    def _confirmed(self, ledger):
+    def _confirmed(self, replicated_log):
         return True
 
     def _obeys(self, subject, order):
@@ -63,7 +63,7 @@
 
 def test_no_order_of_events_breaks_a_law():
     for seed in (1, 2):
-        found = walks(settled(NAMES, TERMS, Agreement), Bounds(states=3_000, **ALL), seed, 150, by_kind=True)
+        found = walks(settled(NAMES, TERMS, ViewAgreement), Bounds(states=3_000, **ALL), seed, 150, by_kind=True)
         assert found.law == "" and found.states >= 3_000
 
 
@@ -76,7 +76,7 @@
     ],
 )
 def test_a_planted_fault_is_found(kind, law, bounds, step):
-    found = walks(settled(NAMES, TERMS, Agreement, kind), Bounds(states=40_000, **bounds), 1, 150, by_kind=True)
+    found = walks(settled(NAMES, TERMS, ViewAgreement, kind), Bounds(states=40_000, **bounds), 1, 150, by_kind=True)
     assert found.law.startswith(law) and any(step in line for line in found.trace) and len(found.trace) < 50
 
 
@@ -95,7 +95,7 @@
 @pytest.mark.parametrize("kind, broken", [(Books, False), (Deaf, True)])
 def test_a_leader_that_was_cut_off_can_start_nothing(kind, broken):
     """It holds leave that was given; the others form a new view, and an operator says that nothing is out."""
-    fleet = all_hear(settled(NAMES, TERMS, Agreement, kind).after(("offers", "a", "x")))
+    fleet = all_hear(settled(NAMES, TERMS, ViewAgreement, kind).after(("offers", "a", "x")))
     assert set(of(fleet, "a").out) == {"x"}
     cut = {"a", "b"}, {"a", "c"}
     a, b, c = (fleet.alive[name].me for name in NAMES)
@@ -121,7 +121,7 @@
 
 
 def test_a_life_that_returned_empty_is_no_voter_of_before():
-    fleet = settled(NAMES, TERMS, Agreement).after(("restarts", "b"))
+    fleet = settled(NAMES, TERMS, ViewAgreement).after(("restarts", "b"))
     fleet = all_hear(fleet.after(("offers", "a", "x")), {"a", "c"})
     assert of(fleet, "a").out == {}  # b's new life took it, and counts for nothing
     fleet = all_hear(fleet)
@@ -129,7 +129,7 @@
 
 
 def test_an_answer_that_comes_too_late_starts_nothing():
-    fleet = all_hear(settled(NAMES, TERMS, Agreement).after(("offers", "a", "x"))).after(("orders", "a", "x"))
+    fleet = all_hear(settled(NAMES, TERMS, ViewAgreement).after(("offers", "a", "x"))).after(("orders", "a", "x"))
     order = next(iter(fleet.orders))
     assert not fleet.after(("tick",)).after(("gets", order)).subjects["x"].out
     assert fleet.after(("gets", order)).subjects["x"].out
@@ -138,7 +138,7 @@
 
 def test_where_those_who_decided_a_view_are_gone_it_goes_on_by_an_operator_s_word_and_knows_nothing_for_sure():
     old, new = (tuple(Member(name, 1) for name in names) for names in ("pqr", "xyz"))
-    books = {member.name: Ledger(member, State(known=True), 2, 0) for member in new}
+    books = {member.name: ReplicatedLog(member, State(known=True), 2, 0) for member in new}
 
     def hear(sent, sender):
         for to, word in sent:
--- a/tests/accord/test_leaving.py
+++ b/tests/maintenance/test_rollout_simulation.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from tansykeel.accord.entries import Back
-from tansykeel.accord.steward import Steward
-from tansykeel.emulator.leaving import Trial, World
+from tansykeel.emulator.rollout_simulation import Trial, World
+from tansykeel.maintenance.controller import Controller
+from tansykeel.maintenance.entries import Back
 
 
 def test_a_good_release_ends_and_never_more_are_out_than_the_bounds_allow():
@@ -45,6 +45,6 @@
 
 
 def test_leave_counted_back_unseen_is_named_by_the_judge(monkeypatch):
-    monkeypatch.setattr(Steward, "_backs", counted_back_by_time)
+    monkeypatch.setattr(Controller, "_backs", counted_back_by_time)
     played = World(Trial(seconds=160), 1).play()
     assert any("goes out though the gateways of" in line for line in played.broken)
--- a/tests/accord/test_state.py
+++ b/tests/maintenance/test_state.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from tansykeel.accord.comparing import Comparison, Seen, Terms
-from tansykeel.accord.entries import Back, Bounded, Leave, Lost, Move, Plan, Recover, There, Went
-from tansykeel.accord.releases import MOVES
-from tansykeel.accord.room import Bounds, Place
-from tansykeel.accord.state import State
+from tansykeel.maintenance.canary_analysis import Comparison, Seen, Terms
+from tansykeel.maintenance.disruption_budget import Bounds, Place
+from tansykeel.maintenance.entries import Back, Bounded, Leave, Lost, Move, Plan, Recover, There, Went
+from tansykeel.maintenance.rollouts import MOVES
+from tansykeel.maintenance.state import State
 
 GATEWAYS = tuple(Place(f"g{n}", "gateway", n % 2, volumes=("v",) if n < 2 else ("w",)) for n in range(10))
 STORES = tuple(Place(f"s{n}", "store", n % 2, n // 2, power=10.0) for n in range(6))
@@ -44,7 +44,7 @@
 
 
 def test_what_is_left_has_to_bear_what_is_asked():
-    from tansykeel.accord.entries import Asked
+    from tansykeel.maintenance.entries import Asked
 
     made = state(Asked(45.0, 0.0), share=0.5, zone=0.9)
     assert made.against("s0") == []
--- a/tests/rehearse/test_chaos.py
+++ b/tests/rehearse/test_chaos.py
@@ -5,10 +5,10 @@
 import msgspec
 import pytest
 
-from tansykeel.emulator.gateway import Fellow
+from tansykeel.cluster.view_agreement import ViewAgreement
+from tansykeel.emulator.gateway import ClusterMemberHost
 from tansykeel.emulator.hunt import play_on
 from tansykeel.emulator.world import World
-from tansykeel.fleet.views import Agreement
 from tansykeel.rehearse.chaos import cut_down, drawn, script_of
 from tansykeel.rehearse.day import load_day
 from tansykeel.rehearse.play import day_of
@@ -57,7 +57,7 @@
 
 def test_a_day_that_breaks_a_rule_is_cut_down_to_what_shows_it(monkeypatch):
     """Planted: a gateway goes on to count by a view that it follows, lease or none, and others take over its part."""
-    monkeypatch.setattr(Agreement, "until", lambda one: 10**15 if one.view and one.me in one.view.members else -1)
+    monkeypatch.setattr(ViewAgreement, "until", lambda one: 10**15 if one.view and one.me in one.view.members else -1)
     base = day_of("chaos", None, {"part": 0.05})
     for seed in range(1, 30):
         day = drawn(base, seed)
@@ -97,7 +97,7 @@
 def test_a_simulated_gateway_that_is_gone_has_no_fellow():
     world = World(msgspec.structs.replace(day_of("threegone", 6, {"part": 0.05})), 1)
     seen = []
-    real = Fellow.heard
+    real = ClusterMemberHost.heard
     world.engine.at(world.engine.now + 3_500_000, lambda: seen.append([g.fellow is None for g in world.gateways]))
     world.play()
-    assert Fellow.heard is real and seen == [[True, True, True, False, False]]
+    assert ClusterMemberHost.heard is real and seen == [[True, True, True, False, False]]
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -17,7 +17,7 @@
 KEPT = {  # a caller in this program gave what it must not: no operator can do anything about it
     "benchlink/words.py",
     "emulator/compare.py",
-    "fleet/views.py",
+    "cluster/view_agreement.py",
     "protocol/frames.py",
 }
 
