--- a/tansykeel/protocol/codec.py
+++ b/tansykeel/protocol/codec.py
@@ -41,7 +41,8 @@
 
 ALWAYS: frozenset[int] = frozenset({Kind.ERROR, Kind.GOODBYE, Kind.CUT, Kind.CHUNK})
 SAYS: dict[str, frozenset[int]] = {  # what each role may say after its hello
-    "client": ALWAYS | {Kind.TASK, Kind.CANCEL, Kind.FLEET_ASK, Kind.FLEET_WITHOUT, Kind.ACCORD},
+    "client": ALWAYS
+    | {Kind.TASK, Kind.CANCEL, Kind.FLEET_ASK, Kind.FLEET_WITHOUT, Kind.ACCORD, Kind.CONTROL_STATUS_REQUEST},
     "edge": ALWAYS
     | {
         Kind.ANSWER,
@@ -58,6 +59,9 @@
     "store": ALWAYS | {Kind.OUTCOME, Kind.PROBED},
     "list": ALWAYS | {Kind.LIST},
     "peer": ALWAYS | {Kind.SHARE, Kind.WATCH, Kind.ACCORD},  # a gateway to another
+    "gateway": ALWAYS | {Kind.SESSION_OPEN, Kind.HEARTBEAT, Kind.SESSION_CLOSE},  # to a control node
+    "control": ALWAYS  # a control node to gateways, operators and other control nodes
+    | {Kind.SESSION_ACCEPTED, Kind.SESSION_REJECTED, Kind.LEASE_RENEWAL, Kind.CONTROL_STATUS, Kind.WATCH},
 }
 CARRIERS = (TaskOf, Answer, HandOffOf, OutcomeOf)
 
--- a/tansykeel/protocol/frames.py
+++ b/tansykeel/protocol/frames.py
@@ -55,6 +55,14 @@
     ACCORD = 19
     ACCORD_TOLD = 20
     FLEET_WITHOUT = 21
+    SESSION_OPEN = 22
+    SESSION_ACCEPTED = 23
+    SESSION_REJECTED = 24
+    HEARTBEAT = 25
+    LEASE_RENEWAL = 26
+    SESSION_CLOSE = 27
+    CONTROL_STATUS_REQUEST = 28
+    CONTROL_STATUS = 29
 
 
 U64 = Annotated[int, Meta(ge=0, le=2**63 - 1)]
@@ -246,6 +254,92 @@
     word: Annotated[bytes, Meta(max_length=MOST_FIELDS - 1024)]
 
 
+class SessionOpen(Fields):
+    """A gateway asks a control node of its region for a session; the hello's `boot` is its incarnation."""
+
+    cluster: Name  # a control node of another cluster rejects it
+    gateway: Name
+    region: Name
+
+
+class SessionAccepted(Fields):
+    """The answer of a control node that holds the session from now on."""
+
+    cluster: Name
+    node: Name
+    session: U64  # no other session of this incarnation of the control node has this number
+    heartbeat_every: Annotated[int, Meta(ge=1, le=2**62)]  # microseconds
+
+
+class SessionRejected(Fields):
+    """The answer of a control node that does not hold the session."""
+
+    cluster: Name
+    node: Name
+    reason: Text
+    retry_after: U64  # microseconds; 0: never, for the settings of one of the two are wrong
+
+
+class Heartbeat(Fields):
+    """A gateway asks for its lease anew and acknowledges the one that it counts by."""
+
+    session: U64
+    asked_at: U64  # tenths of a millisecond of the gateway's own clock; comes back with the renewal
+    lease: U64  # number of the newest lease that it received in this session, 0: none
+
+
+class LeaseRenewal(Fields):
+    """A gateway may count these units for `valid_for` microseconds of its own clock from `asked_at` on. It takes the
+    place of every earlier lease of the gateway, also one of another session."""
+
+    session: U64
+    asked_at: U64
+    lease: U64  # increases within a session
+    units: Annotated[int, Meta(ge=0, le=2**62)]  # billionths of the whole beside the safe part
+    valid_for: U64
+
+
+class SessionClose(Fields):
+    """The gateway counts by no lease of this session any more."""
+
+    session: U64
+
+
+class ControlStatusRequest(Fields):
+    """An operator asks a control node for its status."""
+
+
+class NodeBudgetStatus(Fields):
+    """The budget of one control node as the replicated log has it."""
+
+    node: Name
+    incarnation: U64
+    sessions: U64  # the weight that it asked for
+    units: U64
+    seems: Literal["alive", "suspect", "dead", "unseen"]
+
+
+class ControlStatus(Fields):
+    """What a control node believes of its region and of itself."""
+
+    cluster: Name
+    region: Name
+    node: Name
+    incarnation: U64
+    view: U64  # number of the agreed view of the region's control nodes, 0: none yet
+    active: bool
+    leased: U64  # microseconds that its own lease on the view has left, 0: none
+    leader: Annotated[str, Meta(max_length=64)]  # of the replicated log, as last received; empty: none known
+    leads: bool
+    entries: U64  # of the log that are committed here
+    sessions: U64
+    units_granted: U64  # that its gateways may count now
+    budget: U64  # units that it may grant now
+    admitted: U64  # sessions since its start
+    rejected: U64  # sessions since its start
+    nodes: tuple[NodeBudgetStatus, ...]
+
+
 RECORDS: dict[Kind, type[Fields]] = {
     Kind.HELLO: Hello,
     Kind.ERROR: Error,
@@ -265,6 +359,14 @@
     Kind.FLEET_ASK: FleetAsk,
     Kind.FLEET_TOLD: FleetTold,
     Kind.FLEET_WITHOUT: FleetWithout,
+    Kind.SESSION_OPEN: SessionOpen,
+    Kind.SESSION_ACCEPTED: SessionAccepted,
+    Kind.SESSION_REJECTED: SessionRejected,
+    Kind.HEARTBEAT: Heartbeat,
+    Kind.LEASE_RENEWAL: LeaseRenewal,
+    Kind.SESSION_CLOSE: SessionClose,
+    Kind.CONTROL_STATUS_REQUEST: ControlStatusRequest,
+    Kind.CONTROL_STATUS: ControlStatus,
     Kind.ACCORD: Accord,
     Kind.ACCORD_TOLD: AccordTold,
 }
--- a/tansykeel/settings/build.py
+++ b/tansykeel/settings/build.py
@@ -17,11 +17,14 @@
     BudgetOf,
     CategoryOf,
     ColdOf,
+    ControlNodeOf,
+    ControlOf,
     Gateway,
     ListOf,
     PeersOf,
     PlanOf,
     Record,
+    RegionOf,
     RulesOf,
     Settings,
     SizesOf,
@@ -31,7 +34,16 @@
 from tansykeel.settings.script import FieldError, ScriptError
 
 MS = 1_000_000  # nanoseconds
-PLURAL = {"category": "categories", "plan": "plans", "volume": "volumes", "store": "stores"}
+SHARE_ROUNDING = 1e-9  # by which shares that were written as decimals may pass 1
+LEASES_IN_HEARTBEATS = 3  # heartbeats that fit a lease at least, so that one lost heartbeat ends no lease
+PLURAL = {
+    "category": "categories",
+    "plan": "plans",
+    "volume": "volumes",
+    "store": "stores",
+    "region": "regions",
+    "control_node": "control_nodes",
+}
 R = TypeVar("R", bound=Record)
 _PATH = re.compile(r" - at `\$\.?([^`]*)`")
 _UNKNOWN = re.compile(r"unknown field `([^`]*)`")
@@ -78,6 +90,9 @@
             "rules": self._one("rules", RulesOf),
             "peers": self._one("peers", PeersOf),
             "accord": self._one("accord", AccordOf),
+            "control": self._one("control", ControlOf),
+            "region": self._named("region", RegionOf),
+            "control_node": self._named("control_node", ControlNodeOf),
             "category": self._named("category", CategoryOf),
             "plan": self._named("plan", PlanOf),
             "volume": self._named("volume", VolumeOf),
@@ -167,6 +182,7 @@
             yield f"peers.{field}: {len(given)} for {len(made.peers.addresses)} addresses; legal: one for each, or none"
     if made.accord and not (made.peers and made.peers.agree):
         yield "accord: gateways that agree on no views can give no leave; legal: with peers(agree = True)"
+    yield from control_faults_of(made)
     if made.sizes.usual > made.sizes.largest:
         yield f"sizes.usual: {made.sizes.usual:g} is not legal; legal: {made.sizes.largest:g} (largest) or less"
     if made.gateway.largest_body > made.gateway.connection_memory:
@@ -181,6 +197,36 @@
         )
 
 
+def control_faults_of(made: Settings) -> Iterable[str]:
+    """What is wrong with the control plane of the settings: each with its path, the value and what is legal."""
+    if made.control is None:
+        if made.regions or made.control_nodes:
+            yield "control: missing; legal: one control(cluster = ...) where region(...) or control_node(...) is given"
+        return
+    if made.peers and made.peers.agree:
+        yield "control: gateways agree on views already; legal: control(...) or peers(agree = True), not both"
+    if not made.regions:
+        yield "regions: none; legal: one region(...) or more with control(...)"
+    names = [region.name for region in made.regions]
+    if (whole := sum(region.share for region in made.regions)) > 1 + SHARE_ROUNDING:
+        yield f"regions: their shares make up {whole:g}; legal: 1 at most"
+    for node in made.control_nodes:
+        if node.region not in names:
+            yield f"control_node({node.name!r}).region: {node.region!r} is none; legal: {', '.join(names) or 'none'}"
+    for name in names:
+        count = len(made.nodes_of(name))
+        if count % 2 == 0:
+            yield f"region({name!r}): {count} control nodes; legal: an odd number of control_node(...), best three"
+    addresses = [node.address for node in made.control_nodes]
+    for address in sorted({address for address in addresses if addresses.count(address) > 1}):
+        yield f"control_node: address {address} stands there twice; legal: an address for each"
+    if made.control.heartbeat_ms * LEASES_IN_HEARTBEATS > made.control.lease_ms:
+        yield (
+            f"control.heartbeat_ms: {made.control.heartbeat_ms:g} is not legal; legal: a third of lease_ms "
+            f"({made.control.lease_ms / LEASES_IN_HEARTBEATS:g}) at most"
+        )
+
+
 def load(path: Path) -> Settings:
     """The settings of a script. Raises ScriptError: nothing starts on a bad file."""
     collected = Script()
@@ -197,6 +243,9 @@
         raise ScriptError(f"gateway number {number} of {count}: legal: 0 to {count - 1}")
     if made.peers and len(made.peers.addresses) != count:
         raise ScriptError(f"peers.addresses: {len(made.peers.addresses)} for {count} gateways; legal: one for each")
+    if made.control and sum(region.gateways for region in made.regions) != count:
+        named = sum(region.gateways for region in made.regions)
+        raise ScriptError(f"regions: {named} gateways in all for {count}; legal: as many in the regions as there are")
     rules, cold, budget = made.rules, made.rules.cold, made.rules.budget
     return Facts(
         gateways=count,
--- a/tansykeel/settings/records.py
+++ b/tansykeel/settings/records.py
@@ -125,6 +125,42 @@
     alpha: Annotated[float, Meta(gt=0, le=0.5)] = 0.002  # chance that a comparison halts for nothing
 
 
+class RegionOf(Record):
+    """One region: its fixed part of every whole beside the safe part, and how many gateways it has.
+
+    Gateways are numbered region by region, in the order in which the settings name the regions.
+    """
+
+    name: Name
+    share: Annotated[float, Meta(gt=0, le=1)]
+    gateways: Annotated[int, Meta(ge=1, le=10_000)]
+
+
+class ControlNodeOf(Record):
+    """One control node. The nodes of a region agree among themselves, so each region has an odd number of them."""
+
+    name: Name
+    region: Name
+    address: Address
+    zone: Index = 0
+
+
+class ControlOf(Record):
+    """The control plane: control nodes that hold the gateways' sessions and grant them leases on parts of every whole.
+
+    `lease_ms` is how long the control nodes of a region grant each other leases on their agreed view, which bounds
+    every lease of a gateway; `ping_ms` how often they look at each other; `drift` by how much any clock may be off.
+    """
+
+    cluster: Name  # control nodes and gateways of another cluster are rejected
+    lease_ms: Annotated[float, Meta(ge=200, le=60_000)] = 3_000.0
+    heartbeat_ms: Annotated[float, Meta(ge=50, le=20_000)] = 1_000.0
+    ping_ms: Annotated[float, Meta(ge=50, le=10_000)] = 300.0
+    drift: Annotated[float, Meta(ge=0, le=0.2)] = 0.01
+    admissions_per_s: Annotated[float, Meta(gt=0, le=10_000)] = 100.0  # new sessions that a control node accepts
+    connect_timeout_ms: Above = 500.0
+
+
 class SizesOf(Record):
     largest: Above = 16.0
     usual: Above = 2.0
@@ -166,6 +202,9 @@
     listing: ListOf | None = None
     peers: PeersOf | None = None
     accord: AccordOf | None = None
+    control: ControlOf | None = None
+    regions: tuple[RegionOf, ...] = ()
+    control_nodes: tuple[ControlNodeOf, ...] = ()
     sizes: SizesOf = field(default_factory=SizesOf)
     rules: RulesOf = field(default_factory=RulesOf)
 
@@ -173,6 +212,19 @@
         """What the gateways that know of each other call themselves, by number."""
         return [self.gateway.named(number) for number in range(len(self.peers.addresses))] if self.peers else []
 
+    def region_of(self, number: int) -> RegionOf:
+        """Return the region of the gateway of this number. Raises IndexError for a number beyond the last region."""
+        first = 0
+        for region in self.regions:
+            if number < first + region.gateways:
+                return region
+            first += region.gateways
+        raise IndexError(f"gateway number {number}: the regions have {first} gateways")
+
+    def nodes_of(self, region: str) -> tuple[ControlNodeOf, ...]:
+        """Return the control nodes of a region, in the order of the settings."""
+        return tuple(node for node in self.control_nodes if node.region == region)
+
     def listens_at(self, number: int) -> str:
         """The address of the gateway of this number: with peers its own of those."""
         return self.peers.addresses[number] if self.peers else self.gateway.listen
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -8,7 +8,7 @@
 RANKS = (  # a package imports from its own row and those under it
     {"cli"},
     {"edge", "platform", "standin", "rehearse", "emulator", "benchlink"},
-    {"cluster", "maintenance", "quota", "ahead", "holdings", "recovery", "audit", "settings"},
+    {"cluster", "maintenance", "control", "quota", "ahead", "holdings", "recovery", "audit", "settings"},
     {"protocol", "transport", "state", "http1"},
     {"brain", "runner", "baselines"},
     {"interface", "errors"},
@@ -106,6 +106,8 @@
             "emulator",
             "cluster",
             "maintenance",
+            "control",
+            "capacity",
             "holdings",
             "protocol",
             "recovery",
