Control plane: terms of a session and what a gateway counts by, as types

Need: the cores on both sides and the programs around them are built apart and have to agree on these. Change: SessionTerms and CountedLease beside the actions.

--- a/tansykeel/control/actions.py
+++ b/tansykeel/control/actions.py
@@ -13,6 +13,27 @@
 ConnectionId = int  # given by the program to each connection of a gateway to a control node; never used twice
 
 
+@dataclass(frozen=True, slots=True)
+class SessionTerms:
+    """What control nodes and gateways agree on beforehand, by their settings. Times are tenths of a millisecond."""
+
+    lease: int  # the longest that a gateway counts a lease
+    heartbeat: int
+    drift: float  # by how much any clock may run fast or slow
+    admissions_per_second: float  # new sessions that one control node accepts
+
+
+@dataclass(frozen=True, slots=True)
+class CountedLease:
+    """What a gateway counts by: the control node that granted it, and until when; no node: the safe part alone."""
+
+    node: str
+    session: int
+    lease: int
+    units: int
+    until: int
+
+
 @dataclass(frozen=True, slots=True)
 class SendToNode:
     """A control node tells another one of its region."""
