Records of leases that gateways claim and of frames on control links

The checker of the control plane judges from what passed on the links. It needs both ends' incarnations of each frame, which the record of words between gateways lacks, and what each gateway says that it counts, to hold it against that. LeaseClaimed and FrameSeen carry these; records, their file format and all checks there are stay as they were.

--- a/tansykeel/audit/records.py
+++ b/tansykeel/audit/records.py
@@ -1,4 +1,4 @@
-"""What clients, stores, the list service and the conductor write down of what passed, for the audit.
+"""What clients, stores, gateways, links, the list service and the conductor write down of what passed, for the audit.
 
 One file a process: records as msgpack, each after its length in four bytes. Times are whole microseconds of the
 machine's monotonic clock, which all processes of a rehearsal share.
@@ -11,7 +11,7 @@
 from collections.abc import Iterator
 from fractions import Fraction
 from pathlib import Path
-from typing import Any
+from typing import Any, Literal
 
 import msgspec
 from msgspec import Struct
@@ -198,6 +198,40 @@
     word: bytes
 
 
+class LeaseClaimed(Record):
+    """A gateway's own claim of what it counts by from now on, in place of its claim before.
+
+    It is held against the leases that were seen to reach the gateway, and is no proof of them. `until` is a moment of
+    the clock that all records share; 0 says that the gateway counts its safe part alone, and all after `incarnation`
+    is empty then.
+    """
+
+    gateway: str
+    incarnation: int
+    node: str = ""  # the control node that granted the lease
+    session: int = 0
+    lease: int = 0  # its number within the session
+    units: int = 0
+    until: int = 0
+
+
+class FrameSeen(Record):
+    """A frame on its way between a gateway and a control node, or between two control nodes, as the link saw it.
+
+    `at` is when it came by and `passed` when it went on, 0 for never; one that goes on twice is written twice. An
+    incarnation is that of the hello at the sender's or receiver's end of the connection, 0 before it came by.
+    """
+
+    passed: int
+    sender: str
+    sender_incarnation: int
+    receiver: str
+    receiver_incarnation: int
+    direction: Literal["to-node", "to-gateway", "between-nodes"]
+    message: str  # the record's type; between nodes the type of the cluster's message that a WATCH frame carries
+    fields: bytes  # as msgpack
+
+
 AnyRecord = (
     Sent
     | Got
@@ -217,6 +251,8 @@
     | Counted
     | Said
     | Left
+    | LeaseClaimed
+    | FrameSeen
 )
 
 
