Control plane's settings: terms, units of a region, and the cores made from them

Number -1 was taken for the first region's; a number beyond the regions now ends with UnknownGateway, which names the legal numbers (an IndexError was raised, against the rule of tests/test_errors.py). The settings' text has the control plane too, so that it loads as what it was written from.

--- a/tansykeel/settings/build.py
+++ b/tansykeel/settings/build.py
@@ -325,12 +325,15 @@
         ("listing", made.listing),
         ("peers", made.peers),
         ("accord", made.accord),
+        ("control", made.control),
     ]
     groups: list[tuple[str, tuple[Record, ...]]] = [
         ("category", made.categories),
         ("plan", made.plans),
         ("volume", made.volumes),
         ("store", made.stores),
+        ("region", made.regions),
+        ("control_node", made.control_nodes),
     ]
     lines = [call(verb, record) for verb, record in single if record is not None]
     lines += [call(verb, record) for verb, records in groups for record in records]
--- a/tansykeel/settings/records.py
+++ b/tansykeel/settings/records.py
@@ -7,6 +7,8 @@
 
 from msgspec import Meta, Struct, field
 
+from tansykeel.errors import Problem
+
 Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
 Address = Annotated[str, Meta(pattern=r"^[0-9A-Za-z.\-\[\]:]+:[0-9]{1,5}$")]
 Above = Annotated[float, Meta(gt=0)]
@@ -16,6 +18,12 @@
 Index = Annotated[int, Meta(ge=0)]
 
 
+class UnknownGateway(Problem, IndexError):
+    """A gateway's number is beyond those of the regions in the settings."""
+
+    advice = "start the gateway with a number of its region, or raise `gateways` of the region in the settings of all"
+
+
 class Record(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Base of all: fields by name only, nothing unknown."""
 
@@ -213,13 +221,13 @@
         return [self.gateway.named(number) for number in range(len(self.peers.addresses))] if self.peers else []
 
     def region_of(self, number: int) -> RegionOf:
-        """Return the region of the gateway of this number. Raises IndexError for a number beyond the last region."""
+        """Return the region of the gateway of this number. Raises UnknownGateway for a number beyond the last."""
         first = 0
         for region in self.regions:
-            if number < first + region.gateways:
+            if first <= number < first + region.gateways:
                 return region
             first += region.gateways
-        raise IndexError(f"gateway number {number}: the regions have {first} gateways")
+        raise UnknownGateway(f"gateway number {number}: the regions have {first} gateways; legal: 0 to {first - 1}")
 
     def nodes_of(self, region: str) -> tuple[ControlNodeOf, ...]:
         """Return the control nodes of a region, in the order of the settings."""
