--- a/tansykeel/audit/records.py
+++ b/tansykeel/audit/records.py
@@ -201,9 +201,10 @@
 class LeaseClaimed(Record):
     """A gateway's own claim of what it counts by from now on, in place of its claim before.
 
-    It is held against the leases that were seen to reach the gateway, and is no proof of them. `until` is a moment of
-    the clock that all records share; 0 says that the gateway counts its safe part alone, and all after `incarnation`
-    is empty then.
+    It is held against the leases that were seen to reach the gateway, and is no proof of them. `at` is read after the
+    lease was received and before anything is sent that follows from it: a heartbeat that acknowledges it, a
+    SessionClose. `until` is a moment of the clock that all records share; 0 says that the gateway counts its safe part
+    alone, and all after `incarnation` is empty then.
     """
 
     gateway: str
