--- /dev/null
+++ b/tansykeel/control/session_client.py
@@ -0,0 +1,382 @@
+"""A gateway's side of the control plane: which control node it asks, and which lease it counts by. Without I/O.
+
+`docs/control.md` has the rules. The program around it carries the actions out: it connects, tells `connected` or
+`connection_lost`, passes on what is received, and calls `tick` when `due`. A connection that this client gave up by
+`DisconnectFromNode` is reported no more. What a node sends against the rules is not counted by and noted in `refusals`.
+Times are whole tenths of a millisecond of the gateway's own monotonic clock.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Sequence
+from enum import Enum
+from fractions import Fraction
+from random import Random
+
+from tansykeel.cluster.allotments import Allotments
+from tansykeel.control.actions import (
+    ConnectToNode,
+    CountedLease,
+    DisconnectFromNode,
+    GatewayAction,
+    SendToControl,
+    SessionTerms,
+)
+from tansykeel.control.gateway_session import MICROSECONDS_PER_TICK, GatewaySession, Phase, RefusedRenewal
+from tansykeel.control.held_lease import HeldLease
+from tansykeel.control.placement import placement_order
+from tansykeel.protocol.frames import (
+    Fields,
+    Goodbye,
+    LeaseRenewal,
+    SessionAccepted,
+    SessionClose,
+    SessionOpen,
+    SessionRejected,
+)
+
+SECOND = 10_000
+FIRST_BACKOFF = SECOND // 5  # full jitter: the first wait is up to this, each further one up to twice the one before
+LONGEST_BACKOFF = 5 * SECOND
+RETURN_EVERY = 30 * SECOND  # in the mean: that the first choice is asked again, or a node that rejected for good
+LONGEST_RETRY_AFTER = 30 * SECOND  # that a node is believed; the nodes' own bound is 5 s
+REJECTIONS_BEFORE_NEXT = 3  # in a row, each with a time to come back, after which the next node is asked
+NEVER_DUE = 1 << 62
+
+
+class SessionState(Enum):
+    """What a gateway's status says of its session."""
+
+    DISCONNECTED = "disconnected"
+    CONNECTING = "connecting"
+    OPENING = "opening"
+    OPEN = "open"
+    REJECTED = "rejected"
+
+
+class SessionClient:
+    """Holds one session; a second one is tried beside it only to move to another node without losing the lease."""
+
+    def __init__(
+        self,
+        cluster: str,
+        region: str,
+        gateway: str,
+        gateways: int,
+        nodes: Sequence[str],
+        terms: SessionTerms,
+        chance: Random,
+        now: int,
+    ) -> None:
+        """`gateways`: how many there are over all regions; `nodes`: the control nodes of the gateway's region."""
+        self.cluster = cluster
+        self.region = region
+        self.gateway = gateway
+        self.terms = terms
+        self.order = placement_order(gateway, nodes)
+        self.rejected_reason = ""  # of the last rejection for good, until a session is accepted
+        self.refusals: Counter[RefusedRenewal] = Counter()
+        self._held = HeldLease(gateways, now)
+        self._chance = chance
+        self._current: GatewaySession | None = None  # the session that this gateway stays with
+        self._attempt: GatewaySession | None = None  # the one that is not open yet, or has not granted units yet
+        self._turn = 0  # of the node in `order` that is asked next
+        self._failures = 0  # in a row since a lease was received
+        self._rejections = 0  # in a row by the same node
+        self._attempt_at = now  # when a node is asked, while there is no session
+        self._return_at = now  # when the first choice is asked, while the session is at another node
+        self._search_at = now  # when any other node is asked, while the session grants nothing
+        self._closed = False
+
+    # What the program and the scheduler ask
+
+    @property
+    def allotments(self) -> Allotments:
+        """What the gateway earns of a whole by its lease over time."""
+        return self._held.allotments
+
+    @property
+    def state(self) -> SessionState:
+        """How far the session has come."""
+        if self._current is not None:
+            return SessionState.OPEN
+        if self._attempt is not None:
+            return SessionState(self._attempt.phase.value)
+        return SessionState.REJECTED if self.rejected_reason else SessionState.DISCONNECTED
+
+    @property
+    def node(self) -> str:
+        """The control node that holds the session; empty: none."""
+        return self._current.node if self._current else ""
+
+    def counts(self, now: int) -> CountedLease:
+        """Return what the gateway counts by at this moment."""
+        return self._held.counts(now)
+
+    def part(self, now: int) -> Fraction:
+        """Return which part of any whole the gateway may count as its own at this moment."""
+        return self._held.part(now)
+
+    def due(self) -> int:
+        """Return when `tick` is to be called, at the latest."""
+        if self._closed:
+            return NEVER_DUE
+        waits = [session.due() for session in self._sessions()]
+        if self._attempt is None:
+            waits.append(self._attempt_at if self._current is None else self._move_at(self._current))
+        elif self._current is not None:
+            waits.append(self._attempt.without_units_since + self.terms.lease)
+        return min(waits)
+
+    # What happens
+
+    def tick(self, now: int) -> list[GatewayAction]:
+        """Do what is due. A tick that comes late prolongs no lease, and does not take a node for silent."""
+        if self._closed:
+            return []
+        if now - self.due() > self.terms.heartbeat // 2:
+            for session in self._sessions():
+                session.forgive_pause(now)
+        actions: list[GatewayAction] = []
+        for session in self._sessions():
+            actions += self._tick_session(now, session)
+        if self._attempt is None:
+            actions += self._begin_attempt(now)
+        elif self._current is not None and now >= self._attempt.without_units_since + self.terms.lease:
+            actions += self._abandon_move(now, self._attempt)
+        self._held.record(now)
+        return actions
+
+    def connected(self, now: int, node: str) -> list[GatewayAction]:
+        """Ask for a session: the connection to the node is up."""
+        session = self._session_at(node)
+        if session is None or session.phase is not Phase.CONNECTING:
+            return []
+        session.connected(now)
+        return [SendToControl(node, SessionOpen(cluster=self.cluster, gateway=self.gateway, region=self.region))]
+
+    def connection_lost(self, now: int, node: str) -> list[GatewayAction]:
+        """Turn to another node, for the connection to this one ended or never came up. The lease counts on."""
+        session = self._session_at(node)
+        if session is not None:
+            self._lose(now, session)
+        self._held.record(now)
+        return []
+
+    def received(self, now: int, node: str, record: Fields) -> list[GatewayAction]:
+        """Act on what a control node sent; what comes from a node without a session here is ignored."""
+        session = self._session_at(node)
+        if session is None:
+            return []
+        actions: list[GatewayAction] = []
+        match record:
+            case SessionAccepted():
+                actions = self._accepted(now, session, record)
+            case SessionRejected():
+                actions = self._rejected(now, session, record)
+            case LeaseRenewal():
+                actions = self._renewed(now, session, record)
+            case Goodbye():
+                actions = self._give_up(now, session, "the control node ends")
+        self._held.record(now)
+        return actions
+
+    def close(self, now: int) -> list[GatewayAction]:
+        """End as planned: count by no lease any more, then say so to the nodes."""
+        self._held.drop(now)
+        actions: list[GatewayAction] = []
+        for session in self._sessions():
+            actions += _end(session, "the gateway ends")
+        self._current = None
+        self._attempt = None
+        self._closed = True
+        return actions
+
+    # Sessions
+
+    def _sessions(self) -> list[GatewaySession]:
+        return [session for session in (self._current, self._attempt) if session is not None]
+
+    def _session_at(self, node: str) -> GatewaySession | None:
+        return next((session for session in self._sessions() if session.node == node), None)
+
+    def _tick_session(self, now: int, session: GatewaySession) -> list[GatewayAction]:
+        if now >= session.lost_at():
+            return self._give_up(now, session, "the control node is silent")
+        if session.phase is Phase.OPEN and now >= session.next_heartbeat:
+            return [SendToControl(session.node, session.next_beat(now))]
+        return []
+
+    def _give_up(self, now: int, session: GatewaySession, reason: str) -> list[GatewayAction]:
+        """Lose a session whose connection still is there. It is not closed, for its lease may count on."""
+        self._lose(now, session)
+        return [DisconnectFromNode(session.node, reason)]
+
+    def _lose(self, now: int, session: GatewaySession) -> None:
+        if session is self._attempt:
+            self._attempt = None
+            if self._current is None:
+                self._turn = self.order.index(session.node) + 1
+                self._back_off(now)
+            else:
+                self._move_later(now)
+            return
+        self._current = None
+        if self._attempt is None:
+            self._turn = self.order.index(session.node) + 1
+            self._back_off(now)
+        elif self._attempt.phase is Phase.OPEN:
+            self._current = self._attempt
+            self._attempt = None
+            self._stay(now)
+
+    def _back_off(self, now: int) -> None:
+        """Wait with full jitter: up to 200 ms after the first loss, up to twice as long after each further one."""
+        longest = min(FIRST_BACKOFF << min(self._failures, 10), LONGEST_BACKOFF)
+        self._failures += 1
+        self._rejections = 0
+        self._attempt_at = now + self._jitter(longest)
+
+    def _jitter(self, longest: int) -> int:
+        return int(self._chance.random() * longest)
+
+    def _around(self, mean: int) -> int:
+        """Return a time between half and one and a half of the mean, so that gateways do not act in step."""
+        return mean // 2 + self._jitter(mean)
+
+    # Asking for a session
+
+    def _begin_attempt(self, now: int) -> list[GatewayAction]:
+        if self._current is None:
+            return self._ask(now, self.order[self._turn % len(self.order)]) if now >= self._attempt_at else []
+        if now < self._move_at(self._current):
+            return []
+        if self._starves(now, self._current):
+            self._turn += 1
+            others = [node for node in self.order if node != self._current.node]
+            return self._ask(now, others[self._turn % len(others)])
+        return self._ask(now, self.order[0])
+
+    def _ask(self, now: int, node: str) -> list[GatewayAction]:
+        self._attempt = GatewaySession(node, self.terms, now)
+        return [ConnectToNode(node)]
+
+    def _accepted(self, now: int, session: GatewaySession, answer: SessionAccepted) -> list[GatewayAction]:
+        if session.phase is not Phase.OPENING:
+            return []
+        if fault := self._fault_of(session, answer):
+            return self._reject_for_good(now, session, fault)
+        session.accepted(now, answer)
+        self.rejected_reason = ""
+        self._rejections = 0
+        if self._current is None:
+            self._current = session
+            self._attempt = None
+            self._stay(now)
+        return [SendToControl(session.node, session.next_beat(now))]
+
+    def _rejected(self, now: int, session: GatewaySession, answer: SessionRejected) -> list[GatewayAction]:
+        if session is not self._attempt or session.phase is not Phase.OPENING:
+            return []
+        if fault := self._fault_of(session, answer):
+            return self._reject_for_good(now, session, fault)
+        if answer.retry_after == 0:
+            return self._reject_for_good(now, session, f"{session.node}: {answer.reason}")
+        wait = min(answer.retry_after // MICROSECONDS_PER_TICK + 1, LONGEST_RETRY_AFTER) + self._jitter(FIRST_BACKOFF)
+        self._attempt = None
+        self._wait_until(now + wait)
+        self._rejections += 1
+        if self._rejections >= REJECTIONS_BEFORE_NEXT and self._current is None:
+            self._rejections = 0
+            self._turn = self.order.index(session.node) + 1
+        return [DisconnectFromNode(session.node, f"rejected for now: {answer.reason}")]
+
+    def _wait_until(self, moment: int) -> None:
+        """Ask no node before this moment."""
+        self._attempt_at = moment
+        self._return_at = moment
+        self._search_at = moment
+
+    def _fault_of(self, session: GatewaySession, answer: SessionAccepted | SessionRejected) -> str:
+        """Return what is wrong with the node that answered; empty: nothing."""
+        if answer.cluster != self.cluster:
+            return (
+                f"{session.node} is a control node of cluster {answer.cluster!r}, this gateway is of {self.cluster!r}"
+            )
+        if answer.node != session.node:
+            return f"the control node at the address of {session.node} says that it is {answer.node!r}"
+        return ""
+
+    def _reject_for_good(self, now: int, session: GatewaySession, reason: str) -> list[GatewayAction]:
+        """Keep the reason, for the settings of one of the two are wrong, and ask the next node much later."""
+        self.rejected_reason = reason
+        self._attempt = None
+        self._wait_until(now + self._around(RETURN_EVERY))
+        if self._current is None:
+            self._turn = self.order.index(session.node) + 1
+        return [DisconnectFromNode(session.node, reason)]
+
+    # Leases
+
+    def _renewed(self, now: int, session: GatewaySession, renewal: LeaseRenewal) -> list[GatewayAction]:
+        refusal = session.refusal_of(renewal)
+        if refusal is not None:
+            self.refusals[refusal] += 1
+            return []
+        lease = session.renewed(now, renewal)
+        self._failures = 0
+        # A node takes its earlier leases of this gateway for ended once the new one is acknowledged, whatever its units
+        # are; a lease of another node counts on until there are units here.
+        if lease.units or self.counts(now).node in ("", session.node):
+            self._held.replace(now, lease)
+        if session is self._attempt and lease.units:
+            return self._move(now, session)
+        return []
+
+    # Moving from one node to another
+
+    def _starves(self, now: int, session: GatewaySession) -> bool:
+        starves_at = session.starves_at()
+        return starves_at is not None and now >= starves_at
+
+    def _move_at(self, current: GatewaySession) -> int:
+        """Return when another node is asked beside the session: the first choice, or any if this one grants nothing."""
+        if len(self.order) == 1:
+            return NEVER_DUE
+        return_at = NEVER_DUE if current.node == self.order[0] else self._return_at
+        starves_at = current.starves_at()
+        search_at = NEVER_DUE if starves_at is None else max(starves_at, self._search_at)
+        return min(return_at, search_at)
+
+    def _stay(self, now: int) -> None:
+        """Begin to stay with the present session."""
+        self._return_at = now + self._around(RETURN_EVERY)
+        self._search_at = now
+
+    def _move(self, now: int, session: GatewaySession) -> list[GatewayAction]:
+        """Stay with the new session, which granted the lease that now counts, and close the old one."""
+        old = self._current
+        self._current = session
+        self._attempt = None
+        self._stay(now)
+        return _end(old, "the gateway moved to another control node") if old else []
+
+    def _move_later(self, now: int) -> None:
+        self._return_at = now + self._around(RETURN_EVERY)
+        self._search_at = now + self._around(LONGEST_BACKOFF)
+
+    def _abandon_move(self, now: int, session: GatewaySession) -> list[GatewayAction]:
+        """End the second session, which granted nothing for a whole lease."""
+        self._attempt = None
+        self._move_later(now)
+        return _end(session, "the control node granted nothing")
+
+
+def _end(session: GatewaySession, reason: str) -> list[GatewayAction]:
+    """Close a session if it is open, and give its connection up."""
+    actions: list[GatewayAction] = []
+    if session.phase is Phase.OPEN:
+        actions.append(SendToControl(session.node, SessionClose(session=session.number)))
+    actions.append(DisconnectFromNode(session.node, reason))
+    return actions
