Connections of a cluster member stand apart from the gateway that runs it

Control nodes agree among themselves like gateways do, so they need the same connections. Peers takes addresses and the roles of both ends in place of the gateways' settings, and can greet on each connection. edge/ask.py has one typed request, answered by control nodes too.

--- a/tansykeel/edge/ask.py
+++ b/tansykeel/edge/ask.py
@@ -1,8 +1,9 @@
-"""Asks a running gateway what it believes of its fleet, over the protocol that clients speak."""
+"""Asks a running gateway or control node what it believes, over the protocol that clients speak."""
 
 from __future__ import annotations
 
 import asyncio
+from typing import TypeVar
 
 from tansykeel.errors import NOT_PLAYED, Problem
 from tansykeel.maintenance.messages import CODEC, MaintenanceMessage, MessageError
@@ -12,10 +13,12 @@
 from tansykeel.transport.sockets import connect
 
 HELLO = Hello(1, "client", "tansykeel-fleet")
+ANSWERS = ("edge", "control")  # the roles of whoever answers
+FieldsT = TypeVar("FieldsT", bound=Fields)
 
 
 class NotTold(Problem):
-    """A gateway that was asked did not say."""
+    """A gateway or control node that was asked did not say."""
 
     advice = "look whether it runs, at the address of its settings, and whether it agrees with others"
     code = NOT_PLAYED
@@ -23,42 +26,37 @@
 
 async def ask(address: str, seconds: float) -> FleetTold:
     """What a gateway believes of its fleet. Raises NotTold, also for an address that is none."""
-    told = await _told(address, FleetAsk(), seconds)
-    if not isinstance(told, FleetTold):
-        raise NotTold("it answered something else")
-    return told
+    return await request(address, FleetAsk(), FleetTold, seconds)
 
 
 async def go_without(address: str, names: tuple[str, ...], seconds: float) -> FleetTold:
     """Tell a gateway that no process runs under these names. Raises NotTold, also where it is not taken."""
-    told = await _told(address, FleetWithout(names), seconds)
-    if not isinstance(told, FleetTold):
-        raise NotTold("it answered something else")
-    return told
+    return await request(address, FleetWithout(names), FleetTold, seconds)
 
 
 async def say(address: str, word: MaintenanceMessage, seconds: float) -> MaintenanceMessage:
     """Say something of leave to a gateway; its answer. Raises NotTold, also for an address that is none."""
-    told = await _told(address, Accord(*CODEC.encode(word)), seconds)
-    if not isinstance(told, AccordTold):
-        raise NotTold("it answered something else")
+    told = await request(address, Accord(*CODEC.encode(word)), AccordTold, seconds)
     try:
         return CODEC.decode(told.what, told.word)
     except MessageError as error:
         raise NotTold(str(error)) from None
 
 
-async def _told(address: str, record: Fields, seconds: float) -> Fields:
+async def request(address: str, record: Fields, answer: type[FieldsT], seconds: float) -> FieldsT:
+    """Send one request and return its answer, which is of the type `answer`. Raises NotTold."""
     hub = Hub(Limits(stall=seconds))
-    told: asyncio.Future[Fields] = asyncio.get_running_loop().create_future()
+    told: asyncio.Future[FieldsT] = asyncio.get_running_loop().create_future()
 
     def event(link: Link, event: Event) -> None:
-        if isinstance(event, Frame) and not told.done():
-            match event.record:
-                case FleetTold() | AccordTold() as answer:
-                    told.set_result(answer)
-                case Error(text):
-                    told.set_exception(NotTold(text))
+        if not isinstance(event, Frame) or isinstance(event.record, Hello) or told.done():
+            return
+        if isinstance(event.record, answer):
+            told.set_result(event.record)
+        elif isinstance(event.record, Error):
+            told.set_exception(NotTold(event.record.text))
+        elif event.stream:
+            told.set_exception(NotTold("it answered something else"))
 
     def lost(link: Link, why: str) -> None:
         if not told.done():
@@ -66,7 +64,7 @@
 
     try:
         async with asyncio.timeout(seconds):
-            link = Link(hub, await connect(address, seconds), Codec("edge"), HELLO, event, lost)
+            link = Link(hub, await connect(address, seconds), Codec(*ANSWERS), HELLO, event, lost)
             link.send(1, record)
             return await told
     except TimeoutError:
--- a/tansykeel/edge/peers.py
+++ b/tansykeel/edge/peers.py
@@ -1,4 +1,4 @@
-"""Words to other gateways: one connection a pair, opened with the first word by whoever has something to say.
+"""Words to other gateways or control nodes: one connection a pair, opened by whoever has something to say first.
 
 What can't be sent soon is lost, and everything that is said counts on that: what a gateway gave is gone there, whether
 it arrives or not, and what is promised is asked for again. Two that open a connection at once keep that of the lower
@@ -11,13 +11,10 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-import msgspec
-
 from tansykeel.cluster.send_queue import Bound, SendQueue, Urgency
 from tansykeel.edge.clock import clock
 from tansykeel.protocol.codec import Codec, Event, Frame
 from tansykeel.protocol.frames import Fields, Hello
-from tansykeel.settings.records import PeersOf
 from tansykeel.transport.link import Hub, Link
 from tansykeel.transport.sockets import connect
 
@@ -103,7 +100,7 @@
 
     async def _open(self) -> None:
         try:
-            sock = await connect(self.address, self.peers.settings.connect_timeout_ms / 1000)
+            sock = await connect(self.address, self.peers.connect_timeout)
         except (OSError, ValueError):
             return  # it is down, or its address wrong: the words wait until they are too late
         finally:
@@ -116,22 +113,27 @@
 
 
 class Peers:
-    """All other gateways, by number. `on_word(link, record)` for what they say on connections that were opened here."""
+    """All others of a kind, by number. `on_word(link, record)` for what they say on connections that were opened here.
+
+    `hello` is said on connections that are opened here, and `greeting` after it on every connection, where there is
+    one; `answered_by` is the role of whoever listens there; `connect_timeout` is in seconds.
+    """
 
     def __init__(
         self,
-        settings: PeersOf,
+        addresses: Iterable[str],
         names: Iterable[str],
         me: int,
         hub: Hub,
         hello: Hello,
+        connect_timeout: float,
         on_word: Callable[[Link, Any], None],
+        answered_by: str = "edge",
+        greeting: Fields | None = None,
     ) -> None:
-        self.settings, self.me, self.hub, self.on_word = settings, me, hub, on_word
-        self.hello = msgspec.structs.replace(hello, role="peer")
-        self.others = {
-            number: Peer(self, number, address) for number, address in enumerate(settings.addresses) if number != me
-        }
+        self.me, self.hub, self.hello, self.on_word = me, hub, hello, on_word
+        self.connect_timeout, self.answered_by, self.greeting = connect_timeout, answered_by, greeting
+        self.others = {number: Peer(self, number, address) for number, address in enumerate(addresses) if number != me}
         self.by_name = {name: self.others[number] for number, name in enumerate(names) if number != me}
 
     def tell(self, peer: int | None, urgency: Urgency, record: Fields) -> None:
@@ -140,15 +142,22 @@
 
     def came(self, link: Link, hello: Hello) -> None:
         if (other := self.by_name.get(hello.name)) is not None:
+            self._greet(link)
             other.came(link)
 
     def link(self, sock: Any) -> Link:
-        return Link(self.hub, sock, Codec("edge"), self.hello, self._event, lambda link, why: None)
+        link = Link(self.hub, sock, Codec(self.answered_by), self.hello, self._event, lambda link, why: None)
+        self._greet(link)
+        return link
 
     def end(self) -> None:
         for other in self.others.values():
             other.end()
 
+    def _greet(self, link: Link) -> None:
+        if self.greeting is not None:
+            link.send(0, self.greeting)
+
     def _event(self, link: Link, event: Event) -> None:
         if isinstance(event, Frame) and not isinstance(event.record, Hello):
             self.on_word(link, event.record)
--- a/tansykeel/edge/program.py
+++ b/tansykeel/edge/program.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 import structlog
 
 from tansykeel.brain import Scheduler
@@ -81,7 +82,15 @@
         self.cluster_agent: ClusterAgent | None = None
         if settings.peers:
             names = settings.names()
-            self.peers = Peers(settings.peers, names, facts.me, self.hub, self.hello, self._word)
+            self.peers = Peers(
+                settings.peers.addresses,
+                names,
+                facts.me,
+                self.hub,
+                msgspec.structs.replace(self.hello, role="peer"),
+                settings.peers.connect_timeout_ms / 1000,
+                self._word,
+            )
             if settings.peers.agree:
                 state = State() if settings.accord else None
                 self.cluster_agent = ClusterAgent(
--- a/tansykeel/protocol/codec.py
+++ b/tansykeel/protocol/codec.py
@@ -61,7 +61,15 @@
     "peer": ALWAYS | {Kind.SHARE, Kind.WATCH, Kind.ACCORD},  # a gateway to another
     "gateway": ALWAYS | {Kind.SESSION_OPEN, Kind.HEARTBEAT, Kind.SESSION_CLOSE},  # to a control node
     "control": ALWAYS  # a control node to gateways, operators and other control nodes
-    | {Kind.SESSION_ACCEPTED, Kind.SESSION_REJECTED, Kind.LEASE_RENEWAL, Kind.CONTROL_STATUS, Kind.WATCH},
+    | {
+        Kind.SESSION_ACCEPTED,
+        Kind.SESSION_REJECTED,
+        Kind.LEASE_RENEWAL,
+        Kind.CONTROL_STATUS,
+        Kind.FLEET_TOLD,
+        Kind.WATCH,
+        Kind.NODE_OPEN,
+    },
 }
 CARRIERS = (TaskOf, Answer, HandOffOf, OutcomeOf)
 
--- a/tansykeel/protocol/frames.py
+++ b/tansykeel/protocol/frames.py
@@ -63,6 +63,7 @@
     SESSION_CLOSE = 27
     CONTROL_STATUS_REQUEST = 28
     CONTROL_STATUS = 29
+    NODE_OPEN = 30
 
 
 U64 = Annotated[int, Meta(ge=0, le=2**63 - 1)]
@@ -77,7 +78,7 @@
 
 class Hello(Fields):
     version: Annotated[int, Meta(ge=0, le=65535)]
-    role: Name  # client, edge, store, list or peer: a gateway to another
+    role: Name  # client, edge, store, list, peer: a gateway to another; gateway, control: of the control plane
     name: Name
     boot: U64 = 0  # a new one each time the process starts
     age: U64 = 0  # microseconds since then
@@ -305,6 +306,13 @@
     session: U64
 
 
+class NodeOpen(Fields):
+    """The first record of a control node to another one, at both ends: nodes of other clusters are rejected."""
+
+    cluster: Name
+    region: Name
+
+
 class ControlStatusRequest(Fields):
     """An operator asks a control node for its status."""
 
@@ -367,6 +375,7 @@
     Kind.SESSION_CLOSE: SessionClose,
     Kind.CONTROL_STATUS_REQUEST: ControlStatusRequest,
     Kind.CONTROL_STATUS: ControlStatus,
+    Kind.NODE_OPEN: NodeOpen,
     Kind.ACCORD: Accord,
     Kind.ACCORD_TOLD: AccordTold,
 }
