Proxy between gateways and control nodes that causes faults and records frames

The relay between gateways has a port for each pair, which does not go with 620 gateways, and loses single messages, which a byte stream does not do. The relay and its faults stay as they were. The checker stops where a record reached its bound and says from when on nothing is judged.

--- a/tansykeel/audit/control.py
+++ b/tansykeel/audit/control.py
@@ -18,7 +18,7 @@
 from tansykeel.audit.gateway_leases import GatewayLeases
 from tansykeel.audit.log_leaders import LogLeaders
 from tansykeel.audit.node_leases import NodeLeases
-from tansykeel.audit.records import AnyRecord, FrameSeen, LeaseClaimed, RecordsError, read
+from tansykeel.audit.records import AnyRecord, FrameSeen, LeaseClaimed, RecordingEnded, RecordsError, read
 from tansykeel.audit.region_views import RegionViews
 from tansykeel.cluster.member import ClusterMessage
 from tansykeel.cluster.messages import CODEC, MessageError
@@ -53,6 +53,7 @@
         self.facts = facts
         self.findings: list[Finding] = []
         self.observed = 0  # records
+        self.judged_until: int | None = None  # where a link's record reached its bound; later ones are not judged
         self._views = RegionViews(facts)
         self._leaders = LogLeaders(facts, self._views)
         self._node_leases = NodeLeases(facts, self._views)
@@ -66,7 +67,9 @@
 
         Raises RecordsError for one that is earlier than the one before, and for a frame that can't be read.
         """
-        if not isinstance(record, FrameSeen | LeaseClaimed):
+        if isinstance(record, RecordingEnded) and self.judged_until is None:
+            self.judged_until = record.at
+        if not isinstance(record, FrameSeen | LeaseClaimed) or self.judged_until is not None:
             return
         if record.at < self._now:
             raise RecordsError(f"a record of {record.at} after one of {self._now}; legal: in the order of `at`")
--- a/tansykeel/audit/records.py
+++ b/tansykeel/audit/records.py
@@ -233,6 +233,10 @@
     fields: bytes  # as msgpack
 
 
+class RecordingEnded(Record):
+    """A link's record reached its bound: frames that came by later are not written down, and can't be judged."""
+
+
 AnyRecord = (
     Sent
     | Got
@@ -254,6 +258,7 @@
     | Left
     | LeaseClaimed
     | FrameSeen
+    | RecordingEnded
 )
 
 
@@ -261,11 +266,13 @@
     def __init__(self, path: Path) -> None:
         self._file = path.open("ab", buffering=0)
         self._held = bytearray()
+        self.size = 0  # bytes since the start, also of what is not written yet
         self._encode = msgspec.msgpack.Encoder().encode
 
     def add(self, record: Record) -> None:
         data = self._encode(record)
         self._held += _LENGTH.pack(len(data)) + data
+        self.size += _LENGTH.size + len(data)
         if len(self._held) >= FLUSH_AT:
             self.flush()
 
--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -233,6 +233,23 @@
     run(lambda: serve(told, record, say))
 
 
+@app.command()
+def control_proxy(
+    plan: Annotated[Path, typer.Argument(help="who listens where, as a harness wrote it")],
+    record: Annotated[Path, typer.Option(help="file for what passes")],
+) -> None:
+    """Relay between gateways and control nodes; faults come as JSON lines on standard input, whose end ends it."""
+    from tansykeel.rehearse.control_proxy import serve
+    from tansykeel.rehearse.proxy_plan import ProxyPlanError, read_plan
+    from tansykeel.transport.sockets import run
+
+    try:
+        told = read_plan(plan)
+    except ProxyPlanError as error:
+        fail(error)
+    run(lambda: serve(told, record, say))
+
+
 @app.command()
 def load(plan: Annotated[Path, typer.Argument(help="what a rehearsal wrote for one of its client processes")]) -> None:
     """Play one client process of a rehearsal."""
