Session client: a node that rejects is left for another one, and only leases that count are acknowledged

A control node without a lease on its view rejects with a second's wait; the client waited for it up to three times while its lease ran out. It now waits once, for half a second at most, and else asks the next node that does not have it wait. A renewal without units of a second session is no longer acknowledged while a lease of another node counts on.

--- a/tansykeel/control/gateway_session.py
+++ b/tansykeel/control/gateway_session.py
@@ -47,6 +47,7 @@
         self.phase = Phase.CONNECTING
         self.number = 0
         self.lease = 0
+        self.acknowledges = 0  # the newest lease of the session that took the place of what the gateway counted by
         self.units = 0
         self.without_units_since = now
         self.heartbeat = terms.heartbeat
@@ -88,10 +89,10 @@
         self._answered_at = max(self._answered_at, now - self.heartbeat)
 
     def next_beat(self, now: int) -> Heartbeat:
-        """Return the heartbeat to be sent now. It acknowledges the newest lease, so no older one counts any more."""
+        """Return the heartbeat to be sent now."""
         self._unanswered.append(now)
         self.next_heartbeat = now + self.heartbeat
-        return Heartbeat(session=self.number, asked_at=now, lease=self.lease)
+        return Heartbeat(session=self.number, asked_at=now, lease=self.acknowledges)
 
     def refusal_of(self, renewal: LeaseRenewal) -> RefusedRenewal | None:
         """Return why a renewal must not be counted by; None: it may."""
--- a/tansykeel/control/session_client.py
+++ b/tansykeel/control/session_client.py
@@ -41,7 +41,7 @@
 LONGEST_BACKOFF = 5 * SECOND
 RETURN_EVERY = 30 * SECOND  # in the mean: that the first choice is asked again, or a node that rejected for good
 LONGEST_RETRY_AFTER = 30 * SECOND  # that a node is believed; the nodes' own bound is 5 s
-REJECTIONS_BEFORE_NEXT = 3  # in a row, each with a time to come back, after which the next node is asked
+WORTH_WAITING = SECOND // 2  # a node that asks to come back within this is waited for, once, before the next is asked
 NEVER_DUE = 1 << 62
 
 
@@ -83,7 +83,8 @@
         self._attempt: GatewaySession | None = None  # the one that is not open yet, or has not granted units yet
         self._turn = 0  # of the node in `order` that is asked next
         self._failures = 0  # in a row since a lease was received
-        self._rejections = 0  # in a row by the same node
+        self._not_before: dict[str, int] = {}  # by node that rejected: when it may be asked again
+        self._waited_for = ""  # the node that was waited for since the last session or loss
         self._attempt_at = now  # when a node is asked, while there is no session
         self._return_at = now  # when the first choice is asked, while the session is at another node
         self._search_at = now  # when any other node is asked, while the session grants nothing
@@ -235,7 +236,7 @@
         """Wait with full jitter: up to 200 ms after the first loss, up to twice as long after each further one."""
         longest = min(FIRST_BACKOFF << min(self._failures, 10), LONGEST_BACKOFF)
         self._failures += 1
-        self._rejections = 0
+        self._waited_for = ""
         self._attempt_at = now + self._jitter(longest)
 
     def _jitter(self, longest: int) -> int:
@@ -249,7 +250,7 @@
 
     def _begin_attempt(self, now: int) -> list[GatewayAction]:
         if self._current is None:
-            return self._ask(now, self.order[self._turn % len(self.order)]) if now >= self._attempt_at else []
+            return self._ask_next(now) if now >= self._attempt_at else []
         if now < self._move_at(self._current):
             return []
         if self._starves(now, self._current):
@@ -258,6 +259,15 @@
             return self._ask(now, others[self._turn % len(others)])
         return self._ask(now, self.order[0])
 
+    def _ask_next(self, now: int) -> list[GatewayAction]:
+        """Ask the first node whose turn it is, of those that do not have the gateway wait."""
+        turns = [self.order[(self._turn + count) % len(self.order)] for count in range(len(self.order))]
+        free = [node for node in turns if self._not_before.get(node, now) <= now]
+        if free:
+            return self._ask(now, free[0])
+        self._attempt_at = min(self._not_before[node] for node in turns)
+        return []
+
     def _ask(self, now: int, node: str) -> list[GatewayAction]:
         self._attempt = GatewaySession(node, self.terms, now)
         return [ConnectToNode(node)]
@@ -269,7 +279,7 @@
             return self._reject_for_good(now, session, fault)
         session.accepted(now, answer)
         self.rejected_reason = ""
-        self._rejections = 0
+        self._waited_for = ""
         if self._current is None:
             self._current = session
             self._attempt = None
@@ -285,11 +295,17 @@
             return self._reject_for_good(now, session, f"{session.node}: {answer.reason}")
         wait = min(answer.retry_after // MICROSECONDS_PER_TICK + 1, LONGEST_RETRY_AFTER) + self._jitter(FIRST_BACKOFF)
         self._attempt = None
-        self._wait_until(now + wait)
-        self._rejections += 1
-        if self._rejections >= REJECTIONS_BEFORE_NEXT and self._current is None:
-            self._rejections = 0
+        self._not_before[session.node] = now + wait
+        if self._current is not None:
+            self._return_at = max(self._return_at, now + wait)
+            self._search_at = now + self._around(LONGEST_BACKOFF)
+        elif wait <= WORTH_WAITING and self._waited_for != session.node:
+            self._waited_for = session.node
+            self._turn = self.order.index(session.node)
+            self._attempt_at = now + wait
+        else:
             self._turn = self.order.index(session.node) + 1
+            self._back_off(now)
         return [DisconnectFromNode(session.node, f"rejected for now: {answer.reason}")]
 
     def _wait_until(self, moment: int) -> None:
@@ -327,9 +343,10 @@
         lease = session.renewed(now, renewal)
         self._failures = 0
         # A node takes its earlier leases of this gateway for ended once the new one is acknowledged, whatever its units
-        # are; a lease of another node counts on until there are units here.
+        # are. A lease of another node counts on until there are units here, and nothing is acknowledged meanwhile.
         if lease.units or self.counts(now).node in ("", session.node):
             self._held.replace(now, lease)
+            session.acknowledges = lease.lease
         if session is self._attempt and lease.units:
             return self._move(now, session)
         return []
