--- a/tansykeel/cli/fleet.py
+++ b/tansykeel/cli/fleet.py
@@ -26,7 +26,9 @@
 
 @app.command()
 def status(
-    address: Annotated[str, typer.Argument(help="where a running gateway listens", metavar="HOST:PORT")],
+    address: Annotated[
+        str, typer.Argument(help="where a running gateway or control node listens", metavar="HOST:PORT")
+    ],
     json_: Annotated[bool, typer.Option("--json", help="for machines")] = False,
     timeout: Annotated[float, typer.Option(help="seconds")] = 5.0,
 ) -> None:
@@ -58,7 +60,7 @@
 
 @app.command()
 def without(
-    address: Annotated[str, typer.Argument(help="a gateway that has no view", metavar="HOST:PORT")],
+    address: Annotated[str, typer.Argument(help="a gateway or control node that has no view", metavar="HOST:PORT")],
     names: Annotated[list[str], typer.Argument(help="under which no process runs")],
     yes: Annotated[bool, typer.Option(help="do it; without it only say what is meant")] = False,
 ) -> None:
--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -16,9 +16,10 @@
 import typer
 
 from tansykeel.cli.accord import app as accord
+from tansykeel.cli.control import control, control_status
 from tansykeel.cli.emulate import app as emulate
 from tansykeel.cli.fleet import app as fleet
-from tansykeel.cli.words import BROKEN, fail, params_of
+from tansykeel.cli.words import BROKEN, fail, params_of, say
 from tansykeel.errors import BAD_INPUT
 
 app = typer.Typer(
@@ -30,14 +31,11 @@
 app.add_typer(emulate, name="emulate")
 app.add_typer(fleet, name="fleet")
 app.add_typer(accord, name="accord")
+app.command("control")(control)
+app.command("control-status")(control_status)
 SettingsFile = Annotated[Path, typer.Argument(help="a settings script", metavar="SETTINGS")]
 
 
-def say(**fields: Any) -> None:
-    """One line for whoever started this program."""
-    print(json.dumps(fields), flush=True)
-
-
 @app.command()
 def check(settings: SettingsFile) -> None:
     """Check a settings script and say what it holds."""
@@ -46,13 +44,19 @@
 
     try:
         made = load(settings)
-        facts_of(made, 0, len(made.peers.addresses) if made.peers else 1)
+        facts_of(made, 0, made.gateway_count())
     except ScriptError as error:
         fail(error)
     typer.echo(
         f"{settings}: good: gateway {made.gateway.name}, {len(made.categories)} categories, "
         f"{len(made.plans)} plans, {len(made.volumes)} volumes, {len(made.stores)} stores"
         + (f", list at {made.listing.address} ({made.listing.mode})" if made.listing else "")
+        + (
+            f", control plane {made.control.cluster}: {len(made.regions)} regions, "
+            f"{len(made.control_nodes)} control nodes, {made.gateway_count()} gateways"
+            if made.control
+            else ""
+        )
     )
 
 
--- a/tansykeel/cli/show.py
+++ b/tansykeel/cli/show.py
@@ -8,8 +8,9 @@
 from rich.table import Table
 
 from tansykeel.audit.report import Verdict
+from tansykeel.control.actions import WHOLE_UNITS
 from tansykeel.maintenance.messages import Status
-from tansykeel.protocol.frames import FleetTold
+from tansykeel.protocol.frames import ControlStatus, FleetTold
 from tansykeel.rehearse.day import load_day
 from tansykeel.rehearse.play import folders
 from tansykeel.settings.script import ScriptError
@@ -99,6 +100,32 @@
     console.print(rows)
 
 
+def control_node(status: ControlStatus) -> None:
+    """Print what one control node believes of its region; parts are of the whole beside the safe part."""
+    console = Console()
+    lease = f"lease for {status.leased / 1e6:.1f} s more" if status.leased else "no lease: it grants nothing"
+    view = f"view {status.view}{'' if status.active else ' (not active yet)'}" if status.view else "no view yet"
+    leader = "it leads" if status.leads else f"{status.leader} leads" if status.leader else "no leader known"
+    console.print(
+        f"[bold]{status.node}[/bold] of region {status.region}, cluster {status.cluster}: {view}, {lease}, {leader}, "
+        f"{status.entries} entries",
+        highlight=False,
+    )
+    console.print(
+        f"{status.sessions} sessions ({status.admitted} admitted, {status.rejected} rejected since its start), "
+        f"{_part(status.units_granted)} granted of a budget of {_part(status.budget)}",
+        highlight=False,
+    )
+    rows = Table("node", "seems", "sessions", "budget", "incarnation", box=None)
+    for node in status.nodes:
+        rows.add_row(node.node, node.seems, str(node.sessions), _part(node.units), str(node.incarnation))
+    console.print(rows)
+
+
+def _part(units: int) -> str:
+    return f"{units / WHOLE_UNITS:.4f}"
+
+
 def leave(told: Status) -> None:
     """Who is out, and the releases, as whoever leads holds it true."""
     console, kept = Console(), told.state
--- a/tansykeel/settings/control.py
+++ b/tansykeel/settings/control.py
@@ -6,14 +6,14 @@
 from __future__ import annotations
 
 import math
-from importlib import import_module
 from random import Random
-from typing import Any
 
 from tansykeel.cluster.failure_detector import Pace
 from tansykeel.cluster.member import Place
 from tansykeel.cluster.view_agreement import LeaseTerms
 from tansykeel.control.actions import WHOLE_UNITS, SessionTerms
+from tansykeel.control.node import ControlNode
+from tansykeel.control.session_client import SessionClient
 from tansykeel.errors import Problem
 from tansykeel.settings.records import ControlNodeOf, ControlOf, Settings
 
@@ -93,10 +93,10 @@
     return {node.name: Place(node.zone) for node in settings.nodes_of(region)}
 
 
-def control_node_of(settings: Settings, number: int, incarnation: int, chance: Random, now: int) -> Any:
+def control_node_of(settings: Settings, number: int, incarnation: int, chance: Random, now: int) -> ControlNode:
     """Return the core of the control node of this number. Raises ControlSettingsError."""
     record = control_node_record(settings, number)
-    return import_module("tansykeel.control.node").ControlNode(
+    return ControlNode(
         cluster=control_of(settings).cluster,
         region=record.region,
         region_units=region_units(settings, record.region),
@@ -112,11 +112,11 @@
     )
 
 
-def session_client_of(settings: Settings, gateway_number: int, chance: Random, now: int) -> Any:
+def session_client_of(settings: Settings, gateway_number: int, chance: Random, now: int) -> SessionClient:
     """Return the session core of the gateway of this number. Raises ControlSettingsError and UnknownGateway."""
     control = control_of(settings)
     region = settings.region_of(gateway_number).name
-    return import_module("tansykeel.control.session_client").SessionClient(
+    return SessionClient(
         cluster=control.cluster,
         region=region,
         gateway=settings.gateway.named(gateway_number),
--- a/tansykeel/settings/records.py
+++ b/tansykeel/settings/records.py
@@ -220,6 +220,12 @@
         """What the gateways that know of each other call themselves, by number."""
         return [self.gateway.named(number) for number in range(len(self.peers.addresses))] if self.peers else []
 
+    def gateway_count(self) -> int:
+        """Return how many gateways the settings name: in regions, else as peers, else this one alone."""
+        if self.regions:
+            return sum(region.gateways for region in self.regions)
+        return len(self.peers.addresses) if self.peers else 1
+
     def region_of(self, number: int) -> RegionOf:
         """Return the region of the gateway of this number. Raises UnknownGateway for a number beyond the last."""
         first = 0
