Checker: a renewal without units takes the place of its own node's lease alone

As the gateway's side does: a lease of another node counts on until there are units at the new one. Without this the sums over received leases still had what a gateway had given up at the same node. One more test, both ways.

--- a/tansykeel/audit/unit_sums.py
+++ b/tansykeel/audit/unit_sums.py
@@ -19,6 +19,7 @@
     """What one gateway counts, and the record that says so."""
 
     region: str
+    node: str  # that granted it
     units: int
     until: int
     record: Evidence
--- a/tests/audit/test_control.py
+++ b/tests/audit/test_control.py
@@ -100,6 +100,19 @@
     assert findings([*records, *late]) == []
 
 
+@pytest.mark.parametrize(("node", "broken"), [(0, set()), (2, {ControlRule.SUMS})])
+def test_a_lease_without_units_takes_the_place_of_its_own_nodes_alone(node, broken):
+    """A gateway that comes back to its node, or asks another one beside it, and is granted nothing there."""
+    records = [
+        *START,
+        *renewal(10_000, 0, 0, UNITS),
+        *session(20_000, 0, node, number=2),
+        *renewal(30_000, 0, node, 0, number=2),
+        *renewal(40_000, 1, 1, UNITS),
+    ]
+    assert rules(records) == broken
+
+
 def test_the_whole_is_judged_over_all_regions():
     facts = replace(FACTS, region_units={"north": UNITS, "south": UNITS})
     south = [*session(2_000, 9, 9), *renewal(10_000, 9, 9, UNITS)]
