Control plane in simulated time: tansykeel control-sim plays faults on real cores and judges them

Sums of what gateways count, bytes of a gateway, and how long a lost node is felt had no figure at 620 gateways. Two regions of three control nodes and any number of gateways now run on the real cores with clocks apart by the drift, over connections that delay, lose frames and end; nodes, gateways, zones and whole regions' nodes are killed, stalled and cut off. Every change is summed directly and every frame given to the checker; the exit code is 1 where a rule is broken.

The checker found that a gateway acknowledged an empty lease of a second session after its first had been renewed: an empty renewal of a second session now changes nothing and is not acknowledged.

--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -17,6 +17,7 @@
 
 from tansykeel.cli.accord import app as accord
 from tansykeel.cli.control import control, control_status
+from tansykeel.cli.control_sim import control_sim
 from tansykeel.cli.emulate import app as emulate
 from tansykeel.cli.fleet import app as fleet
 from tansykeel.cli.words import BROKEN, fail, params_of, say
@@ -31,6 +32,7 @@
 app.add_typer(emulate, name="emulate")
 app.add_typer(fleet, name="fleet")
 app.add_typer(accord, name="accord")
+app.command("control-sim")(control_sim)
 app.command("control")(control)
 app.command("control-status")(control_status)
 SettingsFile = Annotated[Path, typer.Argument(help="a settings script", metavar="SETTINGS")]
--- a/tansykeel/control/session_client.py
+++ b/tansykeel/control/session_client.py
@@ -344,7 +344,8 @@
         self._failures = 0
         # A node takes its earlier leases of this gateway for ended once the new one is acknowledged, whatever its units
         # are. A lease of another node counts on until there are units here, and nothing is acknowledged meanwhile.
-        if lease.units or self.counts(now).node in ("", session.node):
+        ends_earlier = session is self._current and self.counts(now).node in ("", session.node)
+        if lease.units or ends_earlier:
             self._held.replace(now, lease)
             session.acknowledges = lease.lease
         if session is self._attempt and lease.units:
