A gateway with control(...) holds a session to a control node and earns by its lease

So far gateways had a way to agree on their parts only with each other, which costs a voter more with each gateway. With control(...) in its settings a gateway now opens a session at its start, earns by the session's allotments in place of even parts, goes on with its safe part while no control node is there, and closes the session before it ends. Without control(...) nothing changes.

A connection to a control node is opened, carries frames and ends once (control_connection.py); control_session.py carries out what the session's core asks for and logs what changes. `recorder_of` moved to cli/records.py, `say` to cli/words.py, for commands in modules of their own.

--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -18,7 +18,8 @@
 from tansykeel.cli.accord import app as accord
 from tansykeel.cli.emulate import app as emulate
 from tansykeel.cli.fleet import app as fleet
-from tansykeel.cli.words import BROKEN, fail, params_of
+from tansykeel.cli.records import allotment_recorder, claim_recorder
+from tansykeel.cli.words import BROKEN, fail, params_of, say
 from tansykeel.errors import BAD_INPUT
 
 app = typer.Typer(
@@ -33,11 +34,6 @@
 SettingsFile = Annotated[Path, typer.Argument(help="a settings script", metavar="SETTINGS")]
 
 
-def say(**fields: Any) -> None:
-    """One line for whoever started this program."""
-    print(json.dumps(fields), flush=True)
-
-
 @app.command()
 def check(settings: SettingsFile) -> None:
     """Check a settings script and say what it holds."""
@@ -104,7 +100,7 @@
     metrics: Annotated[int, typer.Option(help="port for metrics on loopback, 0: none")] = 0,
     send_at_once: Annotated[bool, typer.Option(hidden=True)] = False,
     leashed: Annotated[bool, typer.Option(help="end with standard input, as with SIGTERM", hidden=True)] = False,
-    record: Annotated[Path | None, typer.Option(help="file for the parts it counts on", hidden=True)] = None,
+    record: Annotated[Path | None, typer.Option(help="file for what it counts by", hidden=True)] = None,
 ) -> None:
     """Run a gateway until SIGTERM."""
     from tansykeel.baselines import SendAtOnce
@@ -140,7 +136,8 @@
             tracing,
             max(sample, 1),
             SendAtOnce if send_at_once else Scheduler,
-            recorder_of(record) if record else None,
+            allotment_recorder(record) if record and not made.control else None,
+            claim_recorder(record) if record and made.control else None,
         )
         if metrics:
             from tansykeel.cli.metrics import serve
@@ -157,19 +154,6 @@
     raise typer.Exit(code)
 
 
-def recorder_of(path: Path) -> Callable[..., None]:
-    """Writes down at once what a gateway counts on: guards against a kill that takes the last of it along."""
-    from tansykeel.audit.records import Counted, Recorder
-
-    recorder = Recorder(path)
-
-    def counted(at: int, edge: str, life: int, number: int, part: Any, until: int) -> None:
-        recorder.add(Counted(at, edge, life, number, part.numerator, part.denominator, until))
-        recorder.flush()
-
-    return counted
-
-
 @app.command()
 def store(
     name: Annotated[str, typer.Option()],
--- a/tansykeel/cli/words.py
+++ b/tansykeel/cli/words.py
@@ -20,6 +20,11 @@
     raise typer.Exit(error.code if isinstance(error, Problem) else BAD_INPUT)
 
 
+def say(**fields: Any) -> None:
+    """One line for whoever started this program."""
+    print(json.dumps(fields), flush=True)
+
+
 def value_of(text: str) -> Any:
     try:
         return json.loads(text)
--- a/tansykeel/edge/clock.py
+++ b/tansykeel/edge/clock.py
@@ -9,6 +9,7 @@
 TENTH = 100_000  # nanoseconds
 EPOCH = 10**9  # the clock's first tenth, so that no time that matters is 0 or less
 MS = 10  # tenths in a millisecond
+MICROSECONDS = 100  # in a tenth
 LATE = 20  # tenths by which a reminder shows that the process stood still
 
 
@@ -17,6 +18,11 @@
     return time.monotonic_ns() // TENTH + EPOCH
 
 
+def microseconds_of(moment: int) -> int:
+    """Return a moment of `clock` in whole microseconds of the machine's monotonic clock, which processes share."""
+    return (moment - EPOCH) * MICROSECONDS
+
+
 class Reminder:
     """Calls `due(now)` at the earliest time asked for."""
 
--- /dev/null
+++ b/tansykeel/edge/control_session.py
@@ -0,0 +1,250 @@
+"""Runs a gateway's session with the control plane on the program's clock and connections, and logs what changes.
+
+Many sessions may share one `Hub`: beside its connections a session costs one timer and no task of its own.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable, Mapping
+from random import Random
+from typing import Any
+
+from tansykeel.cluster.allotments import Allotments
+from tansykeel.control.actions import ConnectToNode, CountedLease, DisconnectFromNode, GatewayAction, SendToControl
+from tansykeel.control.session_client import SessionClient, SessionState
+from tansykeel.edge.clock import Reminder, clock
+from tansykeel.edge.control_connection import ControlConnection
+from tansykeel.protocol.codec import Event, Frame
+from tansykeel.protocol.frames import (
+    Error,
+    Fields,
+    Goodbye,
+    Hello,
+    LeaseRenewal,
+    ProtocolError,
+    SessionAccepted,
+    SessionRejected,
+)
+from tansykeel.settings.control import control_of, session_client_of
+from tansykeel.settings.records import Settings
+from tansykeel.transport.link import Hub
+
+ROLE = "gateway"  # of the hello to control nodes
+MICROSECONDS_IN_MS = 1_000
+MILLISECONDS_IN_SECOND = 1_000
+REJECTED_ADVICE = (
+    "compare control(...), region(...) and the gateway's name and number with the settings of the control nodes"
+)
+
+ClaimObserver = Callable[[int, str, int, CountedLease], None]  # now by `clock`, gateway, incarnation, what it counts by
+ConnectionObserver = Callable[[socket.socket], None]
+
+
+class ControlSession:
+    """One gateway's session: carries out what its `SessionClient` asks for.
+
+    `on_claim` is called with each change of what the gateway counts by, before anything else is done by it;
+    `on_connection_end` with the socket of each connection that ends, while it can still be looked at.
+    """
+
+    def __init__(
+        self,
+        client: SessionClient,
+        addresses: Mapping[str, str],
+        hello: Hello,
+        connect_timeout: float,
+        hub: Hub,
+        log: Any,
+        on_claim: ClaimObserver | None = None,
+        on_connection_end: ConnectionObserver | None = None,
+    ) -> None:
+        self.client, self.addresses, self.hello = client, addresses, hello
+        self.connect_timeout, self.hub, self.log = connect_timeout, hub, log
+        self.on_claim, self.on_connection_end = on_claim, on_connection_end
+        self.connections: dict[str, ControlConnection] = {}  # by node; those that the client has a use for
+        self.ending: set[ControlConnection] = set()  # those that still send what waits
+        self.claim: CountedLease | None = None  # the newest that was observed
+        self.closed = False
+        self._node = ""  # that held the session, its rejection and its refusals when they were logged last
+        self._rejected_reason = ""
+        self._refusals = 0
+        self._reminder = Reminder(self._tick)
+
+    @property
+    def allotments(self) -> Allotments:
+        """What the gateway earns of the wholes that all gateways divide."""
+        return self.client.allotments
+
+    @property
+    def is_open(self) -> bool:
+        """Whether a control node holds the session, as far as the gateway knows."""
+        return not self.closed and self.client.state is SessionState.OPEN
+
+    @property
+    def ended(self) -> bool:
+        """Whether the session was closed and all that it had to send has left, or can not."""
+        return self.closed and not self.connections and not self.ending
+
+    def open_sockets(self) -> list[socket.socket]:
+        """Return the sockets of connections that are up."""
+        connections = (*self.connections.values(), *self.ending)
+        return [connection.sock for connection in connections if connection.sock]
+
+    def start(self) -> None:
+        """Open the session; without a control node the gateway goes on with its safe part."""
+        now = clock()
+        self._carry_out(now, self.client.tick(now) if now >= self.client.due() else [])
+
+    def close(self) -> None:
+        """Close the session in order: from now on the gateway counts by no lease."""
+        if self.closed:
+            return
+        now = clock()
+        self.closed = True
+        self._carry_out(now, self.client.close(now))
+        for connection in list(self.connections.values()):
+            self._disconnect(connection)
+
+    def abort(self, why: str) -> None:
+        """End it at once, as the end of the process would: control nodes hear nothing but the end of the connection."""
+        self.closed = True
+        for connection in (*self.connections.values(), *self.ending):
+            connection.abort(why)
+
+    # Within
+
+    def _tick(self, now: int) -> None:
+        if not self.closed:
+            self._carry_out(now, self.client.tick(now) if now >= self.client.due() else [])
+
+    def _carry_out(self, now: int, actions: list[GatewayAction]) -> None:
+        self._observe(now)
+        for action in actions:
+            match action:
+                case ConnectToNode(node):
+                    self._connect(node)
+                case SendToControl(node, record):
+                    self._send(node, record)
+                case DisconnectFromNode(node, reason):
+                    if connection := self.connections.get(node):
+                        self.log.info("control connection closed", node=node, reason=reason)
+                        self._disconnect(connection)
+        if not self.closed:
+            self._reminder.set(max(self.client.due(), now + 1))
+
+    def _connect(self, node: str) -> None:
+        if earlier := self.connections.get(node):
+            self._disconnect(earlier)
+        self.connections[node] = ControlConnection(
+            node,
+            self.addresses[node],
+            self.connect_timeout,
+            self.hub,
+            self.hello,
+            self._opened,
+            self._received,
+            self._lost,
+        )
+
+    def _send(self, node: str, record: Fields) -> None:
+        if connection := self.connections.get(node):
+            connection.send(record)
+
+    def _disconnect(self, connection: ControlConnection) -> None:
+        """Let go of a connection; its end is no news for the client any more."""
+        del self.connections[connection.node]
+        self.ending.add(connection)
+        connection.close()
+
+    def _opened(self, connection: ControlConnection) -> None:
+        now = clock()
+        self._carry_out(now, self.client.connected(now, connection.node))
+
+    def _received(self, connection: ControlConnection, event: Event) -> None:
+        if connection is not self.connections.get(connection.node) or not isinstance(event, Frame):
+            return
+        now, record = clock(), event.record
+        match record:
+            case Hello():
+                pass
+            case SessionAccepted() | SessionRejected() | LeaseRenewal() | Goodbye():
+                if isinstance(record, SessionRejected) and record.retry_after:
+                    self._log_turned_away(connection.node, record)
+                self._carry_out(now, self.client.received(now, connection.node, record))
+            case Error(text):
+                self.log.error("control node reported an error", node=connection.node, what=text)
+            case _:
+                raise ProtocolError(f"{type(record).__name__}: not legal from a control node to a gateway")
+
+    def _lost(self, connection: ControlConnection, why: str) -> None:
+        if self.on_connection_end and connection.sock:
+            self.on_connection_end(connection.sock)
+        self.ending.discard(connection)
+        if connection is not self.connections.get(connection.node):
+            return
+        del self.connections[connection.node]
+        if self.closed:
+            return
+        self.log.info("control connection lost", node=connection.node, reason=connection.fault or why)
+        now = clock()
+        self._carry_out(now, self.client.connection_lost(now, connection.node))
+
+    def _log_turned_away(self, node: str, rejected: SessionRejected) -> None:
+        retry_after_ms = rejected.retry_after // MICROSECONDS_IN_MS
+        self.log.info("session rejected", node=node, reason=rejected.reason, retry_after_ms=retry_after_ms)
+
+    def _observe(self, now: int) -> None:
+        """Log what has changed since the last step, and pass on what the gateway counts by."""
+        client = self.client
+        if client.rejected_reason != self._rejected_reason:
+            self._rejected_reason = client.rejected_reason
+            if client.rejected_reason:
+                self.log.error("session rejected for good", what=client.rejected_reason, do=REJECTED_ADVICE)
+        if client.node != self._node:
+            lost = "session closed" if self.closed else "session lost"
+            self.log.info("session opened" if client.node else lost, node=client.node or self._node)
+            self._node = client.node
+        if (refusals := client.refusals.total()) != self._refusals:
+            self._refusals = refusals
+            counts = {refusal.value: count for refusal, count in client.refusals.items()}
+            self.log.warning("lease renewals refused", counts=counts)
+        self._observe_claim(now)
+
+    def _observe_claim(self, now: int) -> None:
+        claim, before = self.client.counts(now), self.claim
+        if claim == before:
+            return
+        self.claim = claim
+        had, has = bool(before and before.node), bool(claim.node)
+        if has and not had:
+            self.log.info("lease gained", node=claim.node, session=claim.session, part=float(self.client.part(now)))
+        elif had and not has:
+            self.log.info("lease lost", part=float(self.client.part(now)))
+        if self.on_claim:
+            self.on_claim(now, self.hello.name, self.hello.boot, claim)
+
+
+def control_session_of(
+    settings: Settings,
+    gateway_number: int,
+    incarnation: int,
+    seed: int,
+    hub: Hub,
+    log: Any,
+    on_claim: ClaimObserver | None = None,
+    on_connection_end: ConnectionObserver | None = None,
+) -> ControlSession:
+    """Make the session of the gateway of this number. Raises ControlSettingsError."""
+    name = settings.gateway.named(gateway_number)
+    chance = Random(f"{seed} {name} {incarnation}")
+    return ControlSession(
+        session_client_of(settings, gateway_number, chance, clock()),
+        {node.name: node.address for node in settings.control_nodes},
+        Hello(1, ROLE, name, incarnation, 0),
+        control_of(settings).connect_timeout_ms / MILLISECONDS_IN_SECOND,
+        hub,
+        log,
+        on_claim,
+        on_connection_end,
+    )
--- a/tansykeel/edge/program.py
+++ b/tansykeel/edge/program.py
@@ -16,6 +16,7 @@
 from tansykeel.cluster.send_queue import Urgency
 from tansykeel.edge.clock import Reminder, clock
 from tansykeel.edge.cluster_agent import ClusterAgent, Counted
+from tansykeel.edge.control_session import ClaimObserver, ControlSession, control_session_of
 from tansykeel.edge.core import Core
 from tansykeel.edge.listing import Listing
 from tansykeel.edge.maintenance import LOOKS_EVERY, Leave
@@ -24,7 +25,7 @@
 from tansykeel.edge.stores import Stores
 from tansykeel.edge.tasks import DELIVERED, Attempt, Decisions, Final, Held, StillHeld
 from tansykeel.edge.trace import Trace
-from tansykeel.interface import Facts, Word
+from tansykeel.interface import Facts, Parts, Word
 from tansykeel.maintenance.messages import CODEC, Figures, MaintenanceMessage, MessageError
 from tansykeel.maintenance.state import State
 from tansykeel.protocol.codec import Codec, Event, Piece
@@ -47,6 +48,7 @@
 from tansykeel.transport.sockets import accept_all, listening
 
 LINGERS = 0.25  # seconds in which a gateway that ends still answers what its clients had sent
+CLOSES = 0.5  # seconds in which a gateway that ends still tells its control node so
 SWEEP = 1.0  # seconds between looks at idle connections
 EXIT_FAILED = 70  # the module failed: everything held was answered, the process ends
 
@@ -63,6 +65,7 @@
         sample: int = 100,
         decide: Callable[..., Decisions] = Scheduler,
         counted: Counted | None = None,
+        claimed: ClaimObserver | None = None,
     ) -> None:
         self.settings, self.gateway = settings, settings.gateway
         self.log = structlog.get_logger().bind(gateway=self.gateway.named(facts.me))
@@ -105,6 +108,9 @@
                     counted,
                     state,
                 )
+        self.control_session: ControlSession | None = None
+        if settings.control:
+            self.control_session = control_session_of(settings, facts.me, self.boot, seed, self.hub, self.log, claimed)
         self.core = Core(
             facts,
             seed,
@@ -114,7 +120,7 @@
             self.native,
             known_of(settings),
             decide,
-            self.cluster_agent.cluster_member.parts if self.cluster_agent else None,
+            self._allotments(),
         )
         self.served: dict[str, list[int]] = {}  # by category: answered, and of those delivered in time
         self.leave: Leave | None = None
@@ -150,6 +156,8 @@
         port = listener.getsockname()[1]
         if self.cluster_agent:
             self.cluster_agent.start()
+        if self.control_session:
+            self.control_session.start()
         self.log.info("ready", port=port)
         ready(port)
         await self.stopping.wait()
@@ -158,6 +166,8 @@
         self.core.stop()
         if self.cluster_agent:
             self.cluster_agent.leave()
+        if self.control_session:
+            self.control_session.close()
         await asyncio.sleep(0)
         listener.close()
         for link in list(self.clients):
@@ -179,6 +189,8 @@
             self.cluster_agent.end()
         if self.peers:
             self.peers.end()
+        if session := self.control_session:
+            await self._wait_for(lambda: session.ended, CLOSES)
         await self.hub.stop()
         if self.trace:
             self.trace.end()
@@ -239,6 +251,12 @@
 
     # Within
 
+    def _allotments(self) -> Parts | None:
+        """Return what tells the gateway's part of the wholes that all gateways divide; none: each has an even part."""
+        if self.cluster_agent:
+            return self.cluster_agent.cluster_member.parts
+        return self.control_session.allotments if self.control_session else None
+
     def _accept(self, sock: Any) -> None:
         link = Link(self.hub, sock, Codec("client", "peer"), self.hello, self._event, self._gone)
         self.clients.add(link)
--- a/tests/broken_edge.py
+++ b/tests/broken_edge.py
@@ -9,7 +9,7 @@
 
 from tansykeel.brain import Scheduler
 from tansykeel.cli.logs import set_up
-from tansykeel.cli.main import recorder_of
+from tansykeel.cli.records import allotment_recorder
 from tansykeel.cluster.member import ClusterMember
 from tansykeel.cluster.membership import SAFE
 from tansykeel.edge.core import Core
@@ -89,7 +89,7 @@
     facts = globals()[told.fault](facts_of(made, told.number, told.count))
 
     async def serve():
-        edge = Edge(made, facts, told.seed, counted=recorder_of(told.record) if told.record else None)
+        edge = Edge(made, facts, told.seed, counted=allotment_recorder(told.record) if told.record else None)
         leash(edge.stopping.set)
         await edge.serve(lambda port: print(json.dumps({"port": port}), flush=True))
 
