Hollow gateways: many gateways' sessions in one process, with commands and a report

What control costs a gateway, and how control nodes do at the size of the deployment, is to be measured with the code that gateways run.

--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -18,6 +18,7 @@
 from tansykeel.cli.accord import app as accord
 from tansykeel.cli.emulate import app as emulate
 from tansykeel.cli.fleet import app as fleet
+from tansykeel.cli.hollow import hollow
 from tansykeel.cli.records import allotment_recorder, claim_recorder
 from tansykeel.cli.words import BROKEN, fail, params_of, say
 from tansykeel.errors import BAD_INPUT
@@ -31,6 +32,7 @@
 app.add_typer(emulate, name="emulate")
 app.add_typer(fleet, name="fleet")
 app.add_typer(accord, name="accord")
+app.command()(hollow)
 SettingsFile = Annotated[Path, typer.Argument(help="a settings script", metavar="SETTINGS")]
 
 
