--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -16,6 +16,7 @@
 import typer
 
 from tansykeel.cli.accord import app as accord
+from tansykeel.cli.control import control, control_status
 from tansykeel.cli.emulate import app as emulate
 from tansykeel.cli.fleet import app as fleet
 from tansykeel.cli.hollow import hollow
@@ -33,6 +34,8 @@
 app.add_typer(fleet, name="fleet")
 app.add_typer(accord, name="accord")
 app.command()(hollow)
+app.command("control")(control)
+app.command("control-status")(control_status)
 SettingsFile = Annotated[Path, typer.Argument(help="a settings script", metavar="SETTINGS")]
 
 
@@ -44,13 +47,19 @@
 
     try:
         made = load(settings)
-        facts_of(made, 0, len(made.peers.addresses) if made.peers else 1)
+        facts_of(made, 0, made.gateway_count())
     except ScriptError as error:
         fail(error)
     typer.echo(
         f"{settings}: good: gateway {made.gateway.name}, {len(made.categories)} categories, "
         f"{len(made.plans)} plans, {len(made.volumes)} volumes, {len(made.stores)} stores"
         + (f", list at {made.listing.address} ({made.listing.mode})" if made.listing else "")
+        + (
+            f", control plane {made.control.cluster}: {len(made.regions)} regions, "
+            f"{len(made.control_nodes)} control nodes, {made.gateway_count()} gateways"
+            if made.control
+            else ""
+        )
     )
 
 
@@ -219,6 +228,23 @@
     run(lambda: serve(told, record, say))
 
 
+@app.command()
+def control_proxy(
+    plan: Annotated[Path, typer.Argument(help="who listens where, as a harness wrote it")],
+    record: Annotated[Path, typer.Option(help="file for what passes")],
+) -> None:
+    """Relay between gateways and control nodes; faults come as JSON lines on standard input, whose end ends it."""
+    from tansykeel.rehearse.control_proxy import serve
+    from tansykeel.rehearse.proxy_plan import ProxyPlanError, read_plan
+    from tansykeel.transport.sockets import run
+
+    try:
+        told = read_plan(plan)
+    except ProxyPlanError as error:
+        fail(error)
+    run(lambda: serve(told, record, say))
+
+
 @app.command()
 def load(plan: Annotated[Path, typer.Argument(help="what a rehearsal wrote for one of its client processes")]) -> None:
     """Play one client process of a rehearsal."""
