Hollow and real gateways before real control nodes: a test through a node's death

The session on sockets was tested with scripted nodes alone. Now 20 hollow gateways and one real gateway process hold sessions to three control node processes; one node is killed and half of the gateways are killed and started again. All are leased again, and the units that all of them recorded never pass the whole.

--- a/tests/control_node_script.py
+++ b/tests/control_node_script.py
@@ -85,12 +85,12 @@
         self.rejects = SessionRejected(self.cluster, self.name, reason, retry_after)
 
 
-def control_settings(addresses, gateways=20, extra=""):
+def control_settings(addresses, gateways=20, extra="", lease_ms=LEASE_MS, heartbeat_ms=HEARTBEAT_MS):
     """Settings of one region with control nodes n0, n1 ... at these addresses, and a store that is never there."""
     text = BASE.format(**USUAL) + extra
     text += f'store("s0", address = "{free_address()}", shard = 0)\n' if "store(" not in extra else ""
     text += (
-        f'control(cluster = "ours", lease_ms = {LEASE_MS}, heartbeat_ms = {HEARTBEAT_MS}, ping_ms = 100)\n'
+        f'control(cluster = "ours", lease_ms = {lease_ms}, heartbeat_ms = {heartbeat_ms}, ping_ms = 100)\n'
         f'region("north", share = 1.0, gateways = {gateways})\n'
     )
     for number, address in enumerate(addresses):
--- a/tests/edge/test_hollow.py
+++ b/tests/edge/test_hollow.py
@@ -15,7 +15,7 @@
 from stage import free_address, play, until
 
 from tansykeel.audit.records import read
-from tansykeel.control.actions import CountedLease
+from tansykeel.control.actions import WHOLE_UNITS, CountedLease
 from tansykeel.edge.hollow.lease_time import LeaseTime
 from tansykeel.edge.hollow.report import HEADER_BYTES, FullReport
 from tansykeel.protocol.frames import SessionClose, SessionOpen
@@ -41,24 +41,42 @@
         assert await self.process.wait() == 0
 
 
-@asynccontextmanager
-async def hollow(tmp_path, *options, count=GATEWAYS):
-    """Three scripted nodes and a process of hollow gateways that is ready."""
-    nodes = [await ScriptedNode(f"n{number}", free_address()).start() for number in range(3)]
-    settings = tmp_path / "settings.star"
-    settings.write_text(control_settings([node.address for node in nodes], GATEWAYS))
-    words = ["hollow", settings, "--count", count, "--record", tmp_path / "claims", "--leashed", *options]
-    process = await asyncio.create_subprocess_exec(
+async def tansykeel(*words):
+    """A process of the program, its standard streams as pipes."""
+    return await asyncio.create_subprocess_exec(
         sys.executable, "-m", "tansykeel", *map(str, words), stdin=-1, stdout=-1, stderr=-1
     )
+
+
+async def ended(process):
+    if process.returncode is None:
+        process.kill()
+    await process.communicate()
+
+
+@asynccontextmanager
+async def hollow_process(tmp_path, settings, *options):
+    path = tmp_path / "settings.star"
+    path.write_text(settings)
+    words = ["--count", GATEWAYS, "--record", tmp_path / "claims", "--leashed", *options]
+    process = await tansykeel("hollow", path, *words)
     try:
         made = HollowProcess(process)
-        assert await made.said() == {"event": "ready", "gateways": count}
-        yield made, nodes
+        assert await made.said() == {"event": "ready", "gateways": GATEWAYS}
+        yield made
+    finally:
+        await ended(process)
+
+
+@asynccontextmanager
+async def hollow(tmp_path, *options):
+    """Three scripted nodes and a process of hollow gateways that is ready."""
+    nodes = [await ScriptedNode(f"n{number}", free_address()).start() for number in range(3)]
+    try:
+        settings = control_settings([node.address for node in nodes], GATEWAYS)
+        async with hollow_process(tmp_path, settings, *options) as process:
+            yield process, nodes
     finally:
-        if process.returncode is None:
-            process.kill()
-        await process.communicate()
         for node in nodes:
             await node.stop()
 
@@ -127,6 +145,48 @@
     assert all(gateway.bytes_sent > 100 for gateway in half.gateways), "what ended connections carried still counts"
 
 
+def largest_sum(claims):
+    """The most units that all gateways together counted at any moment."""
+    held, largest = {}, 0
+    for claim in sorted(claims, key=lambda claim: claim.at):
+        held[claim.gateway] = claim
+        largest = max(largest, sum(one.units for one in held.values() if one.until > claim.at))
+    return largest
+
+
+def test_real_control_nodes_lease_to_hollow_and_real_gateways_through_the_death_of_a_node(tmp_path):
+    async def go():
+        addresses = [free_address() for _ in range(3)]
+        settings = control_settings(addresses, GATEWAYS + 1, lease_ms=1_500, heartbeat_ms=300)
+        path = tmp_path / "settings.star"
+        path.write_text(settings)
+        nodes = [await tansykeel("control", path, "--leashed", "--number", number) for number in range(3)]
+        edge = await tansykeel(
+            *("edge", path, "--number", GATEWAYS, "--count", GATEWAYS + 1, "--record", tmp_path / "edge-claims")
+        )
+        try:
+            async with hollow_process(tmp_path, settings) as process:
+                await until_all_leased(process)
+                nodes[0].kill()
+                await process.ask(do="kill", first=0, count=10)
+                await process.ask(do="start", first=0, count=10)
+                await until_all_leased(process)
+                await asyncio.sleep(1.5)  # a lease: none of the dead node counts any more
+                await until_all_leased(process)
+                await process.end()
+                edge.terminate()
+                assert await edge.wait() == 0
+        finally:
+            for one in (*nodes, edge):
+                await ended(one)
+
+    play(go())
+    claims = [*read(tmp_path / "claims"), *read(tmp_path / "edge-claims")]
+    assert {claim.gateway for claim in claims if claim.units} == NAMES | {f"edge-{GATEWAYS}"}
+    assert {claim.node for claim in claims} == {"n0", "n1", "n2", ""}
+    assert WHOLE_UNITS / 3 < largest_sum(claims) <= WHOLE_UNITS
+
+
 @pytest.mark.parametrize(
     "command, what",
     [
