Split rehearse/conductor.py by job: runner, child, store and gateway processes, socket stage

The same processes, arguments, files, records and order as before; the record file keeps its name. agents.py asks GatewayProcesses in place of the conductor. Two tests take an import from its new place and are otherwise as they were.

--- a/tansykeel/audit/records.py
+++ b/tansykeel/audit/records.py
@@ -1,4 +1,4 @@
-"""What clients, stores, gateways, links, the list service and the conductor write down of what passed, for the audit.
+"""What clients, stores, gateways, links, the list service and the runner write down of what passed, for the audit.
 
 One file a process: records as msgpack, each after its length in four bytes. Times are whole microseconds of the
 machine's monotonic clock, which all processes of a rehearsal share.
--- a/tansykeel/cli/fleet.py
+++ b/tansykeel/cli/fleet.py
@@ -199,7 +199,7 @@
     from tansykeel.cli.words import params_of, seeds_of
     from tansykeel.emulator.hunt import Judged, hunted, play_on
     from tansykeel.rehearse.chaos import cut_down, drawn, script_of
-    from tansykeel.rehearse.conductor import RehearsalError
+    from tansykeel.rehearse.child_processes import RehearsalError
     from tansykeel.rehearse.play import day_of
     from tansykeel.settings.script import ScriptError
 
--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -326,7 +326,7 @@
     from rich.console import Console
     from rich.progress import Progress
 
-    from tansykeel.rehearse.conductor import RehearsalError
+    from tansykeel.rehearse.child_processes import RehearsalError
 
     try:
         if quiet:
--- a/tansykeel/rehearse/agents.py
+++ b/tansykeel/rehearse/agents.py
@@ -27,13 +27,13 @@
 
 
 class Machines(Protocol):
-    """What agents need of the conductor."""
+    """What agents need of the gateways' processes."""
 
     ports: list[int]
 
     def starts(self, index: int) -> int: ...
     def runs(self, index: int) -> bool: ...
-    def end_edge(self, index: int) -> Awaitable[None]: ...
+    def end(self, index: int) -> Awaitable[None]: ...
     def start_version(self, index: int, version: str) -> Awaitable[None]: ...
 
 
@@ -91,7 +91,7 @@
         self.went, self.whole = order.number, False
         self.record.add(Left(now_us(), self.name, "out", order.number, order.boot))
         self.record.flush()
-        await self.machines.end_edge(self.index)
+        await self.machines.end(self.index)
         await self.machines.start_version(self.index, order.version)
 
 
--- a/tansykeel/rehearse/clients.py
+++ b/tansykeel/rehearse/clients.py
@@ -309,7 +309,7 @@
 
 
 async def play_file(path: Path, ready: Callable[[], None]) -> None:
-    """Play what the conductor wrote: the day's file and who is who. `ready` is called once it only has to be let go."""
+    """Play what the runner wrote: the day's file and who is who. `ready` is called once it only has to be let go."""
     told = json.loads(path.read_text())
     day = msgspec.convert(told["day"], Day)
     clients = LoadClients(
--- a/tansykeel/rehearse/play.py
+++ b/tansykeel/rehearse/play.py
@@ -11,8 +11,10 @@
 from typing import Any
 
 from tansykeel.audit.report import Verdict, judge_folder
-from tansykeel.rehearse.conductor import EDGE, Conductor, RehearsalError
+from tansykeel.rehearse.child_processes import RehearsalError
 from tansykeel.rehearse.day import load_day
+from tansykeel.rehearse.gateway_processes import EDGE
+from tansykeel.rehearse.runner import ScenarioRunner
 from tansykeel.settings.day import Day
 from tansykeel.settings.script import ScriptError
 
@@ -65,13 +67,13 @@
         raise ScriptError(f"--folder {folder}: holds a day already; legal: a new or empty folder")
     folder.mkdir(parents=True, exist_ok=True)
     (folder / "seed").write_text(str(seed))
-    asyncio.run(_played(Conductor(day, seed, folder, progress, edge)))
+    asyncio.run(_played(ScenarioRunner(day, seed, folder, progress, edge)))
     return judge_folder(folder)
 
 
-async def _played(conductor: Conductor) -> None:
+async def _played(runner: ScenarioRunner) -> None:
     """Guards against processes left behind when this one is told to end in mid-day."""
-    playing = asyncio.ensure_future(conductor.play())
+    playing = asyncio.ensure_future(runner.play())
     if threading.current_thread() is threading.main_thread():
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
--- a/tests/maintenance/test_between.py
+++ b/tests/maintenance/test_between.py
@@ -6,7 +6,7 @@
 import subprocess
 import sys
 
-from tansykeel.rehearse.conductor import free_ports
+from tansykeel.rehearse.gateway_processes import free_ports
 from tansykeel.rehearse.play import day_of, play
 
 
--- a/tests/rehearse/test_rehearse.py
+++ b/tests/rehearse/test_rehearse.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tansykeel.rehearse.conductor import RehearsalError
+from tansykeel.rehearse.child_processes import RehearsalError
 from tansykeel.rehearse.day import load_day
 from tansykeel.rehearse.play import day_of, play
 
