--- a/tansykeel/edge/maintenance.py
+++ b/tansykeel/edge/maintenance.py
@@ -34,7 +34,7 @@
 Reply = Callable[[MaintenanceMessage], None]
 
 
-class Leave:
+class MaintenanceAgent:
     """`tell(name, word)` to another gateway; `sent` takes what the cluster member wants said."""
 
     def __init__(
--- a/tansykeel/edge/program.py
+++ b/tansykeel/edge/program.py
@@ -19,7 +19,7 @@
 from tansykeel.edge.control_session import ClaimObserver, ControlSession, control_session_of
 from tansykeel.edge.core import Core
 from tansykeel.edge.listing import Listing
-from tansykeel.edge.maintenance import LOOKS_EVERY, Leave
+from tansykeel.edge.maintenance import LOOKS_EVERY, MaintenanceAgent
 from tansykeel.edge.native import Native, answer_of, bounds_of, known_of
 from tansykeel.edge.peers import Peers
 from tansykeel.edge.stores import Stores
@@ -70,8 +70,8 @@
         self.settings, self.gateway = settings, settings.gateway
         self.log = structlog.get_logger().bind(gateway=self.gateway.named(facts.me))
         self.trace, self.sample, self._logged = trace, sample, 0
-        self.boot = time.time_ns() & (2**62 - 1)
-        self.hello = Hello(1, "edge", self.gateway.named(facts.me), self.boot, 0)
+        self.incarnation = time.time_ns() & (2**62 - 1)
+        self.hello = Hello(1, "edge", self.gateway.named(facts.me), self.incarnation, 0)
         self.hub = Hub(Limits(stall=settings.gateway.peer_stall_s))
         self.clients: set[Link] = set()
         self._reminder = Reminder(lambda now: self.core.tick(now))
@@ -92,7 +92,7 @@
                 self.hub,
                 msgspec.structs.replace(self.hello, role="peer"),
                 settings.peers.connect_timeout_ms / 1000,
-                self._word,
+                self._peer_message,
             )
             if settings.peers.agree:
                 state = State() if settings.accord else None
@@ -110,7 +110,9 @@
                 )
         self.control_session: ControlSession | None = None
         if settings.control:
-            self.control_session = control_session_of(settings, facts.me, self.boot, seed, self.hub, self.log, claimed)
+            self.control_session = control_session_of(
+                settings, facts.me, self.incarnation, seed, self.hub, self.log, claimed
+            )
         self.core = Core(
             facts,
             seed,
@@ -123,9 +125,9 @@
             self._allotments(),
         )
         self.served: dict[str, list[int]] = {}  # by category: answered, and of those delivered in time
-        self.leave: Leave | None = None
+        self.maintenance_agent: MaintenanceAgent | None = None
         if self.cluster_agent and settings.accord and settings.peers and state:
-            self.leave = Leave(
+            self.maintenance_agent = MaintenanceAgent(
                 settings.accord,
                 state,
                 self.cluster_agent.cluster_member,
@@ -280,11 +282,11 @@
                 if self.peers and hello.role == "peer":
                     self.peers.came(link, hello)
             case Share() | Watch() as word:
-                self._word(link, word)
+                self._peer_message(link, word)
             case Cut():
                 self.core.left(clock(), link, event.stream)
             case Accord() as said:
-                self._accord(link, event.stream, said)
+                self._maintenance_message(link, event.stream, said)
             case FleetAsk() | FleetWithout() as told:
                 if self.cluster_agent is None:
                     raise ProtocolError(
@@ -299,7 +301,7 @@
                     self.log.info("goes without", names=list(told.names))
                 link.send(event.stream, self.cluster_agent.told_of())
 
-    def _word(self, link: Link, word: Any) -> None:
+    def _peer_message(self, link: Link, word: Any) -> None:
         """Another gateway says something, on whichever connection there is."""
         match word:
             case Share():
@@ -309,7 +311,7 @@
                 if self.cluster_agent and link.peer:
                     self.cluster_agent.heard(link.peer, word)
             case Accord():
-                self._accord(link, 0, word)
+                self._maintenance_message(link, 0, word)
             case Goodbye():
                 link.close()  # it ends, and would not take what is said to it any more
 
@@ -322,8 +324,8 @@
         counts[0] += 1
         counts[1] += final.result == DELIVERED and lag <= soft_limit
 
-    def _accord(self, link: Link, stream: int, said: Accord) -> None:
-        if self.leave is None:
+    def _maintenance_message(self, link: Link, stream: int, said: Accord) -> None:
+        if self.maintenance_agent is None:
             raise ProtocolError("ACCORD: this gateway gives no leave; legal: one whose settings have accord(...)")
         try:
             word = CODEC.decode(said.what, said.word)
@@ -331,9 +333,9 @@
             raise ProtocolError(f"ACCORD: {error}") from None
         if isinstance(word, Figures):
             if link.peer and link.peer.role != "client":
-                self.leave.told_by(link.peer.name, word)
+                self.maintenance_agent.told_by(link.peer.name, word)
             return
-        self.leave.heard(
+        self.maintenance_agent.heard(
             word, lambda answer: None if link.lost else link.send(stream, AccordTold(*CODEC.encode(answer)))
         )
 
@@ -359,9 +361,9 @@
             self.stores.sweep(asyncio.get_running_loop().time())
 
     async def _look(self) -> None:
-        while self.leave:
+        while self.maintenance_agent:
             await asyncio.sleep(LOOKS_EVERY)
-            self.leave.look()
+            self.maintenance_agent.look()
 
     async def _wait_for(self, done: Callable[[], bool], seconds: float) -> None:
         end = asyncio.get_running_loop().time() + seconds
