--- a/tansykeel/cli/metrics.py
+++ b/tansykeel/cli/metrics.py
@@ -7,6 +7,7 @@
 from prometheus_client import CollectorRegistry, start_http_server
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 
+from tansykeel.edge.clock import clock
 from tansykeel.edge.program import Edge
 
 
@@ -31,6 +32,10 @@
         yield GaugeMetricFamily("tansykeel_tasks_held", "tasks without their answer", len(core.held))
         yield GaugeMetricFamily("tansykeel_body_bytes", "bytes promised to bodies", core.memory.used)
         yield GaugeMetricFamily("tansykeel_connections", "open connections", len(self.edge.hub.links))
+        if session := self.edge.control_session:
+            part = float(session.client.part(clock()))
+            yield GaugeMetricFamily("tansykeel_control_session_open", "1 with a session", float(session.is_open))
+            yield GaugeMetricFamily("tansykeel_control_part", "part of any limit that it may count as its own", part)
 
 
 def serve(edge: Edge, port: int) -> None:
--- a/tests/edge/test_control_session.py
+++ b/tests/edge/test_control_session.py
@@ -12,6 +12,7 @@
 from structlog.testing import capture_logs
 
 from tansykeel.audit.records import LeaseClaimed, read
+from tansykeel.cli.metrics import Collector
 from tansykeel.cli.records import claim_recorder
 from tansykeel.control.actions import WHOLE_UNITS, part_of
 from tansykeel.control.session_client import SessionState
@@ -239,6 +240,9 @@
         for node in nodes:
             await node.start()
         await until(lambda: UNITS in claims)
+        values = {metric.name: metric.samples[0].value for metric in Collector(edge).collect() if metric.samples}
+        assert values["tansykeel_control_session_open"] == 1
+        assert values["tansykeel_control_part"] == pytest.approx(float(part_of(UNITS, 2)))
         edge.stopping.set()
         assert await serving == 0 and claims[-1] == 0
         await until(lambda: sum(len(node.of(SessionClose)) for node in nodes) == 1)
