--- /dev/null
+++ b/tests/control_plane/test_control_program.py
@@ -0,0 +1,221 @@
+"""A control node on sockets: what is wrong gets one clear error and its own end, and others are served on."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+
+import pytest
+from control_stage import REGION_UNITS, Connection, Gateway, one_node, until, written
+from stage import play
+from typer.testing import CliRunner
+
+from tansykeel.cli.main import app
+from tansykeel.cluster.failure_detector import Ping
+from tansykeel.cluster.messages import CODEC
+from tansykeel.control.node import ControlNode
+from tansykeel.control_plane.program import EXIT_FAILED, ControlProgram
+from tansykeel.edge.ask import NotTold, ask, go_without
+from tansykeel.protocol.frames import (
+    CHECK,
+    HEADER,
+    MOST_FIELDS,
+    ControlStatusRequest,
+    Heartbeat,
+    Hello,
+    Kind,
+    NodeOpen,
+    SessionAccepted,
+    SessionClose,
+    SessionOpen,
+    SessionRejected,
+    TaskOf,
+    Watch,
+    pack,
+)
+from tansykeel.settings.build import load
+from tansykeel.transport.sockets import address_of
+
+TASK = TaskOf("v", "read", 1, 1, 0, 10**6, 1)
+TOO_LONG = HEADER.pack(Kind.HEARTBEAT, 0, 0, MOST_FIELDS + 1, 0) + CHECK.pack(0)
+PING = Watch(*CODEC.encode(Ping(1)))
+
+
+async def lone_gateway(address):
+    """A gateway with a session at a node that is alone in its region; it counts all units."""
+    gateway = Gateway("edge-0", [address])
+    while not isinstance(await gateway.open(address), SessionAccepted):
+        await asyncio.sleep(0.1)
+    while gateway.counted() < REGION_UNITS:
+        assert await gateway.renew()
+        await asyncio.sleep(0.1)
+    return gateway
+
+
+@pytest.mark.parametrize(
+    "role, name, sent, says",
+    [
+        ("gateway", "edge-9", SessionOpen("farm", "edge-9", "north"), "gateway 'edge-9': not among the gateways"),
+        ("gateway", "edge-1", SessionOpen("other", "edge-1", "north"), "cluster 'other'; this control node is of"),
+        ("gateway", "edge-1", SessionOpen("farm", "edge-1", "south"), "region 'south'; this control node is of"),
+        ("gateway", "edge-1", Heartbeat(5, 1, 0), "a heartbeat of session 5, which this connection has not"),
+        ("gateway", "edge-1", SessionClose(5), "a close of session 5, which this connection has not"),
+        ("gateway", "edge-1", TASK, "TASK on stream 0: not legal from a peer of role 'gateway'"),
+        ("gateway", "edge-1", TOO_LONG, "HEARTBEAT on stream 0: 65537 bytes; legal: 65536 at most"),
+        ("client", "shell", TASK, "TaskOf: a control node has no tasks"),
+        ("control", "n9", NodeOpen("farm", "north"), "control node 'n9' is no other one of region 'north'"),
+        ("store", "s", None, "role 'store'; expected: gateway or control or client"),
+    ],
+)
+def test_what_is_wrong_gets_one_error_and_others_are_served(tmp_path, role, name, sent, says):
+    async def go():
+        async with one_node(tmp_path) as (_, address):
+            served = await lone_gateway(address)
+            wrong = await Connection(role, name).connect(address)
+            if isinstance(sent, bytes):
+                await until(lambda: not wrong.link.outgoing)  # the hello has left
+                wrong.link.sock.send(sent)
+            elif sent is not None:
+                wrong.link.send(0, sent)
+            if role == "gateway" and isinstance(sent, SessionOpen):
+                rejection = await wrong.next(SessionRejected)
+                assert says in rejection.reason and rejection.retry_after == 0
+            assert says in await wrong.error()
+            assert await served.renew() and served.counted() == REGION_UNITS
+
+    play(go())
+
+
+@pytest.mark.parametrize(
+    "sent, says",
+    [
+        ([NodeOpen("other", "north")], "NODE_OPEN: cluster 'other'; legal: 'farm'"),
+        ([NodeOpen("farm", "south")], "NODE_OPEN: region 'south'; legal: 'north'"),
+        ([PING], "WATCH before NODE_OPEN"),
+        ([NodeOpen("farm", "north"), Watch("Rumour", b"")], "WATCH: message 'Rumour'; legal: "),
+    ],
+)
+def test_a_control_node_that_is_none_of_the_cluster_is_rejected(tmp_path, sent, says):
+    async def go():
+        async with one_node(tmp_path, nodes=3) as (program, address):
+            wrong = await Connection("control", "n1").connect(address)
+            for record in sent:
+                wrong.link.send(0, record)
+            assert says in await wrong.error()
+            others = program.agent.node.member.failure_detector.others
+            assert others["n1"].life == 0, "a message of it was taken"
+
+    play(go())
+
+
+def test_connections_over_the_bound_are_told_so_and_those_there_are_served(tmp_path):
+    async def go():
+        async with one_node(tmp_path) as (program, address):
+            served = await lone_gateway(address)
+            program.most_connections = 2
+            await Connection("gateway", "edge-1").connect(address)
+            await until(lambda: len(program.last_received) == 2)
+            late = await Connection("gateway", "edge-2").connect(address)
+            assert "2 connections are open here already" in await late.error()
+            assert await served.renew()
+
+    play(go())
+
+
+def test_a_peer_that_reads_nothing_is_dropped_and_holds_little_memory(tmp_path):
+    async def go():
+        async with one_node(tmp_path) as (program, address):
+            served = await lone_gateway(address)
+            deaf = socket.create_connection(address_of(address))
+            deaf.setblocking(False)
+            frames = pack(0, Hello(1, "client", "deaf")) + 100_000 * pack(1, ControlStatusRequest())
+            sending = asyncio.create_task(asyncio.get_running_loop().sock_sendall(deaf, frames))
+            await until(lambda: len(program.last_received) == 2)
+            most_waiting = 0
+            while len(program.last_received) == 2:  # until it is dropped for taking nothing
+                assert await served.renew()
+                most_waiting = max(most_waiting, *(link.outgoing.held for link in program.last_received))
+                await asyncio.sleep(0.02)
+            assert 0 < most_waiting < 1 << 20
+            sending.cancel()
+            deaf.close()
+
+    play(go())
+
+
+def test_a_view_is_formed_without_names_that_an_operator_says_never_come(tmp_path):
+    async def go():
+        async with one_node(tmp_path, nodes=3) as (_, address):
+            assert (await ask(address, 5)).number == 0
+            with pytest.raises(NotTold, match="'n7' is no other gateway of the settings"):
+                await go_without(address, ("n7",), 5)
+            await go_without(address, ("n1", "n2"), 5)
+            while not (told := await ask(address, 5)).leased:
+                await asyncio.sleep(0.1)
+            assert [name for name, _ in told.members] == ["n0"] and told.part == 0
+
+    play(go())
+
+
+def test_a_core_that_fails_ends_the_program_with_the_code_for_that(tmp_path, monkeypatch):
+    def fails(*_):
+        raise AssertionError("planted")
+
+    async def go():
+        path, _ = written(tmp_path, 1)
+        program = ControlProgram(load(path), 0, 1)
+        monkeypatch.setattr(ControlNode, "tick", fails)
+        assert await program.serve() == EXIT_FAILED
+
+    play(go())
+
+
+def test_control_status_shows_a_table_or_json_and_its_code_tells_of_the_lease(tmp_path):
+    def run(*words):
+        return asyncio.to_thread(CliRunner().invoke, app, ["control-status", *words])
+
+    async def go():
+        async with one_node(tmp_path) as (_, address):
+            await lone_gateway(address)
+            table = await run(address)
+            assert table.exit_code == 0 and "n0 of region north, cluster farm: view" in table.output
+            assert "1 sessions (1 admitted" in table.output and "0.7000" in table.output
+            told = json.loads((await run(address, "--json")).output)
+            assert (told["node"], told["sessions"], told["nodes"][0]["units"]) == ("n0", 1, REGION_UNITS)
+        gone = await run(address)
+        assert gone.exit_code == 3 and "look whether it runs" in gone.output
+
+    play(go())
+
+
+def test_a_node_without_a_lease_is_told_by_the_exit_code(tmp_path):
+    async def go():
+        async with one_node(tmp_path, nodes=3) as (_, address):
+            told = await asyncio.to_thread(CliRunner().invoke, app, ["control-status", address])
+            assert told.exit_code == 1 and "no lease: it grants nothing" in told.output
+
+    play(go())
+
+
+@pytest.mark.parametrize(
+    "change, words, says",
+    [
+        (("share = 0.7", "share = 1.7"), [], "region('north').share: 1.7 is not legal"),
+        (("", ""), ["--number", "3"], "number 3 is none; legal: 0 to 2"),
+        (("", ""), ["--log", "xml"], "--log: 'xml'; legal: json or console"),
+        (('region = "north"', 'region = "nord"'), [], "control_node('n0').region: 'nord' is none; legal: north"),
+    ],
+)
+def test_a_node_starts_on_nothing_that_is_wrong(tmp_path, change, words, says):
+    path, _ = written(tmp_path, 3)
+    path.write_text(path.read_text().replace(*change) if change[0] else path.read_text())
+    told = CliRunner().invoke(app, ["control", str(path), "--number", "0", *words])
+    assert told.exit_code == 2 and says in told.output
+
+
+def test_check_says_what_the_control_plane_of_the_example_holds(request):
+    example = request.config.rootpath / "examples" / "control.star"
+    told = CliRunner().invoke(app, ["check", str(example)])
+    assert told.exit_code == 0
+    assert "control plane shop: 2 regions, 6 control nodes, 5 gateways" in told.output
