Planted deposed follower: the test expects the sums that follow as well

The test just landed failed: the follower is named for its renewals, and then the region's sum is over too, once others grant what was reclaimed from it. Both are expected now, and the renewals have to be named first.

--- a/tests/audit/test_control_planted.py
+++ b/tests/audit/test_control_planted.py
@@ -110,9 +110,11 @@
 def test_a_lease_renewed_by_a_deposed_follower_is_named():
     """It is cut from the other nodes, and not from its gateways."""
     simulation, found = played(TRIAL, agent=GoesOnRenewing)
-    ((rule, deposed),) = found
-    assert rule is ControlRule.NODE_LEASES and simulation.nodes[deposed].region == "region-0"
-    assert any("after its own lease ended" in finding.what for finding in simulation.checker.findings)
+    (deposed,) = (who for rule, who in found if rule is ControlRule.NODE_LEASES)
+    first = simulation.checker.findings[0]
+    assert first.who == deposed and simulation.nodes[deposed].region == "region-0"
+    assert "after its own lease ended" in first.what
+    assert (ControlRule.SUMS, "region region-0") in found  # once its units are granted by others too
 
 
 def test_a_node_that_ignores_its_budget_is_named():
