Checker: a lease without units is acknowledged beside another node's lease

A gateway that holds two sessions and was granted nothing in the newer one may be granted units in the older one after that, and then acknowledges both. The checker took the acknowledgement of the empty lease for one that gives up all units, though a lease without units takes the place of its own node's alone, as the checker's sums have it. It holds as before for leases with units, and for a lease without units of the node by which the gateway counts; a test has both sides.

--- a/tests/audit/test_control.py
+++ b/tests/audit/test_control.py
@@ -113,6 +113,20 @@
     assert rules(records) == broken
 
 
+@pytest.mark.parametrize(("node", "broken"), [(0, {ControlRule.GATEWAY_LEASES}), (2, set())])
+def test_a_lease_without_units_is_acknowledged_beside_another_nodes_alone(node, broken):
+    """A gateway with two sessions is granted nothing in the newer one, and then something in the older one."""
+    records = [
+        *START,
+        *session(3_000, 0, node, number=2),
+        *renewal(10_000, 0, node, 0, number=2),
+        *renewal(20_000, 0, 0, HALF),
+        claim(20_400, 0, 0, HALF),
+        to_node(30_000, 0, node, Heartbeat(2, 300, 1)),
+    ]
+    assert rules(records) == broken
+
+
 def test_the_whole_is_judged_over_all_regions():
     facts = replace(FACTS, region_units={"north": UNITS, "south": UNITS})
     south = [*session(2_000, 9, 9), *renewal(10_000, 9, 9, UNITS)]
