Scale tests of the control plane on sockets: tansykeel scale play|report

The control plane has to show on sockets what a gateway spends for it at 612 gateways, and how long gateways are without a lease under faults.

A typed plan says how many processes there are and which faults they go through. The harness writes each process's settings file with the fault proxy's addresses, starts the proxy, control nodes, hollow and real gateways and some gateways without a control plane to compare with, waits until each gateway has a session, plays the faults (packet loss, leader killed, node stalled, zone of gateways killed and returned, regions cut, all nodes killed, a node lost) and ends all by process id, also when it fails or is interrupted. It stops where its processes pass half of the machine's memory or number 200. Traffic, leases, admissions and sessions are measured from the proxy's record, processor time and memory from /proc; hollow gateways' own counts stand beside. The checker judges all that passed; each figure is held against its bound. Tables go into a page, plots into a folder. `make scale` plays the full plan, the tests a small one of 20 hollow gateways.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Two commands do everything on a fresh machine: `make demo` and `make test`.
 PYTHON ?= python3
 
-.PHONY: setup demo test
+.PHONY: setup demo test scale
 
 setup: .venv/.ready
 
@@ -16,3 +16,7 @@
 
 test: setup
 	.venv/bin/python -m pytest
+
+# 612 gateways, 6 control nodes and their faults on loopback, for about five minutes: not a part of the tests.
+scale: setup
+	.venv/bin/tansykeel scale play full --plots docs/plots
--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -22,6 +22,7 @@
 from tansykeel.cli.fleet import app as fleet
 from tansykeel.cli.hollow import hollow
 from tansykeel.cli.records import allotment_recorder, claim_recorder
+from tansykeel.cli.scale import app as scale
 from tansykeel.cli.words import BROKEN, fail, params_of, say
 from tansykeel.errors import BAD_INPUT
 
@@ -36,6 +37,7 @@
 app.add_typer(accord, name="accord")
 app.command("control-sim")(control_sim)
 app.command()(hollow)
+app.add_typer(scale, name="scale")
 app.command("control")(control)
 app.command("control-status")(control_status)
 SettingsFile = Annotated[Path, typer.Argument(help="a settings script", metavar="SETTINGS")]
