Checker: a control node that is the only voter of a view holds a lease that it granted itself

Its lease now counts until it is seen to follow a later view, and one lease longer; before, the rule knew this only of regions with one node in the settings. A test holds both sides.

--- a/tansykeel/audit/region_views.py
+++ b/tansykeel/audit/region_views.py
@@ -17,6 +17,9 @@
     def __init__(self, facts: ControlFacts) -> None:
         self.facts = facts
         self._views: dict[str, dict[int, View]] = defaultdict(dict)
+        self._alone: dict[
+            tuple[str, str, int], int
+        ] = {}  # by region, name, incarnation: the newest view it alone votes in
         self._formed: dict[str, list[int]] = defaultdict(list)  # by region: numbers of views that its nodes formed
 
     def told(self, frame: FrameSeen, message: ClusterMessage) -> None:
@@ -26,9 +29,20 @@
             case Decided(view) | Form(view) | Formed(view):
                 if not view.electors and view.number not in views:
                     insort(self._formed[self.region(frame)], view.number)
-                views.setdefault(view.number, view)
+                self._learn(self.region(frame), view)
             case Stepped(number) if (before := views.get(number - 1)) is not None:
-                views.setdefault(number, message.after(before))
+                self._learn(self.region(frame), message.after(before))
+
+    def _learn(self, region: str, view: View) -> None:
+        self._views[region].setdefault(view.number, view)
+        if len(view.voters) == 1:
+            voter = view.voters[0]
+            key = (region, voter.name, voter.incarnation)
+            self._alone[key] = max(self._alone.get(key, 0), view.number)
+
+    def alone(self, region: str, node: str, incarnation: int) -> int | None:
+        """Return the newest view whose only voter is this node; None where there was none."""
+        return self._alone.get((region, node, incarnation))
 
     def region(self, frame: FrameSeen) -> str:
         """Return the region of the control node that sent a frame."""
--- a/tests/audit/test_control.py
+++ b/tests/audit/test_control.py
@@ -24,7 +24,7 @@
 from tansykeel.audit.control import ControlChecker, check_folder
 from tansykeel.audit.control_findings import ControlRule
 from tansykeel.audit.records import FrameSeen, LeaseClaimed, Recorder, RecordsError
-from tansykeel.cluster.membership import Decided, Form, View
+from tansykeel.cluster.membership import Decided, Form, LeaseRequest, View
 from tansykeel.cluster.replicated_log import InstallSnapshot, LogAccept, LogAccepted, LogPromise
 from tansykeel.protocol.frames import Heartbeat, LeaseRenewal, SessionAccepted
 
@@ -187,6 +187,15 @@
     assert [record.message for record in finding.records] == ["LeaseRenewal", "Heartbeat", "LeaseGrant"]
 
 
+def test_a_node_that_is_the_only_voter_of_a_view_grants_itself_its_lease_until_it_follows_a_later_one():
+    alone = between(SECOND, 0, 1, Decided(View(8, NODES[:1], NODES[:1], NODES)))
+    records = [*START, alone, *renewal(20 * SECOND, 0, 0, HALF), claim(20 * SECOND + 400, 0, 0, HALF)]
+    assert findings(records) == []
+    assert rules([*START, alone, *renewal(20 * SECOND, 1, 1, HALF)]) == {ControlRule.NODE_LEASES}
+    moved = between(16 * SECOND, 0, 1, LeaseRequest(9, 160_000))
+    assert rules([*records, moved]) == {ControlRule.NODE_LEASES}
+
+
 def test_a_renewal_by_grants_that_never_arrived_is_named():
     kept = [record for record in START if record.receiver != "control-0" or record.message != "LeaseGrant"]
     finding = only([*kept, *renewal(10_000, 0, 0, UNITS)])
