--- a/tansykeel/emulator/control_faults.py
+++ b/tansykeel/emulator/control_faults.py
@@ -44,7 +44,7 @@
     def _look(self) -> None:
         passed = (self._engine.now - self._begun) / MICROSECONDS
         self._counted.expire(self._engine.now)
-        there = [one for one in self._gateways if one.up and one.incarnation == self.felt.gateways[one.name]]
+        there = [gateway for gateway in self._gateways if self._lived_through(gateway)]
         without = sum(not self._counted.has_lease(gateway.name) for gateway in there)
         self.felt.most_without_lease = max(self.felt.most_without_lease, without)
         if without:
@@ -58,6 +58,11 @@
         if self._engine.now + LOOK_EVERY < self._until:
             self._engine.after(LOOK_EVERY, self._look)
 
+    def _lived_through(self, gateway: GatewayProcess) -> bool:
+        """Whether the gateway neither restarted nor stood still since the fault."""
+        same = gateway.up and gateway.incarnation == self.felt.gateways[gateway.name]
+        return same and gateway.stalled_until < self._begun
+
     def _reclaimed(self) -> bool:
         """Whether a leader's log has no units of the dead nodes, or these are back."""
         leaders = [node for node in self._nodes if node.leads and node.name not in self.felt.dead]
@@ -147,6 +152,8 @@
             for gateway in self._gateways
             if gateway.up and gateway.region == region and self._counted.has_lease(gateway.name)
         }
+        if not self._nodes_of(region):
+            return  # there is nothing left to strike
         dead = strikes[fault.kind](fault, region)
         names = tuple(process.name for process in dead if isinstance(process, NodeProcess))
         felt = FaultFelt(fault.kind, region, fault.at_s, covered, names)
@@ -167,7 +174,8 @@
         return next((node for node in nodes if node.leads), nodes[0])
 
     def _follower(self, region: str) -> NodeProcess:
-        return next(node for node in self._nodes_of(region) if not node.leads)
+        nodes = self._nodes_of(region)
+        return next((node for node in nodes if not node.leads), nodes[0])
 
     def _kill(self, processes: Sequence[GatewayProcess | NodeProcess], lasts_s: float, silent: bool) -> None:
         for process in processes:
