--- a/tansykeel/edge/hollow/gateways.py
+++ b/tansykeel/edge/hollow/gateways.py
@@ -39,6 +39,7 @@
         self.starts = 0
         self.session: ControlSession | None = None
         self.lease_time = LeaseTime()
+        self._claim: CountedLease | None = None  # the newest, of any incarnation
         self._ended_traffic = Traffic()  # of connections that ended
 
     @property
@@ -59,6 +60,11 @@
             total += traffic_of(sock)
         return total
 
+    def units(self, now: int) -> int:
+        """Return the units that it counts at this moment; one that was killed counts none."""
+        claim = self._claim
+        return claim.units if claim and self.running and now < claim.until else 0
+
     def start(self) -> None:
         """Start it as a new incarnation; one that runs is left alone."""
         if self.running:
@@ -91,6 +97,7 @@
             self.lease_time.stop(clock())
 
     def _claimed(self, now: int, gateway: str, incarnation: int, claim: CountedLease) -> None:
+        self._claim = claim
         self.lease_time.claim(now, claim)
         self.on_claim(now, gateway, incarnation, claim)
 
--- a/tansykeel/edge/hollow/report.py
+++ b/tansykeel/edge/hollow/report.py
@@ -50,6 +50,7 @@
     running: int
     sessions: int
     leased: int
+    units: int  # that all of them counted
     bytes_received: int
     bytes_sent: int
     processor_s: float
@@ -63,6 +64,7 @@
     running: int
     sessions: int
     leased: int
+    units: int  # that all of them count now
     user_s: float
     system_s: float
     resident_bytes: int
@@ -99,6 +101,7 @@
                 running=totals.running,
                 sessions=totals.sessions,
                 leased=totals.leased,
+                units=totals.units,
                 bytes_received=totals.bytes_received,
                 bytes_sent=totals.bytes_sent,
                 processor_s=totals.user_s + totals.system_s,
@@ -116,6 +119,7 @@
             running=sum(gateway.running for gateway in self.gateways),
             sessions=sum(gateway.session_open for gateway in self.gateways),
             leased=sum(gateway.lease_time.leased(now) for gateway in self.gateways),
+            units=sum(gateway.units(now) for gateway in self.gateways),
             user_s=times.user - self._times.user,
             system_s=times.system - self._times.system,
             resident_bytes=resident,
--- a/tansykeel/transport/traffic.py
+++ b/tansykeel/transport/traffic.py
@@ -22,6 +22,14 @@
     segments_received: int = 0
     segments_sent: int = 0
 
+    def __sub__(self, other: Traffic) -> Traffic:
+        return Traffic(
+            self.bytes_received - other.bytes_received,
+            self.bytes_sent - other.bytes_sent,
+            self.segments_received - other.segments_received,
+            self.segments_sent - other.segments_sent,
+        )
+
     def __add__(self, other: Traffic) -> Traffic:
         return Traffic(
             self.bytes_received + other.bytes_received,
@@ -41,9 +49,13 @@
         return self.segments_received + self.segments_sent
 
 
-def traffic_of(sock: socket.socket) -> Traffic:
-    """Return what went over a connected socket so far. Raises OSError for one that is closed or no TCP socket."""
-    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+def parse_tcp_info(info: bytes) -> Traffic:
+    """Return the traffic that a `struct tcp_info` tells of."""
     received, segments_sent, segments_received = RECEIVED_AND_SEGMENTS.unpack_from(info, RECEIVED_AT)
     sent, repeated = SENT_AND_REPEATED.unpack_from(info, SENT_AT)
     return Traffic(received, sent - repeated, segments_received, segments_sent)
+
+
+def traffic_of(sock: socket.socket) -> Traffic:
+    """Return what went over a connected socket so far. Raises OSError for one that is closed or no TCP socket."""
+    return parse_tcp_info(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES))
--- a/tests/control_node_script.py
+++ b/tests/control_node_script.py
@@ -22,13 +22,14 @@
 from tansykeel.transport.sockets import accept_all, listening
 
 LEASE_MS = 600
+UNITS = WHOLE_UNITS // 100  # of each lease
 HEARTBEAT_MS = 100
 
 
 class ScriptedNode:
     """A control node that accepts sessions and grants `units`, or does as its fields say."""
 
-    def __init__(self, name, address, units=WHOLE_UNITS // 100, cluster="ours"):
+    def __init__(self, name, address, units=UNITS, cluster="ours"):
         self.name, self.address, self.units, self.cluster = name, address, units, cluster
         self.role = "control"
         self.rejects = None  # a SessionRejected in place of an acceptance
--- a/tests/edge/test_control_session.py
+++ b/tests/edge/test_control_session.py
@@ -7,14 +7,14 @@
 
 import pytest
 import structlog
-from control_node_script import HEARTBEAT_MS, ScriptedNode, control_settings, settings_of
+from control_node_script import HEARTBEAT_MS, UNITS, ScriptedNode, control_settings, settings_of
 from stage import FakeStore, deliver, free_address, play, until
 from structlog.testing import capture_logs
 
 from tansykeel.audit.records import LeaseClaimed, read
 from tansykeel.cli.metrics import Collector
 from tansykeel.cli.records import claim_recorder
-from tansykeel.control.actions import WHOLE_UNITS, part_of
+from tansykeel.control.actions import part_of
 from tansykeel.control.session_client import SessionState
 from tansykeel.edge.clock import clock
 from tansykeel.edge.control_session import control_session_of
@@ -24,7 +24,6 @@
 from tansykeel.transport.link import Hub, Limits
 from tansykeel.transport.traffic import traffic_of
 
-UNITS = WHOLE_UNITS // 100
 GATEWAYS = 20
 
 
--- a/tests/edge/test_hollow.py
+++ b/tests/edge/test_hollow.py
@@ -11,7 +11,7 @@
 
 import msgspec
 import pytest
-from control_node_script import ScriptedNode, control_settings
+from control_node_script import UNITS, ScriptedNode, control_settings
 from stage import free_address, play, until
 
 from tansykeel.audit.records import read
@@ -108,6 +108,7 @@
     report = msgspec.json.decode((tmp_path / "report.json").read_bytes(), type=FullReport)
     totals = report.totals
     assert totals.sessions == totals.leased == totals.running == GATEWAYS
+    assert totals.units == GATEWAYS * UNITS == report.series[-1].units
     assert totals.proportional_bytes <= totals.resident_bytes and totals.user_s + totals.system_s > 0
     assert sum(gateway.bytes_sent for gateway in report.gateways) <= totals.bytes_sent
     for gateway in report.gateways:
