--- a/tansykeel/cli/records.py
+++ b/tansykeel/cli/records.py
@@ -25,13 +25,13 @@
 
 def claim_recorder(path: Path) -> Callable[[int, str, int, CountedLease], None]:
     """Records at once what a gateway with a session to a control node counts by."""
-    from tansykeel.audit.records import LeaseClaimed, Recorder
+    from tansykeel.audit.records import LeaseClaimed, Recorder, now_us
     from tansykeel.edge.clock import microseconds_of
 
     recorder = Recorder(path)
 
     def claimed(now: int, gateway: str, incarnation: int, claim: CountedLease) -> None:
-        at = microseconds_of(now)
+        at = now_us()  # `now` shows whole tenths: it may be before the moment at which the lease came in
         if claim.node:
             until = microseconds_of(claim.until)
             held = LeaseClaimed(at, gateway, incarnation, claim.node, claim.session, claim.lease, claim.units, until)
--- a/tests/audit/test_control_planted.py
+++ b/tests/audit/test_control_planted.py
@@ -3,10 +3,11 @@
 from dataclasses import replace
 
 import pytest
+from planted_control import BudgetIgnored, CountsOn, FormedViewTrusted, GoesOnRenewing, KeepsTheMost, LeadsAlone
 
 from tansykeel.audit.control_findings import ControlRule
-from tansykeel.cluster.replicated_log import ZERO, LogMessage, ReplicatedLog
-from tansykeel.control.actions import WHOLE_UNITS, CountedLease, SessionTerms
+from tansykeel.cluster.replicated_log import ReplicatedLog
+from tansykeel.control.actions import SessionTerms
 from tansykeel.control.budget_agent import BudgetAgent
 from tansykeel.control.held_lease import HeldLease
 from tansykeel.control.node import ControlNode
@@ -15,7 +16,6 @@
 from tansykeel.emulator.control_trial import ControlFault, ControlTrial, FaultKind
 
 SECOND = 10_000  # tenths of a millisecond
-LEASE = 3 * SECOND
 CUT_OFF = ControlFault(FaultKind.NODE_CUT_OFF, 5, 15)
 ALL_KILLED = ControlFault(FaultKind.ALL_NODES_KILLED, 5, 0.1)
 TRIAL = ControlTrial(gateways=12, seconds=30, settle_s=10, faults=(CUT_OFF,))
@@ -23,62 +23,6 @@
 REFORMED = replace(TRIAL, settle_s=22, terms=LONG_LEASES, faults=(ALL_KILLED,))
 
 
-class GoesOnRenewing(BudgetAgent):
-    """Renews leases also when its own lease on the view is over."""
-
-    def lease_left(self, now: int) -> int:
-        return super().lease_left(now) or LEASE
-
-
-class BudgetIgnored(BudgetAgent):
-    """Grants each of its gateways all that there is."""
-
-    def budget(self) -> int:
-        return WHOLE_UNITS
-
-    def share(self) -> int:
-        return WHOLE_UNITS
-
-
-class FormedViewTrusted(BudgetAgent):
-    """Registers as soon as a view that all formed is active, as if nobody counted what earlier lives granted."""
-
-    def may_register(self, now: int) -> bool:
-        self.register_from = now
-        return super().may_register(now)
-
-
-class LeadsAlone(ReplicatedLog):
-    """Leads by its own promise alone, and its followers forget what they promised."""
-
-    def heard(self, now, sender, word: LogMessage):
-        self.promised = ZERO
-        return super().heard(now, sender, word)
-
-    def tick(self, now: int, turn: int):
-        sent = super().tick(now, 0)
-        if self.leading is not None and not self.leading.ready:
-            self.leading.ready = True
-            self._take_over(self.leading.ballot, self.base, self.snapshot, tuple(self.entries))
-        return sent
-
-
-class CountsOn(HeldLease):
-    """Counts by its lease for two seconds more than that lasts."""
-
-    def replace(self, now: int, lease: CountedLease) -> None:
-        longer = replace(lease, until=lease.until + 2 * SECOND) if lease.units else lease
-        super().replace(now, longer)
-
-
-class KeepsTheMost(HeldLease):
-    """Never counts less than it did, though it acknowledges the smaller lease."""
-
-    def replace(self, now: int, lease: CountedLease) -> None:
-        units = max(lease.units, self._lease.units)
-        super().replace(now, replace(lease, units=units) if lease.units else lease)
-
-
 class PlantedSimulation(ControlSimulation):
     """All control nodes, or one of them, or one gateway of the first region, have a part that is not the real one."""
 
--- /dev/null
+++ b/tests/planted_control.py
@@ -0,0 +1,71 @@
+"""Parts of control nodes and gateways with a fault in them, to be named by the checker of the control plane.
+
+Each takes the place of the real part in one that was made already: `part.__class__ = ...`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from tansykeel.cluster.replicated_log import ZERO, LogMessage, ReplicatedLog
+from tansykeel.control.actions import WHOLE_UNITS, CountedLease
+from tansykeel.control.budget_agent import BudgetAgent
+from tansykeel.control.held_lease import HeldLease
+
+SECOND = 10_000  # tenths of a millisecond
+
+
+class GoesOnRenewing(BudgetAgent):
+    """Renews leases also when its own lease on the view is over."""
+
+    def lease_left(self, now: int) -> int:
+        return super().lease_left(now) or self.terms.lease
+
+
+class BudgetIgnored(BudgetAgent):
+    """Grants each of its gateways all that there is."""
+
+    def budget(self) -> int:
+        return WHOLE_UNITS
+
+    def share(self) -> int:
+        return WHOLE_UNITS
+
+
+class FormedViewTrusted(BudgetAgent):
+    """Registers as soon as a view that all formed is active, as if nobody counted what earlier lives granted."""
+
+    def may_register(self, now: int) -> bool:
+        self.register_from = now
+        return super().may_register(now)
+
+
+class LeadsAlone(ReplicatedLog):
+    """Leads by its own promise alone, and its followers forget what they promised."""
+
+    def heard(self, now, sender, word: LogMessage):
+        self.promised = ZERO
+        return super().heard(now, sender, word)
+
+    def tick(self, now: int, turn: int):
+        sent = super().tick(now, 0)
+        if self.leading is not None and not self.leading.ready:
+            self.leading.ready = True
+            self._take_over(self.leading.ballot, self.base, self.snapshot, tuple(self.entries))
+        return sent
+
+
+class CountsOn(HeldLease):
+    """Counts by its lease for a second more than that lasts."""
+
+    def replace(self, now: int, lease: CountedLease) -> None:
+        longer = replace(lease, until=lease.until + SECOND) if lease.units else lease
+        super().replace(now, longer)
+
+
+class KeepsTheMost(HeldLease):
+    """Never counts less than it did, though it acknowledges the smaller lease."""
+
+    def replace(self, now: int, lease: CountedLease) -> None:
+        units = max(lease.units, self._lease.units)
+        super().replace(now, replace(lease, units=units) if lease.units else lease)
