--- a/tansykeel/cli/records.py
+++ b/tansykeel/cli/records.py
@@ -31,7 +31,7 @@
     recorder = Recorder(path)
 
     def claimed(now: int, gateway: str, incarnation: int, claim: CountedLease) -> None:
-        at = now_us()  # `now` shows whole tenths: it may be before the moment at which the lease came in
+        at = now_us()  # whole tenths of a millisecond would put it before the frame that brought the lease
         if claim.node:
             until = microseconds_of(claim.until)
             held = LeaseClaimed(at, gateway, incarnation, claim.node, claim.session, claim.lease, claim.units, until)
