Checker: a lease without units leaves the older session its place

A gateway with two sessions may be granted nothing in the newer one first and units in the older one after that. The sums over received leases took the newer session for the one that counts and left those units out, so a sum over the whole could have been missed there. The newest session with units counts now; a test that failed before holds it.

--- a/tansykeel/audit/gateway_leases.py
+++ b/tansykeel/audit/gateway_leases.py
@@ -52,7 +52,7 @@
     sessions: dict[tuple[str, int, int], Session] = field(default_factory=dict)  # by node, its incarnation, number
     latest: dict[tuple[str, int], Session] = field(default_factory=dict)  # by node and number, as claims name them
     accepted: int = 0  # sessions that it received
-    received: int = 0  # order of the session whose lease it received last
+    received: int = 0  # order of the newest session of which it received a lease with units
     claimed: int = 0  # order of the newest session that it claimed to count by
 
 
@@ -144,11 +144,12 @@
         counted = self.leases.held(at, holder)
         if session.order < gateway.received:
             return
-        if not renewal.units and counted is not None and counted.node != frame.sender:
-            return  # a lease of another node counts on until there are units here
-        gateway.received = session.order
-        region = self.facts.nodes.get(frame.sender, UNKNOWN)
-        yield from self.leases.put(at, holder, Holding(region, frame.sender, renewal.units, until, frame))
+        if renewal.units:
+            gateway.received = session.order
+            region = self.facts.nodes.get(frame.sender, UNKNOWN)
+            yield from self.leases.put(at, holder, Holding(region, frame.sender, renewal.units, until, frame))
+        elif counted is None or counted.node == frame.sender:
+            yield from self.leases.put(at, holder, None)  # a lease of another node counts on until there are units here
 
     # Claims
 
--- a/tests/audit/test_control.py
+++ b/tests/audit/test_control.py
@@ -127,6 +127,17 @@
     assert rules(records) == broken
 
 
+def test_a_lease_of_an_older_session_counts_after_one_without_units_of_a_newer_one():
+    records = [
+        *START,
+        *session(3_000, 0, 2, number=2),
+        *renewal(10_000, 0, 2, 0, number=2),
+        *renewal(20_000, 0, 0, UNITS),
+        *renewal(30_000, 1, 1, UNITS),
+    ]
+    assert rules(records) == {ControlRule.SUMS}
+
+
 def test_the_whole_is_judged_over_all_regions():
     facts = replace(FACTS, region_units={"north": UNITS, "south": UNITS})
     south = [*session(2_000, 9, 9), *renewal(10_000, 9, 9, UNITS)]
