Add capacity planning: experiments, slopes, plans against bounds, tables of a page

Need: nothing says what a deployment of 620 gateways before 970 stores costs, role by role, or which bound it passes. Change: tansykeel.capacity. The gateway's platform and the bench's adapter import none of it, which the test of the layers now says.

--- /dev/null
+++ b/tansykeel/capacity/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""The experiments: each module is loaded by `registry.all_experiments` and registers its own."""
--- /dev/null
+++ b/tansykeel/capacity/experiments/agreed_views.py
@@ -0,0 +1,138 @@
+"""Gateways that watch each other and agree on views, in simulated time: what control costs each of them.
+
+The bytes of each gateway are counted, in and out, with the header of a datagram for each message; the busiest is a
+voter. Nobody dies while bytes are counted; deaths are played by another experiment.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
+from statistics import median
+from time import process_time
+from typing import Any
+
+from tansykeel.capacity.records import Aspect, Role, SeriesSpec
+from tansykeel.capacity.registry import Sample, Scale, experiment
+from tansykeel.emulator.watching import HEADER, Trial, Watchers
+from tansykeel.fleet.words import packed
+
+GATEWAYS = (10, 25, 50, 100, 200)
+SECONDS = 60  # of simulated time; bytes are counted in its second half
+DEATH_SECONDS = 120
+DEATHS = 3
+REPETITIONS = 3
+FIRST_SEED = 1
+MICROSECONDS = 1e6
+MECHANISM = "agreed views: gateways watch each other, five voters grant leases"
+HOW = "simulated time (`fleet watch`), leases of 4 s, no loss"
+
+
+def _series(
+    name: str, aspect: Aspect, quantity: str, unit: str, figure: str, figure_unit: str, factor: float, bound: str
+) -> SeriesSpec:
+    return SeriesSpec(
+        name=name,
+        role=Role.GATEWAY_CONTROL,
+        aspect=aspect,
+        quantity=quantity,
+        unit=unit,
+        grows_by="gateways",
+        mechanism=MECHANISM,
+        figure=figure,
+        figure_unit=figure_unit,
+        factor=factor,
+        bound=bound,
+        how=HOW,
+    )
+
+
+MEDIAN_BYTES = _series(
+    "views-bytes-median",
+    Aspect.MESSAGES,
+    "control of the median gateway",
+    "bytes/s",
+    "median gateway",
+    "bytes/s",
+    1,
+    "",
+)
+BUSIEST_BYTES = _series(
+    "views-bytes-busiest",
+    Aspect.MESSAGES,
+    "control of the busiest gateway, a voter",
+    "bytes/s",
+    "busiest gateway",
+    "bytes/s",
+    1,
+    "gateway-control-bytes",
+)
+BUSIEST_PROCESSOR = _series(
+    "views-processor-busiest",
+    Aspect.PROCESSOR,
+    "processor time of control, busiest gateway",
+    "us/s",
+    "busiest gateway",
+    "% of a core",
+    1e-4,
+    "gateway-control-processor",
+)
+DEATH_TO_VIEW = _series(
+    "views-death-to-view",
+    Aspect.STATE,
+    "from a death to the view without it, median over gateways and deaths",
+    "s",
+    "a dead gateway is out of the view",
+    "s",
+    1,
+    "primary-change",
+)
+
+
+class CountingWatchers(Watchers):
+    """Counts what each gateway sends, receives and spends, in the second half."""
+
+    def __init__(self, trial: Trial, seed: int) -> None:
+        self.bytes_by_name: Counter[str] = Counter()
+        self.spent_by_name: dict[str, float] = defaultdict(float)
+        super().__init__(trial, seed)
+
+    def _send(self, name: str, words: list[tuple[str, Any]]) -> None:
+        if self.engine.now >= self.half:
+            for to, word in words:
+                size = HEADER + len(packed(word)[1])
+                self.bytes_by_name[name] += size
+                self.bytes_by_name[to] += size
+        super()._send(name, words)
+
+    def _step(self, name: str, step: Callable[[], list[Any]]) -> None:
+        begun = process_time()
+        super()._step(name, step)
+        if self.engine.now >= self.half:
+            self.spent_by_name[name] += process_time() - begun
+
+
+@experiment("agreed-views", MEDIAN_BYTES, BUSIEST_BYTES, BUSIEST_PROCESSOR)
+def agreed_views(scale: Scale) -> Iterator[Sample]:
+    """A quiet fleet: nobody dies."""
+    seconds = max(round(SECONDS * scale.share), 8)
+    for repetition in scale.repetitions(REPETITIONS):
+        for gateways in scale.sizes(GATEWAYS, least=2):
+            fleet = CountingWatchers(Trial(gateways, seconds, dead=0), FIRST_SEED + repetition)
+            fleet.play()
+            counted_s = seconds / 2
+            rates = [fleet.bytes_by_name[name] / counted_s for name in fleet.names]
+            busiest = fleet.names[rates.index(max(rates))]
+            yield Sample(MEDIAN_BYTES.name, gateways, median(rates))
+            yield Sample(BUSIEST_BYTES.name, gateways, max(rates))
+            yield Sample(BUSIEST_PROCESSOR.name, gateways, fleet.spent_by_name[busiest] / counted_s * MICROSECONDS)
+
+
+@experiment("death-to-view", DEATH_TO_VIEW)
+def death_to_view(scale: Scale) -> Iterator[Sample]:
+    """A fleet in which three gateways die one after the other."""
+    seconds = max(round(DEATH_SECONDS * scale.share), 60)
+    for repetition in scale.repetitions(REPETITIONS):
+        for gateways in scale.sizes(GATEWAYS, least=DEATHS + 2):
+            seen = Watchers(Trial(gateways, seconds, dead=DEATHS), FIRST_SEED + repetition).play()
+            yield Sample(DEATH_TO_VIEW.name, gateways, seen.without_median_s)
--- /dev/null
+++ b/tansykeel/capacity/experiments/store_list.py
@@ -0,0 +1,93 @@
+"""The list of stores: its bytes and what a gateway spends to take it whole, or a change of one row."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from tansykeel.capacity.errors import ExperimentError
+from tansykeel.capacity.gateway import READY_WITHIN_S, STAND_INS, gateway, settings_text
+from tansykeel.capacity.processes import ChildProcess, processor_seconds, running
+from tansykeel.capacity.records import Aspect, Role, SeriesSpec
+from tansykeel.capacity.registry import Sample, Scale, experiment
+
+STORES = (10, 100, 300, 600, 970)
+REPETITIONS = 3
+WHOLES, CHANGES = 40, 400  # pushed at each size
+PAUSE_S = 0.005
+SETTLE_S = 1.0
+WITHIN_S = 120.0
+LOOKS, LOOK_PAUSE_S = 200, 0.05
+MICROSECONDS = 1e6
+MECHANISM = "list of stores, pushed to each gateway"
+HOW = "real gateway process that follows a stand-in list on loopback"
+
+
+def _series(name: str, aspect: Aspect, quantity: str, unit: str, figure: str) -> SeriesSpec:
+    return SeriesSpec(
+        name=name,
+        role=Role.GATEWAY_DATA,
+        aspect=aspect,
+        quantity=quantity,
+        unit=unit,
+        grows_by="stores_known",
+        mechanism=MECHANISM,
+        figure=figure,
+        figure_unit=unit,
+        how=HOW,
+    )
+
+
+WHOLE_BYTES = _series("list-bytes-whole", Aspect.MESSAGES, "the whole list on the wire", "bytes", "the whole list")
+CHANGE_BYTES = _series(
+    "list-bytes-change", Aspect.MESSAGES, "a change of one store on the wire", "bytes", "a change of one store"
+)
+WHOLE_PROCESSOR = _series(
+    "list-processor-whole", Aspect.PROCESSOR, "processor time to take the whole list", "us", "taking the whole list"
+)
+CHANGE_PROCESSOR = _series(
+    "list-processor-change", Aspect.PROCESSOR, "processor time to take a change of one store", "us", "taking a change"
+)
+
+
+@contextmanager
+def _followed_list(stores: int) -> Iterator[tuple[ChildProcess, ChildProcess]]:
+    """A gateway that follows a list of so many stores, and the list."""
+    with running(STAND_INS, "list", stores) as source:
+        port = source.answer(READY_WITHIN_S)["port"]
+        with gateway(settings_text(1, [], port)) as (process, _):
+            _wait_until_followed(source)
+            yield process, source
+
+
+def _wait_until_followed(source: ChildProcess) -> None:
+    """Guards against pushes that nobody takes yet. Raises ExperimentError where no gateway comes."""
+    for _ in range(LOOKS):
+        if source.ask(WITHIN_S, verb="look", times=0, pause_s=PAUSE_S)["watchers"]:
+            return
+        time.sleep(LOOK_PAUSE_S)
+    raise ExperimentError("no gateway followed the list", "store-list")
+
+
+@experiment("store-list", WHOLE_BYTES, CHANGE_BYTES, WHOLE_PROCESSOR, CHANGE_PROCESSOR)
+def store_list(scale: Scale) -> Iterator[Sample]:
+    """Push the list many times, whole and by changes, and divide what it took the gateway."""
+    for _ in scale.repetitions(REPETITIONS):
+        for size in scale.sizes(STORES, least=1):
+            with _followed_list(size) as (process, source):
+                time.sleep(scale.seconds(SETTLE_S))
+                whole_bytes, whole_us = _pushed(process, source, "whole", scale.count(WHOLES))
+                change_bytes, change_us = _pushed(process, source, "change", scale.count(CHANGES))
+            yield Sample(WHOLE_BYTES.name, size, whole_bytes)
+            yield Sample(WHOLE_PROCESSOR.name, size, whole_us)
+            yield Sample(CHANGE_BYTES.name, size, change_bytes)
+            yield Sample(CHANGE_PROCESSOR.name, size, change_us)
+
+
+def _pushed(process: ChildProcess, source: ChildProcess, verb: str, times: int) -> tuple[float, float]:
+    """Bytes and processor microseconds of one push, in the mean of so many."""
+    before = processor_seconds(process.pid)
+    told = source.ask(WITHIN_S, verb=verb, times=times, pause_s=PAUSE_S)
+    time.sleep(0.2)  # the last one is taken by then
+    return told["bytes"] / times, (processor_seconds(process.pid) - before) / times * MICROSECONDS
--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -16,6 +16,7 @@
 import typer
 
 from tansykeel.cli.accord import app as accord
+from tansykeel.cli.capacity import app as capacity
 from tansykeel.cli.emulate import app as emulate
 from tansykeel.cli.fleet import app as fleet
 from tansykeel.cli.words import BROKEN, fail, params_of
@@ -30,6 +31,7 @@
 app.add_typer(emulate, name="emulate")
 app.add_typer(fleet, name="fleet")
 app.add_typer(accord, name="accord")
+app.add_typer(capacity, name="capacity")
 SettingsFile = Annotated[Path, typer.Argument(help="a settings script", metavar="SETTINGS")]
 
 
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -7,7 +7,7 @@
 MOST_LINES = 400
 RANKS = (  # a package imports from its own row and those under it
     {"cli"},
-    {"edge", "platform", "standin", "rehearse", "emulator", "benchlink"},
+    {"edge", "platform", "standin", "rehearse", "emulator", "benchlink", "capacity"},
     {"fleet", "accord", "quota", "ahead", "holdings", "recovery", "audit", "settings"},
     {"protocol", "transport", "state", "http1"},
     {"brain", "runner", "baselines"},
@@ -102,6 +102,7 @@
         assert "brain" in packages
         assert not packages & {
             "audit",
+            "capacity",
             "cli",
             "emulator",
             "fleet",
