--- a/tansykeel/capacity/experiments/agreed_views.py
+++ b/tansykeel/capacity/experiments/agreed_views.py
@@ -14,8 +14,8 @@
 
 from tansykeel.capacity.records import Aspect, Role, SeriesSpec
 from tansykeel.capacity.registry import Sample, Scale, experiment
-from tansykeel.emulator.watching import HEADER, Trial, Watchers
-from tansykeel.fleet.words import packed
+from tansykeel.cluster.messages import CODEC
+from tansykeel.emulator.cluster_simulation import HEADER, Trial, Watchers
 
 GATEWAYS = (10, 25, 50, 100, 200)
 SECONDS = 60  # of simulated time; bytes are counted in its second half
@@ -100,7 +100,7 @@
     def _send(self, name: str, words: list[tuple[str, Any]]) -> None:
         if self.engine.now >= self.half:
             for to, word in words:
-                size = HEADER + len(packed(word)[1])
+                size = HEADER + len(CODEC.encode(word)[1])
                 self.bytes_by_name[name] += size
                 self.bytes_by_name[to] += size
         super()._send(name, words)
