Capacity: writing connections, memory of agreed views, figures drawn far beyond their runs say so

Need: a connection whose last task was a write holds far more memory than one that read; the memory bound of control had no figure for what runs today; a line drawn on to ten times its largest run looked as sure as one within it. Change: experiments for both, a note on such figures, and a table of connections to stores by how many are kept. Pushes of the list wait for each other, since at 970 stores one took longer than the pause and not all were counted.

--- a/tansykeel/capacity/drivers.py
+++ b/tansykeel/capacity/drivers.py
@@ -50,6 +50,7 @@
         "control_nodes_per_region": size.control_machines / size.regions,
         "arriving_connections_per_gateway": _arriving(size, hour, gateways),
         "arriving_sessions_per_control_node": gateways / size.control_machines if hour.control_nodes_restarted else 0.0,
+        "list_changes_at_once": float(max(hour.stores_lost, 1)),
         "list_changes_per_second": day.restarts_per_day / SECONDS_A_DAY,
         "configuration_changes_per_second": day.configuration_changes_per_day / SECONDS_A_DAY,
         "one": 1.0,
--- a/tansykeel/capacity/experiments/agreed_views.py
+++ b/tansykeel/capacity/experiments/agreed_views.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import gc
+import tracemalloc
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 from statistics import median
@@ -17,9 +19,10 @@
 from tansykeel.cluster.messages import CODEC
 from tansykeel.emulator.cluster_simulation import HEADER, Trial, Watchers
 
-GATEWAYS = (10, 25, 50, 100, 200)
+GATEWAYS = (50, 100, 200, 400, 620)
+MEMORY_GATEWAYS = (25, 50, 100, 150, 200)  # counting each allocation makes a play several times slower
+MEMORY_SECONDS = 8
 SECONDS = 60  # of simulated time; bytes are counted in its second half
-DEATH_SECONDS = 120
 DEATHS = 3
 REPETITIONS = 3
 FIRST_SEED = 1
@@ -88,6 +91,17 @@
     "primary-change",
 )
 
+MEMORY = _series(
+    "views-memory",
+    Aspect.MEMORY,
+    "memory of one gateway's control, in the mean over all",
+    "bytes",
+    "mean gateway",
+    "bytes",
+    1,
+    "gateway-control-memory",
+)
+
 
 class CountingWatchers(Watchers):
     """Counts what each gateway sends, receives and spends, in the second half."""
@@ -131,8 +145,27 @@
 @experiment("death-to-view", DEATH_TO_VIEW)
 def death_to_view(scale: Scale) -> Iterator[Sample]:
     """A fleet in which three gateways die one after the other."""
-    seconds = max(round(DEATH_SECONDS * scale.share), 60)
+    seconds = SECONDS  # a shorter play would end before a view without the last dead
     for repetition in scale.repetitions(REPETITIONS):
         for gateways in scale.sizes(GATEWAYS, least=DEATHS + 2):
             seen = Watchers(Trial(gateways, seconds, dead=DEATHS), FIRST_SEED + repetition).play()
             yield Sample(DEATH_TO_VIEW.name, gateways, seen.without_median_s)
+
+
+@experiment("views-memory", MEMORY)
+def views_memory(scale: Scale) -> Iterator[Sample]:
+    """Memory that Python gave out for a fleet that has run for a while, divided by its gateways.
+
+    What waits in the simulated network is in it; the interpreter and the modules are not.
+    """
+    Watchers(Trial(MEMORY_GATEWAYS[0], MEMORY_SECONDS, dead=0), FIRST_SEED).play()  # what is made once is made now
+    for gateways in scale.sizes(MEMORY_GATEWAYS, least=2):
+        gc.collect()
+        tracemalloc.start()
+        try:
+            fleet = Watchers(Trial(gateways, MEMORY_SECONDS, dead=0), FIRST_SEED)
+            fleet.play()
+            gc.collect()
+            yield Sample(MEMORY.name, gateways, tracemalloc.get_traced_memory()[0] / gateways)
+        finally:
+            tracemalloc.stop()
--- a/tansykeel/capacity/experiments/connections.py
+++ b/tansykeel/capacity/experiments/connections.py
@@ -11,6 +11,7 @@
 from tansykeel.capacity.registry import Sample, Scale, experiment
 
 SIZES = (0, 1_000, 2_000, 3_000, 4_000, 6_000)
+WRITING_SIZES = (0, 250, 500, 1_000, 2_000)  # each takes far more memory
 REPETITIONS = 3
 STORES, VOLUMES, TASK_BYTES = 4, 20, 4_096
 SETTLE_S = 1.0
@@ -96,7 +97,7 @@
     mechanism=MECHANISM,
     figure="seconds of a core to take the clients that come at once",
     figure_unit="s of a core",
-    bound="reconnect",
+    bound="at-once",
     counts_fixed=False,
     how=HOW,
 )
@@ -115,6 +116,20 @@
 )
 
 
+WRITING_MEMORY = SeriesSpec(
+    name="gateway-memory-writing-connections",
+    role=Role.GATEWAY_DATA,
+    aspect=Aspect.MEMORY,
+    quantity="resident memory after a write of 4 KiB on each connection, 900 tasks/s",
+    unit="bytes",
+    grows_by="connections_per_gateway",
+    mechanism=MECHANISM,
+    figure="memory if each connection's last task was a write",
+    figure_unit="bytes",
+    how=HOW,
+)
+
+
 @experiment("silent-connections", SILENT_MEMORY)
 def silent_connections(scale: Scale) -> Iterator[Sample]:
     """Memory of connections that were accepted and never said hello; the gateway's hello is sent to them."""
@@ -133,7 +148,14 @@
     """Connections with hello: first idle, a fresh process for each repetition; then one task on each."""
     for _ in scale.repetitions(REPETITIONS):
         yield from _idle(scale)
-        yield from _used(scale)
+        yield from _used(scale, SIZES, USED_MEMORY, writes=False)
+
+
+@experiment("writing-connections", WRITING_MEMORY)
+def writing_connections(scale: Scale) -> Iterator[Sample]:
+    """The same where the last task of each connection was a write."""
+    for _ in scale.repetitions(REPETITIONS):
+        yield from _used(scale, WRITING_SIZES, WRITING_MEMORY, writes=True)
 
 
 def _idle(scale: Scale) -> Iterator[Sample]:
@@ -159,14 +181,14 @@
     return (processor_seconds(process.pid) - before) / (time.monotonic() - begun) * MICROSECONDS
 
 
-def _used(scale: Scale) -> Iterator[Sample]:
+def _used(scale: Scale, sizes: tuple[int, ...], series: SeriesSpec, writes: bool) -> Iterator[Sample]:
     with (
         instant_stores(STORES) as (_, ports),
         gateway(settings_text(VOLUMES, ports)) as (process, port),
         clients_of(port) as clients,
     ):
         held = 0
-        for size in scale.sizes(SIZES):
+        for size in scale.sizes(sizes):
             clients.ask(OPEN_WITHIN_S, verb="open", count=size - held, hello=True)
             held = size
             if size:
@@ -179,5 +201,6 @@
                     volumes=VOLUMES,
                     first=0,
                     size=TASK_BYTES,
+                    writes=writes,
                 )
-            yield Sample(USED_MEMORY.name, size, resident_bytes(process.pid))
+            yield Sample(series.name, size, resident_bytes(process.pid))
--- a/tansykeel/capacity/experiments/store_list.py
+++ b/tansykeel/capacity/experiments/store_list.py
@@ -14,8 +14,8 @@
 
 STORES = (10, 100, 300, 600, 970)
 REPETITIONS = 3
-WHOLES, CHANGES = 40, 400  # pushed at each size
-PAUSE_S = 0.005
+WHOLES, CHANGES = 40, 200  # pushed at each size
+PAUSE_S = 0.02  # longer than a push takes, so that each is taken alone and all are by the end
 SETTLE_S = 1.0
 WITHIN_S = 120.0
 LOOKS, LOOK_PAUSE_S = 200, 0.05
@@ -46,8 +46,20 @@
 WHOLE_PROCESSOR = _series(
     "list-processor-whole", Aspect.PROCESSOR, "processor time to take the whole list", "us", "taking the whole list"
 )
-CHANGE_PROCESSOR = _series(
-    "list-processor-change", Aspect.PROCESSOR, "processor time to take a change of one store", "us", "taking a change"
+CHANGE_PROCESSOR = SeriesSpec(
+    name="list-processor-change",
+    role=Role.GATEWAY_DATA,
+    aspect=Aspect.PROCESSOR,
+    quantity="processor time to take a change of one store",
+    unit="us",
+    grows_by="stores_known",
+    mechanism=MECHANISM,
+    figure="taking the changes that come at once (in the quiet hour one)",
+    figure_unit="s of a core",
+    factor=1e-6,
+    times="list_changes_at_once",
+    bound="at-once",
+    how=HOW,
 )
 
 
--- a/tansykeel/capacity/page.py
+++ b/tansykeel/capacity/page.py
@@ -1,7 +1,8 @@
 """The text of tables: for the terminal and, between markers, for the capacity page.
 
-Tables are told apart by name: `target`, `drivers`, `bounds`, `bad-hours`, `runs`, and one for each role. The page holds
-a table between `<!-- capacity:NAME begin -->` and `<!-- capacity:NAME end -->`; all else on it is written by hand.
+Tables are told apart by name: `target`, `drivers`, `bounds`, `bad-hours`, `store-connections`, `runs`, and one for each
+role. The page holds a table between `<!-- capacity:NAME begin -->` and `<!-- capacity:NAME end -->`; all else on it is
+written by hand.
 """
 
 from __future__ import annotations
@@ -26,17 +27,23 @@
     Role.OPERATOR: "operator's command",
 }
 NOTHING_MEASURED = "nothing measured yet"
-SMALL, LARGE = 0.001, 1_000
+LARGE = 1_000
+MOST_EXACT = 10**9  # whole numbers under it are said in full
 SIGNIFICANT_DIGITS = 4
+GATEWAY_SIDE, STORE_SIDE = "store_connections_per_gateway", "connections_per_store"
+STORE_CONNECTIONS = (GATEWAY_SIDE, STORE_SIDE)
+SUBSETS = (1.0, 0.5, 0.2, 0.1, 0.02)  # parts of all stores that a gateway may keep connections to
 SCALES = {"bytes": ((1e9, "GB"), (1e6, "MB"), (1e3, "kB")), "bytes/s": ((1e9, "GB/s"), (1e6, "MB/s"), (1e3, "kB/s"))}
 
 
 def number(value: float) -> str:
-    """A number as the page says it: four digits, thousands apart; whole numbers whole."""
+    """A number as the page says it: whole numbers in full, others with four digits; thousands apart."""
     if value == 0:
         return "0"
     if not math.isfinite(value):
         return "unbounded"
+    if value == int(value) and abs(value) < MOST_EXACT:
+        return f"{int(value):,}"
     rounded = float(f"{value:.{SIGNIFICANT_DIGITS}g}")
     if abs(rounded) >= LARGE or rounded == int(rounded):
         return f"{rounded:,.0f}"
@@ -64,6 +71,7 @@
         "drivers": drivers_table(plan.steady),
         "bounds": bounds_table(plan),
         "bad-hours": bad_hours_table(plan),
+        "store-connections": store_connections_table(plan),
         "runs": runs_table(plan),
     }
     return tables | {role.value: role_table(plan, role) for role in Role}
@@ -161,6 +169,23 @@
     return f"**{text}, OVER**" if total.verdict is Verdict.OVER else text
 
 
+def store_connections_table(plan: Plan) -> str:
+    """Connections to stores where each gateway keeps one to every store, and where it keeps them to a part of them."""
+    size = plan.target.deployment
+    mine = [figure.slope for figure in plan.steady.figures if figure.slope.series.grows_by in STORE_CONNECTIONS]
+    heads = ["each gateway keeps", "of all gateways", "at each store", *(slope.series.quantity for slope in mine)]
+    rows = []
+    for part in SUBSETS:
+        kept = round(size.stores * part)
+        numbers = {GATEWAY_SIDE: float(kept), STORE_SIDE: size.gateways * kept / size.stores}
+        cells = [number(kept), number(size.gateways * kept), number(numbers[STORE_SIDE])]
+        for slope in mine:
+            grown = slope.fit.slope * numbers[slope.series.grows_by]
+            cells.append(amount(grown, slope.series.unit) if slope.fit.linear else slope.fit.shape)
+        rows.append(cells)
+    return table(heads, rows)
+
+
 def role_table(plan: Plan, role: Role) -> str:
     """All slopes of a role, by aspect, with what they give for the target."""
     order = list(Aspect)
--- a/tansykeel/capacity/plan.py
+++ b/tansykeel/capacity/plan.py
@@ -10,6 +10,8 @@
 from tansykeel.capacity.records import Slope, SlopeFile
 from tansykeel.capacity.target import BadHour, Bound, Target
 
+FAR = 1.25  # times the largest measured size, beyond which a figure says how far the line is drawn on
+
 
 class Verdict(StrEnum):
     """How a sum stands to its bound."""
@@ -131,9 +133,9 @@
 
 def _growth(slope: Slope, size: float) -> tuple[float | None, str]:
     """What comes on top of the fixed part, and a note where it is not worked out by the line."""
-    if slope.fit.linear:
-        return slope.fit.slope * size, ""
     runs = sorted(slope.runs, key=lambda run: run.size)
+    if slope.fit.linear:
+        return slope.fit.slope * size, _beyond(size, runs[-1].size)
     if size < runs[0].size or size > runs[-1].size:
         return None, f"{slope.fit.shape}; measured up to {runs[-1].size:g}"
     for before, after in zip(runs, runs[1:], strict=False):
@@ -142,3 +144,8 @@
             value = before.value + part * (after.value - before.value)
             return value - runs[0].value, f"{slope.fit.shape}; between the runs at {before.size:g} and {after.size:g}"
     raise AssertionError("a size within the runs lies between two of them")
+
+
+def _beyond(size: float, largest: float) -> str:
+    """A note where a line is drawn on far beyond its runs."""
+    return f"{size / largest:.1f} times the largest size measured" if size > FAR * largest else ""
--- a/tansykeel/capacity/registry.py
+++ b/tansykeel/capacity/registry.py
@@ -122,6 +122,11 @@
     return dict(sorted(_experiments.items()))
 
 
+def all_series() -> dict[str, SeriesSpec]:
+    """All series of all experiments by name."""
+    return {spec.name: spec for one in all_experiments().values() for spec in one.series}
+
+
 def chosen(names: Sequence[str]) -> tuple[Experiment, ...]:
     """The experiments of these names, all where none is given. Raises UnknownExperimentError."""
     known = all_experiments()
--- a/tansykeel/capacity/slope_file.py
+++ b/tansykeel/capacity/slope_file.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import tomllib
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
@@ -10,7 +11,7 @@
 
 from tansykeel.capacity.errors import SlopeFileError
 from tansykeel.capacity.fit import fit_of
-from tansykeel.capacity.records import SLOPE_FILE_FORMAT, Slope, SlopeFile
+from tansykeel.capacity.records import SLOPE_FILE_FORMAT, SeriesSpec, Slope, SlopeFile
 
 HEAD = (
     "# Written by `tansykeel capacity measure`; not edited by hand. Figures from processes on one machine's loopback.\n"
@@ -73,11 +74,21 @@
     return HEAD + tomli_w.dumps(_rounded(plain))
 
 
-def merged(old: SlopeFile, new: tuple[Slope, ...]) -> SlopeFile:
-    """The old slopes with the new ones in place of all that their experiments gave before."""
+def merged(old: SlopeFile, new: tuple[Slope, ...], specs: Mapping[str, SeriesSpec]) -> SlopeFile:
+    """The old slopes with the new ones in place of all that their experiments gave before.
+
+    Old runs stay as they were measured; their fits are worked out anew, and what a series says of itself is taken from
+    the experiments as they are now (`specs`, by name).
+    """
     replaced = {slope.experiment for slope in new}
-    stay = tuple(slope for slope in old.slopes if slope.experiment not in replaced)
-    return SlopeFile(format=old.format, slopes=stay + new)
+    stay = [slope for slope in old.slopes if slope.experiment not in replaced]
+    again = (
+        msgspec.structs.replace(
+            slope, series=specs.get(slope.series.name, slope.series), fit=fit_of(slope.runs, slope.series.name)
+        )
+        for slope in stay
+    )
+    return SlopeFile(format=old.format, slopes=(*again, *new))
 
 
 def save(path: Path, kept: SlopeFile) -> None:
--- a/tansykeel/capacity/stand_ins/clients.py
+++ b/tansykeel/capacity/stand_ins/clients.py
@@ -6,6 +6,8 @@
 import socket
 from typing import Any
 
+import msgspec
+
 from tansykeel.capacity.stand_ins.commands import commands, say, spent_seconds
 from tansykeel.protocol.codec import Codec, Event, Piece
 from tansykeel.protocol.frames import Answer, Hello, TaskOf
@@ -17,7 +19,22 @@
 TICK_S = 0.01  # tasks of so long are sent together
 PATIENCE_US = 10_000_000
 ANSWERED_WITHIN_S = 10.0
-STREAMS_PER_RUN = 1 << 32
+BODY = bytes(1 << 20)  # what writes carry
+
+
+class Load(msgspec.Struct, frozen=True, kw_only=True):
+    """Tasks number `first` to `first + count`, at a steady rate.
+
+    Task n goes to store n % stores, and belongs to volume (n // stores) % volumes.
+    """
+
+    count: int
+    rate: float
+    stores: int
+    volumes: int
+    first: int
+    size: int
+    writes: bool = False
 
 
 class Clients:
@@ -59,30 +76,31 @@
             elif not event.record.body:
                 self.delivered += 1
 
-    async def load(self, count: int, rate: float, stores: int, volumes: int, first: int, size: int) -> None:
-        """Send tasks number `first` to `first + count`, over all connections in turn; wait for their answers.
-
-        Task n reads from store n % stores, and belongs to volume (n // stores) % volumes.
-        """
+    async def load(self, load: Load) -> None:
+        """Send the tasks of a load over all connections in turn, and wait for their answers."""
         loop = asyncio.get_running_loop()
         answered_before = self.delivered + self.other
         begun = loop.time()
         sent = 0
-        while sent < count:
-            due = min(int((loop.time() - begun + TICK_S) * rate), count)
-            for number in range(first + sent, first + due):
-                self._send(number, stores, volumes, size)
+        while sent < load.count:
+            due = min(int((loop.time() - begun + TICK_S) * load.rate), load.count)
+            for number in range(load.first + sent, load.first + due):
+                self._send(number, load)
             sent = max(sent, due)
             await asyncio.sleep(TICK_S)
         end = loop.time() + ANSWERED_WITHIN_S
-        while self.delivered + self.other - answered_before < count and loop.time() < end:
+        while self.delivered + self.other - answered_before < load.count and loop.time() < end:
             await asyncio.sleep(TICK_S)
 
-    def _send(self, number: int, stores: int, volumes: int, size: int) -> None:
+    def _send(self, number: int, load: Load) -> None:
         link = self.links[number % len(self.links)]
         stream, self._next_stream = self._next_stream, self._next_stream + 1
-        volume = f"v{number // stores % volumes}"
-        link.send(stream, TaskOf(volume, "read", number, size, number % stores, PATIENCE_US, stream))
+        volume = f"v{number // load.stores % load.volumes}"
+        category, body = ("write", load.size) if load.writes else ("read", 0)
+        shard = number % load.stores
+        link.send(stream, TaskOf(volume, category, number, load.size, shard, PATIENCE_US, stream, False, body))
+        if body:
+            link.send_body(stream, [BODY[:body]])
 
 
 async def serve_clients(port: int) -> None:
@@ -109,13 +127,7 @@
         case "open":
             await clients.open(command["count"], command["hello"])
         case "load":
-            await clients.load(
-                command["count"],
-                command["rate"],
-                command["stores"],
-                command["volumes"],
-                command["first"],
-                command["size"],
-            )
+            del command["verb"]
+            await clients.load(msgspec.convert(command, Load))
         case "look":
             pass
--- a/tansykeel/cli/capacity.py
+++ b/tansykeel/cli/capacity.py
@@ -33,7 +33,7 @@
     list_: Annotated[bool, typer.Option("--list", help="name the experiments there are")] = False,
 ) -> None:
     """Run experiments, one at a time, and write their slopes: real processes on loopback, about 40 minutes for all."""
-    from tansykeel.capacity.registry import Scale, all_experiments, chosen, measured
+    from tansykeel.capacity.registry import Scale, all_experiments, all_series, chosen, measured
     from tansykeel.capacity.slope_file import load_if_there, merged, save
 
     if list_:
@@ -54,7 +54,7 @@
                     lambda sample: typer.echo(f"  {sample.series} {sample.size:g}: {sample.value:.6g}"),
                 )
             )
-            save(slopes, merged(load_if_there(slopes), made))
+            save(slopes, merged(load_if_there(slopes), made, all_series()))
             for slope in made:
                 typer.echo(
                     f"  {slope.series.name}: {slope.fit.shape}, largest predicted within "
--- a/tests/capacity/test_files.py
+++ b/tests/capacity/test_files.py
@@ -2,6 +2,7 @@
 
 import pytest
 from capacity.helpers import TARGET, kept, slope, straight
+from msgspec import structs
 
 from tansykeel.capacity import slope_file, target
 from tansykeel.capacity.errors import SlopeFileError, TargetError
@@ -17,7 +18,14 @@
 def test_measuring_anew_replaces_what_the_same_experiment_gave_and_nothing_else():
     stays, goes = straight(1, 1, experiment="other"), straight(1, 1, name="gone")
     new = straight(2, 2)
-    assert slope_file.merged(kept(stays, goes), (new,)).slopes == (stays, new)
+    assert slope_file.merged(kept(stays, goes), (new,), {}).slopes == (stays, new)
+
+
+def test_runs_that_stay_keep_their_figures_and_are_described_as_the_experiment_is_now():
+    stays, new = straight(1, 1, experiment="other"), straight(2, 2)
+    spec = structs.replace(stays.series, name="memory-connections", bound="another")
+    again = slope_file.merged(kept(stays), (new,), {"memory-connections": spec}).slopes[0]
+    assert (again.series.bound, again.runs, again.fit) == ("another", stays.runs, stays.fit)
 
 
 @pytest.mark.parametrize(
