Capacity: a moved shard's last attempt, and loads that other work disturbed are played anew

Need: the store that a shard's writes go to changes within 12 s, and nothing measured the gateway's part of that. Change: an experiment moves a shard between two stores under load and takes the last attempt at the old one.

--- a/tansykeel/capacity/experiments/stores.py
+++ b/tansykeel/capacity/experiments/stores.py
@@ -16,6 +16,7 @@
 QUEUE_STORES = 100
 RATE = 1_200
 REPETITIONS = 3
+PASSES = 3  # tasks to each new store: the first ones may be refused while nothing is known of it
 CLIENTS = 100
 TASK_BYTES = 4_096
 SETTLE_S = 1.0
@@ -162,7 +163,8 @@
             clients.ask(WITHIN_S, verb="open", count=CLIENTS, hello=True)
             seen = 0
             for size in sizes:
-                _load(clients, size - seen, sizes[-1], 1, seen)
+                for _ in range(PASSES):
+                    _load(clients, size - seen, sizes[-1], 1, seen)
                 seen = size
                 yield Sample(STORE_CONNECTION_MEMORY.name, size, resident_bytes(process.pid))
                 yield Sample(STORE_CONNECTION_DESCRIPTORS.name, size, open_descriptors(process.pid))
--- a/tansykeel/capacity/experiments/tasks.py
+++ b/tansykeel/capacity/experiments/tasks.py
@@ -20,6 +20,7 @@
 RATE_STORES = 100
 WARM_S, MEASURED_S = 6.0, 10.0
 LEAST_TASKS = 20
+TRIES = 4
 LEAST_DELIVERED = 0.99  # of the tasks; with fewer the figure would be of something else
 WITHIN_S = 120.0
 MICROSECONDS = 1e6
@@ -94,7 +95,16 @@
 
 
 def steady_load(stores: int, rate: int, scale: Scale) -> Spent:
-    """Play steady load on a fresh gateway. Raises ExperimentError where tasks were not delivered."""
+    """Play steady load on a fresh gateway, anew where tasks were not delivered. Raises ExperimentError after `TRIES`."""
+    for _ in range(TRIES - 1):
+        try:
+            return _steady_load(stores, rate, scale)
+        except ExperimentError:
+            continue  # other work on the machine held a process back
+    return _steady_load(stores, rate, scale)
+
+
+def _steady_load(stores: int, rate: int, scale: Scale) -> Spent:
     with (
         instant_stores(stores) as (store_process, ports),
         gateway(settings_text(VOLUMES, ports)) as (process, port),
--- a/tansykeel/capacity/gateway.py
+++ b/tansykeel/capacity/gateway.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import tempfile
+import time
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 
+from tansykeel.capacity.errors import ExperimentError
 from tansykeel.capacity.processes import ChildProcess, running
 
 READY_WITHIN_S = 60.0
+LOOKS, LOOK_PAUSE_S = 400, 0.05
 STAND_INS = "tansykeel.capacity.stand_ins"
 NOBODY_PORT = 9  # discard: stores that are known and never asked may be there
 # Wide limits: on a busy machine a gateway with narrow ones refuses tasks, and a refused task costs less than one done.
@@ -58,3 +61,12 @@
     with running(STAND_INS, "clients", port) as process:
         process.answer(READY_WITHIN_S)
         yield process
+
+
+def wait_until_followed(stores: ChildProcess) -> None:
+    """Wait until a gateway follows a stand-in list: what is pushed before reaches nobody. Raises ExperimentError."""
+    for _ in range(LOOKS):
+        if stores.ask(READY_WITHIN_S, verb="look")["watchers"]:
+            return
+        time.sleep(LOOK_PAUSE_S)
+    raise ExperimentError("no gateway followed the list")
--- a/tansykeel/capacity/processes.py
+++ b/tansykeel/capacity/processes.py
@@ -94,13 +94,17 @@
 
     def ask(self, within_s: float, **command: Any) -> dict[str, Any]:
         """Send it a command and wait for its answer. Raises ExperimentError."""
+        self.send(**command)
+        return self.answer(within_s)
+
+    def send(self, **command: Any) -> None:
+        """Send it a command; its answer is taken later. Raises ExperimentError."""
         assert self._process.stdin
         try:
             self._process.stdin.write(json.dumps(command).encode() + b"\n")
             self._process.stdin.flush()
         except OSError as error:
             raise self._failure(f"it takes no command: {error.strerror}") from None
-        return self.answer(within_s)
 
     def stop(self) -> None:
         """End it: its standard input ends, and it is killed where that is not enough."""
--- a/tansykeel/capacity/stand_ins/__main__.py
+++ b/tansykeel/capacity/stand_ins/__main__.py
@@ -6,6 +6,7 @@
 
 from tansykeel.capacity.stand_ins.clients import serve_clients
 from tansykeel.capacity.stand_ins.fleet import serve_fleet
+from tansykeel.capacity.stand_ins.moving_shard import serve_moving_shard
 from tansykeel.capacity.stand_ins.store_list import serve_store_list
 from tansykeel.capacity.stand_ins.stores import serve_stores
 from tansykeel.transport.sockets import run
@@ -17,7 +18,9 @@
     run(lambda: serve_clients(number))
 elif role == "list":
     run(lambda: serve_store_list(number))
+elif role == "moving-shard":
+    run(lambda: serve_moving_shard(number))
 elif role == "fleet":
     run(lambda: serve_fleet(number))
 else:
-    sys.exit(f"role {role!r}; legal: stores, clients, list, fleet")
+    sys.exit(f"role {role!r}; legal: stores, clients, list, moving-shard, fleet")
--- a/tansykeel/capacity/stand_ins/stores.py
+++ b/tansykeel/capacity/stand_ins/stores.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import Any
 
 from tansykeel.capacity.stand_ins.commands import commands, say, spent_seconds
@@ -20,6 +21,7 @@
     def __init__(self, hub: Hub, shard: int) -> None:
         self.shard = shard
         self.outcomes = 0
+        self.last_attempt_at = 0.0  # by the monotonic clock
         self._hub = hub
         self._hello = Hello(1, "store", f"s{shard}", 1)
         self._listener = listening("127.0.0.1:0")
@@ -41,8 +43,10 @@
         if isinstance(event, Piece):
             if event.last:
                 self._deliver(link, event.stream, 0)
-        elif isinstance(event.record, HandOffOf) and not event.record.writes:
-            self._deliver(link, event.stream, event.record.size)
+        elif isinstance(event.record, HandOffOf):
+            self.last_attempt_at = time.monotonic()
+            if not event.record.writes:
+                self._deliver(link, event.stream, event.record.size)
 
     def _deliver(self, link: Link, stream: int, size: int) -> None:
         self.outcomes += 1
--- a/tests/capacity/test_plan.py
+++ b/tests/capacity/test_plan.py
@@ -5,6 +5,7 @@
 
 from tansykeel.capacity.drivers import drivers_of, volume_queues
 from tansykeel.capacity.errors import MissingDriverError
+from tansykeel.capacity.page import store_connections_table
 from tansykeel.capacity.plan import Verdict, plan_of
 from tansykeel.capacity.target import parsed
 
@@ -42,6 +43,18 @@
     assert figures[1].value is None and "measured up to 80" in figures[1].note
 
 
+def test_a_line_that_is_drawn_on_far_beyond_its_runs_says_so():
+    near, far = straight(0, 1, sizes=(0, 1, 2, 3, 450)), straight(0, 1, sizes=(0, 1, 2, 3, 50), name="far")
+    notes = [figure.note for figure in planned(near, far).steady.figures]
+    assert notes == ["", "10.0 times the largest size measured"]
+
+
+def test_connections_to_stores_are_worked_out_for_all_and_for_a_part():
+    plan = planned(straight(9, 100, grows_by="store_connections_per_gateway", bound=""))
+    whole, half, *_ = store_connections_table(plan).splitlines()[2:]
+    assert whole == "| 20 | 200 | 10 | 2 kB |" and half == "| 10 | 100 | 5 | 1 kB |"
+
+
 def test_a_sum_with_an_unknown_part_is_not_known_but_over_where_the_known_part_is():
     unknown = slope([0, 1, 4, 16, 64], sizes=(0, 10, 20, 40, 80), name="unknown")
     (total,) = planned(unknown, straight(0, 1)).steady.sums
