--- a/tansykeel/capacity/experiments/tasks.py
+++ b/tansykeel/capacity/experiments/tasks.py
@@ -95,7 +95,7 @@
 
 
 def steady_load(stores: int, rate: int, scale: Scale) -> Spent:
-    """Play steady load on a fresh gateway, anew where tasks were not delivered. Raises ExperimentError after `TRIES`."""
+    """Play steady load on a fresh gateway, again if tasks were refused. Raises ExperimentError after `TRIES`."""
     for _ in range(TRIES - 1):
         try:
             return _steady_load(stores, rate, scale)
