--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -16,6 +16,7 @@
 import typer
 
 from tansykeel.cli.accord import app as accord
+from tansykeel.cli.capacity import app as capacity
 from tansykeel.cli.control import control, control_status
 from tansykeel.cli.control_sim import control_sim
 from tansykeel.cli.emulate import app as emulate
@@ -35,6 +36,7 @@
 app.add_typer(emulate, name="emulate")
 app.add_typer(fleet, name="fleet")
 app.add_typer(accord, name="accord")
+app.add_typer(capacity, name="capacity")
 app.command("control-sim")(control_sim)
 app.command()(hollow)
 app.add_typer(scale, name="scale")
