Cluster: a view whose log can decide nothing any more gives way to a formed one

Once a formed view is taken up, the log follows no older one. Where a member of the formed view died before it came about and leases on the older view were renewed again, that view counted as working for ever: no leader, no further view, no formed view taken up. What makes a formed view active is as it was.

--- a/tansykeel/cluster/replicated_log.py
+++ b/tansykeel/cluster/replicated_log.py
@@ -143,6 +143,14 @@
         """Whether it has taken over the ledger under the present view."""
         return self.view is not None and self.accepted[0] == self.view.number
 
+    @property
+    def stuck(self) -> bool:
+        """Whether it promised itself to a later view that was to be formed: nobody leads it under the present one.
+
+        That view may never come about, for a member of it may die first.
+        """
+        return self.view is not None and self.promised[0] > self.view.number
+
     @property
     def leads(self) -> bool:
         """Whether it leads, and a majority has taken its log over."""
--- a/tansykeel/cluster/view_agreement.py
+++ b/tansykeel/cluster/view_agreement.py
@@ -97,6 +97,7 @@
         self.formed: View | None = None  # the formed view with the highest number that was taken up
         self.proposal: Proposal | None = None
         self.carries = True  # whatever is carried from view to view is here: before, no next one is voted for
+        self.stuck = False  # it can't be carried on in the present view any more: only a formed view helps
         self.forming: tuple[Form, set[Member]] | None = None
 
     # What it may count on
@@ -121,6 +122,13 @@
         """Whether a majority of the view grants this gateway its part now."""
         return self.until() > now
 
+    def works(self, now: int) -> bool:
+        """Whether its view is good for something: one that is formed takes its place only where it is not.
+
+        Guards against a formed view that never counts, for a member of it died before it ended its grants.
+        """
+        return self.active and self.leased(now) and not self.stuck
+
     def part(self, now: int) -> Fraction:
         """Of any whole, what this gateway may count as its own now: at least its even part of the safe ones."""
         safe = SAFE / len(self.names)
@@ -343,9 +351,7 @@
 
     def _takes_up(self, now: int, view: View) -> bool:
         """A formed view: by who is in it, knows of nothing later, and has no working view to lose."""
-        # Guards against a formed view that never counts, for a member of it died before it ended its grants.
-        works = self.active and self.leased(now)
-        return self.me in view.members and view.number > self.latest and not works
+        return self.me in view.members and view.number > self.latest and not self.works(now)
 
     def _all_formed(self, now: int) -> list[Sent]:
         if self.forming is None or len(self.forming[1]) < len(self.forming[0].view.members):
--- a/tests/cluster/test_view_agreement.py
+++ b/tests/cluster/test_view_agreement.py
@@ -4,9 +4,11 @@
 
 import pytest
 
-from tansykeel.cluster.membership import NONE, SAFE, Decided, Member, Prepare, Revoked, View
+from tansykeel.cluster.membership import NONE, SAFE, Decided, Form, Formed, Member, Prepare, Revoked, View
 from tansykeel.cluster.model_checker import APART, RATES, SMALL, Bounds, Fleet, agreed, search, walks
+from tansykeel.cluster.replicated_log import ReplicatedLog
 from tansykeel.cluster.view_agreement import LeaseTerms, ViewAgreement
+from tansykeel.control.budget_state import BudgetState
 
 NAMES = ("a", "b", "c")
 CALM = Bounds(crashes=0, restarts=0, forms=0)
@@ -122,6 +124,29 @@
     assert {one.part(fleet.now) for one in fleet.alive.values()} == {Fraction(1, 3)}
 
 
+def test_a_view_that_works_and_carries_nothing_any_more_gives_way_to_a_formed_one():
+    fleet = agreed(NAMES, SMALL, ViewAgreement)
+    one, now = fleet.alive["a"].copy(), fleet.now
+    members = (*one.view.members[:2], Member("c", 2))
+    form = Form(View(one.number + 500, members, members))
+    assert one.works(now) and one.heard(now, members[2], form) == []
+    one.stuck = True
+    assert one.active and one.leased(now) and not one.works(now)
+    assert one.heard(now, members[2], form) == [("c", Formed(form.view))]
+
+
+def test_a_log_is_stuck_from_when_a_formed_view_is_taken_up_until_one_is_followed():
+    fleet = agreed(NAMES, SMALL, ViewAgreement)
+    view = fleet.alive["a"].view
+    log = ReplicatedLog(fleet.alive["a"].me, BudgetState(), lease=100, now=fleet.now)
+    log.follow(fleet.now, view)
+    assert not log.stuck and log.lead(fleet.now)
+    log.wedge(view.number + 500)
+    assert log.stuck and log.lead(fleet.now) == []
+    log.follow(fleet.now, View(view.number + 501, view.members, view.voters))
+    assert not log.stuck and log.lead(fleet.now)
+
+
 def test_a_formed_view_whose_member_died_before_it_counted_is_formed_anew():
     fleet = Fleet(NAMES, SMALL, ViewAgreement).after(("forms", "a"))
     for _ in range(2):  # formed and answered, so a decides
