Session client: a move waits three leases for its first units, not one

Units come free in up to five heartbeats: the others' parts shrink with one, that is acknowledged with the next, released, decided, and granted with the gateway's own. After one lease of three seconds a move was given up, and begun again 30 s later, with every other gateway's part shrunk for nothing.

--- a/tansykeel/control/gateway_session.py
+++ b/tansykeel/control/gateway_session.py
@@ -16,6 +16,9 @@
 SILENT_HEARTBEATS = 1.5  # without an answer, after which a session counts as lost
 SHORTEST_HEARTBEAT = 500  # 50 ms, the least that settings allow: a node can't ask for more heartbeats than that
 HEARTBEATS_PER_LEASE = 3  # at least, whatever a node asks for, so that one lost answer loses no lease
+# Leases that a node has to grant a gateway its first units, which others have to give up and acknowledge before: they
+# take up to five heartbeats.
+LEASES_TO_MOVE = 3
 MOST_UNANSWERED = 8  # heartbeats that are remembered; a session is lost long before
 
 
@@ -84,6 +87,10 @@
         """Return when the node has granted nothing for a whole lease; None while the newest lease has units."""
         return None if self.units else self.without_units_since + self.terms.lease
 
+    def move_fails_at(self) -> int:
+        """Return when the node has granted nothing for so long that the gateway stays where it is."""
+        return self.without_units_since + LEASES_TO_MOVE * self.terms.lease
+
     def forgive_pause(self, now: int) -> None:
         """Wait half a heartbeat more: the gateway itself stood still, and answers may wait to be read."""
         self._answered_at = max(self._answered_at, now - self.heartbeat)
--- a/tansykeel/control/session_client.py
+++ b/tansykeel/control/session_client.py
@@ -127,7 +127,7 @@
         if self._attempt is None:
             waits.append(self._attempt_at if self._current is None else self._move_at(self._current))
         elif self._current is not None:
-            waits.append(self._attempt.without_units_since + self.terms.lease)
+            waits.append(self._attempt.move_fails_at())
         return min(waits)
 
     # What happens
@@ -144,7 +144,7 @@
             actions += self._tick_session(now, session)
         if self._attempt is None:
             actions += self._begin_attempt(now)
-        elif self._current is not None and now >= self._attempt.without_units_since + self.terms.lease:
+        elif self._current is not None and now >= self._attempt.move_fails_at():
             actions += self._abandon_move(now, self._attempt)
         self._held.record(now)
         return actions
@@ -385,7 +385,7 @@
         self._search_at = now + self._around(LONGEST_BACKOFF)
 
     def _abandon_move(self, now: int, session: GatewaySession) -> list[GatewayAction]:
-        """End the second session, which granted nothing for a whole lease."""
+        """End the second session, which granted nothing for too long."""
         self._attempt = None
         self._move_later(now)
         return _end(session, "the control node granted nothing")
