--- a/tansykeel/capacity/socket_traffic.py
+++ b/tansykeel/capacity/socket_traffic.py
@@ -31,11 +31,7 @@
 def traffic_of_process(pid: int) -> Traffic:
     """Return what went over the established IPv4 connections of a process so far. Raises ExperimentError."""
     sockets = set(_socket_inodes(pid))
-    try:
-        traffics = list(_established())
-    except OSError as error:
-        raise ExperimentError(f"the kernel does not tell of its sockets: {error.strerror}") from None
-    return sum((traffic for inode, traffic in traffics if inode in sockets), Traffic())
+    return sum((traffic for inode, traffic in _established() if inode in sockets), Traffic())
 
 
 def _socket_inodes(pid: int) -> Iterator[int]:
@@ -49,7 +45,7 @@
 
 
 def _established() -> Iterator[tuple[int, Traffic]]:
-    """Each established IPv4 connection of the machine: the inode of its socket, and its traffic. Raises OSError."""
+    """Yield the inode and the traffic of each established IPv4 connection of the machine. Raises ExperimentError."""
     request = REQUEST.pack(socket.AF_INET, socket.IPPROTO_TCP, 1 << (INET_DIAG_INFO - 1), ESTABLISHED, b"")
     with socket.socket(socket.AF_NETLINK, socket.SOCK_RAW, NETLINK_SOCK_DIAG) as netlink:
         netlink.send(HEADER.pack(HEADER.size + len(request), SOCK_DIAG_BY_FAMILY, REQUEST_FLAGS, 1, 0) + request)
@@ -62,7 +58,7 @@
                     return
                 if kind == MESSAGE_ERROR:
                     code = -struct.unpack_from("=i", data, at + HEADER.size)[0]
-                    raise OSError(code, os.strerror(code))
+                    raise ExperimentError(f"the kernel does not tell of its sockets: {os.strerror(code)}")
                 yield from _connection(data[at + HEADER.size : at + length])
                 at += _aligned(length)
 
