--- a/tansykeel/cli/control_sim.py
+++ b/tansykeel/cli/control_sim.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from random import Random
 from typing import TYPE_CHECKING, Annotated
 
 import typer
@@ -11,7 +12,9 @@
 
 if TYPE_CHECKING:
     from tansykeel.emulator.control_measures import ControlSeen, FaultFelt
+    from tansykeel.emulator.control_trial import ControlFault
 
+FAULTS = ("none", "each", "drawn")
 FINDINGS_SHOWN = 10
 
 
@@ -22,7 +25,7 @@
     restarts: Annotated[int, typer.Option(min=0, help="of gateways, spread over the seconds")] = 0,
     stalls: Annotated[int, typer.Option(min=0, help="of gateways, 5 s each")] = 0,
     loss: Annotated[float, typer.Option(min=0, max=0.5, help="part of all frames that are lost at first")] = 0.0,
-    faults: Annotated[bool, typer.Option(help="one fault of each kind, spread over the seconds")] = False,
+    faults: Annotated[str, typer.Option(help="none, each: one of each kind in turn, or drawn: at any moment")] = "none",
     settle: Annotated[int, typer.Option(min=10, max=600, help="seconds from the start until it is measured")] = 60,
 ) -> None:
     """Play two regions of three control nodes and their gateways in simulated time, and judge what passed.
@@ -31,9 +34,16 @@
     leader that took longer than 12 s.
     """
     from tansykeel.emulator.control_simulation import ControlSimulation
-    from tansykeel.emulator.control_trial import ControlTrial, every_fault
+    from tansykeel.emulator.control_trial import ControlTrial, drawn_faults, every_fault
     from tansykeel.emulator.engine import NoEnd
 
+    if faults not in FAULTS:
+        fail(f"--faults {faults!r}; legal: {', '.join(FAULTS)}")
+    struck: tuple[ControlFault, ...] = ()
+    if faults == "each":
+        struck = every_fault(seconds)
+    elif faults == "drawn":
+        struck = drawn_faults(seconds, Random(seed))
     trial = ControlTrial(
         gateways=gateways,
         seconds=seconds,
@@ -42,7 +52,7 @@
         restarts=restarts,
         stalls=stalls,
         loss=loss,
-        faults=every_fault(seconds) if faults else (),
+        faults=struck,
     )
     begun = time.monotonic()
     try:
--- a/tansykeel/emulator/control_faults.py
+++ b/tansykeel/emulator/control_faults.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from tansykeel.control.session_client import SessionState
-from tansykeel.emulator.control_measures import WHOLE_PART, CountedUnits, FaultFelt
+from tansykeel.emulator.control_measures import LONGEST_LEADER_CHANGE_S, WHOLE_PART, CountedUnits, FaultFelt
 from tansykeel.emulator.control_network import ControlNetwork
 from tansykeel.emulator.control_processes import GatewayProcess, NodeProcess, Process
 from tansykeel.emulator.control_trial import ControlFault, ControlTrial, FaultKind
@@ -16,6 +16,7 @@
 LOOK_EVERY = 100_000  # microseconds between looks at a fault that is felt
 LONGEST_WATCH = 30 * MICROSECONDS  # or until the next fault
 GATEWAY_STALLS_S = 5.0
+CALM_BEFORE_S = 5.0  # without another fault, for the change of a leader to be held to its bound
 PLANNED_PART = 0.8  # of the restarts of gateways; the others are kills
 AWAY_S = (2.0, 6.0)  # how long a gateway that restarts is away
 
@@ -156,11 +157,16 @@
             return  # there is nothing left to strike
         dead = strikes[fault.kind](fault, region)
         names = tuple(process.name for process in dead if isinstance(process, NodeProcess))
-        felt = FaultFelt(fault.kind, region, fault.at_s, covered, names)
+        felt = FaultFelt(fault.kind, region, fault.at_s, covered, self._alone(fault), names)
         self.felt.append(felt)
         nodes = [node for node in self._nodes if node.region == region]
         FaultWatch(self._engine, felt, self._gateways, nodes, self._counted, self._watched_until())
 
+    def _alone(self, fault: ControlFault) -> bool:
+        begin, end = fault.at_s - CALM_BEFORE_S, fault.at_s + LONGEST_LEADER_CHANGE_S
+        others = [other for other in self._trial.faults if other is not fault]
+        return not any(other.at_s < end and other.at_s + other.lasts_s > begin for other in others)
+
     def _watched_until(self) -> int:
         moments = [self._begun + int(fault.at_s * MICROSECONDS) for fault in self._trial.faults]
         later = [moment for moment in moments if moment > self._engine.now]
--- a/tansykeel/emulator/control_trial.py
+++ b/tansykeel/emulator/control_trial.py
@@ -15,6 +15,9 @@
 CLUSTER = "simulated"
 NODES_PER_REGION = 3
 ZONES_OF_REGION = ((0, 1, 2), (3, 4))  # two regions with five zones in all
+DRAWN_APART_S = (0.3, 14.0)
+DRAWN_LASTS_S = (0.5, 12.0)
+DRAWN_QUIET_S = 30  # at the end of a trial whose faults are drawn
 PING = 3_000  # tenths: 300 ms
 
 
@@ -123,6 +126,25 @@
         return Random(f"{self.seed} {purpose}")
 
 
+def drawn_faults(seconds: int, chance: Random) -> tuple[ControlFault, ...]:
+    """Return faults drawn by chance, 7 s apart in the mean, up to 30 s before the end: many begin within others."""
+    zones = [zone for zones in ZONES_OF_REGION for zone in zones]
+    faults = []
+    at_s = chance.uniform(*DRAWN_APART_S)
+    while at_s < seconds - DRAWN_QUIET_S:
+        faults.append(
+            ControlFault(
+                chance.choice(list(FaultKind)),
+                at_s,
+                chance.uniform(*DRAWN_LASTS_S),
+                region=chance.randrange(len(ZONES_OF_REGION)),
+                zone=chance.choice(zones),
+            )
+        )
+        at_s += chance.uniform(*DRAWN_APART_S)
+    return tuple(faults)
+
+
 def every_fault(seconds: int) -> tuple[ControlFault, ...]:
     """Return one fault of each kind, spread over the seconds so that each is over before the next begins."""
     step = seconds / 10
--- a/tests/emulator/test_control_simulation.py
+++ b/tests/emulator/test_control_simulation.py
@@ -1,6 +1,7 @@
 """A whole control plane in simulated time: what it keeps through faults, and that a fault of its own is found."""
 
 from dataclasses import replace
+from random import Random
 
 import pytest
 from typer.testing import CliRunner
@@ -10,7 +11,7 @@
 from tansykeel.control.session_table import SessionTable
 from tansykeel.emulator.control_network import Connection, ControlNetwork
 from tansykeel.emulator.control_simulation import ControlSimulation
-from tansykeel.emulator.control_trial import ControlTrial, FaultKind, every_fault
+from tansykeel.emulator.control_trial import ControlTrial, FaultKind, drawn_faults, every_fault
 from tansykeel.emulator.drifting_clock import DriftingClock
 from tansykeel.emulator.engine import Engine
 
@@ -23,6 +24,7 @@
     seen = simulation.play()
     assert seen.findings == () and seen.over == 0
     assert seen.kept and seen.late_leader_changes == []
+    assert [felt.alone for felt in seen.faults if felt.kind is FaultKind.LEADER_KILLED] == [True, True]
     assert [felt.kind for felt in seen.faults] == [fault.kind for fault in SMALL.faults]
     assert {felt.kind for felt in seen.faults} == set(FaultKind)
     assert seen.restarts == SMALL.restarts
@@ -35,6 +37,16 @@
     assert len(settled) <= sum(sum(held) for held in seen.sessions.values()) <= SMALL.gateways
 
 
+@pytest.mark.parametrize("seed", [19, 23])
+def test_faults_within_faults_break_no_rule_and_leave_nothing_that_stays_broken(seed):
+    faults = drawn_faults(120, Random(seed))
+    simulation = ControlSimulation(replace(SMALL, seed=seed, seconds=150, restarts=0, stalls=0, faults=faults))
+    seen = simulation.play()
+    assert seen.findings == () and seen.over == 0 and len(seen.faults) > 5
+    for region, units in simulation.counted.region_units.items():  # faults ended a minute ago
+        assert simulation.counted.by_region[region] > 0.8 * units
+
+
 def test_leases_end_while_no_majority_lives_and_come_again():
     fault = next(fault for fault in every_fault(180) if fault.kind is FaultKind.ALL_NODES_KILLED)
     trial = replace(QUIET, seconds=40, faults=(replace(fault, at_s=5.0, lasts_s=6.0),))
@@ -88,5 +100,7 @@
     good = CliRunner().invoke(app, arguments)
     assert good.exit_code == 0 and "0 findings" in good.output
     monkeypatch.setattr(SessionTable, "outstanding", lambda self, now: 0)
+    unknown = CliRunner().invoke(app, [*arguments, "--faults", "some"])
+    assert unknown.exit_code == 2 and "legal: none, each, drawn" in unknown.output
     broken = CliRunner().invoke(app, [*arguments, "--restarts", "5"])
     assert broken.exit_code == 1 and "broken: sums" in broken.output
