Scale tests: leases under half of an even part, the proxy's lateness, costs in each phase; the page on them

On a machine that was busy with other work the proxy stood for a second twice, and gateways lost leases in phases that strike nothing: the times at which the proxy noted that it was late stand beside each phase. A report whose record reached its bound is not kept. Leases have moved when the region counts 95% of what it did, for gateways that go back to their first node are some percent of it. The full plan waits until all gateways had time to do so before its quiet minute.

--- a/tansykeel/scale/frames_seen.py
+++ b/tansykeel/scale/frames_seen.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from tansykeel.audit.records import FrameSeen, read
+from tansykeel.audit.records import FrameSeen, Lagged, read
 from tansykeel.protocol.frames import (
     HEAD_BYTES,
     Heartbeat,
@@ -68,6 +68,7 @@
     frames: list[FrameSize] = field(default_factory=list)
     leases: dict[str, list[LeaseSpan]] = field(default_factory=lambda: defaultdict(list))
     admissions: list[Admission] = field(default_factory=list)
+    late: list[int] = field(default_factory=list)  # moments at which the proxy noted that it was late
 
 
 class Reader:
@@ -124,4 +125,10 @@
 
 def observe_file(path: Path) -> Observed:
     """Return what passed, from the file that the proxy wrote. Raises RecordsError."""
-    return observe(record for record in read(path) if isinstance(record, FrameSeen))
+    reader = Reader()
+    for record in read(path):
+        if isinstance(record, FrameSeen):
+            reader.take(record)
+        elif isinstance(record, Lagged):
+            reader.observed.late.append(record.at)
+    return reader.observed
--- a/tansykeel/scale/page.py
+++ b/tansykeel/scale/page.py
@@ -49,11 +49,17 @@
         f"Written by `tansykeel scale report` from plays of the plan `{one.plan}` (`make scale`): {one.gateways} "
         f"gateways, {one.hollow} of them hollow, {one.control_nodes} control nodes, all frames through the fault proxy "
         f"on loopback. Seeds {seeds}; played on {dates}. At most {processes} processes and {memory:.1%} of the "
-        f"machine's memory. The checker judged {records:,} records and found {findings} breaks. Where several plays "
-        "are shown together, each figure is the worst of them. The gateways have no clients, and no store runs.\n"
+        f"machine's memory. The checker judged {records:,} records{_incomplete(reports)} and found {findings} breaks; "
+        "a gateway's own word is no proof for it. Where several plays are shown together, each figure is the worst of "
+        "them. The gateways have no clients, and no store runs. Where the proxy was late the machine was too busy with "
+        "other work to run it within 50 ms, which strikes all gateways as a stall of the network would.\n"
     )
 
 
+def _incomplete(reports: Sequence[ScaleReport]) -> str:
+    return "" if all(report.complete for report in reports) else " (**not all: a record reached its bound**)"
+
+
 def _table(head: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
     lines = [head, ["---"] * len(head), *rows]
     return "\n".join("| " + " | ".join(line) + " |" for line in lines) + "\n"
@@ -84,6 +90,7 @@
         "gateways",
         "under half an even part, s: p99",
         "most",
+        "proxy late, times",
     )
     rows = [
         (
@@ -99,6 +106,7 @@
             _worst(phases, lambda phase: phase.gateways_without_lease),
             _worst(phases, lambda phase: phase.under_half_s.p99, 2),
             _worst(phases, lambda phase: phase.under_half_s.most, 2),
+            _worst(phases, lambda phase: phase.proxy_late),
         )
         for phases in _each_phase(reports)
     ]
--- a/tansykeel/scale/phase_report.py
+++ b/tansykeel/scale/phase_report.py
@@ -14,7 +14,9 @@
 from tansykeel.scale.statistics import Interval, Spread, quantile, spread_of, uncovered
 from tansykeel.scale.units_series import units_series
 
-RESTORED_SHARE = 0.98  # of the units that a region's gateways counted before; over it leases have moved
+# Of the units that a region's gateways counted before; over it leases have moved. Below that it is gateways that move
+# back to their first node: what one of them frees is granted to another with the next heartbeat.
+RESTORED_SHARE = 0.95
 BEFORE = 2_000_000  # microseconds before a fault in which that is measured
 ZONE_KILLED, NODES_KILLED, LEADER_KILLED = "zone_killed", "nodes_killed", "leader_killed"
 
@@ -35,6 +37,7 @@
     fault: str
     seconds: float
     struck: int
+    proxy_late: int  # times that the proxy let frames wait for more than 50 ms
     bytes_a_second: Spread  # in and out of a gateway, by the proxy's record
     frames_a_second: Spread
     stream_bytes_a_second: Spread  # the same by the hollow gateways' own count
@@ -66,6 +69,7 @@
         fault=mark.fault,
         seconds=round(seconds, 1),
         struck=len(mark.struck),
+        proxy_late=sum(mark.begin <= moment < mark.end for moment in observed.late),
         bytes_a_second=spread_of((size / seconds for size in bytes_by_gateway.values()), 0),
         frames_a_second=spread_of((count / seconds for count in frames_by_gateway.values()), 2),
         stream_bytes_a_second=spread_of(stream, 0),
--- a/tansykeel/scale/plan.py
+++ b/tansykeel/scale/plan.py
@@ -114,7 +114,7 @@
         RegionPlan(name="west", share=0.5, control_nodes=3, real=6, hollow=(120, 90, 60, 30)),
     ),
     phases=(
-        Phase(name="quiet", fault="none", fault_s=40),
+        Phase(name="quiet", fault="none", fault_s=60),
         Phase(name="packet-loss", fault="packet_loss", fault_s=30, observed_s=5),
         Phase(name="leader-killed", fault="leader_killed", fault_s=15, observed_s=20),
         Phase(name="node-stalled", fault="node_stalled", fault_s=15, observed_s=20),
@@ -124,6 +124,7 @@
         Phase(name="node-lost", fault="node_lost", fault_s=25),
     ),
     plain=4,
+    settle_s=35,  # gateways that were rejected at the start go back to their first node within 30 s
 )
 SMALL = ScalePlan(
     name="small",
--- a/tansykeel/scale/report.py
+++ b/tansykeel/scale/report.py
@@ -58,6 +58,7 @@
     most_memory_share: float  # of the machine's
     settled_s: float
     records: int  # that the checker judged
+    complete: bool  # whether these are all: no record reached its bound
     rules: dict[str, int]
     findings: tuple[str, ...]
     phases: tuple[PhaseReport, ...]
@@ -67,8 +68,8 @@
 
     @property
     def rules_kept(self) -> bool:
-        """Return whether the checker found nothing broken."""
-        return not any(self.rules.values())
+        """Return whether the checker found nothing broken in all that passed."""
+        return self.complete and not any(self.rules.values())
 
     @property
     def kept(self) -> bool:
@@ -104,6 +105,7 @@
     phases = tuple(phase_report(observations, layout, observed, index) for index in range(len(observations.phases)))
     quiet = next((mark for mark in observations.phases if mark.fault == "none"), observations.phases[0])
     costs = gateway_costs(observations, layout, quiet)
+    by_phase = {mark.name: gateway_costs(observations, layout, mark) for mark in observations.phases}
     return ScaleReport(
         plan=plan.name,
         seed=observations.seed,
@@ -115,6 +117,7 @@
         most_memory_share=round(observations.most_memory / observations.machine_memory, 3),
         settled_s=round(observations.settled_s, 1),
         records=checker.observed,
+        complete=checker.judged_until is None,
         rules={rule.value: broken[rule] for rule in ControlRule},
         findings=tuple(f"{finding.rule.value}: {finding.who}: {finding.what}" for finding in checker.findings)[
             :MOST_FINDINGS
@@ -122,7 +125,9 @@
         phases=phases,
         gateway_costs=costs,
         node_costs={mark.name: node_costs(observations, layout, mark) for mark in observations.phases},
-        bounds=tuple([*traffic_bounds(phases), *leader_bounds(phases), *cost_bounds(costs, quiet.name)]),
+        bounds=tuple(
+            [*traffic_bounds(phases), *leader_bounds(phases), *cost_bounds(costs, quiet.name), *real_bounds(by_phase)]
+        ),
     )
 
 
@@ -159,9 +164,23 @@
     if costs.memory_line:
         figures.append(("memory, by slope", costs.memory_line.slope, MOST_MEMORY, "bytes"))
     if costs.real_memory and costs.plain_memory:
-        figures.append(("processor, busiest real gateway over plain", costs.real_control_cores, MOST_CORES, "cores"))
         figures.append(("memory, real gateway over plain", costs.real_control_memory, MOST_MEMORY, "bytes"))
     return [
         Bound(what=what, phase=phase, measured=measured, bound=bound, unit=unit)
         for what, measured, bound, unit in figures
     ]
+
+
+def real_bounds(costs_by_phase: dict[str, GatewayCosts]) -> list[Bound]:
+    """Return what control adds to the busiest real gateway process, by phase, against the bound on processor time."""
+    return [
+        Bound(
+            what="processor, busiest real gateway over plain",
+            phase=phase,
+            measured=costs.real_control_cores,
+            bound=MOST_CORES,
+            unit="cores",
+        )
+        for phase, costs in costs_by_phase.items()
+        if costs.real_cores and costs.plain_cores
+    ]
--- a/tests/scale/test_small_play.py
+++ b/tests/scale/test_small_play.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from tansykeel.scale.observations import read_observations
+from tansykeel.audit.records import LeaseClaimed, Recorder
+from tansykeel.scale.observations import RECORDS, read_observations
 from tansykeel.scale.plan import SMALL, Phase
 from tansykeel.scale.processes import ScaleError
 from tansykeel.scale.report import report_on
@@ -28,6 +29,16 @@
     assert quiet.stream_bytes_a_second.count == SMALL.gateways
     with pytest.raises(ScaleError, match="not empty"):
         play(SMALL, 1, tmp_path)
+    _claim_too_much(tmp_path)
+    assert not report_on(tmp_path).rules_kept
+
+
+def _claim_too_much(folder):
+    """Add the record of a gateway that counts by a session which it never had."""
+    recorder = Recorder(folder / RECORDS / "planted.rec")
+    at = read_observations(folder).phases[0].end
+    recorder.add(LeaseClaimed(at, "gateway-0", 1, "control-east-0", 999, 1, 10**9, at + 1_000_000))
+    recorder.close()
 
 
 def test_nothing_is_left_behind_where_a_gateway_process_ends_or_the_play_is_ended(tmp_path):
