--- a/tansykeel/scale/page.py
+++ b/tansykeel/scale/page.py
@@ -49,10 +49,10 @@
         f"Written by `tansykeel scale report` from plays of the plan `{one.plan}` (`make scale`): {one.gateways} "
         f"gateways, {one.hollow} of them hollow, {one.control_nodes} control nodes, all frames through the fault proxy "
         f"on loopback. Seeds {seeds}; played on {dates}. At most {processes} processes and {memory:.1%} of the "
-        f"machine's memory. The checker judged {records:,} records{_incomplete(reports)} and found {findings} breaks; "
-        "a gateway's own word is no proof for it. Where several plays are shown together, each figure is the worst of "
-        "them. The gateways have no clients, and no store runs. Where the proxy was late the machine was too busy with "
-        "other work to run it within 50 ms, which strikes all gateways as a stall of the network would.\n"
+        f"machine's memory. The checker judged {records:,} records{_incomplete(reports)} and found {findings} breaks. "
+        "Where several plays are shown together, each figure is the worst of them. No gateway has clients, and no "
+        "store runs. Where the proxy was late, the machine was too busy with other work to run it within 50 ms: that "
+        "strikes gateways as a stall of the network would.\n"
     )
 
 
