--- a/tansykeel/control/session_client.py
+++ b/tansykeel/control/session_client.py
@@ -23,6 +23,7 @@
     SendToControl,
     SessionTerms,
 )
+from tansykeel.control.back_off import FIRST_WAIT, LONGEST_WAIT, SECOND, BackOff
 from tansykeel.control.gateway_session import MICROSECONDS_PER_TICK, GatewaySession, Phase, RefusedRenewal
 from tansykeel.control.held_lease import HeldLease
 from tansykeel.control.placement import placement_order
@@ -36,9 +37,6 @@
     SessionRejected,
 )
 
-SECOND = 10_000
-FIRST_BACKOFF = SECOND // 5  # full jitter: the first wait is up to this, each further one up to twice the one before
-LONGEST_BACKOFF = 5 * SECOND
 RETURN_EVERY = 30 * SECOND  # in the mean: that the first choice is asked again, or a node that rejected for good
 LONGEST_RETRY_AFTER = 30 * SECOND  # that a node is believed; the nodes' own bound is 5 s
 WORTH_WAITING = SECOND // 2  # a node that asks to come back within this is waited for, once, before the next is asked
@@ -78,11 +76,10 @@
         self.rejected_reason = ""  # of the last rejection for good, until a session is accepted
         self.refusals: Counter[RefusedRenewal] = Counter()
         self._held = HeldLease(gateways, now)
-        self._chance = chance
+        self._back_off = BackOff(chance)
         self._current: GatewaySession | None = None  # the session that this gateway stays with
         self._attempt: GatewaySession | None = None  # the one that is not open yet, or has not granted units yet
         self._turn = 0  # of the node in `order` that is asked next
-        self._failures = 0  # in a row since a lease was received
         self._not_before: dict[str, int] = {}  # by node that rejected: when it may be asked again
         self._waited_for = ""  # the node that was waited for since the last session or loss
         self._attempt_at = now  # when a node is asked, while there is no session
@@ -218,33 +215,23 @@
         if session is self._attempt:
             self._attempt = None
             if self._current is None:
-                self._turn = self.order.index(session.node) + 1
-                self._back_off(now)
+                self._turn_from(now, session.node)
             else:
                 self._move_later(now)
             return
         self._current = None
         if self._attempt is None:
-            self._turn = self.order.index(session.node) + 1
-            self._back_off(now)
+            self._turn_from(now, session.node)
         elif self._attempt.phase is Phase.OPEN:
             self._current = self._attempt
             self._attempt = None
             self._stay(now)
 
-    def _back_off(self, now: int) -> None:
-        """Wait with full jitter: up to 200 ms after the first loss, up to twice as long after each further one."""
-        longest = min(FIRST_BACKOFF << min(self._failures, 10), LONGEST_BACKOFF)
-        self._failures += 1
+    def _turn_from(self, now: int, node: str) -> None:
+        """Ask the node after this one, after the back-off."""
+        self._turn = self.order.index(node) + 1
         self._waited_for = ""
-        self._attempt_at = now + self._jitter(longest)
-
-    def _jitter(self, longest: int) -> int:
-        return int(self._chance.random() * longest)
-
-    def _around(self, mean: int) -> int:
-        """Return a time between half and one and a half of the mean, so that gateways do not act in step."""
-        return mean // 2 + self._jitter(mean)
+        self._attempt_at = now + self._back_off.failed()
 
     # Asking for a session
 
@@ -293,19 +280,20 @@
             return self._reject_for_good(now, session, fault)
         if answer.retry_after == 0:
             return self._reject_for_good(now, session, f"{session.node}: {answer.reason}")
-        wait = min(answer.retry_after // MICROSECONDS_PER_TICK + 1, LONGEST_RETRY_AFTER) + self._jitter(FIRST_BACKOFF)
+        wait = min(answer.retry_after // MICROSECONDS_PER_TICK + 1, LONGEST_RETRY_AFTER) + self._back_off.up_to(
+            FIRST_WAIT
+        )
         self._attempt = None
         self._not_before[session.node] = now + wait
         if self._current is not None:
             self._return_at = max(self._return_at, now + wait)
-            self._search_at = now + self._around(LONGEST_BACKOFF)
+            self._search_at = now + self._back_off.around(LONGEST_WAIT)
         elif wait <= WORTH_WAITING and self._waited_for != session.node:
             self._waited_for = session.node
             self._turn = self.order.index(session.node)
             self._attempt_at = now + wait
         else:
-            self._turn = self.order.index(session.node) + 1
-            self._back_off(now)
+            self._turn_from(now, session.node)
         return [DisconnectFromNode(session.node, f"rejected for now: {answer.reason}")]
 
     def _wait_until(self, moment: int) -> None:
@@ -328,7 +316,7 @@
         """Keep the reason, for the settings of one of the two are wrong, and ask the next node much later."""
         self.rejected_reason = reason
         self._attempt = None
-        self._wait_until(now + self._around(RETURN_EVERY))
+        self._wait_until(now + self._back_off.around(RETURN_EVERY))
         if self._current is None:
             self._turn = self.order.index(session.node) + 1
         return [DisconnectFromNode(session.node, reason)]
@@ -341,7 +329,7 @@
             self.refusals[refusal] += 1
             return []
         lease = session.renewed(now, renewal)
-        self._failures = 0
+        self._back_off.succeeded()
         # A node takes its earlier leases of this gateway for ended once the new one is acknowledged, whatever its units
         # are. A lease of another node counts on until there are units here, and nothing is acknowledged meanwhile.
         ends_earlier = session is self._current and self.counts(now).node in ("", session.node)
@@ -369,7 +357,7 @@
 
     def _stay(self, now: int) -> None:
         """Begin to stay with the present session."""
-        self._return_at = now + self._around(RETURN_EVERY)
+        self._return_at = now + self._back_off.around(RETURN_EVERY)
         self._search_at = now
 
     def _move(self, now: int, session: GatewaySession) -> list[GatewayAction]:
@@ -381,8 +369,8 @@
         return _end(old, "the gateway moved to another control node") if old else []
 
     def _move_later(self, now: int) -> None:
-        self._return_at = now + self._around(RETURN_EVERY)
-        self._search_at = now + self._around(LONGEST_BACKOFF)
+        self._return_at = now + self._back_off.around(RETURN_EVERY)
+        self._search_at = now + self._back_off.around(LONGEST_WAIT)
 
     def _abandon_move(self, now: int, session: GatewaySession) -> list[GatewayAction]:
         """End the second session, which granted nothing for too long."""
