--- a/tansykeel/cluster/model_checker.py
+++ b/tansykeel/cluster/model_checker.py
@@ -124,6 +124,10 @@
             found += [("restarts", name) for name in self.names]
         return found
 
+    def arrivals(self, before: Fleet) -> list[Event]:
+        """What was sent since the state before, and may arrive."""
+        return [("arrives", *word) for word in self.sent if word not in before.sent]
+
     def after(self, event: Event) -> Fleet | None:
         """The state after an event; None where it can't happen here."""
         made = self.copy()
@@ -239,7 +243,7 @@
             after = fleet.after(event)
             if after is None:
                 continue
-            fresh |= dict.fromkeys(("arrives", *word) for word in after.sent if word not in fleet.sent)
+            fresh |= dict.fromkeys(after.arrivals(fleet))
             fleet, seen = after, seen + 1
             events.append(event)
             if fleet.law:
--- a/tansykeel/control/budget_agent.py
+++ b/tansykeel/control/budget_agent.py
@@ -117,6 +117,14 @@
             sent += self._reclaim(now)
         return sent
 
+    def copy(self, member: ClusterMember, state: BudgetState) -> BudgetAgent:
+        """Return one that goes its own way from here on, with this copy of the member and of the state."""
+        made = copy(self)
+        made.member = member
+        made.state = state
+        made._proposed_at = dict(self._proposed_at)
+        return made
+
     # Within
 
     def _follow(self, now: int, view: View) -> bool:
--- a/tansykeel/control/budget_state.py
+++ b/tansykeel/control/budget_state.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from copy import deepcopy
+from copy import copy
 
 import msgspec
 from msgspec import Struct
@@ -39,9 +39,11 @@
 
 
 class BudgetSnapshot(Struct):
-    """All of the state. `region_units`: what its first node registered with, 0 while there is no record."""
+    """All of the state. `region_units`: what its first node registered with, 0 while there is no record; `lost_in`: the
+    number of the view that last lost what was decided before, 0: none."""
 
     region_units: int = 0
+    lost_in: int = 0
     records: dict[str, NodeBudget] = {}
 
 
@@ -53,6 +55,7 @@
 
     def __init__(self) -> None:
         self.region_units = 0
+        self.lost_in = 0
         self.records: dict[str, NodeBudget] = {}
 
     def apply(self, index: int, entry: bytes) -> None:
@@ -61,12 +64,13 @@
 
     def snapshot(self) -> bytes:
         """Return the whole state as bytes."""
-        return msgspec.msgpack.encode(BudgetSnapshot(self.region_units, self.records))
+        return msgspec.msgpack.encode(BudgetSnapshot(self.region_units, self.lost_in, self.records))
 
     def restore(self, data: bytes) -> None:
         """Take the state of a snapshot in place of this one."""
         kept = _decode_snapshot(data)
         self.region_units = kept.region_units
+        self.lost_in = kept.lost_in
         self.records = kept.records
 
     def lost(self, number: int) -> bytes:
@@ -77,7 +81,8 @@
         """Return a state that goes its own way from here on."""
         made = type(self)()
         made.region_units = self.region_units
-        made.records = deepcopy(self.records)
+        made.lost_in = self.lost_in
+        made.records = {node: copy(record) for node, record in self.records.items()}
         return made
 
     def target(self, node: str) -> int:
@@ -100,8 +105,9 @@
             case NodeReclaimed(node, incarnation, term):
                 if self._record(node, incarnation, term) is not None:
                     del self.records[node]
-            case StateLost():
+            case StateLost(view):
                 self.records.clear()
+                self.lost_in = view
         self._deal()
 
     def _record(self, node: str, incarnation: int, term: int) -> NodeBudget | None:
--- a/tansykeel/control/node.py
+++ b/tansykeel/control/node.py
@@ -10,7 +10,7 @@
 from collections.abc import Container, Mapping
 from dataclasses import replace
 from random import Random
-from typing import Literal
+from typing import ClassVar, Literal
 
 from tansykeel.cluster.failure_detector import Pace
 from tansykeel.cluster.gossip import MemberState
@@ -53,6 +53,10 @@
     before: the wall clock's milliseconds.
     """
 
+    member_class: ClassVar[type[ClusterMember]] = ClusterMember
+    state_class: ClassVar[type[BudgetState]] = BudgetState
+    budget_class: ClassVar[type[BudgetAgent]] = BudgetAgent
+
     def __init__(
         self,
         cluster: str,
@@ -73,10 +77,10 @@
         self.name = name
         self.gateways = gateways
         self.session_terms = session_terms
-        self.state = BudgetState()
+        self.state = self.state_class()
         all_vote = replace(terms, voters=len(nodes))
-        self.member = ClusterMember(name, nodes, incarnation, pace, all_vote, chance, now, self.state)
-        self.budget = self._budget_agent(region_units, all_vote, now)
+        self.member = self.member_class(name, nodes, incarnation, pace, all_vote, chance, now, self.state)
+        self.budget = self.budget_class(self.member, self.state, region_units, all_vote, now)
         self.table = SessionTable(session_terms)
         self.admission = Admission(session_terms.admissions_per_second, now)
         self.leaving = False
@@ -166,9 +170,6 @@
 
     # Within: the region's nodes
 
-    def _budget_agent(self, region_units: int, terms: LeaseTerms, now: int) -> BudgetAgent:
-        return BudgetAgent(self.member, self.state, region_units, terms, now)
-
     def _settle(self, now: int, sent: list[Sent]) -> list[NodeAction]:
         """Follow what an event changed, and propose what the budget needs then."""
         self.budget.observe(now)
--- a/tansykeel/control/session_table.py
+++ b/tansykeel/control/session_table.py
@@ -8,9 +8,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from copy import copy
+from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
-from itertools import count
 
 from tansykeel.control.actions import ConnectionId, SessionTerms
 
@@ -19,7 +19,7 @@
 GatewayStart = tuple[str, int]  # name and incarnation of a gateway
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class Grant:
     """A lease that a gateway may count, until this moment of the control node's clock at most."""
 
@@ -64,7 +64,7 @@
         self.by_connection: dict[ConnectionId, Session] = {}
         self.by_gateway: dict[str, Session] = {}
         self.weights = 0  # of all sessions
-        self._numbers = count(1)
+        self._opened = 0  # sessions so far: the newest one's number
         self._holders: dict[GatewayStart, Holder] = {}
         self._units = 0  # sum over all holders
         self._looks: list[tuple[int, GatewayStart]] = []  # heap: when a lease of whom may be over, one for each holder
@@ -74,7 +74,8 @@
 
     def open(self, now: int, connection: ConnectionId, start: GatewayStart) -> Session:
         """Begin a session on a connection that has none, for a gateway that has none."""
-        session = Session(next(self._numbers), connection, start, now)
+        self._opened += 1
+        session = Session(self._opened, connection, start, now)
         self.by_connection[connection] = session
         self.by_gateway[session.gateway] = session
         self.weights += session.weight
@@ -149,6 +150,15 @@
         latest = now - SILENT_HEARTBEATS * self.terms.heartbeat
         return [session for session in self.by_connection.values() if session.heard_at < latest]
 
+    def copy(self) -> SessionTable:
+        """Return a table that goes its own way from here on."""
+        made = copy(self)
+        made.by_connection = {connection: replace(session) for connection, session in self.by_connection.items()}
+        made.by_gateway = {session.gateway: session for session in made.by_connection.values()}
+        made._holders = {start: replace(holder, grants=list(holder.grants)) for start, holder in self._holders.items()}
+        made._looks = list(self._looks)
+        return made
+
     # Within
 
     def _add(self, session: Session, grant: Grant) -> None:
