--- a/tansykeel/control/model_checker.py
+++ b/tansykeel/control/model_checker.py
@@ -40,7 +40,7 @@
 
 ALIKE = (10,)  # tenths that each clock shows in a tenth of time: all agree
 APART = (11, 9)  # a fast and a slow clock by turns, for terms with a drift of a tenth
-MOST = {"lead": 3, "break": 4, "reopen": 1, "leave": 1}  # of each in one run, beside the bounds of every search
+MOST = {"lead": 3, "break": 8, "reopen": 4, "leave": 1}  # of each in one run, beside the bounds of every search
 NODE, GATEWAY = "node", "gateway"  # the ends of a connection
 
 
@@ -206,7 +206,8 @@
         self.used["form"] += 1
         without = tuple(name for name in self.names if name not in self.alive)
         members = [other.me for other in self.alive.values()]
-        return list(node.member.form(now, members, 10 * self.now + 1, without))
+        stamp = 1_000 * self.now + 50 * self.used["form"]  # views change less than once a millisecond
+        return list(node.member.form(now, members, stamp, without))
 
     def _do_node(self, node: ModelNode, actions: list[NodeAction]) -> None:
         me = node.member.me
--- a/tansykeel/control/model_walks.py
+++ b/tansykeel/control/model_walks.py
@@ -11,18 +11,27 @@
 from random import Random
 from typing import cast
 
+from tansykeel.cluster.membership import Member, ViewMessage
 from tansykeel.cluster.model_checker import Bounds, Event, Found, NoFirstView, shrunk, told
-from tansykeel.control.model_checker import ALIKE, RegionModel
+from tansykeel.cluster.replicated_log import Propose
+from tansykeel.control.model_checker import ALIKE, GATEWAY, MOST, NODE, RegionModel
 from tansykeel.control.model_parts import REGION_UNITS, ModelTerms
 
 SETTLING_ROUNDS = 12
-STEPS = 300  # events of a drawn run at most
+DISRUPTING = ("tick", "crashes", "restarts", "forms", "proposes", "leaves", "reopens", "breaks", "leads")
+ARRIVES = 0.5  # part of the single events that is a message of any time, again or for the first time
+DISRUPTS = 0.1  # part of the single events that are such
+STEPS = 600  # events of a drawn run at most
 WAVES = 4  # of messages and their answers that arrive in a round
 ROUND = 0.4  # part of the steps that are a round
-KEPT = 0.7  # chance that the same nodes are there in the next round
-MAY = 0.4  # chance that a node leads, proposes or forms where it would
-ACTS = 0.8  # chance that a gateway acts in a round
-TICKS = 0.6  # chance that time goes on after a round
+THERE = 0.85  # chance of each node to be there while the next are drawn
+KEPT = 0.75  # chance that the same nodes are there in the next round
+MAY = (0.3, 0.9)  # chance that a node leads, proposes or forms where it would: drawn for each run
+ANYWAY = 0.2  # chance that it leads though another one may do so
+ALL_RESTART = 0.02  # chance that all nodes start again before a round
+ACTS = 0.6  # chance of each gateway to act in the next rounds
+REOPENS = 0.15  # chance that a gateway starts again in a round
+TICKS = (0.2, 0.8)  # chance that time goes on after a round: drawn for each run
 
 
 def settled(names: tuple[str, ...], model: ModelTerms, rates: tuple[int, ...] = ALIKE) -> RegionModel:
@@ -31,6 +40,7 @@
     Raises NoFirstView where that does not come about.
     """
     region = RegionModel(names, model, rates)
+    late: dict[tuple[str, Member, ViewMessage], None] = {}  # entries that were proposed may arrive again at any time
 
     def happen(events: list[Event]) -> None:
         nonlocal region
@@ -40,6 +50,7 @@
     def all_arrive() -> None:
         for _ in range(6):
             words = list(region.sent)
+            late.update({word: None for word in words if isinstance(word[2], Propose)})
             happen([("arrives", *word) for word in words])
             region.sent = {word: None for word in region.sent if word not in words}
             while deliveries := region.deliveries():
@@ -64,7 +75,7 @@
     all_arrive()
     if region.law or sum(one.units for name in model.gateways if (one := region.counted_by(name))) < REGION_UNITS - 1:
         raise NoFirstView(f"no settled region of {names}: {region.law or 'the gateways count less than its units'}")
-    region.sent, region.used = {}, dict.fromkeys(region.used, 0)
+    region.sent, region.used = late, dict.fromkeys(region.used, 0)
     return region
 
 
@@ -77,7 +88,11 @@
         self.chance = chance
         self.events: list[Event] = []
         self.fresh: dict[Event, None] = {}
-        self.there = list(first.names)
+        self.may = chance.uniform(*MAY)
+        self.ticks = chance.uniform(*TICKS)
+        self.there = list(first.names)  # nodes that hear each other
+        self.reached = list(first.names)  # nodes that gateways hear and are heard by
+        self.acting = list(first.model.gateways)  # gateways that do not stand still
 
     def go(self, steps: int) -> bool:
         """Go so many events on. Return True where a law broke."""
@@ -100,50 +115,87 @@
         self.events.append(event)
 
     def _single(self) -> None:
-        """One event of all that may happen, its kind drawn first."""
+        """One event of all that may happen, its kind drawn first, and for a message its type."""
         choice = self.region.events(self.bounds)
-        kind = self.chance.choice(list(dict.fromkeys(event[0] for event in choice)))
-        self._step(self.chance.choice([event for event in choice if event[0] == kind]))
+        kinds = list(dict.fromkeys(event[0] for event in choice))
+        if "arrives" in kinds and self.chance.random() < ARRIVES:
+            kinds = ["arrives"]
+        disrupts = self.chance.random() < DISRUPTS
+        kind = self.chance.choice([one for one in kinds if (one in DISRUPTING) == disrupts] or kinds)
+        choice = [event for event in choice if event[0] == kind]
+        if kind == "arrives":
+            message_type = self.chance.choice(list(dict.fromkeys(type(event[3]) for event in choice)))
+            choice = [event for event in choice if type(event[3]) is message_type]
+        self._step(self.chance.choice(choice))
+
+    def _may(self, kind: str, most: int) -> bool:
+        return self.region.used[kind] < most
+
+    def _drawn_nodes(self) -> list[str]:
+        return [name for name in self.region.names if self.chance.random() < THERE]
 
     def _round(self) -> None:
         if self.chance.random() > KEPT:
-            self.there = [name for name in self.region.names if self.chance.random() < 0.7]
+            self.there = self._drawn_nodes()
+            self.reached = self._drawn_nodes()
+            self.acting = [name for name in self.region.model.gateways if self.chance.random() < ACTS]
+        if self.chance.random() < ALL_RESTART and self._may("restart", self.bounds.restarts):
+            for name in self.region.names:
+                self._step(("restarts", name))
+        for name in self.there:
+            if name not in self.region.nodes and self._may("restart", self.bounds.restarts):
+                self._step(("restarts", name))
         self._decide()
         for name in self.there:
             self._step(("renews", name))
         self._arrive()
-        for name in self.region.model.gateways:
-            if self.chance.random() < ACTS:
-                self._step(("acts", name))
-                for node in self.region.gateways[name].wants:
-                    self._step(("connects", name, node))
+        self._lose_connections()
+        if self.chance.random() < REOPENS and self._may("reopen", MOST["reopen"]):
+            self._step(("reopens", self.chance.choice(self.region.model.gateways)))
+        for name in self.acting:
+            self._step(("acts", name))
+            for node in self.region.gateways[name].wants:
+                self._step(("connects", name, node))
         self._arrive()
-        if self.chance.random() < TICKS and self.region.used["tick"] < self.bounds.ticks:
+        if self.chance.random() < self.ticks and self._may("tick", self.bounds.ticks):
             self._step(("tick",))
 
     def _arrive(self) -> None:
-        """What was sent among the nodes that are there arrives, and what is on its way between them and gateways."""
+        """What was sent among the nodes that are there arrives, and what is on its way to and from gateways."""
         for _ in range(WAVES):
             for event in list(self.fresh):
                 if event[1] in self.there and getattr(event[2], "name", "") in self.there:
                     self._step(event)
             for event in self.region.deliveries():
-                if self.region.connections[cast(int, event[1])].node in self.there:
+                connection = self.region.connections.get(cast(int, event[1]))
+                if connection is not None and connection.node in self.reached:
                     self._step(event)
 
+    def _lose_connections(self) -> None:
+        """A gateway sees that the other end is gone, or after a while that nothing comes from there."""
+        for number, connection in list(self.region.connections.items()):
+            gone = not connection.node_open and not connection.to_gateway
+            silent = connection.node not in self.reached and self._may("break", MOST["break"])
+            if connection.gateway_open and (gone or silent and self.chance.random() < self.may):
+                self._step(("breaks", number, GATEWAY))
+            if connection.node_open and not connection.gateway_open and connection.node in self.reached:
+                self._step(("breaks", number, NODE))
+
     def _decide(self) -> None:
         """A node that is there leads, proposes or forms a view, where the running program would."""
         nodes = [self.region.nodes[name] for name in self.there if name in self.region.nodes]
-        if not nodes or self.chance.random() > MAY:
+        if not nodes or self.chance.random() > self.may:
             return
         node = self.chance.choice(nodes)
         agreement, now = node.member.agreement, self.region.clock(node.name)
-        if not any(one.member.agreement.leased(self.region.clock(one.name)) for one in nodes):
-            if self.region.used["form"] < self.bounds.forms:
+        if self.chance.random() < ANYWAY:
+            self._step(("leads", node.name))
+        elif not any(one.member.agreement.leased(self.region.clock(one.name)) for one in nodes):
+            if self._may("form", self.bounds.forms):
                 self._step(("forms", node.name))
         elif agreement.view is not None and agreement.leased(now):
             members = tuple(sorted(one.member.me for one in nodes))
-            if members != agreement.view.members and self.region.used["propose"] < self.bounds.proposals:
+            if members != agreement.view.members and self._may("propose", self.bounds.proposals):
                 self._step(("proposes", node.name, members))
             elif not any(one.member.log.leads for one in nodes):
                 self._step(("leads", node.name))
