--- a/tests/audit/test_control.py
+++ b/tests/audit/test_control.py
@@ -24,7 +24,7 @@
 from tansykeel.audit.control import ControlChecker, check_folder
 from tansykeel.audit.control_findings import ControlRule
 from tansykeel.audit.records import FrameSeen, LeaseClaimed, Recorder, RecordsError
-from tansykeel.cluster.membership import Decided, Form, View
+from tansykeel.cluster.membership import Decided, Form, LeaseRequest, View
 from tansykeel.cluster.replicated_log import InstallSnapshot, LogAccept, LogAccepted, LogPromise
 from tansykeel.protocol.frames import Heartbeat, LeaseRenewal, SessionAccepted
 
@@ -100,6 +100,44 @@
     assert findings([*records, *late]) == []
 
 
+@pytest.mark.parametrize(("node", "broken"), [(0, set()), (2, {ControlRule.SUMS})])
+def test_a_lease_without_units_takes_the_place_of_its_own_nodes_alone(node, broken):
+    """A gateway that comes back to its node, or asks another one beside it, and is granted nothing there."""
+    records = [
+        *START,
+        *renewal(10_000, 0, 0, UNITS),
+        *session(20_000, 0, node, number=2),
+        *renewal(30_000, 0, node, 0, number=2),
+        *renewal(40_000, 1, 1, UNITS),
+    ]
+    assert rules(records) == broken
+
+
+@pytest.mark.parametrize(("node", "broken"), [(0, {ControlRule.GATEWAY_LEASES}), (2, set())])
+def test_a_lease_without_units_is_acknowledged_beside_another_nodes_alone(node, broken):
+    """A gateway with two sessions is granted nothing in the newer one, and then something in the older one."""
+    records = [
+        *START,
+        *session(3_000, 0, node, number=2),
+        *renewal(10_000, 0, node, 0, number=2),
+        *renewal(20_000, 0, 0, HALF),
+        claim(20_400, 0, 0, HALF),
+        to_node(30_000, 0, node, Heartbeat(2, 300, 1)),
+    ]
+    assert rules(records) == broken
+
+
+def test_a_lease_of_an_older_session_counts_after_one_without_units_of_a_newer_one():
+    records = [
+        *START,
+        *session(3_000, 0, 2, number=2),
+        *renewal(10_000, 0, 2, 0, number=2),
+        *renewal(20_000, 0, 0, UNITS),
+        *renewal(30_000, 1, 1, UNITS),
+    ]
+    assert rules(records) == {ControlRule.SUMS}
+
+
 def test_the_whole_is_judged_over_all_regions():
     facts = replace(FACTS, region_units={"north": UNITS, "south": UNITS})
     south = [*session(2_000, 9, 9), *renewal(10_000, 9, 9, UNITS)]
@@ -174,6 +212,15 @@
     assert [record.message for record in finding.records] == ["LeaseRenewal", "Heartbeat", "LeaseGrant"]
 
 
+def test_a_node_that_is_the_only_voter_of_a_view_grants_itself_its_lease_until_it_follows_a_later_one():
+    alone = between(SECOND, 0, 1, Decided(View(8, NODES[:1], NODES[:1], NODES)))
+    records = [*START, alone, *renewal(20 * SECOND, 0, 0, HALF), claim(20 * SECOND + 400, 0, 0, HALF)]
+    assert findings(records) == []
+    assert rules([*START, alone, *renewal(20 * SECOND, 1, 1, HALF)]) == {ControlRule.NODE_LEASES}
+    moved = between(16 * SECOND, 0, 1, LeaseRequest(9, 160_000))
+    assert rules([*records, moved]) == {ControlRule.NODE_LEASES}
+
+
 def test_a_renewal_by_grants_that_never_arrived_is_named():
     kept = [record for record in START if record.receiver != "control-0" or record.message != "LeaseGrant"]
     finding = only([*kept, *renewal(10_000, 0, 0, UNITS)])
