control-search: orders of events on control nodes, sessions and gateways, with planted faults

The argument that what gateways count never passes a region's units was prose alone. The search plays whole control nodes, session clients and connections on a region of two or three nodes: every order of a few events, drawn events, and drawn rounds among nodes that hear each other, in which views, terms and leases come about one after the other. Judged at each step: the sum, leases that ended, leases of a node after a view without it is active, what a node takes for outstanding, entries decided twice.

--- a/tansykeel/cli/main.py
+++ b/tansykeel/cli/main.py
@@ -18,6 +18,7 @@
 from tansykeel.cli.accord import app as accord
 from tansykeel.cli.capacity import app as capacity
 from tansykeel.cli.control import control, control_status
+from tansykeel.cli.control_search import control_search
 from tansykeel.cli.control_sim import control_sim
 from tansykeel.cli.emulate import app as emulate
 from tansykeel.cli.fleet import app as fleet
@@ -38,6 +39,7 @@
 app.add_typer(accord, name="accord")
 app.add_typer(capacity, name="capacity")
 app.command("control-sim")(control_sim)
+app.command("control-search")(control_search)
 app.command()(hollow)
 app.add_typer(scale, name="scale")
 app.command("control")(control)
--- a/tansykeel/control/model_checker.py
+++ b/tansykeel/control/model_checker.py
@@ -63,6 +63,7 @@
         self.connections: dict[int, Connection] = {}
         self.granted: dict[GrantName, GrantMade] = {}
         self.entries: dict[tuple[int, int], bytes] = {}  # decided, by the view that last lost the state, and index
+        self.recent: list[Event] = []  # what was sent between nodes in the last event: also what was sent before
         self.opened = 0  # connections so far
         super().__init__(names, model.leases, ViewAgreement, rates)
         self.used |= dict.fromkeys(MOST, 0)
@@ -75,7 +76,7 @@
         made.model, made.opened = self.model, self.opened
         made.nodes, made.gateways = dict(self.nodes), dict(self.gateways)
         made.connections, made.granted = dict(self.connections), dict(self.granted)
-        made.entries = dict(self.entries)
+        made.entries, made.recent = dict(self.entries), self.recent
         return made
 
     def clock(self, name: str) -> int:
@@ -120,8 +121,8 @@
         return found
 
     def arrivals(self, before: Fleet) -> list[Event]:
-        """Return what may arrive: what was sent since, and what is first on each connection."""
-        return super().arrivals(before) + self.deliveries()
+        """Return what may arrive: what was sent last, and what is first on each connection."""
+        return self.recent + self.deliveries()
 
     def deliveries(self) -> list[Event]:
         """Return what is first on each connection, as what may arrive."""
@@ -134,6 +135,7 @@
         return found
 
     def _happens(self, event: Event) -> bool:
+        self.recent = []
         kind, subject, *what = event if len(event) > 1 else (*event, "")
         if kind in ("tick", "restarts"):
             self.used[{"tick": "tick", "restarts": "restart"}[str(kind)]] += 1
@@ -215,6 +217,7 @@
             match action:
                 case SendToNode(to, message):
                     self.sent[to, me, cast(ViewMessage, message)] = None
+                    self.recent.append(("arrives", to, me, message))
                 case SendToGateway(number, record):
                     connection = self.connections[number]
                     if isinstance(record, LeaseRenewal):
--- a/tansykeel/control/model_parts.py
+++ b/tansykeel/control/model_parts.py
@@ -121,10 +121,12 @@
 
     member_class = ModelMember
     member: ModelMember
+    known_key: tuple[object, ...] | None = None  # a node moves only right after it was copied
 
     def copy(self) -> ModelNode:
         """Return one that goes its own way from here on."""
         made = copy(self)
+        made.known_key = None
         made.member = self.member.copy()
         made.state = cast(BudgetState, made.member.log.machine)
         made.budget = self.budget.copy(made.member, made.state)
@@ -143,8 +145,10 @@
 
     def key(self) -> tuple[object, ...]:
         """Return all that decides what it will do."""
-        parts = frozen(self.budget, ("member", "state", "view")), frozen(self.table), frozen(self.state.records)
-        return self.member.key(), self._leased_at, self._next_sweep, self.leaving, *parts
+        if self.known_key is None:
+            parts = frozen(self.budget, ("member", "state", "view")), frozen(self.table), frozen(self.state.records)
+            self.known_key = self.member.key(), self._leased_at, self._next_sweep, self.leaving, *parts
+        return self.known_key
 
 
 class Middle(Random):
@@ -166,6 +170,7 @@
     incarnation: int
     wants: tuple[str, ...] = ()  # nodes that it asked to be connected to
     counted: GrantName | None = None
+    known_keys: list[object] = field(default_factory=list, compare=False)  # one at most: of the client as it is
 
     def copied(self) -> ModelGateway:
         """Return one whose client goes its own way from here on."""
@@ -174,11 +179,13 @@
             id(self.client.terms): self.client.terms,
             id(self.client.order): self.client.order,
         }
-        return replace(self, client=deepcopy(self.client, shared))
+        return replace(self, client=deepcopy(self.client, shared), known_keys=[])
 
     def key(self) -> tuple[object, ...]:
         """Return all that decides what it will do."""
-        return self.incarnation, self.wants, frozen(self.client, ("_held", "_chance", "order", "terms"))
+        if not self.known_keys:
+            self.known_keys.append(frozen(self.client, ("_held", "_chance", "order", "terms")))
+        return self.incarnation, self.wants, self.counted, self.client._held._lease, self.known_keys[0]
 
 
 @dataclass(frozen=True, slots=True)
--- a/tansykeel/control/model_walks.py
+++ b/tansykeel/control/model_walks.py
@@ -24,13 +24,13 @@
 STEPS = 600  # events of a drawn run at most
 WAVES = 4  # of messages and their answers that arrive in a round
 ROUND = 0.4  # part of the steps that are a round
-THERE = 0.85  # chance of each node to be there while the next are drawn
-KEPT = 0.75  # chance that the same nodes are there in the next round
+THERE = 0.8  # chance of each node to be there while the next are drawn
+KEPT = 0.7  # chance that the same nodes are there in the next round
 MAY = (0.3, 0.9)  # chance that a node leads, proposes or forms where it would: drawn for each run
 ANYWAY = 0.2  # chance that it leads though another one may do so
-ALL_RESTART = 0.02  # chance that all nodes start again before a round
-ACTS = 0.6  # chance of each gateway to act in the next rounds
-REOPENS = 0.15  # chance that a gateway starts again in a round
+ALL_RESTART = 0.05  # chance that all nodes start again before a round
+ACTS = (0.6, 1.0)  # chance of each gateway to act in the next rounds: drawn for each run
+REOPENS = 0.1  # chance that a gateway starts again in a round
 TICKS = (0.2, 0.8)  # chance that time goes on after a round: drawn for each run
 
 
@@ -90,6 +90,7 @@
         self.fresh: dict[Event, None] = {}
         self.may = chance.uniform(*MAY)
         self.ticks = chance.uniform(*TICKS)
+        self.acts = chance.uniform(*ACTS)
         self.there = list(first.names)  # nodes that hear each other
         self.reached = list(first.names)  # nodes that gateways hear and are heard by
         self.acting = list(first.model.gateways)  # gateways that do not stand still
@@ -103,15 +104,16 @@
                 self._single()
         return bool(self.region.law)
 
-    def _step(self, event: Event) -> None:
+    def step(self, event: Event) -> None:
+        """Let an event happen, where it can and no law is broken yet."""
         if self.region.law:
             return
         self.fresh.pop(event, None)
         after = self.region.after(event)
         if after is None:
             return
-        self.fresh |= dict.fromkeys(("arrives", *word) for word in after.sent if word not in self.region.sent)
         self.region = cast(RegionModel, after)
+        self.fresh |= dict.fromkeys(self.region.recent)
         self.events.append(event)
 
     def _single(self) -> None:
@@ -126,7 +128,7 @@
         if kind == "arrives":
             message_type = self.chance.choice(list(dict.fromkeys(type(event[3]) for event in choice)))
             choice = [event for event in choice if type(event[3]) is message_type]
-        self._step(self.chance.choice(choice))
+        self.step(self.chance.choice(choice))
 
     def _may(self, kind: str, most: int) -> bool:
         return self.region.used[kind] < most
@@ -138,38 +140,42 @@
         if self.chance.random() > KEPT:
             self.there = self._drawn_nodes()
             self.reached = self._drawn_nodes()
-            self.acting = [name for name in self.region.model.gateways if self.chance.random() < ACTS]
+            self.acting = [name for name in self.region.model.gateways if self.chance.random() < self.acts]
         if self.chance.random() < ALL_RESTART and self._may("restart", self.bounds.restarts):
             for name in self.region.names:
-                self._step(("restarts", name))
+                self.step(("restarts", name))
         for name in self.there:
             if name not in self.region.nodes and self._may("restart", self.bounds.restarts):
-                self._step(("restarts", name))
+                self.step(("restarts", name))
         self._decide()
+        if self.chance.random() < REOPENS and self._may("reopen", MOST["reopen"]):
+            self.step(("reopens", self.chance.choice(self.region.model.gateways)))
+        self.play_round()
+        if self.chance.random() < self.ticks and self._may("tick", self.bounds.ticks):
+            self.step(("tick",))
+
+    def play_round(self) -> None:
+        """Nodes that are there renew, gateways that do not stand still act, and what they send arrives."""
         for name in self.there:
-            self._step(("renews", name))
+            self.step(("renews", name))
         self._arrive()
         self._lose_connections()
-        if self.chance.random() < REOPENS and self._may("reopen", MOST["reopen"]):
-            self._step(("reopens", self.chance.choice(self.region.model.gateways)))
         for name in self.acting:
-            self._step(("acts", name))
+            self.step(("acts", name))
             for node in self.region.gateways[name].wants:
-                self._step(("connects", name, node))
+                self.step(("connects", name, node))
         self._arrive()
-        if self.chance.random() < self.ticks and self._may("tick", self.bounds.ticks):
-            self._step(("tick",))
 
     def _arrive(self) -> None:
         """What was sent among the nodes that are there arrives, and what is on its way to and from gateways."""
         for _ in range(WAVES):
             for event in list(self.fresh):
                 if event[1] in self.there and getattr(event[2], "name", "") in self.there:
-                    self._step(event)
+                    self.step(event)
             for event in self.region.deliveries():
                 connection = self.region.connections.get(cast(int, event[1]))
                 if connection is not None and connection.node in self.reached:
-                    self._step(event)
+                    self.step(event)
 
     def _lose_connections(self) -> None:
         """A gateway sees that the other end is gone, or after a while that nothing comes from there."""
@@ -177,9 +183,9 @@
             gone = not connection.node_open and not connection.to_gateway
             silent = connection.node not in self.reached and self._may("break", MOST["break"])
             if connection.gateway_open and (gone or silent and self.chance.random() < self.may):
-                self._step(("breaks", number, GATEWAY))
+                self.step(("breaks", number, GATEWAY))
             if connection.node_open and not connection.gateway_open and connection.node in self.reached:
-                self._step(("breaks", number, NODE))
+                self.step(("breaks", number, NODE))
 
     def _decide(self) -> None:
         """A node that is there leads, proposes or forms a view, where the running program would."""
@@ -189,16 +195,16 @@
         node = self.chance.choice(nodes)
         agreement, now = node.member.agreement, self.region.clock(node.name)
         if self.chance.random() < ANYWAY:
-            self._step(("leads", node.name))
+            self.step(("leads", node.name))
         elif not any(one.member.agreement.leased(self.region.clock(one.name)) for one in nodes):
             if self._may("form", self.bounds.forms):
-                self._step(("forms", node.name))
+                self.step(("forms", node.name))
         elif agreement.view is not None and agreement.leased(now):
             members = tuple(sorted(one.member.me for one in nodes))
             if members != agreement.view.members and self._may("propose", self.bounds.proposals):
-                self._step(("proposes", node.name, members))
+                self.step(("proposes", node.name, members))
             elif not any(one.member.log.leads for one in nodes):
-                self._step(("leads", node.name))
+                self.step(("leads", node.name))
 
 
 def drawn_runs(first: RegionModel, bounds: Bounds, seed: int, steps: int = STEPS) -> Found:
