The slow client's test reads a tenth of the answer at a time

Seen: test_an_answer_that_is_taken_slowly...[True] failed in three plays of three on a busy machine, 'it did not come to be so' at 'unsent < left'. Followed by the bytes left at each look: 993,900, 860,780, 449,132 and 0: the client read as fast as the loop ran until the check 5 ms later, so the answer was whole before the last look and no byte was left to take. Ruled out: the gateway, which had sent all of it.

Now the client is a bare socket that reads exactly 100,000 bytes a round, and the test asserts that the answer is still under way at each look and compares every byte of it. It fails both without the clock of bytes taken and without the end of a client that takes none.

--- a/tests/platform/test_slow.py
+++ b/tests/platform/test_slow.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 
 import pytest
 from platform_stage import Store, asking, ok, play, staged, until
 
+from tansykeel.http1 import codec
 from tansykeel.platform.clients import Clients
 
 
@@ -36,36 +38,47 @@
     play(go())
 
 
+async def read_part(sock: socket.socket, size: int) -> bytes:
+    """Read exactly `size` bytes, fewer where the connection ends."""
+    loop, data = asyncio.get_running_loop(), b""
+    while len(data) < size and (more := await loop.sock_recv(sock, size - len(data))):
+        data += more
+    return data
+
+
 @pytest.mark.parametrize("reads", [True, False])
 def test_an_answer_that_is_taken_slowly_is_left_to_its_end_and_one_that_is_not_taken_is_not(tmp_path, reads):
-    """By the gateway's clock, moved by hand between looks: 4 s at a time, of 5 s without any byte taken."""
+    """By the gateway's clock, moved by hand between looks: 4 s at a time, of 5 s without any byte taken.
+
+    The client reads a tenth of the answer at a time, so that most of it is still to come after the last look.
+    """
 
     async def go():
         async with staged(tmp_path, Store("s0", 0, lambda request: ok(b"x" * 1_000_000))) as stage:
             clients: Clients = stage.gateway.clients
-            slow = await stage.client(receive=4096)
+            slow = await stage.connected_socket(receive=4096)
             await until(lambda: clients.conns)
             client = next(iter(clients.conns))
             client.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-            slow.writer.transport.pause_reading()
-            slow.writer.write(asking(1))
+            slow.send(asking(1))
             await until(lambda: client.stream.unsent)
             now = clients.now()
-            clients.now, late = (lambda: now), 0
+            clients.now, late, read = (lambda: now), 0, b""
             client.since = now
             clients.look()
             for _ in range(4):
                 now += 4.0
                 left = len(client.stream.unsent)
                 if reads:
-                    slow.writer.transport.resume_reading()
+                    read += await read_part(slow, 100_000)
                     await until(lambda left=left: len(client.stream.unsent) < left)
-                    slow.writer.transport.pause_reading()
+                    assert client.stream.unsent, "the answer has to be under way at each look"
                 clients.look()
                 late += client.stream.closed
             assert (late > 0) is not reads
             if reads:
-                slow.writer.transport.resume_reading()
-                assert len((await slow.answer()).body) == 1_000_000
+                whole = codec.answer(200, b"x" * 1_000_000)
+                assert read + await read_part(slow, len(whole) - len(read)) == whole
+            slow.close()
 
     play(go())
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -189,13 +189,17 @@
         self.port = 0
         self.askers = []
 
-    async def client(self, receive=0):
+    async def connected_socket(self, receive=0):
+        """A client's bare socket, for who reads an exact number of bytes; `receive`: its receive buffer."""
         sock = socket.socket()
         if receive:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive)
         sock.setblocking(False)
         await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", self.port))
-        asker = Asker(*await asyncio.open_connection(sock=sock))
+        return sock
+
+    async def client(self, receive=0):
+        asker = Asker(*await asyncio.open_connection(sock=await self.connected_socket(receive)))
         self.askers.append(asker)
         return asker
 
