Split platform/stores.py by job: connection, pool, stores; formatted

connection.py: one connection to a store. pool.py: all connections to one store and the attempts that wait for one. stores.py: how many there may be, how long they idle, and what becomes of attempts. What each asks of the next is a Protocol, so no import goes round.

Names: RESTED is COOL_DOWN, OWED is ABANDONED_FOR, DIALS is CONNECTS_PER_ATTEMPT, HEARD is CLIENT_READ_DELAY; Pool.feed is serve_waiting, Pool.look is check_timeouts, Stores.listed is list_changed, Stores.spoilt is malformed. Tests follow by name only.

--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -104,7 +104,7 @@
             known.revision,
             clock,
             loop.time,
-            self.stores.listed,
+            self.stores.list_changed,
             self.stores.pressure,
             log,
         )
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -10,7 +10,7 @@
 import pytest
 from platform_stage import SETTINGS, Store, asking, ok, play, staged, until
 
-from tansykeel.platform import stores as stores_module
+from tansykeel.platform import pool as pool_module
 
 NO_CANCEL = SETTINGS | {"Limits": SETTINGS["Limits"] | {"Cancel": False}}
 both = pytest.mark.parametrize("settings", [SETTINGS, NO_CANCEL], ids=["cancel", "no cancel"])
@@ -53,7 +53,7 @@
             await left(stage)
             stores.room = room
             for pool in stores.pools.values():
-                pool.feed()
+                pool.serve_waiting()
             other = await stage.client()
             assert (await other.ask(2)).status == 200
             assert [request.fields[b"x-txn"][-1:] for request in store.got] == [b"2"]
@@ -102,7 +102,7 @@
             await until(lambda: stage.gateway.core.list_version == 5)
             if rested:
                 assert (await (await stage.client()).ask(9)).status == 200
-                await asyncio.sleep(2 * stores_module.RESTED)
+                await asyncio.sleep(2 * pool_module.COOL_DOWN)
             client, hand_off = connected(stage), stage.gateway.stores.hand_off
 
             def leaves_then(attempt):
--- a/tests/platform/test_stores.py
+++ b/tests/platform/test_stores.py
@@ -8,7 +8,8 @@
 import pytest
 from platform_stage import SETTINGS, Store, asking, no_descriptors, ok, play, staged, until
 
-from tansykeel.platform import stores as stores_module
+from tansykeel.platform import connection as connection_module
+from tansykeel.platform import pool as pool_module
 from tansykeel.transport.stream import Stream
 
 NO_LENGTH = b"HTTP/1.1 200 OK\r\n\r\n"
@@ -116,8 +117,8 @@
             pool = next(iter(stores.pools.values()))
             assert len(pool.connections) == 1
             now = stores.now
-            stores.now = lambda: now() + stores.longest + stores_module.OWED
-            pool.look(stores.now())
+            stores.now = lambda: now() + stores.longest + pool_module.ABANDONED_FOR
+            pool.check_timeouts(stores.now())
             assert not pool.connections
 
     play(go())
@@ -154,7 +155,7 @@
 
 def test_a_connection_rests_after_an_answer_though_no_other_may_be_opened(tmp_path, monkeypatch):
     """Guards against a second answer, some milliseconds late, that is taken for the next request's."""
-    monkeypatch.setattr(stores_module, "RESTED", 0.2)
+    monkeypatch.setattr(pool_module, "COOL_DOWN", 0.2)
 
     async def go():
         store = Store("s0", 0, lambda request: ok(request.fields[b"x-txn"]))
@@ -268,7 +269,7 @@
         async with staged(tmp_path, store) as stage:
             monkeypatch.setattr("tansykeel.platform.clients.BRIEF", 0.0)
             await stage.client()
-            refused = no_descriptors(monkeypatch, stores_module, 3)
+            refused = no_descriptors(monkeypatch, connection_module, 3)
             assert (await (await stage.client()).ask(1)).status == 200
             assert len(refused) == 3 and stage.gateway.core.counts.outcomes == {"delivered": 1}
 
