A connection whose answer was given up is not used again; second answers lengthen a cool-down

Cause: such an attempt keeps its connection until its answer comes, and _answered released it for the next request like any other. Where cancels are allowed the connection was closed already. Ruled out: the gateway's pairing of answers and attempts; answers with bytes behind them, in part, on resting connections, after resets, with interim ones (same test).

Now an answer that comes for an attempt that is over, or to a task that has its answer, ends its connection. A store from which bytes come that answer no open request has its connections cool down for twice as long as those were late, 0.25 s at most, shrinking back to 5 ms in ten seconds. One on which bytes wait unread is passed over and closed by the read that follows instead of being closed unread, so that it counts too.

--- a/tansykeel/platform/connection.py
+++ b/tansykeel/platform/connection.py
@@ -25,6 +25,9 @@
     def connect_failed(self, retry: bool) -> None:
         """A connection did not come up; `retry`: another one may be tried for the same attempt."""
 
+    def answered_twice(self, lateness: float) -> None:
+        """Bytes that belong to no request came, `lateness` seconds after a whole answer."""
+
     def released(self, connection: StoreConnection) -> None:
         """An answer is whole and the connection may carry another request."""
 
@@ -117,7 +120,9 @@
 
     def _data_received(self, data: bytes) -> None:
         if self.reader is None or self.attempt is None or self.stream.unsent:
-            # What comes unasked, or before the request is whole, belongs to nothing.
+            # What comes unasked, or before the request is whole, belongs to no request that is open.
+            if self.has_answered:
+                self.pool.answered_twice(self.gateway.now() - self.idle_since)
             return self._give_up("bytes that answer nothing")
         self.reader.feed(data)
         if self.reader.size > codec.MOST_BODY and self.gateway.answers_exceed_memory():
@@ -127,7 +132,15 @@
         except Malformed as error:
             return self._give_up(str(error))
         if answer is not None:
-            self._answered(answer, reusable=answer.lasts and not self.reader.behind)
+            self._answered(answer, reusable=self._reusable_after(answer))
+
+    def _reusable_after(self, answer: codec.Answer) -> bool:
+        """Whether nothing more is to be expected that a next request would take for its answer."""
+        assert self.attempt is not None and self.reader is not None
+        # Guards against a second answer of a store that was so late that the first was given up: where attempts may
+        # not be cancelled, the connection outlives them.
+        given_up = self.attempt.over or self.attempt.held.answered
+        return answer.lasts and not self.reader.behind and not given_up
 
     def _answered(self, answer: codec.Answer, reusable: bool) -> None:
         attempt, self.attempt = self.attempt, None
--- a/tansykeel/platform/pool.py
+++ b/tansykeel/platform/pool.py
@@ -12,7 +12,10 @@
 from tansykeel.platform.connection import ConnectionGateway, StoreConnection
 from tansykeel.transport.sockets import OUT_OF_FILES, PRESSURE_REST
 
-COOL_DOWN = 0.005  # seconds after an answer in which what does not belong to it would still come
+COOL_DOWN = 0.005  # seconds after an answer in which a second one would still come, of a store not known to send any
+MOST_COOL_DOWN = 0.25  # seconds, of a store that has answered twice
+LATENESS_MARGIN = 2.0  # times the lateness of a second answer for which its store's connections cool down
+COOL_DOWN_SHRINK = 0.9  # by which that time shrinks again at each check, from the most to the least in ten seconds
 CONNECTS_PER_ATTEMPT = 2  # connections tried for an attempt before it counts as not connected
 CLIENT_READ_DELAY = 0.001  # seconds in which the loop has read what a client has sent, its end too
 ABANDONED_FOR = 30.0  # seconds after the longest deadline at which an answer that nobody waits for is let go
@@ -79,6 +82,7 @@
         self.connections: dict[StoreConnection, None] = {}
         self.idle: list[StoreConnection] = []  # the one used last at the end
         self.waiting: deque[WaitingAttempt] = deque()
+        self.cool_down = COOL_DOWN  # seconds after an answer in which its connection carries no other request
         self._serve_is_due = False
 
     # What the gateway wants
@@ -119,6 +123,7 @@
 
     def check_timeouts(self, now: float) -> None:
         """Close connections that did not come up, idle too long, or owe an answer that nobody waits for."""
+        self.cool_down = max(self.cool_down * COOL_DOWN_SHRINK, COOL_DOWN)
         for connection in [one for one in self.connections if not one.is_up and now >= one.connect_deadline]:
             connection.close()
             self.connect_failed(retry=False)
@@ -171,7 +176,7 @@
                 self._send(connection, attempt)
             elif self.idle and not self.gateway.room(make=False):
                 # No other may be opened, and this one only has to cool down.
-                return self._serve_after(COOL_DOWN)
+                return self._serve_after(self.cool_down)
             else:
                 return self.open()
 
@@ -182,7 +187,9 @@
         if attempt := self._next_attempt():
             self._send(connection, attempt)
         else:
-            connection.idle_since = self.gateway.now() - COOL_DOWN  # nothing was asked on it: nothing more can come
+            connection.idle_since = (
+                self.gateway.now() - MOST_COOL_DOWN
+            )  # nothing was asked on it: nothing more can come
             self.idle.append(connection)
 
     def connect_failed(self, retry: bool) -> None:
@@ -208,10 +215,15 @@
         connection.idle_since = self.gateway.now()
         self.idle.append(connection)
         if self.waiting:
-            self._serve_after(COOL_DOWN)
+            self._serve_after(self.cool_down)
         elif self.gateway.has_waiting():
             connection.close()
 
+    def answered_twice(self, lateness: float) -> None:
+        """Guards against a later second answer of this store that comes once its connection was taken again."""
+        self.gateway.note("second answer", store=self.store.handle, late_ms=round(lateness * 1000, 1))
+        self.cool_down = min(max(self.cool_down, lateness * LATENESS_MARGIN), MOST_COOL_DOWN)
+
     def closed(self, connection: StoreConnection) -> None:
         """A connection was closed: another may be opened."""
         self.connections.pop(connection, None)
@@ -241,12 +253,14 @@
         now = self.gateway.now()
         for connection in reversed(list(self.idle)):
             idle_time = now - connection.idle_since
-            if idle_time < COOL_DOWN:
+            if idle_time < self.cool_down:
                 continue
-            if idle_time <= self.gateway.trusted and connection.stream.quiet():
+            if idle_time > self.gateway.trusted:
+                connection.close()
+            elif connection.stream.quiet():
                 self.idle.remove(connection)
                 return connection
-            connection.close()
+            # Otherwise the loop is about to read what came, and closes it.
         return None
 
     def _next_attempt(self) -> Attempt | None:
