--- a/tansykeel/edge/program.py
+++ b/tansykeel/edge/program.py
@@ -8,25 +8,26 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 import structlog
 
-from tansykeel.accord.state import State
-from tansykeel.accord.words import Figures, WordError, packed, unpacked
-from tansykeel.accord.words import Word as AccordWord
 from tansykeel.brain import Scheduler
+from tansykeel.cluster.member import MemberStillAlive
+from tansykeel.cluster.send_queue import Urgency
 from tansykeel.edge.clock import Reminder, clock
+from tansykeel.edge.cluster_agent import ClusterAgent, Counted
+from tansykeel.edge.control_session import ClaimObserver, ControlSession, control_session_of
 from tansykeel.edge.core import Core
-from tansykeel.edge.fellows import Counted, Fellows
-from tansykeel.edge.leave import LOOKS_EVERY, Leave
 from tansykeel.edge.listing import Listing
+from tansykeel.edge.maintenance import LOOKS_EVERY, MaintenanceAgent
 from tansykeel.edge.native import Native, answer_of, bounds_of, known_of
 from tansykeel.edge.peers import Peers
 from tansykeel.edge.stores import Stores
 from tansykeel.edge.tasks import DELIVERED, Attempt, Decisions, Final, Held, StillHeld
 from tansykeel.edge.trace import Trace
-from tansykeel.fleet.keeper import NotGone
-from tansykeel.fleet.outbox import Urgency
-from tansykeel.interface import Facts, Word
+from tansykeel.interface import Facts, Parts, Word
+from tansykeel.maintenance.messages import CODEC, Figures, MaintenanceMessage, MessageError
+from tansykeel.maintenance.state import State
 from tansykeel.protocol.codec import Codec, Event, Piece
 from tansykeel.protocol.frames import (
     Accord,
@@ -47,6 +48,7 @@
 from tansykeel.transport.sockets import accept_all, listening
 
 LINGERS = 0.25  # seconds in which a gateway that ends still answers what its clients had sent
+CLOSES = 0.5  # seconds in which a gateway that ends still tells its control node so
 SWEEP = 1.0  # seconds between looks at idle connections
 EXIT_FAILED = 70  # the module failed: everything held was answered, the process ends
 
@@ -63,12 +65,13 @@
         sample: int = 100,
         decide: Callable[..., Decisions] = Scheduler,
         counted: Counted | None = None,
+        claimed: ClaimObserver | None = None,
     ) -> None:
         self.settings, self.gateway = settings, settings.gateway
         self.log = structlog.get_logger().bind(gateway=self.gateway.named(facts.me))
         self.trace, self.sample, self._logged = trace, sample, 0
-        self.boot = time.time_ns() & (2**62 - 1)
-        self.hello = Hello(1, "edge", self.gateway.named(facts.me), self.boot, 0)
+        self.incarnation = time.time_ns() & (2**62 - 1)
+        self.hello = Hello(1, "edge", self.gateway.named(facts.me), self.incarnation, 0)
         self.hub = Hub(Limits(stall=settings.gateway.peer_stall_s))
         self.clients: set[Link] = set()
         self._reminder = Reminder(lambda now: self.core.tick(now))
@@ -79,13 +82,21 @@
         self.native = Native(settings, facts)
         self.peers: Peers | None = None
         state: State | None = None
-        self.fellows: Fellows | None = None
+        self.cluster_agent: ClusterAgent | None = None
         if settings.peers:
             names = settings.names()
-            self.peers = Peers(settings.peers, names, facts.me, self.hub, self.hello, self._word)
+            self.peers = Peers(
+                settings.peers.addresses,
+                names,
+                facts.me,
+                self.hub,
+                msgspec.structs.replace(self.hello, role="peer"),
+                settings.peers.connect_timeout_ms / 1000,
+                self._peer_message,
+            )
             if settings.peers.agree:
                 state = State() if settings.accord else None
-                self.fellows = Fellows(
+                self.cluster_agent = ClusterAgent(
                     settings.peers,
                     names,
                     facts.me,
@@ -97,6 +108,11 @@
                     counted,
                     state,
                 )
+        self.control_session: ControlSession | None = None
+        if settings.control:
+            self.control_session = control_session_of(
+                settings, facts.me, self.incarnation, seed, self.hub, self.log, claimed
+            )
         self.core = Core(
             facts,
             seed,
@@ -106,20 +122,20 @@
             self.native,
             known_of(settings),
             decide,
-            self.fellows.keeper.parts if self.fellows else None,
+            self._allotments(),
         )
         self.served: dict[str, list[int]] = {}  # by category: answered, and of those delivered in time
-        self.leave: Leave | None = None
-        if self.fellows and settings.accord and settings.peers and state:
-            self.leave = Leave(
+        self.maintenance_agent: MaintenanceAgent | None = None
+        if self.cluster_agent and settings.accord and settings.peers and state:
+            self.maintenance_agent = MaintenanceAgent(
                 settings.accord,
                 state,
-                self.fellows.keeper,
+                self.cluster_agent.cluster_member,
                 self.core,
                 dict(zip(settings.names(), settings.peers.addresses, strict=True)),
                 self.served,
                 self._tell_gateway,
-                lambda sent: self.fellows.say(sent) if self.fellows else None,
+                lambda sent: self.cluster_agent.say(sent) if self.cluster_agent else None,
                 self.log,
             )
         self.stores = Stores(self.core, self.hub, self.gateway, self.hello, clock)
@@ -140,16 +156,20 @@
             if self._asked or self.settings.listing.mode == "push":
                 self.listing.ask()
         port = listener.getsockname()[1]
-        if self.fellows:
-            self.fellows.start()
+        if self.cluster_agent:
+            self.cluster_agent.start()
+        if self.control_session:
+            self.control_session.start()
         self.log.info("ready", port=port)
         ready(port)
         await self.stopping.wait()
         self.log.info("stopping", held=len(self.core.held))
         accepting.cancel()
         self.core.stop()
-        if self.fellows:
-            self.fellows.leave()
+        if self.cluster_agent:
+            self.cluster_agent.leave()
+        if self.control_session:
+            self.control_session.close()
         await asyncio.sleep(0)
         listener.close()
         for link in list(self.clients):
@@ -167,10 +187,12 @@
         looking.cancel()
         if self.listing:
             self.listing.end()
-        if self.fellows:
-            self.fellows.end()
+        if self.cluster_agent:
+            self.cluster_agent.end()
         if self.peers:
             self.peers.end()
+        if session := self.control_session:
+            await self._wait_for(lambda: session.ended, CLOSES)
         await self.hub.stop()
         if self.trace:
             self.trace.end()
@@ -231,6 +253,12 @@
 
     # Within
 
+    def _allotments(self) -> Parts | None:
+        """Return what tells the gateway's part of the wholes that all gateways divide; none: each has an even part."""
+        if self.cluster_agent:
+            return self.cluster_agent.cluster_member.parts
+        return self.control_session.allotments if self.control_session else None
+
     def _accept(self, sock: Any) -> None:
         link = Link(self.hub, sock, Codec("client", "peer"), self.hello, self._event, self._gone)
         self.clients.add(link)
@@ -254,36 +282,36 @@
                 if self.peers and hello.role == "peer":
                     self.peers.came(link, hello)
             case Share() | Watch() as word:
-                self._word(link, word)
+                self._peer_message(link, word)
             case Cut():
                 self.core.left(clock(), link, event.stream)
             case Accord() as said:
-                self._accord(link, event.stream, said)
+                self._maintenance_message(link, event.stream, said)
             case FleetAsk() | FleetWithout() as told:
-                if self.fellows is None:
+                if self.cluster_agent is None:
                     raise ProtocolError(
                         "FLEET_ASK: this gateway agrees with no others; legal: one whose settings have "
                         "peers(agree = True)"
                     )
                 if isinstance(told, FleetWithout):
                     try:
-                        self.fellows.keeper.go_without(told.names)
-                    except NotGone as error:
+                        self.cluster_agent.cluster_member.go_without(told.names)
+                    except MemberStillAlive as error:
                         raise ProtocolError(f"FLEET_WITHOUT: {error}; {error.do}") from None
                     self.log.info("goes without", names=list(told.names))
-                link.send(event.stream, self.fellows.told_of())
+                link.send(event.stream, self.cluster_agent.told_of())
 
-    def _word(self, link: Link, word: Any) -> None:
+    def _peer_message(self, link: Link, word: Any) -> None:
         """Another gateway says something, on whichever connection there is."""
         match word:
             case Share():
                 if told := self.native.word_of(word):
                     self.core.heard(clock(), word.sender, told)
             case Watch():
-                if self.fellows and link.peer:
-                    self.fellows.heard(link.peer, word)
+                if self.cluster_agent and link.peer:
+                    self.cluster_agent.heard(link.peer, word)
             case Accord():
-                self._accord(link, 0, word)
+                self._maintenance_message(link, 0, word)
             case Goodbye():
                 link.close()  # it ends, and would not take what is said to it any more
 
@@ -296,22 +324,24 @@
         counts[0] += 1
         counts[1] += final.result == DELIVERED and lag <= soft_limit
 
-    def _accord(self, link: Link, stream: int, said: Accord) -> None:
-        if self.leave is None:
+    def _maintenance_message(self, link: Link, stream: int, said: Accord) -> None:
+        if self.maintenance_agent is None:
             raise ProtocolError("ACCORD: this gateway gives no leave; legal: one whose settings have accord(...)")
         try:
-            word = unpacked(said.what, said.word)
-        except WordError as error:
+            word = CODEC.decode(said.what, said.word)
+        except MessageError as error:
             raise ProtocolError(f"ACCORD: {error}") from None
         if isinstance(word, Figures):
             if link.peer and link.peer.role != "client":
-                self.leave.told_by(link.peer.name, word)
+                self.maintenance_agent.told_by(link.peer.name, word)
             return
-        self.leave.heard(word, lambda answer: None if link.lost else link.send(stream, AccordTold(*packed(answer))))
+        self.maintenance_agent.heard(
+            word, lambda answer: None if link.lost else link.send(stream, AccordTold(*CODEC.encode(answer)))
+        )
 
-    def _tell_gateway(self, name: str, word: AccordWord) -> None:
+    def _tell_gateway(self, name: str, word: MaintenanceMessage) -> None:
         if self.peers and name in self.peers.by_name:
-            self.peers.by_name[name].tell(Urgency.HINT, Accord(*packed(word)))
+            self.peers.by_name[name].tell(Urgency.HINT, Accord(*CODEC.encode(word)))
 
     def _gone(self, link: Link, why: str) -> None:
         self.clients.discard(link)
@@ -331,9 +361,9 @@
             self.stores.sweep(asyncio.get_running_loop().time())
 
     async def _look(self) -> None:
-        while self.leave:
+        while self.maintenance_agent:
             await asyncio.sleep(LOOKS_EVERY)
-            self.leave.look()
+            self.maintenance_agent.look()
 
     async def _wait_for(self, done: Callable[[], bool], seconds: float) -> None:
         end = asyncio.get_running_loop().time() + seconds
