--- /dev/null
+++ b/tansykeel/cluster/messages.py
@@ -0,0 +1,73 @@
+"""Messages between cluster members as bytes, for whatever carries them: each by its type's name and its fields."""
+
+from __future__ import annotations
+
+from tansykeel.cluster import replicated_log
+from tansykeel.cluster.failure_detector import Ack, DetectorMessage, NoAnswer, Ping, Try
+from tansykeel.cluster.member import ClusterMessage
+from tansykeel.cluster.membership import (
+    Accept,
+    Accepted,
+    Decided,
+    Form,
+    Formed,
+    LeaseGrant,
+    LeaseRequest,
+    Prepare,
+    Promise,
+    Revoked,
+    Stepped,
+)
+from tansykeel.cluster.send_queue import Urgency
+from tansykeel.errors import Problem
+from tansykeel.protocol.message_codec import MessageCodec
+
+MOST_BYTES = 60 << 10  # of one message: a view of 1,000 gateways, told with its voters, and some to spare
+
+
+class MessageError(Problem, ValueError):
+    """Another cluster member sent what is no message of the cluster."""
+
+    advice = "look at the version of the gateway that is named: all members of a cluster speak the same messages"
+
+
+CODEC = MessageCodec[ClusterMessage](
+    (
+        Ping,
+        Ack,
+        Try,
+        NoAnswer,
+        LeaseRequest,
+        LeaseGrant,
+        Prepare,
+        Promise,
+        Accept,
+        Accepted,
+        Form,
+        Formed,
+        Decided,
+        Stepped,
+        Revoked,
+        replicated_log.LogPrepare,
+        replicated_log.LogPromise,
+        replicated_log.InstallSnapshot,
+        replicated_log.LogAccept,
+        replicated_log.LogAccepted,
+        replicated_log.LogRejected,
+        replicated_log.Propose,
+    ),
+    MessageError,
+    MOST_BYTES,
+)
+
+
+def urgency_of(message: ClusterMessage) -> Urgency:
+    """Return which queue a message waits in."""
+    return Urgency.LIVENESS if isinstance(message, DetectorMessage) else Urgency.PROMISE
+
+
+def number_of(message: ClusterMessage) -> int | None:
+    """Return the number of the view that a message is about; None for the failure detector's and the log's."""
+    if isinstance(message, DetectorMessage | replicated_log.LogMessage):
+        return None
+    return message.view.number if isinstance(message, Form | Formed | Decided) else message.number
--- a/tests/broken_edge.py
+++ b/tests/broken_edge.py
@@ -9,11 +9,11 @@
 
 from tansykeel.brain import Scheduler
 from tansykeel.cli.logs import set_up
-from tansykeel.cli.main import recorder_of
+from tansykeel.cli.records import allotment_recorder
+from tansykeel.cluster.member import ClusterMember
+from tansykeel.cluster.membership import SAFE
 from tansykeel.edge.core import Core
 from tansykeel.edge.program import Edge
-from tansykeel.fleet.keeper import Keeper
-from tansykeel.fleet.membership import SAFE
 from tansykeel.settings.build import facts_of, load
 from tansykeel.transport.leash import leash
 from tansykeel.transport.sockets import run
@@ -67,7 +67,7 @@
 
 def counts_without_leases(facts):
     """By a view as soon as it is heard of, for good."""
-    Keeper.counts = lambda self, now: (
+    ClusterMember.counts = lambda self, now: (
         self.agreement.number,
         SAFE / len(self.places) + (self.agreement.view.part(self.me) if self.agreement.view else 0),
         now + 10**6,
@@ -89,7 +89,7 @@
     facts = globals()[told.fault](facts_of(made, told.number, told.count))
 
     async def serve():
-        edge = Edge(made, facts, told.seed, counted=recorder_of(told.record) if told.record else None)
+        edge = Edge(made, facts, told.seed, counted=allotment_recorder(told.record) if told.record else None)
         leash(edge.stopping.set)
         await edge.serve(lambda port: print(json.dumps({"port": port}), flush=True))
 
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -7,8 +7,8 @@
 MOST_LINES = 400
 RANKS = (  # a package imports from its own row and those under it
     {"cli"},
-    {"edge", "platform", "standin", "rehearse", "emulator", "benchlink"},
-    {"fleet", "accord", "quota", "ahead", "holdings", "recovery", "audit", "settings"},
+    {"edge", "control_plane", "platform", "standin", "rehearse", "scale", "emulator", "benchlink", "capacity"},
+    {"cluster", "maintenance", "control", "quota", "ahead", "holdings", "recovery", "audit", "settings"},
     {"protocol", "transport", "state", "http1"},
     {"brain", "runner", "baselines"},
     {"interface", "errors"},
@@ -104,7 +104,11 @@
             "audit",
             "cli",
             "emulator",
-            "fleet",
+            "cluster",
+            "maintenance",
+            "control",
+            "control_plane",
+            "capacity",
             "holdings",
             "protocol",
             "recovery",
