--- a/tests/emulator/test_control_simulation.py
+++ b/tests/emulator/test_control_simulation.py
@@ -47,6 +47,17 @@
         assert simulation.counted.by_region[region] > 0.8 * units
 
 
+def test_a_log_that_one_node_promised_to_a_view_that_never_came_is_led_again():
+    simulation = ControlSimulation(replace(QUIET, seconds=60, settle_s=15))
+    struck = simulation.nodes["control-0-0"]
+    simulation.engine.after(20_000_000, lambda: struck.node.member.replicated_log.wedge(simulation.engine.now // 1_000))
+    seen = simulation.play()
+    assert seen.findings == () and seen.over == 0
+    assert not struck.node.member.replicated_log.stuck
+    assert any(node.leads for node in simulation.nodes.values() if node.region == struck.region)
+    assert simulation.counted.by_region[struck.region] > 0.8 * simulation.counted.region_units[struck.region]
+
+
 def test_leases_end_while_no_majority_lives_and_come_again():
     fault = next(fault for fault in every_fault(180) if fault.kind is FaultKind.ALL_NODES_KILLED)
     trial = replace(QUIET, seconds=40, faults=(replace(fault, at_s=5.0, lasts_s=6.0),))
