--- a/tests/edge/test_control_session.py
+++ b/tests/edge/test_control_session.py
@@ -7,14 +7,14 @@
 
 import pytest
 import structlog
-from control_node_script import HEARTBEAT_MS, ScriptedNode, control_settings, settings_of
+from control_node_script import HEARTBEAT_MS, LEASE_MS, UNITS, ScriptedNode, control_settings, settings_of
 from stage import FakeStore, deliver, free_address, play, until
 from structlog.testing import capture_logs
 
 from tansykeel.audit.records import LeaseClaimed, read
 from tansykeel.cli.metrics import Collector
 from tansykeel.cli.records import claim_recorder
-from tansykeel.control.actions import WHOLE_UNITS, part_of
+from tansykeel.control.actions import part_of
 from tansykeel.control.session_client import SessionState
 from tansykeel.edge.clock import clock
 from tansykeel.edge.control_session import control_session_of
@@ -24,7 +24,6 @@
 from tansykeel.transport.link import Hub, Limits
 from tansykeel.transport.traffic import traffic_of
 
-UNITS = WHOLE_UNITS // 100
 GATEWAYS = 20
 
 
@@ -221,7 +220,7 @@
     claims = list(read(tmp_path / "claims"))
     assert all(isinstance(claim, LeaseClaimed) and claim.incarnation == 77 for claim in claims)
     assert not claims[0].node and claims[1].units == UNITS and claims[-1].until == 0
-    assert 0 < claims[1].until - claims[1].at <= 600_000
+    assert 0 < claims[1].until - claims[1].at <= LEASE_MS * 1_000
 
 
 def test_a_gateway_serves_with_its_safe_part_until_control_nodes_are_there_and_closes_its_session_at_its_end():
