Scale tests: rejections by reason, and a plan in which a zone's return passes the rate of admission

In the full plan 124 gateways that return at once stay under the admission rate of three nodes, and all rejections are those of nodes without a lease on their view: the report did not tell them apart. Rejections are counted by reason; the plan `herd` accepts 8 sessions a second and node, so that the retry times show. Each plan has its own section.

--- a/tansykeel/cli/scale.py
+++ b/tansykeel/cli/scale.py
@@ -21,7 +21,7 @@
 
 @app.command()
 def play(
-    plan: Annotated[str, typer.Argument(help="full or small")] = "full",
+    plan: Annotated[str, typer.Argument(help="full, herd or small")] = "full",
     seed: Annotated[int, typer.Option(help="of all its chance")] = 1,
     folder: Annotated[Path | None, typer.Option(help="keep records and logs here; new or empty")] = None,
     summary: Annotated[Path | None, typer.Option(help="write the report to this JSON file")] = None,
--- a/tansykeel/scale/frames_seen.py
+++ b/tansykeel/scale/frames_seen.py
@@ -52,13 +52,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Admission:
-    """A session that a node accepted or rejected; `retry_after` in microseconds, 0 for accepted ones."""
+    """A session that a node accepted or rejected; `retry_after` in microseconds, 0 for accepted ones.
+
+    `reason`: why it was rejected, without the node's name.
+    """
 
     at: int
     node: str
     gateway: str
     accepted: bool
     retry_after: int = 0
+    reason: str = ""
 
 
 @dataclass
@@ -97,8 +101,9 @@
                 self.observed.admissions.append(Admission(seen.passed, accepted.node, gateway, True))
             case "SessionRejected" if seen.passed:
                 rejected = _rejected.decode(seen.fields)
+                reason = rejected.reason.replace(rejected.node, "the node")
                 self.observed.admissions.append(
-                    Admission(seen.passed, rejected.node, gateway, False, rejected.retry_after)
+                    Admission(seen.passed, rejected.node, gateway, False, rejected.retry_after, reason)
                 )
 
     def _renewal(self, gateway: str, node: str, passed: int, renewal: LeaseRenewal) -> None:
--- a/tansykeel/scale/page.py
+++ b/tansykeel/scale/page.py
@@ -9,7 +9,7 @@
 from tansykeel.scale.phase_report import PhaseReport
 from tansykeel.scale.report import Bound, ScaleReport
 
-HEADING = "## Measured on sockets"
+HEADING = "## Measured on sockets: plan "
 NONE = "-"
 
 
@@ -20,8 +20,9 @@
 
 
 def put_into(page: str, section: str) -> str:
-    """Return a page with its section on scale tests replaced, or added at its end."""
-    before, found, behind = page.partition(HEADING + "\n")
+    """Return a page with its section of the same heading replaced, or the section added at its end."""
+    heading = section.partition("\n")[0]
+    before, found, behind = page.partition(heading + "\n")
     if not found:
         return page.rstrip("\n") + "\n\n" + section
     following = behind.find("\n## ")
@@ -33,7 +34,13 @@
     """Return the section on plays of one plan. Raises PageError where there are none, or of several plans."""
     if not reports or len({report.plan for report in reports}) > 1:
         raise PageError(f"{len(reports)} reports of {len({report.plan for report in reports})} plans; legal: one plan")
-    parts = [HEADING + "\n", _introduction(reports), _phases(reports), _returns(reports), _costs(reports)]
+    parts = [
+        f"{HEADING}{reports[0].plan}\n",
+        _introduction(reports),
+        _phases(reports),
+        _returns(reports),
+        _costs(reports),
+    ]
     return "\n".join([*parts, _bounds(reports)])
 
 
@@ -140,7 +147,7 @@
                 _worst(phases, lambda phase: phase.first_lease_s.most if phase.first_lease_s else None, 2),
                 _worst(phases, lambda phase: phase.admissions.accepted),
                 _worst(phases, lambda phase: phase.admissions.most_a_second),
-                _worst(phases, lambda phase: phase.admissions.rejected),
+                _rejections(phases),
                 _worst(phases, lambda phase: phase.admissions.retry_after_s.p50, 2),
                 _worst(phases, lambda phase: phase.admissions.retry_after_s.most, 2),
             )
@@ -148,6 +155,13 @@
     return _table(head, rows)
 
 
+def _rejections(phases: Sequence[PhaseReport]) -> str:
+    """Return by reason how many sessions were rejected, in the play with the most of that reason."""
+    reasons = sorted({reason for phase in phases for reason in phase.admissions.rejected})
+    most = {reason: max(phase.admissions.rejected.get(reason, 0) for phase in phases) for reason in reasons}
+    return "; ".join(f"{count}: {reason}" for reason, count in most.items()) or "0"
+
+
 def _costs(reports: Sequence[ScaleReport]) -> str:
     head = ("cost", *(f"seed {report.seed}" for report in reports))
     costs = [report.gateway_costs for report in reports]
--- a/tansykeel/scale/phase_report.py
+++ b/tansykeel/scale/phase_report.py
@@ -25,7 +25,7 @@
     """Sessions that nodes accepted and rejected, from when the fault was undone on (from its begin without an end)."""
 
     accepted: int
-    rejected: int
+    rejected: dict[str, int]  # by the reason
     most_a_second: int  # that one node accepted within one second
     retry_after_s: Spread
 
@@ -176,7 +176,7 @@
     rejected = [admission for admission in here if not admission.accepted]
     return Admissions(
         accepted=sum(admission.accepted for admission in here),
-        rejected=len(rejected),
+        rejected=dict(Counter(admission.reason for admission in rejected)),
         most_a_second=max(by_second.values(), default=0),
         retry_after_s=spread_of(admission.retry_after / 1e6 for admission in rejected),
     )
--- a/tansykeel/scale/plan.py
+++ b/tansykeel/scale/plan.py
@@ -126,6 +126,16 @@
     plain=4,
     settle_s=35,  # gateways that were rejected at the start go back to their first node within 30 s
 )
+HERD = ScalePlan(  # few admissions a second, so that a zone's return passes them
+    name="herd",
+    regions=FULL.regions,
+    phases=(
+        Phase(name="quiet", fault="none", fault_s=10),
+        Phase(name="zone-killed", fault="zone_killed", fault_s=10, observed_s=30, gateways=124),
+    ),
+    admissions_per_s=8,
+    settle_s=35,
+)
 SMALL = ScalePlan(
     name="small",
     regions=(RegionPlan(name="east", share=1.0, control_nodes=3, real=0, hollow=(12, 8)),),
@@ -138,7 +148,7 @@
     ping_ms=150.0,
     settle_s=1.0,
 )
-PLANS = {plan.name: plan for plan in (FULL, SMALL)}
+PLANS = {plan.name: plan for plan in (FULL, HERD, SMALL)}
 
 
 def plan_named(name: str) -> ScalePlan:
--- a/tests/scale/test_layout.py
+++ b/tests/scale/test_layout.py
@@ -67,7 +67,7 @@
 
 
 def test_an_unknown_plan_is_refused_with_those_there_are():
-    with pytest.raises(PlanError, match="full, small"):
+    with pytest.raises(PlanError, match="full, herd, small"):
         plan_named("vast")
 
 
--- a/tests/scale/test_page.py
+++ b/tests/scale/test_page.py
@@ -39,7 +39,7 @@
     without_lease_own_s=NOTHING,
     leader_change_s=2.0,
     units_restored_s=5.0,
-    admissions=Admissions(accepted=3, rejected=0, most_a_second=2, retry_after_s=NOTHING),
+    admissions=Admissions(accepted=3, rejected={"busy": 2}, most_a_second=2, retry_after_s=NOTHING),
     sessions={"control-east-0": 2},
 )
 COSTS = GatewayCosts(
@@ -126,6 +126,7 @@
     slow = replaced(PHASE, leader_change_s=13.0, units_restored_s=None)
     section = section_of([report(), report(seed=2, phases=(slow,), bounds=tuple(leader_bounds((slow,))))])
     assert "| killed | 13.0 | not by the end |" in section
+    assert "| 2: busy |" in section
     assert "| another leader | killed | 13.0 s | 12.0 s | **over** |" in section
     assert "| hollow gateway, processor (slope over 25, 50, 100, 125 a process) | 0.100% of a core |" in section
 
@@ -136,6 +137,6 @@
 
 
 def test_a_section_takes_the_place_of_the_one_before_and_leaves_the_rest():
-    page = f"# Page\n\ntext\n\n{HEADING}\n\nold\n\n## Next\n\nmore\n"
-    assert put_into(page, f"{HEADING}\n\nnew\n") == f"# Page\n\ntext\n\n{HEADING}\n\nnew\n\n## Next\n\nmore\n"
-    assert put_into("# Page\n", f"{HEADING}\n") == f"# Page\n\n{HEADING}\n"
+    page = f"# Page\n\ntext\n\n{HEADING}full\n\nold\n\n## Next\n\nmore\n"
+    assert put_into(page, f"{HEADING}full\n\nnew\n") == page.replace("old", "new")
+    assert put_into(page, f"{HEADING}herd\n") == f"{page}\n{HEADING}herd\n"
--- a/tests/scale/test_phase_report.py
+++ b/tests/scale/test_phase_report.py
@@ -133,11 +133,11 @@
 
 def test_admissions_are_counted_by_second_and_node_after_the_return():
     accepted = SessionAccepted(cluster="scale", node=NODE, session=1, heartbeat_every=1)
-    rejected = SessionRejected(cluster="scale", node=NODE, reason="busy", retry_after=250_000)
+    rejected = SessionRejected(cluster="scale", node=NODE, reason=f"{NODE} is busy", retry_after=250_000)
     frames = [frame(at, "gateway-0", accepted) for at in (500_000, 1_100_000, 1_200_000, 1_900_000, 2_500_000)]
     frames.append(frame(2_600_000, "gateway-1", rejected))
     admissions = report("zone_killed", frames, 0, SECOND, 3 * SECOND, struck=("gateway-1",)).admissions
-    assert (admissions.accepted, admissions.most_a_second, admissions.rejected) == (4, 3, 1)
+    assert (admissions.accepted, admissions.most_a_second, admissions.rejected) == (4, 3, {"the node is busy": 1})
     assert admissions.retry_after_s.most == 0.25
 
 
