--- a/tansykeel/capacity/experiments/moved_shard.py
+++ b/tansykeel/capacity/experiments/moved_shard.py
@@ -20,7 +20,7 @@
 
 STORES = (10, 100, 300, 600, 970)
 MOVES = 10
-REPETITIONS = 3
+REPETITIONS = 3  # gateways that are started, each for so many moves
 RATE = 500  # tasks/s, all to the shard that moves
 CLIENTS, TASK_BYTES = 50, 4_096
 WARM_S, SETTLE_S = 3.0, 0.5
@@ -31,7 +31,7 @@
     name="shard-moved-last-attempt",
     role=Role.GATEWAY_DATA,
     aspect=Aspect.STATE,
-    quantity="from the list's word that a shard's store changed to the last attempt at the old one, the longest of 10",
+    quantity="from the list's word that a shard's store changed to the last attempt at the old one, the longest of 30",
     unit="ms",
     grows_by="stores_known",
     mechanism="list of stores, pushed to each gateway",
@@ -45,10 +45,10 @@
 
 @experiment("moved-shard", LAST_ATTEMPT)
 def moved_shard(scale: Scale) -> Iterator[Sample]:
-    """Move a shard to and fro under load; the longest of the moves counts."""
-    for _ in scale.repetitions(REPETITIONS):
-        for size in scale.sizes(STORES, least=1):
-            yield Sample(LAST_ATTEMPT.name, size, _longest_move(size, scale) * MILLISECONDS)
+    """Move a shard to and fro under load; the longest of all moves counts, since most take no time at all."""
+    for size in scale.sizes(STORES, least=1):
+        longest = max(_longest_move(size, scale) for _ in scale.repetitions(REPETITIONS))
+        yield Sample(LAST_ATTEMPT.name, size, longest * MILLISECONDS)
 
 
 def _longest_move(stores_known: int, scale: Scale) -> float:
