--- a/tansykeel/cli/control_sim.py
+++ b/tansykeel/cli/control_sim.py
@@ -24,7 +24,8 @@
     seed: Annotated[int, typer.Option(help="of all its chance")] = 1,
     restarts: Annotated[int, typer.Option(min=0, help="of gateways, spread over the seconds")] = 0,
     stalls: Annotated[int, typer.Option(min=0, help="of gateways, 5 s each")] = 0,
-    loss: Annotated[float, typer.Option(min=0, max=0.5, help="part of all frames that are lost at first")] = 0.0,
+    loss: Annotated[float, typer.Option(min=0, max=0.5, help="part of all frames that are sent again")] = 0.0,
+    lost_between_nodes: Annotated[float, typer.Option(min=0, max=0.5, help="part lost for good")] = 0.0,
     faults: Annotated[str, typer.Option(help="none, each: one of each kind in turn, or drawn: at any moment")] = "none",
     settle: Annotated[int, typer.Option(min=10, max=600, help="seconds from the start until it is measured")] = 60,
 ) -> None:
@@ -52,6 +53,7 @@
         restarts=restarts,
         stalls=stalls,
         loss=loss,
+        lost_between_nodes=lost_between_nodes,
         faults=struck,
     )
     begun = time.monotonic()
--- a/tansykeel/emulator/control_network.py
+++ b/tansykeel/emulator/control_network.py
@@ -30,11 +30,16 @@
 class ControlNetwork:
     """Says when what is sent arrives, if it does."""
 
-    def __init__(self, engine: Engine, chance: Random, way_ms: float, loss: float) -> None:
+    def __init__(
+        self, engine: Engine, chance: Random, way_ms: float, loss: float = 0.0, lost_between_nodes: float = 0.0
+    ) -> None:
+        """`loss`: part of all frames that are sent again; `lost_between_nodes`: of messages that are lost for good."""
         self.engine = engine
         self._chance = chance
         self._way = way_ms * MILLISECOND
         self._loss = loss
+        self._lost_between_nodes = lost_between_nodes
+        self._reaches: dict[tuple[str, str], int] = {}  # by control nodes: when the last message on its way arrives
         self._cuts: list[tuple[int, Cut]] = []  # until when
 
     def cut(self, until: int, parts: Cut) -> None:
@@ -54,17 +59,22 @@
     def arrival(self, connection: Connection, to_node: bool) -> int:
         """Return when a frame that is sent now arrives: after all that were sent before it on the connection."""
         sent = max(self.engine.now, self.cut_until(connection.gateway, connection.node))
-        arrival = sent + self.way()
-        if self._chance.random() < self._loss:
-            arrival += int(RESENT_AFTER * (1 + self._chance.random()))
+        arrival = sent + self._way_with_loss()
         if to_node:
             connection.reaches_node_at = arrival = max(arrival, connection.reaches_node_at + 1)
         else:
             connection.reaches_gateway_at = arrival = max(arrival, connection.reaches_gateway_at + 1)
         return arrival
 
-    def datagram_arrival(self, sender: str, receiver: str) -> int | None:
-        """Return when a message between control nodes arrives; None where it is lost. They keep no order."""
-        if self.cut_until(sender, receiver) or self._chance.random() < self._loss:
+    def arrival_between_nodes(self, sender: str, receiver: str) -> int | None:
+        """Return when a message arrives, after all that were sent before it; None where it is lost for good."""
+        if self.cut_until(sender, receiver) or self._chance.random() < self._lost_between_nodes:
             return None
-        return self.engine.now + self.way()
+        arrival = max(self.engine.now + self._way_with_loss(), self._reaches.get((sender, receiver), 0) + 1)
+        self._reaches[sender, receiver] = arrival
+        return arrival
+
+    def _way_with_loss(self) -> int:
+        if self._chance.random() >= self._loss:
+            return self.way()
+        return self.way() + int(RESENT_AFTER * (1 + self._chance.random()))
--- a/tansykeel/emulator/control_simulation.py
+++ b/tansykeel/emulator/control_simulation.py
@@ -51,7 +51,9 @@
     def __init__(self, trial: ControlTrial) -> None:
         self.trial = trial
         self.engine = Engine()
-        self.network = ControlNetwork(self.engine, trial.chance("network"), trial.way_ms, trial.loss)
+        self.network = ControlNetwork(
+            self.engine, trial.chance("network"), trial.way_ms, trial.loss, trial.lost_between_nodes
+        )
         self.checker = ControlChecker(self._facts())
         self.counted = CountedUnits(trial.region_units())
         self.processor = ProcessorTime()
@@ -138,7 +140,7 @@
         receiver = self.nodes[node]
         what, word = CODEC.encode(message)
         self._count_frame(sender.name, node, len(pack(0, Watch(what, word))))
-        arrival = self.network.datagram_arrival(sender.name, node)
+        arrival = self.network.arrival_between_nodes(sender.name, node)
         seen = FrameSeen(
             self.engine.now,
             arrival or 0,
--- a/tansykeel/emulator/control_trial.py
+++ b/tansykeel/emulator/control_trial.py
@@ -76,7 +76,8 @@
     seed: int = 1
     restarts: int = 0  # of gateways, spread over the seconds; four of five are planned ends, the others kills
     stalls: int = 0  # of gateways, 5 s each
-    loss: float = 0.0  # part of all frames that are sent again after 200 to 400 ms; between nodes they are lost
+    loss: float = 0.0  # part of all frames that are sent again after 200 to 400 ms, and hold up what is behind them
+    lost_between_nodes: float = 0.0  # part of the messages between control nodes that are lost for good
     way_ms: float = 1.0  # of a frame in the mean, between half and one and a half of it
     faults: tuple[ControlFault, ...] = ()
     clocks_apart: bool = True  # clocks run at rates drawn within the drift
