--- a/benchmarks/control_mutants.py
+++ b/benchmarks/control_mutants.py
@@ -51,6 +51,7 @@
     faults = drawn_faults(chance)
     lease_s = chance.choice([1, 3, 6])
     drift = chance.choice([0.01, 0.05, 0.1])
+    loss = chance.choice([0, 0.01, 0.1])
     return ControlTrial(
         gateways=chance.choice([6, 12, 30]),
         seconds=TRIAL_S,
@@ -58,7 +59,8 @@
         seed=number,
         restarts=chance.choice([0, 30, 100]),
         stalls=chance.choice([0, 20]),
-        loss=chance.choice([0, 0.01, 0.1]),
+        loss=loss,
+        lost_between_nodes=loss,
         way_ms=chance.choice([1, 20, 100]),
         faults=faults,
         terms=SessionTerms(lease_s * SECOND, min(SECOND, lease_s * SECOND // 3), drift, 100.0),
--- a/tests/audit/test_control_planted.py
+++ b/tests/audit/test_control_planted.py
@@ -19,7 +19,8 @@
 CUT_OFF = ControlFault(FaultKind.NODE_CUT_OFF, 5, 15)
 ALL_KILLED = ControlFault(FaultKind.ALL_NODES_KILLED, 5, 0.1)
 TRIAL = ControlTrial(gateways=12, seconds=30, settle_s=10, faults=(CUT_OFF,))
-LONG_LEASES = SessionTerms(6 * SECOND, SECOND, 0.01, 100.0)
+# Leases that outlast the forming of a view, and nodes that take few gateways back at once: the first have all units.
+LONG_LEASES = SessionTerms(6 * SECOND, SECOND, 0.01, 2.0)
 REFORMED = replace(TRIAL, settle_s=22, terms=LONG_LEASES, faults=(ALL_KILLED,))
 
 
@@ -69,7 +70,7 @@
 @pytest.mark.parametrize("held", [CountsOn, KeepsTheMost])
 def test_a_gateway_that_counts_what_it_was_not_granted_is_named(held):
     """By its claims alone: what reached it is in order."""
-    simulation, found = played(TRIAL, held=held)
+    simulation, found = played(replace(TRIAL, restarts=10), held=held)  # restarts make its lease shrink and grow
     assert (ControlRule.GATEWAY_LEASES, "edge-0") in found
     assert {who for rule, who in found if rule is ControlRule.GATEWAY_LEASES} == {"edge-0"}
     assert not any("that reached them" in finding.what for finding in simulation.checker.findings)
@@ -84,8 +85,8 @@
 
 
 def test_a_formed_view_after_which_nobody_waits_is_named():
-    """The leases that gateways hold outlive the nodes that granted them."""
-    found = [played(replace(REFORMED, seed=seed), agent=FormedViewTrusted)[1] for seed in range(3)]
+    """The leases that gateways hold outlive the nodes that granted them. It shows in about half of the trials."""
+    found = [played(replace(REFORMED, seed=seed), agent=FormedViewTrusted)[1] for seed in range(8)]
     assert (ControlRule.SUMS, "region region-0") in set().union(*found)
 
 
