--- a/tests/control_plane/test_control_processes.py
+++ b/tests/control_plane/test_control_processes.py
@@ -46,6 +46,7 @@
                 told = [await status(address) for address in addresses]
                 assert sum(node.sessions for node in told) == 6 and len({node.view for node in told}) == 1
                 assert sum(node.budget for node in told) <= REGION_UNITS
+                await asyncio.sleep(1)  # a part that is too large would have grown to its size by now
         assert max(sums) <= REGION_UNITS
 
     play(go())
--- a/tests/control_plane/test_control_program.py
+++ b/tests/control_plane/test_control_program.py
@@ -22,6 +22,7 @@
     HEADER,
     MOST_FIELDS,
     ControlStatusRequest,
+    Goodbye,
     Heartbeat,
     Hello,
     Kind,
@@ -109,6 +110,27 @@
     play(go())
 
 
+def test_a_gateway_whose_connection_ends_holds_no_session_any_more(tmp_path):
+    async def go():
+        async with one_node(tmp_path) as (program, address):
+            served = await lone_gateway(address)
+            assert program.agent.status().sessions == 1
+            served.connection.link.abort("the process is gone", reset=True)
+            await until(lambda: program.agent.status().sessions == 0, 0.5)
+
+    play(go())
+
+
+def test_a_node_that_ends_says_goodbye_first(tmp_path):
+    async def go():
+        async with one_node(tmp_path) as (program, address):
+            served = await lone_gateway(address)
+            program.stopping.set()
+            assert isinstance(await served.connection.received.get(), Goodbye)
+
+    play(go())
+
+
 def test_connections_over_the_bound_are_told_so_and_those_there_are_served(tmp_path):
     async def go():
         async with one_node(tmp_path) as (program, address):
