--- a/tansykeel/scale/page.py
+++ b/tansykeel/scale/page.py
@@ -8,6 +8,7 @@
 from tansykeel.scale.costs import MEBIBYTE
 from tansykeel.scale.phase_report import PhaseReport
 from tansykeel.scale.report import Bound, ScaleReport
+from tansykeel.scale.statistics import Line
 
 HEADING = "## Measured on sockets: plan "
 NONE = "-"
@@ -166,13 +167,19 @@
     head = ("cost", *(f"seed {report.seed}" for report in reports))
     costs = [report.gateway_costs for report in reports]
     rows: list[tuple[str, ...]] = []
-    if all(cost.cores_line and cost.memory_line for cost in costs):
-        cores = [cost.cores_line for cost in costs if cost.cores_line]
+    for phase in reports[0].cores_lines:
+        lines = [report.cores_lines[phase] for report in reports]
+        sizes = ", ".join(f"{size:g}" for size in lines[0].sizes)
+        rows += [
+            (
+                f"hollow gateway, processor in {phase}: slope over {sizes} a process; the largest against that line; "
+                "a process's whole time by its gateways, most",
+                *(f"{line.slope:.3%} of a core; {line.largest_off:+.1%}; {_dearest(line):.3%}" for line in lines),
+            )
+        ]
+    if all(cost.memory_line for cost in costs):
         memory = [cost.memory_line for cost in costs if cost.memory_line]
-        sizes = ", ".join(f"{size:g}" for size in cores[0].sizes)
         rows += [
-            (f"hollow gateway, processor (slope over {sizes} a process)", *(f"{c.slope:.3%} of a core" for c in cores)),
-            ("the largest process against that line", *(f"{c.largest_off:+.1%}" for c in cores)),
             ("hollow gateway, memory (slope)", *(f"{m.slope / 1024:.1f} KB" for m in memory)),
             ("the largest process against that line", *(f"{m.largest_off:+.1%}" for m in memory)),
         ]
@@ -196,6 +203,11 @@
     return _table(head, rows)
 
 
+def _dearest(line: Line) -> float:
+    """Return the largest cost of a process by its gateways: a bound on a gateway's cost that needs no fit."""
+    return max(cost / size for size, cost in zip(line.sizes, line.costs, strict=True))
+
+
 def _sessions(report: ScaleReport) -> str:
     return ", ".join(str(count) for count in report.phases[0].sessions.values())
 
--- a/tansykeel/scale/report.py
+++ b/tansykeel/scale/report.py
@@ -16,6 +16,7 @@
 from tansykeel.scale.observations import PROXY_RECORD, RECORDS, Observations, read_observations
 from tansykeel.scale.phase_report import PhaseReport, phase_report
 from tansykeel.scale.settings_files import gateway_settings
+from tansykeel.scale.statistics import Line
 
 MOST_BYTES_A_SECOND = 3_000.0  # in and out of one gateway for control
 MOST_CORES = 0.042  # of one gateway for control
@@ -62,7 +63,8 @@
     rules: dict[str, int]
     findings: tuple[str, ...]
     phases: tuple[PhaseReport, ...]
-    gateway_costs: GatewayCosts
+    gateway_costs: GatewayCosts  # in the quiet phase
+    cores_lines: dict[str, Line]  # by phase in which no gateway was killed
     node_costs: dict[str, NodeCosts]  # by phase
     bounds: tuple[Bound, ...]
 
@@ -106,6 +108,11 @@
     quiet = next((mark for mark in observations.phases if mark.fault == "none"), observations.phases[0])
     costs = gateway_costs(observations, layout, quiet)
     by_phase = {mark.name: gateway_costs(observations, layout, mark) for mark in observations.phases}
+    lines = {
+        mark.name: line
+        for mark in observations.phases
+        if mark.fault != "zone_killed" and (line := by_phase[mark.name].cores_line) is not None
+    }
     return ScaleReport(
         plan=plan.name,
         seed=observations.seed,
@@ -124,9 +131,16 @@
         ],
         phases=phases,
         gateway_costs=costs,
+        cores_lines=lines,
         node_costs={mark.name: node_costs(observations, layout, mark) for mark in observations.phases},
         bounds=tuple(
-            [*traffic_bounds(phases), *leader_bounds(phases), *cost_bounds(costs, quiet.name), *real_bounds(by_phase)]
+            [
+                *traffic_bounds(phases),
+                *leader_bounds(phases),
+                *cost_bounds(costs, quiet.name),
+                *slope_bounds(lines),
+                *real_bounds(by_phase),
+            ]
         ),
     )
 
@@ -157,10 +171,8 @@
 
 
 def cost_bounds(costs: GatewayCosts, phase: str) -> list[Bound]:
-    """Return what control costs a gateway against the bounds on processor time and memory."""
+    """Return what control costs a gateway in memory against the bound."""
     figures: list[tuple[str, float, float, str]] = []
-    if costs.cores_line:
-        figures.append(("processor, by slope", costs.cores_line.slope, MOST_CORES, "cores"))
     if costs.memory_line:
         figures.append(("memory, by slope", costs.memory_line.slope, MOST_MEMORY, "bytes"))
     if costs.real_memory and costs.plain_memory:
@@ -171,6 +183,14 @@
     ]
 
 
+def slope_bounds(lines: dict[str, Line]) -> list[Bound]:
+    """Return what control costs a hollow gateway by slope, by phase, against the bound on processor time."""
+    return [
+        Bound(what="processor, by slope", phase=phase, measured=line.slope, bound=MOST_CORES, unit="cores")
+        for phase, line in lines.items()
+    ]
+
+
 def real_bounds(costs_by_phase: dict[str, GatewayCosts]) -> list[Bound]:
     """Return what control adds to the busiest real gateway process, by phase, against the bound on processor time."""
     return [
--- a/tests/scale/test_page.py
+++ b/tests/scale/test_page.py
@@ -18,6 +18,7 @@
     leader_bounds,
     read_report,
     real_bounds,
+    slope_bounds,
     traffic_bounds,
 )
 from tansykeel.scale.statistics import fit_line, spread_of
@@ -77,6 +78,7 @@
         findings=(),
         phases=(PHASE,),
         gateway_costs=COSTS,
+        cores_lines={"killed": COSTS.cores_line},
         node_costs={"killed": NODES},
         bounds=tuple(traffic_bounds((PHASE,))),
     )
@@ -97,7 +99,8 @@
 
 def test_costs_of_a_gateway_are_the_slopes_and_what_control_adds_to_a_real_one():
     measured = [bound.measured for bound in cost_bounds(COSTS, "quiet")]
-    assert measured == pytest.approx([0.001, 40_000, 10e6])
+    assert measured == pytest.approx([40_000, 10e6])
+    assert [bound.measured for bound in slope_bounds({"killed": COSTS.cores_line})] == pytest.approx([0.001])
     dear = replaced(COSTS, busiest_real_cores=0.011 + MOST_CORES)
     assert [(bound.phase, bound.kept) for bound in real_bounds({"quiet": COSTS, "killed": dear})] == [
         ("quiet", True),
@@ -128,7 +131,8 @@
     assert "| killed | 13.0 | not by the end |" in section
     assert "| 2: busy |" in section
     assert "| another leader | killed | 13.0 s | 12.0 s | **over** |" in section
-    assert "| hollow gateway, processor (slope over 25, 50, 100, 125 a process) | 0.100% of a core |" in section
+    assert "25, 50, 100, 125 a process" in section
+    assert "| 0.100% of a core; -6.3%; 0.200% | 0.100% of a core; -6.3%; 0.200% |" in section
 
 
 def test_reports_of_two_plans_are_not_shown_together():
