--- a/tansykeel/emulator/control_faults.py
+++ b/tansykeel/emulator/control_faults.py
@@ -155,9 +155,10 @@
         }
         if not self._nodes_of(region):
             return  # there is nothing left to strike
+        alone = self._alone(fault) and any(node.leads for node in self._nodes_of(region))
         dead = strikes[fault.kind](fault, region)
         names = tuple(process.name for process in dead if isinstance(process, NodeProcess))
-        felt = FaultFelt(fault.kind, region, fault.at_s, covered, self._alone(fault), names)
+        felt = FaultFelt(fault.kind, region, fault.at_s, covered, alone, names)
         self.felt.append(felt)
         nodes = [node for node in self._nodes if node.region == region]
         FaultWatch(self._engine, felt, self._gateways, nodes, self._counted, self._watched_until())
--- a/tansykeel/emulator/control_measures.py
+++ b/tansykeel/emulator/control_measures.py
@@ -117,7 +117,7 @@
     region: str
     at_s: float
     gateways: Mapping[str, int]  # those with a lease when it began, and their incarnations
-    alone: bool = True  # no other fault about, from shortly before to when it is to be over
+    alone: bool = True  # no other fault about, from shortly before to when it is to be over, and somebody led the log
     dead: tuple[str, ...] = ()  # control nodes that died of it
     without_lease_s: float = 0.0  # until the last of them had a lease again; 0: none was ever without
     without_session_s: float = 0.0  # the same of sessions
