--- a/tansykeel/scale/plots.py
+++ b/tansykeel/scale/plots.py
@@ -26,16 +26,27 @@
     figure, axes = plt.subplots(figsize=(10, 4.5))
     _units(axes, folder, observations)
     made = [_saved(figure, out / f"scale-{report.plan}-units.png")]
-    if (line := report.gateway_costs.cores_line) is not None:
-        figure, axes = plt.subplots(figsize=(6, 4))
-        axes.plot(line.sizes, [100 * cost for cost in line.costs], "o", label="measured, quiet")
-        axes.plot(line.sizes, [100 * (line.fixed + line.slope * size) for size in line.sizes], label="fit")
-        axes.set(xlabel="hollow gateways in a process", ylabel="% of a core", title="Processor time for control")
-        axes.legend()
+    if report.cores_lines:
+        figure, axes = plt.subplots(figsize=(7, 4.5))
+        _processor(axes, report)
         made.append(_saved(figure, out / f"scale-{report.plan}-processor.png"))
     return made
 
 
+def _processor(axes: Any, report: ScaleReport) -> None:
+    """By phase, the processor time of hollow processes over their gateways, and the lines fitted to it."""
+    for phase, line in report.cores_lines.items():
+        (points,) = axes.plot(line.sizes, [100 * cost for cost in line.costs], "o", markersize=4, label=phase)
+        fitted = [100 * (line.fixed + line.slope * size) for size in line.sizes]
+        axes.plot(line.sizes, fitted, color=points.get_color(), linewidth=0.8)
+    axes.set(
+        xlabel="hollow gateways in a process",
+        ylabel="% of a core",
+        title=f"Processor time for control by phase, seed {report.seed}",
+    )
+    axes.legend(fontsize=7)
+
+
 def _units(axes: Any, folder: Path, observations: Observations) -> None:
     """By region, the part of its units that its gateways counted together."""
     observed = observe_file(folder / RECORDS / PROXY_RECORD)
