--- a/tests/control_plane/test_control_program.py
+++ b/tests/control_plane/test_control_program.py
@@ -15,6 +15,7 @@
 from tansykeel.cluster.failure_detector import Ping
 from tansykeel.cluster.messages import CODEC
 from tansykeel.control.node import ControlNode
+from tansykeel.control_plane import program as control_program
 from tansykeel.control_plane.program import EXIT_FAILED, ControlProgram
 from tansykeel.edge.ask import NotTold, ask, go_without
 from tansykeel.protocol.frames import (
@@ -145,6 +146,23 @@
     play(go())
 
 
+def test_a_connection_on_which_nothing_comes_is_closed_and_one_with_heartbeats_is_not(tmp_path, monkeypatch):
+    monkeypatch.setattr(control_program, "SILENT_SECONDS", 0.6)
+    monkeypatch.setattr(control_program, "SWEEP_SECONDS", 0.1)
+
+    async def go():
+        async with one_node(tmp_path) as (_, address):
+            served = await lone_gateway(address)
+            silent = asyncio.create_task((await Connection("gateway", "edge-1").connect(address)).error())
+            while not silent.done():
+                assert await served.renew()
+                await asyncio.sleep(0.1)
+            assert "nothing came for 0.6 s" in await silent
+            assert await served.renew()
+
+    play(go())
+
+
 def test_a_peer_that_reads_nothing_is_dropped_and_holds_little_memory(tmp_path):
     async def go():
         async with one_node(tmp_path) as (program, address):
@@ -236,6 +254,13 @@
     assert told.exit_code == 2 and says in told.output
 
 
+def test_a_node_whose_address_is_taken_says_which(tmp_path):
+    path, (address,) = written(tmp_path, 1)
+    with socket.create_server(address_of(address)):
+        told = CliRunner().invoke(app, ["control", str(path), "--number", "0"])
+    assert told.exit_code == 2 and f"{address}: " in told.output and "in use" in told.output
+
+
 def test_check_says_what_the_control_plane_of_the_example_holds(request):
     example = request.config.rootpath / "examples" / "control.star"
     told = CliRunner().invoke(app, ["check", str(example)])
