--- a/benchmarks/control_drills.py
+++ b/benchmarks/control_drills.py
@@ -24,8 +24,14 @@
 sys.path.insert(0, str(Path(__file__).parents[1] / "tests"))
 
 import control_stage  # noqa: E402
-from control_stage import REGION_UNITS, Gateway, NodeProcess, gateways, processes  # noqa: E402
-from stage import free_address  # noqa: E402
+from control_stage import (  # noqa: E402
+    REGION_UNITS,
+    Gateway,
+    NodeProcess,
+    free_address,
+    gateways,
+    processes,
+)
 
 from tansykeel.edge.ask import NotTold, ask, request  # noqa: E402
 from tansykeel.protocol.frames import ControlStatus, ControlStatusRequest  # noqa: E402
--- a/tests/control_stage.py
+++ b/tests/control_stage.py
@@ -4,22 +4,22 @@
 
 import asyncio
 import json
+import random
 import signal
 import sys
 from contextlib import asynccontextmanager, suppress
 
-from stage import free_address
-
 from tansykeel.control_plane.program import ControlProgram
 from tansykeel.edge.clock import clock
 from tansykeel.protocol.codec import Codec, Frame
 from tansykeel.protocol.frames import Error, Goodbye, Heartbeat, Hello, LeaseRenewal, SessionAccepted, SessionOpen
 from tansykeel.settings.build import load
 from tansykeel.transport.link import Hub, Limits, Link
-from tansykeel.transport.sockets import connect
+from tansykeel.transport.sockets import connect, listening
 
 REGION_UNITS = 700_000_000
 HEARTBEAT = 0.3  # seconds
+PORTS = 20_000, 32_000  # under those that the system gives to connections that are opened
 SETTINGS = """
 gateway("edge", peer_stall_s = 1)
 category("read", soft_limit_ms = 250, cut_off_ms = 1500)
@@ -31,6 +31,15 @@
 """
 
 
+def free_address():
+    """An address whose port the system gives no connection, so that none takes it before a node listens there."""
+    while True:
+        address = f"127.0.0.1:{random.randrange(*PORTS)}"
+        with suppress(OSError):
+            listening(address).close()
+            return address
+
+
 def written(folder, nodes):
     """Write settings with this many control nodes; their file and their addresses."""
     addresses = [free_address() for _ in range(nodes)]
