Tests: a logger that a command set up within the test process ends with its test

Seen: on a clean clone 4 of 1,248 tests failed in one run and 8 of 1,226 in another, none in a third on the same tree. Cause: tests/control_plane/test_control_program.py runs a command within the process, which sets the log up on the runner's stream; that is closed afterwards, and the next file of the same worker that logs ends with 'I/O operation on closed file'. Shown by running that file and tests/edge/test_peers.py in one process: 4 failed, 27 passed. Change: each test begins and ends with the logger as it is by default. The same two files: 33 passed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 import pytest
+import structlog
 
 MOST = 3
 
@@ -44,6 +45,13 @@
     config.stash[KNOWN] = known_red(config.rootpath / "KNOWN-RED.txt")
 
 
+@pytest.fixture(autouse=True)
+def _logging_of_its_own():
+    """Guards against a command that a test runs within this process: its log would go on to a stream closed since."""
+    yield
+    structlog.reset_defaults()
+
+
 KNOWN = pytest.StashKey[list[Known]]()
 
 
