Connections hold no receive buffer while they wait; all of a hub read into one

The spare buffers of the hub (32) are not the cause: each connection held one of its own.

Instead a connection now waits for its socket to be readable (`add_reader`) and then reads at once into the one buffer of its hub: nothing is awaited between the read and the codec, which copies what it keeps. The buffer is mapped memory, so a hub that sees small reads alone holds little of it. One read stays 256 KiB at most. A read whose wait began before a hold takes 2 KiB at most, as the small buffer allowed before: else each idle connection could bring a full buffer while there is no memory for it.

--- a/tansykeel/transport/__init__.py
+++ b/tansykeel/transport/__init__.py
@@ -1,1 +1,1 @@
-"""Connections over asyncio's socket calls (`sock_recv_into`, `sock_sendall`) on uvloop, with stated bounds."""
+"""Connections over asyncio's socket calls (`add_reader`, `sock_sendall`) on uvloop, with stated bounds."""
--- a/tansykeel/transport/link.py
+++ b/tansykeel/transport/link.py
@@ -2,7 +2,7 @@
 
 Bounds, each by name in `Limits`: a peer with more than `high_water` bytes waiting for it is not read from until it
 took them down to half of that; one that takes nothing for `stall` seconds, or says no hello within that time, is
-dropped. Receive buffers are small while a connection idles and borrowed from the hub while much comes in.
+dropped. A connection holds no receive buffer while it waits: all connections of a hub read into the one of the hub.
 """
 
 from __future__ import annotations
@@ -11,18 +11,24 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from mmap import mmap
 
 from tansykeel.protocol.codec import Codec, Event
 from tansykeel.protocol.frames import Error, Fields, Hello, ProtocolError
 from tansykeel.protocol.outgoing import Done, Outgoing
 
-SMALL = 2 << 10  # receive buffer of a connection that idles
-LARGE = 256 << 10  # one borrowed while a body comes in
-SPARE = 32  # large buffers kept for the next to borrow
+RECEIVE_BYTES = 256 << 10  # most of one read: four chunks of a body, so that a large body costs few reads
+HELD_RECEIVE_BYTES = 2 << 10  # most of one read whose wait began before a hold: sees that the peer left, takes little
 BATCH = 256 << 10  # bytes handed to the socket at once
 SWEEP = 0.25  # seconds between looks at stalled peers
 
 
+def _resolve(waiting: asyncio.Future[None]) -> None:
+    """End a wait, once: a reader may be called again before it is removed."""
+    if not waiting.done():
+        waiting.set_result(None)
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     high_water: int = 8 << 20
@@ -30,12 +36,12 @@
 
 
 class Hub:
-    """What the connections of one program share: limits, spare buffers, the look at stalled peers."""
+    """What the connections of one program share: limits, the receive buffer, the look at stalled peers."""
 
     def __init__(self, limits: Limits) -> None:
         self.limits = limits
         self.links: set[Link] = set()
-        self.spare: list[bytearray] = []
+        self.receive_buffer = memoryview(mmap(-1, RECEIVE_BYTES))  # pages that no read reached take no memory
         self._sweeping: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -49,13 +55,6 @@
             link.abort("the program ends")
         await asyncio.sleep(0)
 
-    def borrow(self) -> bytearray:
-        return self.spare.pop() if self.spare else bytearray(LARGE)
-
-    def give_back(self, buffer: bytearray) -> None:
-        if len(self.spare) < SPARE:
-            self.spare.append(buffer)
-
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP)
@@ -167,34 +166,45 @@
             self._work.set_result(None)
 
     async def _read(self) -> None:
-        small, large = bytearray(SMALL), None
-        recv_into, sock = self._loop.sock_recv_into, self.sock
         try:
-            while True:
+            while not self.lost:
                 while self.holds:
                     self._may_read = self._loop.create_future()
                     await self._may_read
-                buffer = large or small
-                size = await recv_into(sock, buffer)
-                if not size:
-                    return self.abort("closed by the peer")
-                for event in self.codec.receive(memoryview(buffer)[:size]):
-                    self.on_event(self, event)
-                    if self.lost:
-                        return
-                if size == len(buffer) and large is None:
-                    large = self.hub.borrow()
-                elif size < SMALL and large is not None:
-                    self.hub.give_back(large)
-                    large = None
+                await self._readable()
+                self._read_once(HELD_RECEIVE_BYTES if self.holds else RECEIVE_BYTES)
         except ProtocolError as error:
             self.send(0, Error(str(error)[:500]))
             self.close()
         except OSError as error:
             self.abort(error.strerror or type(error).__name__)
+
+    async def _readable(self) -> None:
+        """Wait until the socket has bytes, or its end, without a buffer to read them into."""
+        readable = self._loop.create_future()
+        self._loop.add_reader(self.sock, _resolve, readable)
+        try:
+            await readable
         finally:
-            if large is not None:
-                self.hub.give_back(large)
+            self._loop.remove_reader(self.sock)
+
+    def _read_once(self, most: int) -> None:
+        """Read what is there, at most so many bytes, and hand on its events.
+
+        Nothing is awaited between the read and the codec, which copies what it keeps: so one buffer serves all.
+        """
+        buffer = self.hub.receive_buffer
+        try:
+            size = self.sock.recv_into(buffer, most)
+        except BlockingIOError:  # the kernel may announce bytes that it drops afterwards
+            return
+        if not size:
+            self.abort("closed by the peer")
+            return
+        for event in self.codec.receive(buffer[:size]):
+            self.on_event(self, event)
+            if self.lost:
+                return
 
     async def _write(self) -> None:
         sendall, sock, outgoing = self._loop.sock_sendall, self.sock, self.outgoing
--- a/tests/transport/test_link.py
+++ b/tests/transport/test_link.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import resource
 import socket
+import tracemalloc
 
 import pytest
 
 from tansykeel.protocol.codec import Codec, Frame, Piece
 from tansykeel.protocol.frames import Answer, Error, Hello, TaskOf, pack
-from tansykeel.transport.link import Hub, Limits, Link
+from tansykeel.protocol.outgoing import Outgoing
+from tansykeel.transport.link import HELD_RECEIVE_BYTES, Hub, Limits, Link
 from tansykeel.transport.sockets import accept_all, connect, listening
 
 HELLO = Hello(1, "edge", "e")
@@ -122,6 +125,162 @@
     within(20, play())
 
 
+class SizesRead(Codec):
+    """A codec that also keeps how many bytes each read brought."""
+
+    def __init__(self, expect):
+        super().__init__(expect)
+        self.sizes = []
+
+    def receive(self, data):
+        self.sizes.append(len(data))
+        return super().receive(data)
+
+
+def write_of(size, stream):
+    """The bytes of one write whose body has so many bytes."""
+    written = Outgoing()
+    written.frame(stream, TaskOf("v", "w", 1, size, 0, 1, 1, body=size))
+    written.body(stream, [bytes(index % 251 for index in range(size))])
+    blocks = []
+    while written:
+        blocks += written.take(size)
+    return b"".join(blocks)
+
+
+def body_of(seen):
+    return b"".join(event.data for event in seen.events if isinstance(event, Piece))
+
+
+async def writing_pairs(hub, count):
+    """Connections of one hub, all past their hello: links, far ends, what each link told."""
+    links, far_ends, told = [], [], []
+    for number in range(count):
+        seen, (near, far) = Seen(), await tcp_pair()
+        links.append(Link(hub, near, SizesRead("client"), HELLO, seen.event, seen.gone))
+        far.setblocking(False)
+        await asyncio.get_running_loop().sock_sendall(far, pack(0, Hello(1, "client", f"c{number}")))
+        far_ends.append(far)
+        told.append(seen)
+    return links, far_ends, told
+
+
+async def end_all(hub, far_ends):
+    await hub.stop()
+    for far in far_ends:
+        far.close()
+
+
+@pytest.mark.parametrize("size", [1 << 10, 2 << 10, 4 << 10, 8 << 10, 100_000, 300_000])
+def test_a_connection_that_carried_a_body_holds_no_receive_buffer(size):
+    """Memory of connections that idle after a write is that of idle ones: no sum of buffers, whatever the body."""
+    count, whole = 40, write_of(size, 1)
+
+    async def play():
+        hub = Hub(Limits())
+        links, far_ends, told = await writing_pairs(hub, count)
+        while not all(seen.events for seen in told):
+            await asyncio.sleep(0.01)
+        gc.collect()
+        tracemalloc.start()
+        before, _ = tracemalloc.get_traced_memory()
+        for far, seen in zip(far_ends, told, strict=True):
+            await asyncio.get_running_loop().sock_sendall(far, whole)
+            while len(body_of(seen)) < size:
+                await asyncio.sleep(0.001)
+            seen.events.clear()
+        gc.collect()
+        after, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        await end_all(hub, far_ends)
+        return (after - before) / count
+
+    assert within(30, play()) < 4 << 10
+
+
+def test_a_large_body_arrives_whole_in_large_reads():
+    size = 1 << 20
+
+    async def play():
+        hub = Hub(Limits())
+        (link,), far_ends, (seen,) = await writing_pairs(hub, 1)
+        while not seen.events:
+            await asyncio.sleep(0.01)
+        link.hold_reading("the body comes first")
+        far_ends[0].setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * size)
+        sending = asyncio.create_task(asyncio.get_running_loop().sock_sendall(far_ends[0], write_of(size, 1)))
+        await asyncio.sleep(0.1)
+        link.read_on("the body comes first")
+        while len(body_of(seen)) < size:
+            await asyncio.sleep(0.01)
+        await sending
+        await end_all(hub, far_ends)
+        return body_of(seen), link.codec.sizes
+
+    body, sizes = within(20, play())
+    assert body == bytes(index % 251 for index in range(size))
+    assert max(sizes) > 128 << 10
+
+
+def test_connections_of_one_hub_keep_their_bodies_apart():
+    """Guards against bytes of one connection in the body of another, now that all read into one buffer."""
+    size, count = 300_000, 8
+
+    async def play():
+        hub, loop = Hub(Limits()), asyncio.get_running_loop()
+        _, far_ends, told = await writing_pairs(hub, count)
+        bodies = [bytes([number + 1]) * size for number in range(count)]
+        for number, far in enumerate(far_ends):
+            written = Outgoing()
+            written.frame(1, TaskOf("v", "w", 1, size, 0, 1, 1, body=size))
+            written.body(1, [bodies[number]])
+            loop.create_task(loop.sock_sendall(far, b"".join(written.take(2 * size))))
+        while not all(len(body_of(seen)) == size for seen in told):
+            await asyncio.sleep(0.01)
+        await end_all(hub, far_ends)
+        return [body_of(seen) for seen in told] == bodies
+
+    assert within(20, play())
+
+
+def test_a_hold_that_comes_while_a_read_waits_lets_little_in():
+    """Guards against a full buffer from each idle connection after the gateway has no memory left for bodies."""
+
+    async def play():
+        hub = Hub(Limits())
+        (link,), (far,), (seen,) = await writing_pairs(hub, 1)
+        while not seen.events:
+            await asyncio.sleep(0.01)
+        read_before = sum(link.codec.sizes)
+        link.hold_reading("no memory")
+        sending = asyncio.create_task(asyncio.get_running_loop().sock_sendall(far, write_of(100_000, 1)))
+        await asyncio.sleep(0.2)
+        read_held = sum(link.codec.sizes) - read_before
+        link.read_on("no memory")
+        while len(body_of(seen)) < 100_000:
+            await asyncio.sleep(0.01)
+        await sending
+        await end_all(hub, [far])
+        return read_held
+
+    assert within(20, play()) <= HELD_RECEIVE_BYTES
+
+
+def test_a_peer_that_leaves_as_a_hold_comes_is_seen_to_leave():
+    async def play():
+        hub = Hub(Limits())
+        (link,), (far,), (seen,) = await writing_pairs(hub, 1)
+        while not seen.events:
+            await asyncio.sleep(0.01)
+        link.hold_reading("no memory")
+        far.shutdown(socket.SHUT_WR)
+        await seen.lost.wait()
+        await end_all(hub, [far])
+        return seen.why
+
+    assert within(10, play()) == "closed by the peer"
+
+
 def test_a_peer_without_a_hello_is_dropped():
     async def play():
         hub, _, far, seen = await pair(Limits(stall=0.3))
