--- a/tansykeel/scale/processes.py
+++ b/tansykeel/scale/processes.py
@@ -7,11 +7,11 @@
 import os
 import signal
 import sys
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 from tansykeel.errors import NOT_PLAYED, Problem
+from tansykeel.rehearse.child_processes import Child
 
 START_WITHIN = 30.0  # seconds for a process to say that it is ready
 END_WITHIN = 10.0  # seconds for a process to end by itself
@@ -27,30 +27,14 @@
     code = NOT_PLAYED
 
 
-@dataclass(eq=False)
-class Running:
-    """A process that was started, with the lines that it says."""
-
-    name: str
-    process: asyncio.subprocess.Process
-    lines: asyncio.Queue[dict[str, Any]] = field(default_factory=asyncio.Queue)
-    reading: asyncio.Task[None] | None = None
+class Running(Child):
+    """A process that was started, with the lines that it says; it can be sent signals."""
 
     @property
     def pid(self) -> int:
         """Return its process id."""
         return self.process.pid
 
-    @property
-    def runs(self) -> bool:
-        """Return whether it has not ended yet."""
-        return self.process.returncode is None
-
-    def tell(self, **command: Any) -> None:
-        """Write a command to its standard input."""
-        if self.runs and self.process.stdin:
-            self.process.stdin.write(json.dumps(command).encode() + b"\n")
-
     def send_signal(self, number: signal.Signals) -> None:
         """Send it a signal, unless it has ended."""
         if self.runs:
