A store's age does not follow a stepped wall clock: the youngest of three readings counts

Cause: row_of took time.time() less up_since_ms, so a step forward of the gateway's clock made a new start look old, and a second start older than the first, which was then not taken in. Change: platform/start_age.py (no I/O) takes the least of the age by the wall clock now, the age by the first reading carried on by the monotonic clock, and 0 where the list was known to be without that start a moment ago. A clock that was wrong before the process began and a store already in the first list can't be told apart; that stays open.

--- a/tansykeel/platform/discovery.py
+++ b/tansykeel/platform/discovery.py
@@ -20,6 +20,7 @@
 from tansykeel.http1 import codec
 from tansykeel.platform.config import PHASES, Member, Members
 from tansykeel.platform.objects import Objects
+from tansykeel.platform.start_age import StartAge
 from tansykeel.transport.sockets import OUT_OF_FILES, address_of, open_socket
 from tansykeel.transport.stream import Stream
 
@@ -27,6 +28,7 @@
 AGAIN = 1.0  # seconds for the first byte of a watch, and for the first word of one beside a silent one
 MOST_WATCHES = 4  # at once; beyond them the one opened longest ago goes
 MOST_OBJECT = 4 << 20  # bytes of one object
+MICROSECONDS = 1_000_000  # in a second
 _decode = msgspec.json.Decoder(Members).decode
 
 
@@ -49,19 +51,23 @@
     failed: bool = False
 
 
-def row_of(member: Member, zones: dict[str, int]) -> Row:
-    """`up_since_ms` is by the clock that all machines share; its store is as old as that says."""
-    since = int(member.up_since_ms)
-    age = max(int((time.time() * 1000 - since) * 1000), MICROS) if since > 0 else 0
-    return Row(
-        member.id,
-        member.host_port,
-        zones.get(member.locality, 0),
-        member.cell,
-        PHASES[member.phase],
-        max(since, 0),
-        age,
-    )
+class RowReader:
+    """Turns members of discovery's list into rows. Reads the wall clock, which may be stepped: see `start_age`."""
+
+    def __init__(self, zones: dict[str, int]) -> None:
+        self.zones = zones
+        self.start_age = StartAge(time.time(), time.monotonic())  # wall clock: a later step shows against this reading
+
+    def row(self, member: Member, known_without: float | None) -> Row:
+        """Return the member's row. `known_without`: when the list was last known to be without this change."""
+        since = max(int(member.up_since_ms), 0)
+        age = 0
+        if since:
+            # wall clock: starts are told by it; of this and the first reading the younger age counts
+            seconds = self.start_age.age(since, time.time(), time.monotonic(), known_without)
+            age = max(int(seconds * MICROSECONDS), MICROS)
+        zone = self.zones.get(member.locality, 0)
+        return Row(member.id, member.host_port, zone, member.cell, PHASES[member.phase], since, age)
 
 
 class Watch:
@@ -118,7 +124,7 @@
         self,
         core: Core,
         address: str,
-        zones: dict[str, int],
+        rows: RowReader,
         revision: int,
         clock: Callable[[], int],
         now: Callable[[], float],
@@ -126,10 +132,11 @@
         pressure: Callable[[], None],
         note: Callable[..., Any],
     ) -> None:
-        self.core, self.address, self.zones, self.revision = core, address, zones, revision
+        self.core, self.address, self.rows, self.revision = core, address, rows, revision
         self.clock, self.now, self.changed, self.pressure, self.note = clock, now, changed, pressure, note
         self.watches: list[Watch] = []  # the newest last; an older one goes once a newer one has a word
         self.heard = now()  # when the last word came
+        self.last_word: float | None = None  # monotonic time of the last word of any watch, None before the first
         self.moved = False  # the address changed, and nothing was told there yet
         self.first = asyncio.Event()  # a list was told
         self.over = False
@@ -160,12 +167,14 @@
     def word(self, watch: Watch) -> None:
         """It lives: what was opened before it is not needed any more."""
         watch.told = True
+        self.last_word = time.monotonic()
         if watch.address == self.address:
             self.heard = self.now()
             for older in self.watches[: self.watches.index(watch)]:
                 self._let_go(older)
 
     def told(self, watch: Watch, members: Members) -> None:
+        known_without = self.last_word
         self.word(watch)
         first = self.moved and watch.address == self.address
         anew = members.revision < self.revision
@@ -177,7 +186,7 @@
             return self._open(index=0)
         self.moved = self.moved and not first
         self.revision = members.revision
-        rows = [row_of(member, self.zones) for member in members.members]
+        rows = [self.rows.row(member, known_without) for member in members.members]
         self.core.listed(self.clock(), Update(members.complete, members.revision, rows), anew)
         if rows or members.complete:
             self.note(
--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -24,7 +24,7 @@
 from tansykeel.interface import Word
 from tansykeel.platform.clients import Client, Clients
 from tansykeel.platform.config import Config, Illegal, read
-from tansykeel.platform.discovery import Discovery, row_of
+from tansykeel.platform.discovery import Discovery, RowReader
 from tansykeel.platform.intake import Reader, Wanted
 from tansykeel.platform.stores import Stores
 from tansykeel.transport.sockets import accept_all, accept_waiting, listening, run
@@ -71,6 +71,7 @@
         self.reader = Reader(config.facts)
         bounds = Bounds(config.open_tasks, int(limits.memory_mb * 2**20 * BODY_PART), codec.MOST_BODY)
         known = config.file.known
+        rows = RowReader(config.zones)
         self.core = Core(
             config.facts,
             config.seed,
@@ -78,7 +79,7 @@
             clock(),
             bounds,
             self.reader,
-            [row_of(member, config.zones) for member in known.members],
+            [rows.row(member, None) for member in known.members],
         )
         for_stores = int(limits.sockets * STORE_PART)
         self.clients = Clients(
@@ -100,7 +101,7 @@
         self.discovery = Discovery(
             self.core,
             config.file.discovery,
-            config.zones,
+            rows,
             known.revision,
             clock,
             loop.time,
--- a/tests/platform/test_clock_steps.py
+++ b/tests/platform/test_clock_steps.py
@@ -13,7 +13,7 @@
     "Rules": {"Cold": WARM_AFTER * 1e9, "ColdShare": 0.19, "FallMultiple": 2.5, "OverloadFor": 3e9},
     "Specifics": SETTINGS["Specifics"] | {"YoungLimit": 30.0},
 }
-STEPS = [3600.0, 5.0]  # seconds
+STEPS = [3600.0, 5.0, -5.0, -3600.0]  # seconds
 
 
 def step_wall_clock(monkeypatch, seconds):
