Failing tests: accept, socket or descriptors that fail for a moment cost clients their requests

Seen from outside: with ENOBUFS or ENFILE on every second accept each client on a new connection is reset. accept_all calls Stores.pressure, whose Clients.make_place closes the oldest silent connection. Found beside it: accept_waiting stops at the first failure, and the listener closes over the others; make_place and make_room end connections of which half a request was read.

--- /dev/null
+++ b/tests/platform/test_system_calls.py
@@ -0,0 +1,99 @@
+"""System calls that fail for a moment, as Linux documents it: nobody pays for that with a request."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+
+import pytest
+from platform_stage import Store, play, staged, until
+
+from tansykeel.platform import program
+from tansykeel.transport import sockets
+
+FAILURES = [
+    errno.ENOBUFS,
+    errno.ENFILE,
+    errno.ENOMEM,
+    errno.EMFILE,
+]
+
+
+class FailingListener:
+    """A listening socket of which every second `accept` fails."""
+
+    def __init__(self, listener, failure):
+        self.listener, self.failure = listener, failure
+        self.calls = 0
+
+    def accept(self):
+        self.calls += 1
+        if self.calls % 2:
+            raise OSError(self.failure, "for a moment")
+        return self.listener.accept()
+
+    def __getattr__(self, name):
+        return getattr(self.listener, name)
+
+
+def fail_every_second_accept(monkeypatch, failure):
+    real = sockets.listening
+    monkeypatch.setattr("platform_stage.listening", lambda address: FailingListener(real(address), failure))
+
+
+@pytest.mark.parametrize("failure", FAILURES, ids=lambda failure: errno.errorcode[failure])
+@pytest.mark.parametrize("stopping", [False, True])
+def test_who_connects_while_accepting_fails_is_answered(tmp_path, monkeypatch, failure, stopping):
+    fail_every_second_accept(monkeypatch, failure)
+
+    async def ask_on_new_connection(stage, id):
+        client = await stage.client()
+        await asyncio.sleep(0.01)  # it has been accepted, and what it asks is on its way
+        return await client.ask(id)
+
+    async def go():
+        async with staged(tmp_path, Store("s0", 0)) as stage:
+            await until(lambda: stage.gateway.core.list_version == 5)
+            if stopping:
+                stage.gateway.stop()
+            answers = await asyncio.gather(*(ask_on_new_connection(stage, id) for id in range(1, 41)))
+            assert [answer and answer.status for answer in answers] == [200] * 40
+            assert not stage.gateway.clients.unanswered
+
+    play(go())
+
+
+@pytest.mark.parametrize("failure", FAILURES, ids=lambda failure: errno.errorcode[failure])
+def test_connections_that_wait_at_the_end_are_taken_though_accepting_fails(failure):
+    """The listener closes after this: whoever still waits there would be reset."""
+
+    listener = sockets.listening("127.0.0.1:0")
+    waiting = [socket.create_connection(listener.getsockname()) for _ in range(5)]
+    taken = []
+    sockets.accept_waiting(FailingListener(listener, failure), taken.append)
+    assert len(taken) == len(waiting)
+    for sock in (listener, *waiting, *taken):
+        sock.close()
+
+
+def test_no_descriptor_costs_no_client_that_has_begun_to_ask(tmp_path):
+    """EMFILE is ours to mend by closing what idles, never whoever is new or in the middle of a request."""
+
+    async def go():
+        async with staged(tmp_path, Store("s0", 0)) as stage:
+            await until(lambda: stage.gateway.core.list_version == 5)
+            begun, rested = await stage.client(), await stage.client()
+            assert (await rested.ask(1)).status == 200
+            begun.writer.write(b"GET /api/")
+            await asyncio.sleep(program.LOOK + 0.1)
+            new = await stage.client()
+            await until(lambda: len(stage.gateway.clients.conns) == 3)
+            for _ in range(3):
+                stage.gateway.stores.pressure()
+            assert await rested.ended()
+            begun.writer.write(b"x HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert (await begun.answer()).status == 404
+            assert (await new.ask(2)).status == 200
+
+    play(go())
