A failed accept costs no client its request, and who began to ask is told so before room is made

Cause: accept_all took ENFILE, ENOBUFS and ENOMEM for a lack of its own descriptors and shed the oldest silent client at each; accept_waiting gave up at the first failure; make_place and make_room passed over what a client had already sent. Half a request is answered 503 where room must be made. The queue at the end is emptied through 100 failures in a row.

--- a/tansykeel/platform/clients.py
+++ b/tansykeel/platform/clients.py
@@ -94,6 +94,11 @@
         self.since = self.owner.now()
         self._linger()
 
+    @property
+    def has_said_nothing(self) -> bool:
+        """Whether it has not asked yet and no byte of a request has come, read or not."""
+        return not (self.asked or self.ending or self.reader.partial) and self.stream.quiet()
+
     def close(self) -> None:
         for held in (self.owner.conns, self.owner.silent, self.owner.resting, self.owner.lingering):
             held.pop(self, None)
@@ -206,7 +211,7 @@
     def accept(self, sock: socket.socket) -> None:
         if len(self.conns) >= self.most - LINGERING and len(self.lingering) < LINGERING:
             self.make_room()
-        if len(self.conns) >= self.most and not self.make_place():
+        if len(self.conns) >= self.most and not self._make_place_for_new():
             self.unanswered["no room"] += 1
             sock.close()
             return
@@ -215,30 +220,37 @@
 
     def make_room(self) -> None:
         """Guards against a crowd that is silent or stays: not against one that asks. A client that has only just
-        connected has its request on the way."""
+        connected has its request on the way; one that has begun to ask is told to come back."""
         before = self.now() - BRIEF
-        for client in self._spare():
-            if client.since <= before:
-                return self._shed(client, "made room", client.end)
+        if client := self._spare(before):
+            return self._shed(client, "made room", client.end)
+        begun = next((client for client in self.silent if client.reader.partial and client.since <= before), None)
+        if begun:
+            begun.turn_away(503)
 
     def make_place(self) -> bool:
         """A descriptor is needed at once: close who was told of it longest ago, else who can best be spared."""
         told = next((client for client in self.lingering if not client.stream.unsent), None)
-        spare = [client for client in (told, *self._spare()) if client]
-        before = self.now() - BRIEF
-        for client in spare:
-            if client is told or client.since <= before:
-                self._shed(client, "made room", client.close)
-                return True
-        silent = next(iter(self.silent), None)
-        if silent:
-            self._shed(silent, "made room, new", silent.close)
-        return silent is not None
-
-    def _spare(self) -> list[Client]:
-        """Who has said nothing for longest, and who idles longest."""
-        found = next(iter(self.silent), None), next((client for client in self.resting if client.idle), None)
-        return [client for client in found if client]
+        if client := told or self._spare(self.now() - BRIEF):
+            self._shed(client, "made room", client.close)
+        return client is not None
+
+    def _make_place_for_new(self) -> bool:
+        """As `make_place`; in a flood the oldest of those that have said nothing yet goes, however new it is."""
+        if self.make_place():
+            return True
+        oldest = next((client for client in self.silent if client.has_said_nothing), None)
+        if oldest:
+            self._shed(oldest, "made room, new", oldest.close)
+        return oldest is not None
+
+    def _spare(self, before: float) -> Client | None:
+        """Who has said nothing since `before` for longest, else who idles since then for longest."""
+        silent = next((client for client in self.silent if client.has_said_nothing), None)
+        if silent and silent.since <= before:
+            return silent
+        resting = next((client for client in self.resting if client.idle and client.stream.quiet()), None)
+        return resting if resting and resting.since <= before else None
 
     def crowded(self) -> bool:
         """Guards against clients that ask once and stay for good: they take the connections that the others need."""
--- a/tansykeel/platform/discovery.py
+++ b/tansykeel/platform/discovery.py
@@ -21,7 +21,7 @@
 from tansykeel.platform.config import PHASES, Member, Members
 from tansykeel.platform.objects import Objects
 from tansykeel.platform.start_age import StartAge
-from tansykeel.transport.sockets import OUT_OF_FILES, address_of, open_socket
+from tansykeel.transport.sockets import address_of, lacks_descriptor, open_socket
 from tansykeel.transport.stream import Stream
 
 SILENT = 2.5  # seconds without a word (a line comes each 2 s) after which a second watch is opened beside the first
@@ -228,7 +228,7 @@
             self.watches.append(Watch(self, self.address, self.revision if index is None else index))
         except OSError as error:
             self.note("no watch", why=error.strerror or type(error).__name__)
-            if error.errno in OUT_OF_FILES:
+            if lacks_descriptor(error):
                 self.pressure()
             return self._lost()
         if len(self.watches) > MOST_WATCHES:
--- a/tansykeel/platform/pool.py
+++ b/tansykeel/platform/pool.py
@@ -10,7 +10,7 @@
 from tansykeel.edge.tasks import Attempt
 from tansykeel.interface import How, State, Store
 from tansykeel.platform.connection import ConnectionGateway, StoreConnection
-from tansykeel.transport.sockets import OUT_OF_FILES, PRESSURE_REST
+from tansykeel.transport.sockets import OUT_OF_FILES, PRESSURE_REST, lacks_descriptor
 
 COOL_DOWN = 0.005  # seconds after an answer in which a second one would still come, of a store not known to send any
 MOST_COOL_DOWN = 0.25  # seconds, of a store that has answered twice
@@ -164,7 +164,8 @@
         self.gateway.note("no connection", store=self.store.handle, why=str(error))
         if isinstance(error, OSError) and error.errno in OUT_OF_FILES:
             # Guards against a store that counts as out of reach because we lack a descriptor.
-            self.gateway.pressure()
+            if lacks_descriptor(error):
+                self.gateway.pressure()
             self.gateway.after(PRESSURE_REST, self.open)
         else:
             self.gateway.later(lambda: self.connect_failed(retry=False))
--- a/tansykeel/transport/sockets.py
+++ b/tansykeel/transport/sockets.py
@@ -11,8 +11,12 @@
 from tansykeel.errors import Problem
 
 PRESSURE_REST = 0.05  # seconds before the next accept when no descriptor was left
+FAILURE_REST = 0.005  # seconds before the next accept when the system lacked something for a moment
 AT_ONCE = 16  # connections accepted in one turn of the loop
+MOST_FAILURES = 4  # accepts in a row that may fail in one turn of the loop
+MOST_FAILURES_AT_END = 100  # accepts in a row that may fail before a queue that is to be emptied is given up
 T = TypeVar("T")
+# The system lacks something for a moment. Only EMFILE is of this process's own making, and closing what idles mends it.
 OUT_OF_FILES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -64,6 +68,11 @@
     return sock
 
 
+def lacks_descriptor(error: OSError) -> bool:
+    """Whether this process holds all descriptors that it may, so that closing one of its own helps."""
+    return error.errno == errno.EMFILE
+
+
 async def accept_all(
     listener: socket.socket, take: Callable[[socket.socket], None], pressure: Callable[[], None] = lambda: None
 ) -> None:
@@ -71,23 +80,33 @@
 
     Each is handed over in the call that accepts it: guards against one that a waiting task has accepted and not yet
     taken when it is cancelled, which would be reset. Out of descriptors it calls `pressure`, which may close what
-    idles, and rests: guards against a loop that spins on a listening socket which stays readable.
+    idles, and rests: guards against a loop that spins on a listening socket which stays readable. Any other failure is
+    the system's or the peer's: it is tried again and costs no connection.
     """
     loop = asyncio.get_running_loop()
     resting: asyncio.TimerHandle | None = None
 
-    def ready() -> None:
+    def rest(seconds: float) -> None:
         nonlocal resting
+        loop.remove_reader(listener)
+        resting = loop.call_later(seconds, loop.add_reader, listener, ready)
+
+    def ready() -> None:
+        failures = 0
         for _ in range(AT_ONCE):
             try:
                 sock, _ = listener.accept()
+            except BlockingIOError:
+                return
             except OSError as error:
-                if error.errno in OUT_OF_FILES:
+                failures += 1
+                if lacks_descriptor(error):
                     pressure()
-                    loop.remove_reader(listener)
-                    resting = loop.call_later(PRESSURE_REST, loop.add_reader, listener, ready)
-                return
-            take(sock)
+                if failures >= MOST_FAILURES:
+                    return rest(PRESSURE_REST if lacks_descriptor(error) else FAILURE_REST)
+            else:
+                failures = 0
+                take(sock)
 
     loop.add_reader(listener, ready)
     try:
@@ -100,13 +119,19 @@
 
 
 def accept_waiting(listener: socket.socket, take: Callable[[socket.socket], None]) -> None:
-    """Hand over the connections that came and wait. Guards against their reset as the listener closes."""
-    while True:
+    """Hand over the connections that came and wait. Guards against their reset as the listener closes, also where
+    accepting fails for a moment."""
+    failures = 0
+    while failures < MOST_FAILURES_AT_END:
         try:
             sock, _ = listener.accept()
-        except OSError:
+        except BlockingIOError:
             return
-        take(sock)
+        except OSError:
+            failures += 1
+        else:
+            failures = 0
+            take(sock)
 
 
 def run(main: Callable[[], Coroutine[Any, Any, T]]) -> T:
--- a/tests/platform/test_system_calls.py
+++ b/tests/platform/test_system_calls.py
@@ -17,6 +17,10 @@
     errno.ENFILE,
     errno.ENOMEM,
     errno.EMFILE,
+    errno.ECONNABORTED,
+    errno.EINTR,
+    errno.EPROTO,
+    errno.ENETUNREACH,
 ]
 
 
