A log that nobody reads holds nothing up, and signals count from the first moment of the process

Cause: log() wrote and flushed standard output, blocking, and its error ended serve(); signals had no handler until the loop ran, some 0.4 s after the start. Change: platform/event_log.py writes a line only where the descriptor polls as writable, at most 4 KiB at once, drops it otherwise and tells lines_lost; errors lose the line only. platform/start_signals.py keeps SIGHUP, SIGTERM and SIGINT from before the program's imports on and hands them to the loop with their times; run ignores SIGHUP until then, as the configuration is read later anyway. SIGTERM during the start is the same mistake and ends in order now. Started without the shell's trap, the interpreter's own first 0.05 s are as before.

--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -4,12 +4,10 @@
 
 import asyncio
 import gc
-import json
 import os
 import resource
 import signal
 import sys
-import time
 from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
@@ -25,7 +23,9 @@
 from tansykeel.platform.clients import Client, Clients
 from tansykeel.platform.config import Config, Illegal, read
 from tansykeel.platform.discovery import Discovery, RowReader
+from tansykeel.platform.event_log import standard_output
 from tansykeel.platform.intake import Reader, Wanted
+from tansykeel.platform.start_signals import StartSignals
 from tansykeel.platform.stores import Stores
 from tansykeel.transport.sockets import accept_all, accept_waiting, listening, run
 
@@ -43,14 +43,7 @@
 USAGE = 2
 
 
-def log(event: str, **fields: Any) -> None:
-    """One line of JSON on standard output."""
-    sys.stdout.write(json.dumps({"at": round(time.time(), 3), "event": event} | fields, default=_plain) + "\n")
-    sys.stdout.flush()
-
-
-def _plain(value: Any) -> str:
-    return value.decode("latin-1") if isinstance(value, bytes) else str(value)
+log = standard_output()
 
 
 class Gateway:
@@ -110,13 +103,12 @@
             log,
         )
 
-    async def serve(self, listener: socket) -> int:
-        """Take tasks until SIGTERM, answer what is held, return the exit code."""
+    async def serve(self, listener: socket, signals: StartSignals | None = None) -> int:
+        """Take tasks until SIGTERM, answer what is held, return the exit code. `signals`: what came so far."""
         loop, file = self.loop, self.config.file
         loop.set_exception_handler(self._broken)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stop)
-        loop.add_signal_handler(signal.SIGHUP, self.read_anew)
+        handlers = {signal.SIGTERM: self.stop, signal.SIGINT: self.stop, signal.SIGHUP: self.read_anew}
+        (signals or StartSignals()).hand_over(loop, handlers)
         assert self.discovery is not None
         self.discovery.ask()
         with suppress(TimeoutError):
@@ -153,9 +145,9 @@
         log("stopped", left_unanswered=len(self.open))
         return 0
 
-    def stop(self) -> None:
-        """SIGTERM; a second one changes nothing."""
-        self.told_to_stop = self.told_to_stop or self.loop.time()
+    def stop(self, received_at: float | None = None) -> None:
+        """SIGTERM, received at that time of the monotonic clock, or now; a second one changes nothing."""
+        self.told_to_stop = self.told_to_stop or received_at or self.loop.time()
         self.stopping.set()
 
     async def _close_between_requests(self, killed: float) -> None:
@@ -177,7 +169,7 @@
             await asyncio.sleep(0.02)
         self.clients.close_all()
 
-    def read_anew(self) -> None:
+    def read_anew(self, received_at: float | None = None) -> None:
         """SIGHUP: discovery may have moved. All else is taken at the start only."""
         try:
             config = read(self.path)
@@ -320,11 +312,12 @@
         )
 
 
-async def _serve(path: str, config: Config, listener: socket) -> int:
-    return await Gateway(path, config).serve(listener)
+async def _serve(path: str, config: Config, listener: socket, signals: StartSignals | None) -> int:
+    return await Gateway(path, config).serve(listener, signals)
 
 
-def main() -> int:
+def main(signals: StartSignals | None = None) -> int:
+    """Run a gateway until it is told to stop; return the exit code. `signals`: those that came so far."""
     path = os.environ.get("EDGE_CONFIG", "")
     try:
         config = read(path)
@@ -338,4 +331,4 @@
             file=sys.stderr,
         )
         return USAGE
-    return run(lambda: _serve(path, config, listener))
+    return run(lambda: _serve(path, config, listener, signals))
