Failing tests: requests read behind another get too much time, or no answer at the end

Found by going through the rule on the time told to a store and the rule that what was read is answered: Client._next takes a request at its turn, and Reader.asked counts its time from then, so one that waited 0.8 s behind another tells its store 0.8 s too much and is answered that much after its client has gone. While the gateway ends, Client._linger clears the reader with whole requests in it.

--- a/tansykeel/platform/start_signals.py
+++ b/tansykeel/platform/start_signals.py
@@ -33,8 +33,8 @@
         """Let the loop handle signals from now on; the handlers are told of those kept, with their times."""
         for number, handler in handlers.items():
             loop.add_signal_handler(number, lambda handler=handler: handler(time.monotonic()))
-        for number, received_at in sorted(self.received.items(), key=lambda item: item[1]):
-            handlers[signal.Signals(number)](received_at)
+        for kept, received_at in sorted(self.received.items(), key=lambda item: item[1]):
+            handlers[signal.Signals(kept)](received_at)
         self.received.clear()
 
     def _keep(self, number: int, frame: FrameType | None) -> None:
--- /dev/null
+++ b/tests/platform/test_sent_ahead.py
@@ -0,0 +1,86 @@
+"""Requests that a client sends before it has the answer to the one before them: each has its own time and answer."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+from platform_stage import Store, asking, ok, play, staged, until
+
+from tansykeel.platform import program
+
+SLACK = 0.15  # seconds by which the time told to a store may be over what the client has left
+
+
+class SlowStore(Store):
+    """Answers after a while; notes when each request came and what time it was told."""
+
+    def __init__(self, name, shard, seconds):
+        super().__init__(name, shard, lambda request: None)
+        self.seconds, self.told = seconds, {}
+
+    def _note(self, request, writer):
+        self.told[request.fields[b"x-txn"]] = (time.monotonic(), float(request.fields[b"x-remaining"]))
+        asyncio.get_running_loop().call_later(self.seconds, writer.write, ok())
+
+    async def talk(self, reader, writer):
+        self.reply = lambda request: self._note(request, writer)
+        await super().talk(reader, writer)
+
+
+@pytest.mark.parametrize("service_time", [0.4, 0.8])
+def test_a_request_that_waited_behind_another_tells_its_store_the_time_that_is_left(tmp_path, service_time):
+    async def go():
+        store = SlowStore("s0", 0, service_time)
+        async with staged(tmp_path, store) as stage:
+            client = await stage.client()
+            sent = time.monotonic()
+            client.writer.write(b"".join(asking(id, x_remaining="1.0") for id in (1, 2, 3)))
+            statuses = [(await client.answer()).status for _ in range(3)]
+            assert statuses[0] == 200 and time.monotonic() - sent < 1.0 + 0.1
+            late = {
+                id: told - (sent + 1.0 - came)
+                for id, (came, told) in store.told.items()
+                if told > sent + 1.0 - came + SLACK
+            }
+            assert not late
+
+    play(go())
+
+
+def test_one_whose_time_is_up_before_its_turn_is_answered_and_not_sent(tmp_path):
+    async def go():
+        store = SlowStore("s0", 0, 0.6)
+        async with staged(tmp_path, store) as stage:
+            client = await stage.client()
+            client.writer.write(asking(1, x_remaining="1.0") + asking(2, x_remaining="0.5"))
+            assert (await client.answer()).status == 200
+            assert (await client.answer()).status == 503
+            assert len(store.told) == 1
+
+    play(go())
+
+
+@pytest.mark.parametrize("moment", ["serving", "ended"])
+def test_requests_that_were_read_behind_the_last_answer_of_a_gateway_that_ends_are_answered(
+    tmp_path, monkeypatch, moment
+):
+    monkeypatch.setattr(program, "LONGEST", 0.5)
+    monkeypatch.setattr(program, "KILLS_AFTER", 2.0)
+
+    async def go():
+        store = SlowStore("s0", 0, 0.1 if moment == "serving" else 9.0)
+        async with staged(tmp_path, store) as stage:
+            await until(lambda: stage.gateway.core.list_version == 5)
+            stage.gateway.stop()
+            await until(lambda: stage.gateway.closing)
+            client = await stage.client()
+            client.writer.write(b"".join(asking(id) for id in (1, 2, 3, 4)))
+            answers = [await client.answer() for _ in range(4)]
+            expected = 200 if moment == "serving" else 503
+            assert [answer and answer.status for answer in answers] == [expected] * 4
+            assert not answers[-1].lasts
+            assert await client.ended()
+
+    play(go())
