A request's time runs from when it came, and what was read is answered before a connection ends

Cause: Reader.asked counted a request's time from its turn; Gateway.answer let each answer of a gateway that ends be its connection's last, and Client._linger cleared what had been read behind it.

--- a/tansykeel/http1/codec.py
+++ b/tansykeel/http1/codec.py
@@ -43,6 +43,7 @@
     target: bytes
     fields: Fields  # names in lower case
     body: bytes
+    received_at: int = 0  # when its last byte came, as `feed` was told
 
     @property
     def lasts(self) -> bool:
@@ -166,6 +167,7 @@
         self._target = b""
         self._ready: deque[tuple[Request, int]] = deque()
         self._waiting = 0
+        self._received_at = 0
 
     @property
     def size(self) -> int:
@@ -177,6 +179,11 @@
         """Whether `next` has something to tell."""
         return bool(self._ready) or self.fault is not None
 
+    def feed(self, data: bytes, received_at: int = 0) -> None:
+        """Take bytes in that came at that time: requests that are whole with them carry it."""
+        self._received_at = received_at
+        super().feed(data)
+
     def next(self) -> Request | None:
         """The next request that is whole. Raises Malformed."""
         if self._ready:
@@ -212,7 +219,9 @@
 
     def _whole(self, body: bytes) -> None:
         size = len(body) + sum(map(len, self._fields.values()))
-        self._ready.append((Request(self._parser.get_method(), self._target, self._fields, body), size))
+        method = self._parser.get_method()
+        request = Request(method, self._target, self._fields, body, self._received_at)
+        self._ready.append((request, size))
         self._waiting += size
 
 
--- a/tansykeel/platform/clients.py
+++ b/tansykeel/platform/clients.py
@@ -67,6 +67,11 @@
         """Whether it has had its answers whole and has not begun to ask again."""
         return self.open is None and not (self.ending or self.stream.unsent or self.reader.partial or self.reader.waits)
 
+    @property
+    def has_sent_more(self) -> bool:
+        """Whether more has come than the open request, read or not: whole requests, a part of one, or an end."""
+        return self.reader.waits or self.reader.partial or not self.stream.quiet()
+
     def answer(self, data: bytes, last: bool) -> None:
         """The answer to its open request; `last`: the connection ends with it."""
         self.open = None
@@ -129,7 +134,7 @@
             return
         if self.open is None and not self.reader.partial:
             self.since = self.owner.now()
-        self.reader.feed(data)
+        self.reader.feed(data, self.owner.received_at(self.stream))
         # Guards against many that send large bodies and never end them: the memory is not theirs alone.
         crammed = self.reader.size > codec.MOST_HEAD and self.owner.unread() > self.owner.most_bytes
         if self.open is not None:
@@ -199,8 +204,11 @@
         most_bytes: int,
         now: Callable[[], float],
         later: Callable[[Callable[[], None]], object],
+        received_at: Callable[[Stream], int],
     ) -> None:
+        """`received_at`: when the bytes came that were read from a stream just now, by the core's clock."""
         self.handler, self.most, self.most_bytes, self.now, self.later = handler, most, most_bytes, now, later
+        self.received_at = received_at
         self.conns: dict[Client, None] = {}
         self.silent: dict[Client, None] = {}  # of them, without a whole request, the oldest first
         self.resting: dict[Client, None] = {}  # had an answer, the one longest ago first
--- a/tansykeel/platform/intake.py
+++ b/tansykeel/platform/intake.py
@@ -24,7 +24,7 @@
 
 @dataclass(eq=False, slots=True)  # not frozen: that costs a call for each field
 class Wanted:
-    """A request that has the form of one; `patience` in tenths from now."""
+    """A request that has the form of one; `patience` in tenths from when its last byte came."""
 
     request: Request
     id: bytes
@@ -97,6 +97,8 @@
             self.volumes.move_to_end(name)
         volume.gateways = request.hosts
         patience = request.patience
+        # One that a client sent ahead has waited for its turn: its time runs from when it came.
+        received_at = min(request.request.received_at, now) or now
         task = Task(
             None,
             request.category,
@@ -104,8 +106,8 @@
             request.units,
             None if request.shard < 0 else request.shard,
             request.key,
-            now,
-            now + patience - min(SPARE, patience // 2),
+            received_at,
+            received_at + patience - min(SPARE, patience // 2),
             request.again,
         )
         return Asked(task, 0, len(request.request.body))
--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -76,7 +76,12 @@
         )
         for_stores = int(limits.sockets * STORE_PART)
         self.clients = Clients(
-            self, limits.sockets - for_stores - OTHERS, bounds.body_memory, loop.time, loop.call_soon
+            self,
+            limits.sockets - for_stores - OTHERS,
+            bounds.body_memory,
+            loop.time,
+            loop.call_soon,
+            lambda stream: clock(),
         )
         self.stores = Stores(
             self.core,
@@ -185,7 +190,7 @@
 
     def request(self, client: Client, request: Request) -> None:
         if request.target == b"/_health":
-            last = self.closing or not request.lasts
+            last = self._ends_with_answer(client, request)
             return client.answer(codec.answer(200, b"ok\n", last=last), last)
         try:
             wanted = self.reader.wanted(request)
@@ -210,7 +215,7 @@
         if self.open.pop(held.id, None) is None:
             return
         wanted: Wanted = held.request
-        last = self.closing or not wanted.request.lasts
+        last = self._ends_with_answer(client, wanted.request)
         if final.result == DELIVERED:
             data = codec.answer(200, body[0], last=last)
         elif final.result == NACKED:
@@ -259,6 +264,11 @@
 
     # Within
 
+    def _ends_with_answer(self, client: Client, request: Request) -> bool:
+        """Whether the connection ends with the answer to this request. Guards against requests that were sent ahead
+        while the gateway ends: what has been read is answered first."""
+        return not request.lasts or (self.closing and not client.has_sent_more)
+
     async def _look(self) -> None:
         now = self.loop.time()
         report, tidy, late = now + REPORT, now + TIDY, 0.0
