Failing tests: after a stop a gateway acts on what it knew before it

Found by crossing each rule with a process that stands still (SIGSTOP for 1.2 s): a request that waited unread tells its store up to 1.2 s more than its client has left; a request read before the watch beside it goes to a store of whose drain the agent told 1.1 s ago; a client that asked during the stop is ended as idle, its request read and let go.

--- /dev/null
+++ b/tests/platform/test_held_up.py
@@ -0,0 +1,130 @@
+"""A gateway that is held up (SIGSTOP, a busy machine): what came meanwhile is known before anything is done."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import time
+from contextlib import asynccontextmanager
+
+import pytest
+from platform_process import HEALTH, process
+from platform_stage import List, Store, asking, ok, play, until
+
+from tansykeel.http1 import codec
+
+SLACK = 0.15  # seconds by which the time told to a store may be over what the client has left
+STOP = 1.2  # seconds for which the gateway stands still
+
+
+class NotingStore(Store):
+    """Notes when each request came, and what time it was told."""
+
+    def __init__(self, name, shard):
+        super().__init__(name, shard, self._answer)
+        self.came = {}
+
+    def _answer(self, request):
+        id = int(request.fields[b"x-txn"], 16)
+        self.came[id] = (time.monotonic(), float(request.fields[b"x-remaining"]))
+        return ok()
+
+
+class Client:
+    """A plain connection to the gateway."""
+
+    async def connect(self, gateway):
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", gateway.port)
+        return self
+
+    async def answer(self):
+        """The next answer; None where the connection ends without one."""
+        answers = codec.AnswerReader()
+        while (answer := answers.next()) is None:
+            try:
+                data = await self.reader.read(65536)
+            except OSError:
+                return None
+            if not data:
+                return None
+            answers.feed(data)
+        return answer
+
+
+@asynccontextmanager
+async def one_gateway(tmp_path):
+    store = NotingStore("s0", 0)
+    await store.start()
+    list_ = await List().start()
+    list_.rows = [store.row()]
+    async with process(tmp_path, list_.address, [store]) as gateway:
+        assert (await gateway.ask(HEALTH)).status == 200
+        assert (await gateway.ask(asking(1))).status == 200
+        yield gateway, store, list_
+    await store.stop()
+    await list_.stop()
+
+
+@asynccontextmanager
+async def held_up(gateway, seconds=STOP):
+    os.kill(gateway.child.pid, signal.SIGSTOP)
+    try:
+        yield
+        await asyncio.sleep(seconds)
+    finally:
+        os.kill(gateway.child.pid, signal.SIGCONT)
+
+
+@pytest.mark.parametrize("connected", [True, False])
+def test_the_time_told_to_a_store_is_what_is_left_after_a_stop(tmp_path, connected):
+    async def go():
+        async with one_gateway(tmp_path) as (gateway, store, _):
+            clients = [await Client().connect(gateway) for _ in range(4)] if connected else []
+            await asyncio.sleep(0.2)
+            async with held_up(gateway):
+                clients = clients or [await Client().connect(gateway) for _ in range(4)]
+                sent = time.monotonic()
+                for id, client in enumerate(clients, 10):
+                    client.writer.write(asking(id, x_remaining="2.0"))
+            answers = await asyncio.gather(*(client.answer() for client in clients))
+            assert all(answer and answer.status in (200, 503) for answer in answers)
+            told = {id: store.came[id] for id in range(10, 14) if id in store.came}
+            assert not [id for id, (came, left) in told.items() if left > sent + 2.0 - came + SLACK]
+
+    play(go())
+
+
+def test_nothing_is_sent_to_a_store_of_whose_drain_the_agent_told_during_a_stop(tmp_path):
+    async def go():
+        async with one_gateway(tmp_path) as (gateway, store, list_):
+            client = await Client().connect(gateway)
+            await asyncio.sleep(0.2)
+            async with held_up(gateway):
+                client.writer.write(asking(10))
+                await asyncio.sleep(0.1)
+                list_.tell([store.row(phase="Terminating")])
+            assert (await client.answer()).status == 503
+            assert 10 not in store.came
+
+    play(go())
+
+
+def test_a_request_that_came_during_a_stop_is_no_idle_connection_s_end(tmp_path):
+    """The stop outlasts the time for which a client may idle: its request is there when the gateway goes on."""
+
+    async def go():
+        async with one_gateway(tmp_path) as (gateway, store, _):
+            clients = [await Client().connect(gateway) for _ in range(40)]  # a crowd: who idles for 2 s is ended
+            for id, client in enumerate(clients, 10):
+                client.writer.write(asking(id))
+            assert all([await client.answer() for client in clients])
+            await asyncio.sleep(1.2)
+            async with held_up(gateway):
+                await asyncio.sleep(0.1)
+                for id, client in enumerate(clients, 100):
+                    client.writer.write(asking(id))
+            answers = await asyncio.gather(*(client.answer() for client in clients))
+            assert [answer and answer.status in (200, 503) for answer in answers] == [True] * len(clients)
+
+    play(go())
