After a stall a gateway reads what came before it acts, and counts a request's time from then

Cause: timers ran before the sockets that had become ready (Client.look, Stores.look), a request's time began when it was read, and one socket's request was sent on before the watch beside it was read. Change: platform/stall_detector.py (no I/O) tells for how long bytes may have waited; only then the kernel is asked when a request's last byte came (TCP_INFO), and an attempt begins only once the watches are read too. After a late turn the looks wait 1 ms for sockets; no client is ended over unread bytes.

--- a/tansykeel/platform/clients.py
+++ b/tansykeel/platform/clients.py
@@ -169,6 +169,7 @@
         self.close()
 
     def look(self, now: float) -> None:
+        """End the connection if it stalls, says nothing or idles for too long."""
         waited = now - self.since
         if self.open is not None:
             pass
@@ -185,9 +186,10 @@
             elif waited > LINGER:
                 self.close()
         elif self.reader.partial or not self.asked:
-            if waited > UNASKED:
+            # Both ends, here and below, guard against a request that has come and is not read yet, after a stall for one.
+            if waited > UNASKED and self.stream.quiet():
                 self.turn_away(408)
-        elif waited > (SPARED if self.owner.crowded() else IDLE):
+        elif waited > (SPARED if self.owner.crowded() else IDLE) and self.stream.quiet():
             self.end()
 
 
--- a/tansykeel/platform/connection.py
+++ b/tansykeel/platform/connection.py
@@ -4,6 +4,7 @@
 
 from typing import Protocol
 
+from tansykeel.edge.clock import TENTHS_PER_SECOND
 from tansykeel.edge.tasks import Attempt
 from tansykeel.http1 import codec
 from tansykeel.http1.codec import AnswerReader, Malformed
@@ -13,7 +14,6 @@
 from tansykeel.transport.stream import Stream
 
 STALE_WITHIN = 0.02  # seconds after a request in which a kept connection that was dead already shows it
-TENTHS_PER_SECOND = 10_000  # the core counts time in tenths of a millisecond
 
 
 class ConnectionPool(Protocol):
--- a/tansykeel/platform/discovery.py
+++ b/tansykeel/platform/discovery.py
@@ -164,6 +164,10 @@
             self.note("discovery is silent")
             self._open()
 
+    def caught_up(self) -> bool:
+        """Whether all that discovery has said was read."""
+        return all(watch.stream.quiet() for watch in self.watches)
+
     def word(self, watch: Watch) -> None:
         """It lives: what was opened before it is not needed any more."""
         watch.told = True
--- a/tansykeel/platform/pool.py
+++ b/tansykeel/platform/pool.py
@@ -43,8 +43,8 @@
     def address(self, store: Store) -> str | None:
         """Return the store's address, None where it is no longer known."""
 
-    def quiet(self, attempt: Attempt) -> bool:
-        """Whether all that the attempt's client has said, or its end, was read."""
+    def caught_up(self, attempt: Attempt) -> bool:
+        """Whether all was read that the attempt's client has said, its end too, and what discovery says of stores."""
 
     def room(self, make: bool = True) -> bool:
         """Whether another connection may be opened; `make`: also by closing one that idles."""
@@ -268,12 +268,12 @@
         """Return the attempt that has waited longest and may begin now.
 
         One whose client has said more is looked at again once that was read. Guards against an attempt for a client
-        whose end has come and is not read yet, on a busy loop.
+        whose end has come and is not read yet, or to a store whose drain is not, on a busy loop or after a stall.
         """
         while self.waiting and self.waiting[0].attempt.over:
             self.waiting.popleft()
         open_attempts = (waiting.attempt for waiting in self.waiting if not waiting.attempt.over)
-        chosen = next((attempt for attempt in open_attempts if self.gateway.quiet(attempt)), None)
+        chosen = next((attempt for attempt in open_attempts if self.gateway.caught_up(attempt)), None)
         if self.waiting and chosen is not self.waiting[0].attempt:
             self._serve_after(CLIENT_READ_DELAY)
         return chosen
--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -14,7 +14,7 @@
 from socket import socket
 from typing import Any
 
-from tansykeel.edge.clock import Reminder, clock
+from tansykeel.edge.clock import TENTHS_PER_SECOND, Reminder, clock
 from tansykeel.edge.core import Core
 from tansykeel.edge.tasks import DELIVERED, NACKED, Attempt, Bounds, Final, Held
 from tansykeel.http1 import codec
@@ -25,11 +25,14 @@
 from tansykeel.platform.discovery import Discovery, RowReader
 from tansykeel.platform.event_log import standard_output
 from tansykeel.platform.intake import Reader, Wanted
+from tansykeel.platform.stall_detector import MARGIN, StallDetector
 from tansykeel.platform.start_signals import StartSignals
 from tansykeel.platform.stores import Stores
-from tansykeel.transport.sockets import accept_all, accept_waiting, listening, run
+from tansykeel.transport.sockets import accept_all, accept_waiting, listening, run, seconds_since_data
+from tansykeel.transport.stream import Stream
 
 LOOK = 0.25  # seconds between looks at what idles, stalls or fell silent
+READ_FIRST = 0.001  # seconds in which the loop reads what has come
 REPORT = 10.0  # seconds between lines of figures in the log
 TIDY = 5.0  # seconds between collections of cycles
 SAMPLE = 500  # one answer of so many is logged
@@ -53,6 +56,7 @@
         self.path, self.config = path, config
         loop = asyncio.get_running_loop()
         self.loop, limits = loop, config.file.limits
+        self.stalls = StallDetector(LOOK, loop.time())
         self.reminder = Reminder(lambda now: self.core.tick(now))
         self.stopping = asyncio.Event()
         self.told_to_stop = 0.0  # when SIGTERM came
@@ -81,7 +85,7 @@
             bounds.body_memory,
             loop.time,
             loop.call_soon,
-            lambda stream: clock(),
+            self._received_at,
         )
         self.stores = Stores(
             self.core,
@@ -95,6 +99,7 @@
             loop.time,
             loop.call_later,
             log,
+            self._list_caught_up,
         )
         self.discovery = Discovery(
             self.core,
@@ -269,6 +274,20 @@
         while the gateway ends: what has been read is answered first."""
         return not request.lasts or (self.closing and not client.has_sent_more)
 
+    def _received_at(self, stream: Stream) -> int:
+        """Return when the bytes came that were read from the stream just now, by the core's clock."""
+        now = self.loop.time()
+        if not self.stalls.longest_unread(now):
+            return clock()
+        age = self.stalls.age_of_bytes(now, seconds_since_data(stream.sock))
+        return clock() - int(age * TENTHS_PER_SECOND)
+
+    def _list_caught_up(self) -> bool:
+        """Whether all that discovery has said was read; looked at only where the loop has stood still."""
+        if not self.stalls.longest_unread(self.loop.time()):
+            return True
+        return self.discovery is None or self.discovery.caught_up()
+
     async def _look(self) -> None:
         now = self.loop.time()
         report, tidy, late = now + REPORT, now + TIDY, 0.0
@@ -276,6 +295,10 @@
             due = self.loop.time() + LOOK
             await asyncio.sleep(LOOK)
             late = max(late, self.loop.time() - due)
+            if self.loop.time() - due > MARGIN:
+                # Guards against a process that stood still: what came meanwhile is read before time is up for anyone.
+                await asyncio.sleep(READ_FIRST)
+            self.stalls.beat(self.loop.time())
             self.clients.look()
             self.stores.look()
             assert self.discovery is not None
@@ -306,6 +329,7 @@
             never_sent=self.never_sent,
             stores={str(p.store.handle): [len(p.connections), len(p.waiting)] for p in self.stores.pools.values()},
             loop_late_ms=round(late * 1000, 1),
+            stalls=self.stalls.stalls,
             cpu_s=round(use.ru_utime + use.ru_stime, 2),
             most_memory_mb=use.ru_maxrss // 1024,
         )
--- a/tansykeel/platform/stores.py
+++ b/tansykeel/platform/stores.py
@@ -39,7 +39,10 @@
         now: Callable[[], float],
         after: Callable[[float, Callable[[], None]], object],
         note: Callable[..., None],
+        list_caught_up: Callable[[], bool],
     ) -> None:
+        """`list_caught_up`: whether all that discovery has said was read."""
+        self.list_caught_up = list_caught_up
         self.core, self.clients = core, clients
         self.most, self.most_bytes = most, most_bytes
         self.connect_within, self.idle_close, self.longest = connect_within, idle_close, longest
@@ -90,10 +93,10 @@
         """Return the store's address, None where it is no longer known."""
         return self.core.addresses.get(store)
 
-    def quiet(self, attempt: Attempt) -> bool:
-        """Whether all that the attempt's client has said, or its end, was read."""
+    def caught_up(self, attempt: Attempt) -> bool:
+        """Whether all was read that the attempt's client has said, its end too, and what discovery says of stores."""
         client: Client = attempt.held.client
-        return client.stream.quiet()
+        return client.stream.quiet() and self.list_caught_up()
 
     def held_bytes(self) -> int:
         """Return the bytes of answers that are not whole, or that clients have not taken yet."""
--- a/tansykeel/transport/sockets.py
+++ b/tansykeel/transport/sockets.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import socket
+import sys
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
@@ -15,6 +16,8 @@
 AT_ONCE = 16  # connections accepted in one turn of the loop
 MOST_FAILURES = 4  # accepts in a row that may fail in one turn of the loop
 MOST_FAILURES_AT_END = 100  # accepts in a row that may fail before a queue that is to be emptied is given up
+LAST_DATA_RECEIVED = 52  # offset of tcpi_last_data_recv, milliseconds, in Linux's struct tcp_info (tcp(7))
+MILLISECONDS = 1000  # in a second
 T = TypeVar("T")
 # The system lacks something for a moment. Only EMFILE is of this process's own making, and closing what idles mends it.
 OUT_OF_FILES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -39,6 +42,17 @@
     return socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
 
 
+def seconds_since_data(sock: socket.socket) -> float | None:
+    """Return for how long nothing has come on the connection; None where the kernel does not say."""
+    try:
+        information = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED + 4)
+    except OSError:
+        return None
+    if len(information) < LAST_DATA_RECEIVED + 4:
+        return None
+    return int.from_bytes(information[LAST_DATA_RECEIVED:], sys.byteorder) / MILLISECONDS
+
+
 async def connect(address: str, timeout: float) -> socket.socket:
     """A connected socket. Raises OSError (also when no descriptor is left) or TimeoutError."""
     host, port = address_of(address)
--- a/tests/platform/test_held_up.py
+++ b/tests/platform/test_held_up.py
@@ -10,7 +10,7 @@
 
 import pytest
 from platform_process import HEALTH, process
-from platform_stage import List, Store, asking, ok, play, until
+from platform_stage import List, Store, asking, ok, play
 
 from tansykeel.http1 import codec
 
