--- a/tests/platform/test_held_up.py
+++ b/tests/platform/test_held_up.py
@@ -10,7 +10,7 @@
 
 import pytest
 from platform_process import HEALTH, process
-from platform_stage import List, Store, asking, ok, play
+from platform_stage import List, Store, asking, ok, play, until
 
 from tansykeel.http1 import codec
 
@@ -128,3 +128,23 @@
             assert [answer and answer.status in (200, 503) for answer in answers] == [True] * len(clients)
 
     play(go())
+
+
+def test_who_connected_during_the_last_moments_of_a_gateway_that_is_held_up_is_answered(tmp_path):
+    """It is told to end, stands still until its time is up, and finds requests that came meanwhile."""
+
+    async def go():
+        async with one_gateway(tmp_path) as (gateway, store, _):
+            clients = [await Client().connect(gateway) for _ in range(4)]
+            await asyncio.sleep(0.3)
+            gateway.child.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.3)
+            async with held_up(gateway, 3.5):
+                for id, client in enumerate(clients, 10):
+                    client.writer.write(asking(id))
+            answers = await asyncio.gather(*(client.answer() for client in clients))
+            assert [answer and answer.status for answer in answers] == [503] * 4
+            await until(lambda: gateway.child.poll() is not None, 6.0)
+            assert gateway.child.returncode == 0
+
+    play(go())
