One place decides what may be sent or closed now; partly written attempts are taken back in time

Change: platform/request_rules.py (no I/O) decides whether an attempt may begin, an answer ends its connection or a connection may end, and counts violations of invariants, which are not carried out. An attempt whose last byte is not written within 0.15 s, or whose client left, is taken back: it never ran. Short writes are followed up in the same turn. Of the watches without a word the oldest is kept for 12 s.

--- a/tansykeel/platform/clients.py
+++ b/tansykeel/platform/clients.py
@@ -9,6 +9,7 @@
 
 from tansykeel.http1 import codec
 from tansykeel.http1.codec import Malformed, Request, RequestReader
+from tansykeel.platform.request_rules import connection_may_end
 from tansykeel.transport.stream import Stream
 
 UNASKED = 2.0  # seconds for a whole request, from the connection's start or the request's first byte
@@ -64,8 +65,12 @@
 
     @property
     def idle(self) -> bool:
-        """Whether it has had its answers whole and has not begun to ask again."""
-        return self.open is None and not (self.ending or self.stream.unsent or self.reader.partial or self.reader.waits)
+        """Whether it has had its answers whole and nothing was read of a further request."""
+        return not self.ending and connection_may_end(
+            has_open_request=self.open is not None,
+            has_sent_more=self.reader.partial or self.reader.waits,
+            has_unsent_answer=bool(self.stream.unsent),
+        )
 
     @property
     def has_sent_more(self) -> bool:
@@ -186,7 +191,7 @@
             elif waited > LINGER:
                 self.close()
         elif self.reader.partial or not self.asked:
-            # Both ends, here and below, guard against a request that has come and is not read yet, after a stall for one.
+            # Here and below: guards against an end over a request that has come and is not read yet, after a stall.
             if waited > UNASKED and self.stream.quiet():
                 self.turn_away(408)
         elif waited > (SPARED if self.owner.crowded() else IDLE) and self.stream.quiet():
--- a/tansykeel/platform/connection.py
+++ b/tansykeel/platform/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from tansykeel.edge.clock import TENTHS_PER_SECOND
@@ -13,6 +14,9 @@
 from tansykeel.transport.sockets import address_of, open_socket
 from tansykeel.transport.stream import Stream
 
+# Seconds after its head in which a request's last byte has to be written: the head tells the time that is left, which
+# may be over by 0.15 s, and a task's deadline is up to 0.1 s before its client's.
+WRITE_WITHIN = 0.15
 STALE_WITHIN = 0.02  # seconds after a request in which a kept connection that was dead already shows it
 
 
@@ -41,6 +45,9 @@
     def now(self) -> float:
         """Return the time in seconds of the event loop's clock."""
 
+    def after(self, seconds: float, call: Callable[[], None]) -> object:
+        """Call later."""
+
     def answers_exceed_memory(self) -> bool:
         """Whether the answers held take more memory than they may."""
 
@@ -108,6 +115,20 @@
         self.idle_before_request = self.sent_at - self.idle_since
         fields = b"X-Txn: %s\r\nX-Remaining: %.4f\r\n" % (request.fields[b"x-txn"], seconds_left)
         self.stream.write(codec.request(request.method, request.target, self.address.encode(), fields, request.body))
+        if self.stream.unsent:
+            self.gateway.after(WRITE_WITHIN, lambda: self._check_written(attempt))
+
+    def has_written(self, attempt: Attempt) -> bool:
+        """Whether the attempt's last byte was written, so that its store may begin it."""
+        return self.attempt is not attempt or not self.stream.unsent
+
+    def _check_written(self, attempt: Attempt) -> None:
+        """Guards against a request that is whole at its store long after it was told how much time is left."""
+        if self.has_written(attempt):
+            return
+        self.attempt = None
+        self.close()
+        self.gateway.outcome(attempt, How.NO_CONNECTION)
 
     def close(self) -> None:
         """Close the connection; an answer that is still owed is given up."""
--- a/tansykeel/platform/discovery.py
+++ b/tansykeel/platform/discovery.py
@@ -26,7 +26,8 @@
 
 SILENT = 2.5  # seconds without a word (a line comes each 2 s) after which a second watch is opened beside the first
 AGAIN = 1.0  # seconds for the first byte of a watch, and for the first word of one beside a silent one
-MOST_WATCHES = 4  # at once; beyond them the one opened longest ago goes
+MOST_WATCHES = 4  # at once
+LONGEST_WAIT = 12.0  # seconds for which the oldest watch without a word is kept though others are opened
 MOST_OBJECT = 4 << 20  # bytes of one object
 MICROSECONDS = 1_000_000  # in a second
 _decode = msgspec.json.Decoder(Members).decode
@@ -236,4 +237,14 @@
                 self.pressure()
             return self._lost()
         if len(self.watches) > MOST_WATCHES:
-            self._let_go(self.watches[0])
+            self._let_go(self._least_promising())
+
+    def _least_promising(self) -> Watch:
+        """Return the watch that makes room for another. Guards against a discovery that is slow or crowded: of those
+        that wait for their first word the one opened first is kept for a while, and the next one goes."""
+        waiting = [watch for watch in self._here()[:-1] if not watch.told]
+        if not waiting:
+            return self.watches[0]
+        if len(waiting) > 1 and self.now() - waiting[0].opened <= LONGEST_WAIT:
+            return waiting[1]
+        return waiting[0]
--- a/tansykeel/platform/pool.py
+++ b/tansykeel/platform/pool.py
@@ -10,6 +10,7 @@
 from tansykeel.edge.tasks import Attempt
 from tansykeel.interface import How, State, Store
 from tansykeel.platform.connection import ConnectionGateway, StoreConnection
+from tansykeel.platform.request_rules import Verdict
 from tansykeel.transport.sockets import OUT_OF_FILES, PRESSURE_REST, lacks_descriptor
 
 COOL_DOWN = 0.005  # seconds after an answer in which a second one would still come, of a store not known to send any
@@ -31,9 +32,6 @@
     def clock(self) -> int:
         """Return the time of the core's clock."""
 
-    def after(self, seconds: float, call: Callable[[], None]) -> object:
-        """Call later."""
-
     def later(self, call: Callable[[], None]) -> None:
         """Call in the loop's next turn."""
 
@@ -43,8 +41,11 @@
     def address(self, store: Store) -> str | None:
         """Return the store's address, None where it is no longer known."""
 
-    def caught_up(self, attempt: Attempt) -> bool:
-        """Whether all was read that the attempt's client has said, its end too, and what discovery says of stores."""
+    def may_begin(self, attempt: Attempt) -> Verdict:
+        """Whether the attempt may be written now."""
+
+    def violation(self, attempt: Attempt) -> bool:
+        """Whether writing the attempt now would break an invariant; it is counted then."""
 
     def room(self, make: bool = True) -> bool:
         """Whether another connection may be opened; `make`: also by closing one that idles."""
@@ -93,11 +94,16 @@
         self.serve_waiting()
 
     def withdraw(self, attempt: Attempt) -> bool:
-        """Take the attempt back if it waits here: nothing of it was sent. Return whether it did."""
-        if not self._remove_waiting(attempt):
-            return False
-        self.gateway.later_outcome(attempt, How.CANCELLED)
-        return True
+        """Take the attempt back if it has not begun: it waits here, or its last byte was not written. Return whether
+        it was taken back."""
+        connection = attempt.connection
+        if self._remove_waiting(attempt):
+            self.gateway.later_outcome(attempt, How.CANCELLED)
+            return True
+        if isinstance(connection, StoreConnection) and not connection.has_written(attempt):
+            self._abandon(connection, attempt)
+            return True
+        return False
 
     def cancel(self, attempt: Attempt) -> None:
         """Take the attempt back, or give its answer up, which ends its connection."""
@@ -105,9 +111,12 @@
         if self.withdraw(attempt) or not isinstance(connection, StoreConnection):
             return
         if connection.attempt is attempt:
-            connection.attempt = None
-            connection.close()
-            self.gateway.later_outcome(attempt, How.CANCELLED)
+            self._abandon(connection, attempt)
+
+    def _abandon(self, connection: StoreConnection, attempt: Attempt) -> None:
+        connection.attempt = None
+        connection.close()
+        self.gateway.later_outcome(attempt, How.CANCELLED)
 
     def list_changed(self) -> None:
         """Guards against what was granted before a drain or a new start was heard of: it is decided anew."""
@@ -238,7 +247,12 @@
 
     def _send(self, connection: StoreConnection, attempt: Attempt) -> None:
         self._remove_waiting(attempt)
-        connection.send(attempt, self.gateway.clock())
+        if self.gateway.violation(attempt):
+            connection.idle_since = self.gateway.now() - MOST_COOL_DOWN
+            self.idle.append(connection)
+            self.gateway.later_outcome(attempt, How.MOOT)
+        else:
+            connection.send(attempt, self.gateway.clock())
 
     def _serve_after(self, seconds: float) -> None:
         if not self._serve_is_due:
@@ -272,8 +286,8 @@
         """
         while self.waiting and self.waiting[0].attempt.over:
             self.waiting.popleft()
-        open_attempts = (waiting.attempt for waiting in self.waiting if not waiting.attempt.over)
-        chosen = next((attempt for attempt in open_attempts if self.gateway.caught_up(attempt)), None)
+        attempts = (waiting.attempt for waiting in self.waiting)
+        chosen = next((attempt for attempt in attempts if self.gateway.may_begin(attempt) is Verdict.NOW), None)
         if self.waiting and chosen is not self.waiting[0].attempt:
             self._serve_after(CLIENT_READ_DELAY)
         return chosen
--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -25,6 +25,7 @@
 from tansykeel.platform.discovery import Discovery, RowReader
 from tansykeel.platform.event_log import standard_output
 from tansykeel.platform.intake import Reader, Wanted
+from tansykeel.platform.request_rules import Violations, answer_ends_connection
 from tansykeel.platform.stall_detector import MARGIN, StallDetector
 from tansykeel.platform.start_signals import StartSignals
 from tansykeel.platform.stores import Stores
@@ -56,6 +57,7 @@
         self.path, self.config = path, config
         loop = asyncio.get_running_loop()
         self.loop, limits = loop, config.file.limits
+        self.violations = Violations(log)
         self.stalls = StallDetector(LOOK, loop.time())
         self.reminder = Reminder(lambda now: self.core.tick(now))
         self.stopping = asyncio.Event()
@@ -100,6 +102,7 @@
             loop.call_later,
             log,
             self._list_caught_up,
+            self.violations,
         )
         self.discovery = Discovery(
             self.core,
@@ -270,9 +273,12 @@
     # Within
 
     def _ends_with_answer(self, client: Client, request: Request) -> bool:
-        """Whether the connection ends with the answer to this request. Guards against requests that were sent ahead
-        while the gateway ends: what has been read is answered first."""
-        return not request.lasts or (self.closing and not client.has_sent_more)
+        """Whether the connection ends with the answer to this request."""
+        return answer_ends_connection(
+            client_wants_end=not request.lasts,
+            gateway_ends=self.closing,
+            has_sent_more=self.closing and client.has_sent_more,
+        )
 
     def _received_at(self, stream: Stream) -> int:
         """Return when the bytes came that were read from the stream just now, by the core's clock."""
@@ -330,6 +336,7 @@
             stores={str(p.store.handle): [len(p.connections), len(p.waiting)] for p in self.stores.pools.values()},
             loop_late_ms=round(late * 1000, 1),
             stalls=self.stalls.stalls,
+            violations=self.violations.counts,
             cpu_s=round(use.ru_utime + use.ru_stime, 2),
             most_memory_mb=use.ru_maxrss // 1024,
         )
--- a/tansykeel/platform/stores.py
+++ b/tansykeel/platform/stores.py
@@ -11,6 +11,7 @@
 from tansykeel.interface import How, State, Store
 from tansykeel.platform.clients import Client, Clients
 from tansykeel.platform.pool import COOL_DOWN, Pool
+from tansykeel.platform.request_rules import Verdict, Violations, attempt_may_begin, violation_of_attempt
 
 IDLE_PART = 0.8  # of a store's own limit, after which a connection that idles is closed here
 STALE_SHRINK = 0.5  # an idle connection is trusted for this times the age of one that was found dead
@@ -40,9 +41,10 @@
         after: Callable[[float, Callable[[], None]], object],
         note: Callable[..., None],
         list_caught_up: Callable[[], bool],
+        violations: Violations,
     ) -> None:
         """`list_caught_up`: whether all that discovery has said was read."""
-        self.list_caught_up = list_caught_up
+        self.list_caught_up, self.violations = list_caught_up, violations
         self.core, self.clients = core, clients
         self.most, self.most_bytes = most, most_bytes
         self.connect_within, self.idle_close, self.longest = connect_within, idle_close, longest
@@ -93,10 +95,19 @@
         """Return the store's address, None where it is no longer known."""
         return self.core.addresses.get(store)
 
-    def caught_up(self, attempt: Attempt) -> bool:
-        """Whether all was read that the attempt's client has said, its end too, and what discovery says of stores."""
+    def may_begin(self, attempt: Attempt) -> Verdict:
+        """Whether the attempt may be written now: all that its client has said, its end too, and what discovery says of
+        stores has to be read first."""
         client: Client = attempt.held.client
-        return client.stream.quiet() and self.list_caught_up()
+        caught_up = client.stream.quiet()
+        return attempt_may_begin(attempt, client_caught_up=caught_up, list_caught_up=self.list_caught_up())
+
+    def violation(self, attempt: Attempt) -> bool:
+        """Whether writing the attempt now would break an invariant; it is counted then."""
+        invariant = violation_of_attempt(attempt, self.core.facts.allowed)
+        if invariant:
+            self.violations.report(invariant, id=attempt.held.id, attempt=attempt.number, store=attempt.store.handle)
+        return invariant is not None
 
     def held_bytes(self) -> int:
         """Return the bytes of answers that are not whole, or that clients have not taken yet."""
--- a/tansykeel/transport/stream.py
+++ b/tansykeel/transport/stream.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 READ = 64 << 10  # bytes read at once
+MOST_SENDS = 256  # calls for one write in one turn of the loop, where the socket takes a little each time
 
 
 class Stream:
@@ -48,19 +49,36 @@
         """Send; what the socket does not take now follows as it can. A break shows in `on_end`, later."""
         if self.closed:
             return
-        if not self.unsent:
-            try:
-                data = data[self.sock.send(data) :]
-            except (BlockingIOError, InterruptedError):
-                pass
-            except OSError as error:
-                self.unsent += data  # it was not written
-                self._loop.call_soon(self._end, error.strerror or type(error).__name__)
-                return
-            if not data:
-                return
+        if self.unsent:
+            self.unsent += data
+            return
+        try:
+            sent = self._send(data)
+        except OSError as error:
+            self.unsent += data  # it was not written
+            self._loop.call_soon(self._end, error.strerror or type(error).__name__)
+            return
+        if sent < len(data):
+            self.unsent += data[sent:]
             self._loop.add_writer(self.sock, self._guarded, self._writable)
-        self.unsent += data
+
+    def _send(self, data: bytes | bytearray) -> int:
+        """Send what the socket takes now, return how much; short writes are followed up at once. Raises OSError."""
+        sent = self._send_once(data)
+        sends = 1
+        while 0 < sent < len(data) and sends < MOST_SENDS:
+            more = self._send_once(memoryview(data)[sent:])
+            if not more:
+                break
+            sent += more
+            sends += 1
+        return sent
+
+    def _send_once(self, data: bytes | bytearray | memoryview) -> int:
+        try:
+            return self.sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            return 0
 
     def quiet(self) -> bool:
         """Whether nothing has come that was not read, not even an end."""
@@ -130,9 +148,7 @@
 
     def _writable(self) -> None:
         try:
-            sent = self.sock.send(self.unsent)
-        except (BlockingIOError, InterruptedError):
-            return
+            sent = self._send(bytes(self.unsent))
         except OSError as error:
             return self._end(error.strerror or type(error).__name__)
         del self.unsent[:sent]
