A fault within the gateway frees no request of its answer; periodic checks stand apart

Cause: an exception under Gateway.request ended the client's connection; one in a look ended the task of all looks; Stores.freed handed room to one pool whether it needed it or not.

--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -223,6 +223,13 @@
         for held in [held for held in self.held.values() if not held.answered]:
             self._give_up(held, "the gateway ends")
 
+    def give_up(self, now: int, held: Held, reason: str) -> None:
+        """Answer one task now, as the module says for a task given up on."""
+        self.runner.move(now)
+        if not held.answered:
+            self._give_up(held, reason)
+        self.runner.settle()
+
     # The module's door
 
     def hand_off(self, task: Task, store: Store, time_out: int) -> None:
--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -5,9 +5,9 @@
 import asyncio
 import gc
 import os
-import resource
 import signal
 import sys
+import traceback
 from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
@@ -25,17 +25,14 @@
 from tansykeel.platform.discovery import Discovery, RowReader
 from tansykeel.platform.event_log import standard_output
 from tansykeel.platform.intake import Reader, Wanted
-from tansykeel.platform.request_rules import Violations, answer_ends_connection
-from tansykeel.platform.stall_detector import MARGIN, StallDetector
+from tansykeel.platform.periodic_checks import LOOK, PeriodicChecks
+from tansykeel.platform.request_rules import Invariant, Violations, answer_ends_connection
+from tansykeel.platform.stall_detector import StallDetector
 from tansykeel.platform.start_signals import StartSignals
 from tansykeel.platform.stores import Stores
 from tansykeel.transport.sockets import accept_all, accept_waiting, listening, run, seconds_since_data
 from tansykeel.transport.stream import Stream
 
-LOOK = 0.25  # seconds between looks at what idles, stalls or fell silent
-READ_FIRST = 0.001  # seconds in which the loop reads what has come
-REPORT = 10.0  # seconds between lines of figures in the log
-TIDY = 5.0  # seconds between collections of cycles
 SAMPLE = 500  # one answer of so many is logged
 FIRST_LIST = 0.5  # seconds that a start waits for discovery's first word; what that holds counts as told from then on
 KILLS_AFTER = 0.7  # seconds after SIGTERM and the longest deadline (3 s at most) at which the platform kills
@@ -45,6 +42,7 @@
 STORE_PART, OTHERS = 0.3, 32  # of the descriptors that a process may hold; what is left is for clients
 BODY_PART, ANSWER_PART = 0.125, 0.25  # of the memory, for requests' bodies and for answers
 USAGE = 2
+MOST_TRACE = 6  # lines of a failure's trace that are logged
 
 
 log = standard_output()
@@ -59,14 +57,15 @@
         self.loop, limits = loop, config.file.limits
         self.violations = Violations(log)
         self.stalls = StallDetector(LOOK, loop.time())
-        self.reminder = Reminder(lambda now: self.core.tick(now))
+        self.checks = PeriodicChecks(self, log)
+        self.reminder = Reminder(self._tick)
         self.stopping = asyncio.Event()
         self.told_to_stop = 0.0  # when SIGTERM came
         self.closing = False  # each answer is its connection's last
         self.open: dict[bytes, Client] = {}  # requests that are not answered, by id
         self.answers = 0
         self.never_sent = Counter[str]()  # tasks answered otherwise than delivered with no hand-off, by cause
-        self.discovery: Discovery | None = None
+        self._discovery: Discovery | None = None
         self.reader = Reader(config.facts)
         bounds = Bounds(config.open_tasks, int(limits.memory_mb * 2**20 * BODY_PART), codec.MOST_BODY)
         known = config.file.known
@@ -104,7 +103,7 @@
             self._list_caught_up,
             self.violations,
         )
-        self.discovery = Discovery(
+        self._discovery = Discovery(
             self.core,
             config.file.discovery,
             rows,
@@ -116,13 +115,20 @@
             log,
         )
 
+    @property
+    def discovery(self) -> Discovery:
+        """What follows discovery's list."""
+        assert self._discovery is not None
+        return self._discovery
+
     async def serve(self, listener: socket, signals: StartSignals | None = None) -> int:
         """Take tasks until SIGTERM, answer what is held, return the exit code. `signals`: what came so far."""
         loop, file = self.loop, self.config.file
-        loop.set_exception_handler(self._broken)
+        loop.set_exception_handler(
+            lambda _, context: self.failed(str(context.get("message")), context.get("exception"))
+        )
         handlers = {signal.SIGTERM: self.stop, signal.SIGINT: self.stop, signal.SIGHUP: self.read_anew}
         (signals or StartSignals()).hand_over(loop, handlers)
-        assert self.discovery is not None
         self.discovery.ask()
         with suppress(TimeoutError):
             # Guards against a send on the word of `known`: the agent may hold a drain that it has not.
@@ -140,7 +146,7 @@
             open_tasks=self.core.bounds.open_tasks,
         )
         gc.freeze()
-        looking = loop.create_task(self._look())
+        looking = loop.create_task(self.checks.run())
         await self.stopping.wait()
         log("stopping", held=len(self.open))
         # From the signal on: guards against one that came while the first list was waited for.
@@ -154,7 +160,7 @@
         await self._end(killed)
         looking.cancel()
         self.discovery.end()
-        self._report(0.0)
+        self.checks.report()
         log("stopped", left_unanswered=len(self.open))
         return 0
 
@@ -191,7 +197,6 @@
         if config.file.settings != self.config.file.settings:
             log("other settings are taken at the next start only")
         self.config = config
-        assert self.discovery is not None
         self.discovery.move(config.file.discovery)
 
     # What clients say
@@ -208,20 +213,34 @@
             return client.turn_away(error.status)
         client.open = wanted.id
         self.open[wanted.id] = client
-        self.core.taken(clock(), client, wanted.id, wanted)
+        try:
+            self.core.taken(clock(), client, wanted.id, wanted)
+        except Exception as error:
+            self.failed("a request was not taken", error)
+            self._answer_failed(client, wanted)
 
     def client_left(self, client: Client) -> None:
         assert client.open is not None
         del self.open[client.open]
         self.core.left(clock(), client, client.open)
 
+    def _answer_failed(self, client: Client, wanted: Wanted) -> None:
+        """Guards against a fault of our own that would leave a request without its answer."""
+        if client.open != wanted.id:
+            return
+        self.violations.report(Invariant.ANSWER_BEFORE_CLOSE, id=wanted.id)
+        self.core.left(clock(), client, wanted.id)
+        self.open.pop(wanted.id, None)
+        last = self._ends_with_answer(client, wanted.request)
+        client.answer(codec.answer(500, last=last), last)
+
     # Wire: what the core wants done
 
     def answer(self, held: Held, final: Final, body: list[bytes], sent: Callable[[], None]) -> None:
         client: Client = held.client
         sent()
         if self.open.pop(held.id, None) is None:
-            return
+            return self.violations.report(Invariant.ONE_ANSWER, id=held.id, result=final.result)
         wanted: Wanted = held.request
         last = self._ends_with_answer(client, wanted.request)
         if final.result == DELIVERED:
@@ -261,8 +280,8 @@
         self.reminder.set(at)
 
     def ask_list(self) -> None:
-        if self.discovery:
-            self.discovery.ask()
+        if self._discovery:  # not yet there while the core is made
+            self._discovery.ask()
 
     def tell_peer(self, peer: int | None, word: Word) -> None:
         pass  # the platform has no way between gateways that its settings allow
@@ -292,65 +311,20 @@
         """Whether all that discovery has said was read; looked at only where the loop has stood still."""
         if not self.stalls.longest_unread(self.loop.time()):
             return True
-        return self.discovery is None or self.discovery.caught_up()
+        return self.discovery.caught_up()
 
-    async def _look(self) -> None:
-        now = self.loop.time()
-        report, tidy, late = now + REPORT, now + TIDY, 0.0
-        while True:
-            due = self.loop.time() + LOOK
-            await asyncio.sleep(LOOK)
-            late = max(late, self.loop.time() - due)
-            if self.loop.time() - due > MARGIN:
-                # Guards against a process that stood still: what came meanwhile is read before time is up for anyone.
-                await asyncio.sleep(READ_FIRST)
-            self.stalls.beat(self.loop.time())
-            self.clients.look()
-            self.stores.look()
-            assert self.discovery is not None
-            self.discovery.look()
-            if self.loop.time() >= tidy:
-                # Guards against tasks and connections that ended and hold each other: the interpreter collects old
-                # ones only once they make up a quarter of all objects, which are some ten megabytes.
-                gc.collect()
-                tidy = self.loop.time() + TIDY
-            if self.loop.time() >= report:
-                self._report(late)
-                report, late = self.loop.time() + REPORT, 0.0
-
-    def _report(self, late: float) -> None:
-        counts, use = self.core.counts, resource.getrusage(resource.RUSAGE_SELF)
-        log(
-            "figures",
-            taken=counts.taken,
-            delivered=counts.delivered,
-            nacked=counts.nacked,
-            broken_off=counts.broken_off,
-            left=counts.left,
-            outcomes=counts.outcomes,
-            held=len(self.core.held),
-            clients=len(self.clients.conns),
-            errors=self.clients.errors,
-            unanswered=self.clients.unanswered,
-            never_sent=self.never_sent,
-            stores={str(p.store.handle): [len(p.connections), len(p.waiting)] for p in self.stores.pools.values()},
-            loop_late_ms=round(late * 1000, 1),
-            stalls=self.stalls.stalls,
-            violations=self.violations.counts,
-            cpu_s=round(use.ru_utime + use.ru_stime, 2),
-            most_memory_mb=use.ru_maxrss // 1024,
-        )
-
-    def _broken(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
-        """A handler failed: its connection has ended, the gateway goes on; each failure is logged with its cause."""
-        import traceback
-
-        error = context.get("exception")
-        log(
-            "failed",
-            message=context.get("message"),
-            trace=traceback.format_exception(error)[-6:] if isinstance(error, BaseException) else None,
-        )
+    def _tick(self, now: int) -> None:
+        """A time has come that the core asked for. Guards against a failure at one that loses those after it."""
+        try:
+            self.core.tick(now)
+        except Exception as error:
+            self.failed("a reminder failed", error)
+            self.core.runner.settle()
+
+    def failed(self, message: str, error: BaseException | None) -> None:
+        """Log a failure within the gateway with its cause; the gateway goes on."""
+        trace = traceback.format_exception(error)[-MOST_TRACE:] if error else None
+        log("failed", message=message, trace=trace)
 
 
 async def _serve(path: str, config: Config, listener: socket, signals: StartSignals | None) -> int:
--- a/tansykeel/platform/stores.py
+++ b/tansykeel/platform/stores.py
@@ -139,9 +139,15 @@
     def freed(self) -> None:
         """A connection was closed: the pool that has waited longest may open one."""
         if self._waiting_for_room:
-            pool = next(iter(self._waiting_for_room))
+            self.later(self._open_next)
+
+    def _open_next(self) -> None:
+        """Let pools that wait open connections while there is room: one may not need it any more."""
+        for pool in list(self._waiting_for_room):
+            if not self.room(make=False):
+                return
             del self._waiting_for_room[pool]
-            self.later(pool.open)
+            pool.open()
 
     def found_stale(self, idle_time: float) -> None:
         """Guards against connections that are dropped unseen while they idle: each costs its task an attempt."""
