The log says why each connection ended, attempt was repeated and request rejected

Need: figures counted answers and outcomes only; why a connection was closed, a request sent again or refused could not be told from a log. Change: platform/event_counts.py: typed reasons for each end of a client's and a store's connection, retries by the outcome before, rejections by cause, in each line of figures; TANSYKEEL_TRACE=1 writes a line an event with the request's id. A connection that comes up at an address its store has left is closed unused.

--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -146,6 +146,7 @@
         attempt.over = True
         held, lag = attempt.held, self.runner.now - attempt.sent
         held.out.remove(attempt)
+        held.last_outcome = how.value
         self.counts.outcomes[how.value] = self.counts.outcomes.get(how.value, 0) + 1
         if how is How.DELIVERED and not held.answered:
             self._answer(held, Final(DELIVERED, 0, shard if shard >= 0 else attempt.store.shard), body or [])
--- a/tansykeel/edge/tasks.py
+++ b/tansykeel/edge/tasks.py
@@ -102,6 +102,7 @@
     out: list[Attempt] = field(default_factory=list)
     started: bool = False
     answered: bool = False
+    last_outcome: str = ""  # of its last attempt that is over
 
 
 @dataclass(eq=False, slots=True)
--- a/tansykeel/platform/clients.py
+++ b/tansykeel/platform/clients.py
@@ -9,6 +9,7 @@
 
 from tansykeel.http1 import codec
 from tansykeel.http1.codec import Malformed, Request, RequestReader
+from tansykeel.platform.event_counts import ClientEnd, EventCounts
 from tansykeel.platform.request_rules import connection_may_end
 from tansykeel.transport.stream import Stream
 
@@ -47,6 +48,7 @@
         "ending",
         "closed_half",
         "drained",
+        "end_reason",
         "_busy",
         "_left",
         "_took",
@@ -60,6 +62,7 @@
         self.open: bytes | None = None
         self.ending = self.closed_half = self._busy = False
         self.drained = 0
+        self.end_reason: ClientEnd | None = None  # once it is settled that it ends
         self._left, self._took = 0, self.since  # of its answer not taken at the last look; when it last took some
         self.stream.read()
 
@@ -84,7 +87,7 @@
         self.owner.resting[self] = None
         self.stream.write(data)
         if last:
-            self._linger()
+            self._linger(ClientEnd.LAST_ANSWER)
         elif self.reader.waits and not self._busy:
             self.owner.later(self._next)
 
@@ -96,30 +99,34 @@
         self.since = self.owner.now()
         self.owner.errors[status] += 1
         self.stream.write(ERRORS[status])
-        self._linger()
+        self._linger(ClientEnd.REJECTED)
 
-    def end(self) -> None:
+    def end(self, reason: ClientEnd) -> None:
         """End the connection between requests. Guards against a request that comes in this moment: a close over
         unread bytes would reset the connection, and an answer that its client has not read would go with it."""
         self.since = self.owner.now()
-        self._linger()
+        self._linger(reason)
 
     @property
     def has_said_nothing(self) -> bool:
         """Whether it has not asked yet and no byte of a request has come, read or not."""
         return not (self.asked or self.ending or self.reader.partial) and self.stream.quiet()
 
-    def close(self) -> None:
+    def close(self, reason: ClientEnd) -> None:
+        """Close the connection at once. A request that is open is given up."""
+        if self in self.owner.conns:
+            self.owner.counts.client_ended(self.end_reason or reason, self.asked)
         for held in (self.owner.conns, self.owner.silent, self.owner.resting, self.owner.lingering):
             held.pop(self, None)
         self.stream.close()
         if self.open is not None:
             self.owner.handler.client_left(self)
 
-    def _linger(self) -> None:
+    def _linger(self, reason: ClientEnd) -> None:
         """Guards against an error that a client which is still sending never reads: a close with bytes unread
         would reset the connection, so it is closed in one direction and read for a while."""
         self.ending = True
+        self.end_reason = self.end_reason or reason
         self.owner.resting.pop(self, None)
         self.owner.silent.pop(self, None)
         self.owner.lingering[self] = None
@@ -171,7 +178,7 @@
             self._busy = False
 
     def _ended(self, why: str) -> None:
-        self.close()
+        self.close(ClientEnd.BY_CLIENT if self.stream.finished else ClientEnd.BROKEN)
 
     def look(self, now: float) -> None:
         """End the connection if it stalls, says nothing or idles for too long."""
@@ -182,20 +189,22 @@
             # Guards against an end under an answer that its client takes slowly: only one that takes none stalls.
             if len(self.stream.unsent) != self._left:
                 self._left, self._took = len(self.stream.unsent), now
-            if now - max(self.since, self._took) > STALL or waited > SLOWEST:
-                self.close()
+            if now - max(self.since, self._took) > STALL:
+                self.close(ClientEnd.STALLED)
+            elif waited > SLOWEST:
+                self.close(ClientEnd.SLOW)
         elif self.ending:
             if not self.closed_half:
                 self.since = now  # it has all of its answer from now on
                 self._half_close()
             elif waited > LINGER:
-                self.close()
+                self.close(ClientEnd.LAST_ANSWER)
         elif self.reader.partial or not self.asked:
             # Here and below: guards against an end over a request that has come and is not read yet, after a stall.
             if waited > UNASKED and self.stream.quiet():
                 self.turn_away(408)
         elif waited > (SPARED if self.owner.crowded() else IDLE) and self.stream.quiet():
-            self.end()
+            self.end(ClientEnd.IDLE)
 
 
 class Clients:
@@ -212,10 +221,11 @@
         now: Callable[[], float],
         later: Callable[[Callable[[], None]], object],
         received_at: Callable[[Stream], int],
+        counts: EventCounts,
     ) -> None:
         """`received_at`: when the bytes came that were read from a stream just now, by the core's clock."""
         self.handler, self.most, self.most_bytes, self.now, self.later = handler, most, most_bytes, now, later
-        self.received_at = received_at
+        self.received_at, self.counts = received_at, counts
         self.conns: dict[Client, None] = {}
         self.silent: dict[Client, None] = {}  # of them, without a whole request, the oldest first
         self.resting: dict[Client, None] = {}  # had an answer, the one longest ago first
@@ -238,7 +248,7 @@
         connected has its request on the way; one that has begun to ask is told to come back."""
         before = self.now() - BRIEF
         if client := self._spare(before):
-            return self._shed(client, "made room", client.end)
+            return self._shed(client, "made room", client.end, ClientEnd.ROOM)
         begun = next((client for client in self.silent if client.reader.partial and client.since <= before), None)
         if begun:
             begun.turn_away(503)
@@ -247,7 +257,7 @@
         """A descriptor is needed at once: close who was told of it longest ago, else who can best be spared."""
         told = next((client for client in self.lingering if not client.stream.unsent), None)
         if client := told or self._spare(self.now() - BRIEF):
-            self._shed(client, "made room", client.close)
+            self._shed(client, "made room", client.close, ClientEnd.ROOM)
         return client is not None
 
     def _make_place_for_new(self) -> bool:
@@ -256,7 +266,7 @@
             return True
         oldest = next((client for client in self.silent if client.has_said_nothing), None)
         if oldest:
-            self._shed(oldest, "made room, new", oldest.close)
+            self._shed(oldest, "made room, new", oldest.close, ClientEnd.ROOM)
         return oldest is not None
 
     def _spare(self, before: float) -> Client | None:
@@ -290,7 +300,7 @@
         before = self.now() - BRIEF
         for client in list(self.conns):
             if client.idle and client.since <= before and client.stream.quiet():
-                self._shed(client, "the gateway ends", client.end)
+                self._shed(client, "the gateway ends", client.end, ClientEnd.GATEWAY_ENDS)
 
     def turn_away_begun(self) -> None:
         """Refuse whoever has begun to ask and not ended."""
@@ -302,9 +312,9 @@
         """The end: who lingers has had all that it was owed."""
         for client in list(self.conns):
             client.stream.discard()
-            client.close()
+            client.close(ClientEnd.GATEWAY_ENDS)
 
-    def _shed(self, client: Client, cause: str, end: Callable[[], None]) -> None:
+    def _shed(self, client: Client, cause: str, end: Callable[[ClientEnd], None], reason: ClientEnd) -> None:
         if not client.asked and not client.ending:
             self.unanswered[cause] += 1
-        end()
+        end(reason)
--- a/tansykeel/platform/connection.py
+++ b/tansykeel/platform/connection.py
@@ -10,6 +10,7 @@
 from tansykeel.http1 import codec
 from tansykeel.http1.codec import AnswerReader, Malformed
 from tansykeel.interface import How
+from tansykeel.platform.event_counts import StoreConnectionEnd
 from tansykeel.platform.intake import Wanted
 from tansykeel.transport.sockets import address_of, open_socket
 from tansykeel.transport.stream import Stream
@@ -35,7 +36,7 @@
     def released(self, connection: StoreConnection) -> None:
         """An answer is whole and the connection may carry another request."""
 
-    def closed(self, connection: StoreConnection) -> None:
+    def closed(self, connection: StoreConnection, reason: StoreConnectionEnd) -> None:
         """The connection was closed, by either side."""
 
 
@@ -127,13 +128,13 @@
         if self.has_written(attempt):
             return
         self.attempt = None
-        self.close()
+        self.close(StoreConnectionEnd.NOT_WRITTEN)
         self.gateway.outcome(attempt, How.NO_CONNECTION)
 
-    def close(self) -> None:
+    def close(self, reason: StoreConnectionEnd) -> None:
         """Close the connection; an answer that is still owed is given up."""
         self.stream.close()
-        self.pool.closed(self)
+        self.pool.closed(self, reason)
 
     def _connected(self) -> None:
         self.is_up = True
@@ -170,14 +171,14 @@
         if reusable:
             self.pool.released(self)
         else:
-            self.close()
+            self.close(StoreConnectionEnd.NOT_REUSABLE)
         if attempt:
             self.gateway.answered(attempt, answer)
 
     def _give_up(self, why: str) -> None:
         """End over bytes that can't be an answer: what was asked may have run."""
         attempt, self.attempt = self.attempt, None
-        self.close()
+        self.close(StoreConnectionEnd.UNREADABLE)
         if attempt:
             self.gateway.malformed(attempt, why)
 
@@ -187,7 +188,7 @@
             return self._answered(answer, reusable=False)
         attempt, self.attempt = self.attempt, None
         request_was_written = not self.stream.unsent
-        self.close()
+        self.close(StoreConnectionEnd.BY_STORE)
         if not self.is_up:
             self.pool.connect_failed(retry=True)
         elif attempt:
--- a/tansykeel/platform/periodic_checks.py
+++ b/tansykeel/platform/periodic_checks.py
@@ -13,6 +13,7 @@
 from tansykeel.edge.core import Core
 from tansykeel.platform.clients import Clients
 from tansykeel.platform.discovery import Discovery
+from tansykeel.platform.event_counts import EventCounts
 from tansykeel.platform.request_rules import Invariant, Violations, is_overdue
 from tansykeel.platform.stall_detector import MARGIN, StallDetector
 from tansykeel.platform.stores import Stores
@@ -32,6 +33,7 @@
     stores: Stores
     stalls: StallDetector
     violations: Violations
+    counts: EventCounts
     never_sent: Counter[str]
 
     @property
@@ -110,6 +112,10 @@
             loop_late_ms=round(late * 1000, 1),
             stalls=gateway.stalls.stalls,
             violations=gateway.violations.counts,
+            client_ends=gateway.counts.client_ends,
+            store_connection_ends=gateway.counts.store_connection_ends,
+            retries=gateway.counts.retries,
+            rejections=gateway.counts.rejections,
             cpu_s=round(use.ru_utime + use.ru_stime, 2),
             most_memory_mb=use.ru_maxrss // 1024,
         )
--- a/tansykeel/platform/pool.py
+++ b/tansykeel/platform/pool.py
@@ -10,6 +10,7 @@
 from tansykeel.edge.tasks import Attempt
 from tansykeel.interface import How, State, Store
 from tansykeel.platform.connection import ConnectionGateway, StoreConnection
+from tansykeel.platform.event_counts import EventCounts, StoreConnectionEnd
 from tansykeel.platform.request_rules import Verdict
 from tansykeel.transport.sockets import OUT_OF_FILES, PRESSURE_REST, lacks_descriptor
 
@@ -28,6 +29,7 @@
     connect_within: float  # seconds
     longest: float  # seconds, the longest deadline
     trusted: float  # seconds for which a connection may idle and still be used
+    counts: EventCounts
 
     def clock(self) -> int:
         """Return the time of the core's clock."""
@@ -115,7 +117,7 @@
 
     def _abandon(self, connection: StoreConnection, attempt: Attempt) -> None:
         connection.attempt = None
-        connection.close()
+        connection.close(StoreConnectionEnd.GIVEN_UP)
         self.gateway.later_outcome(attempt, How.CANCELLED)
 
     def list_changed(self) -> None:
@@ -128,26 +130,26 @@
         address = self.gateway.address(self.store)
         moved = any(connection.address != address for connection in self.connections)
         if self.store.state is State.GONE or moved:
-            self.close_idle()
+            self.close_idle(StoreConnectionEnd.MOVED)
 
     def check_timeouts(self, now: float) -> None:
         """Close connections that did not come up, idle too long, or owe an answer that nobody waits for."""
         self.cool_down = max(self.cool_down * COOL_DOWN_SHRINK, COOL_DOWN)
         for connection in [one for one in self.connections if not one.is_up and now >= one.connect_deadline]:
-            connection.close()
+            connection.close(StoreConnectionEnd.NOT_UP)
             self.connect_failed(retry=False)
         for connection in [one for one in self.idle if now - one.idle_since >= self.gateway.trusted]:
-            connection.close()
+            connection.close(StoreConnectionEnd.IDLE)
         # Guards against answers that trickle without an end to tasks that have theirs.
         oldest = now - self.gateway.longest - ABANDONED_FOR
         abandoned = [one for one in self.connections if one.attempt and one.attempt.over and one.sent_at < oldest]
         for connection in abandoned:
-            connection.close()
+            connection.close(StoreConnectionEnd.ABANDONED)
 
-    def close_idle(self) -> None:
+    def close_idle(self, reason: StoreConnectionEnd) -> None:
         """Close the connections that carry no request."""
         for connection in list(self.idle):
-            connection.close()
+            connection.close(reason)
 
     def open(self) -> None:
         """Open another connection if more attempts wait than connections are coming up, and if there is room."""
@@ -194,7 +196,10 @@
 
     def connected(self, connection: StoreConnection) -> None:
         """A connection came up: for the attempt that waits longest."""
-        if attempt := self._next_attempt():
+        if connection.address != self.gateway.address(self.store):
+            # Guards against a request at an address that its store has left while the connection came up.
+            connection.close(StoreConnectionEnd.MOVED)
+        elif attempt := self._next_attempt():
             self._send(connection, attempt)
         else:
             connection.idle_since = (
@@ -227,15 +232,17 @@
         if self.waiting:
             self._serve_after(self.cool_down)
         elif self.gateway.has_waiting():
-            connection.close()
+            connection.close(StoreConnectionEnd.ROOM)
 
     def answered_twice(self, lateness: float) -> None:
         """Guards against a later second answer of this store that comes once its connection was taken again."""
         self.gateway.note("second answer", store=self.store.handle, late_ms=round(lateness * 1000, 1))
         self.cool_down = min(max(self.cool_down, lateness * LATENESS_MARGIN), MOST_COOL_DOWN)
 
-    def closed(self, connection: StoreConnection) -> None:
+    def closed(self, connection: StoreConnection, reason: StoreConnectionEnd) -> None:
         """A connection was closed: another may be opened."""
+        owed = connection.attempt.held.id if connection.attempt else None
+        self.gateway.counts.store_connection_ended(reason, self.store.handle, owed)
         self.connections.pop(connection, None)
         if connection in self.idle:
             self.idle.remove(connection)
@@ -271,7 +278,7 @@
             if idle_time < self.cool_down:
                 continue
             if idle_time > self.gateway.trusted:
-                connection.close()
+                connection.close(StoreConnectionEnd.IDLE)
             elif connection.stream.quiet():
                 self.idle.remove(connection)
                 return connection
--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -23,6 +23,7 @@
 from tansykeel.platform.clients import Client, Clients
 from tansykeel.platform.config import Config, Illegal, read
 from tansykeel.platform.discovery import Discovery, RowReader
+from tansykeel.platform.event_counts import EventCounts
 from tansykeel.platform.event_log import standard_output
 from tansykeel.platform.intake import Reader, Wanted
 from tansykeel.platform.periodic_checks import LOOK, PeriodicChecks
@@ -42,6 +43,7 @@
 STORE_PART, OTHERS = 0.3, 32  # of the descriptors that a process may hold; what is left is for clients
 BODY_PART, ANSWER_PART = 0.125, 0.25  # of the memory, for requests' bodies and for answers
 USAGE = 2
+TRACE_VARIABLE = "TANSYKEEL_TRACE"  # "1": a line of the log for each event of each request
 MOST_TRACE = 6  # lines of a failure's trace that are logged
 
 
@@ -56,6 +58,7 @@
         loop = asyncio.get_running_loop()
         self.loop, limits = loop, config.file.limits
         self.violations = Violations(log)
+        self.counts = EventCounts(log if os.environ.get(TRACE_VARIABLE) == "1" else None)
         self.stalls = StallDetector(LOOK, loop.time())
         self.checks = PeriodicChecks(self, log)
         self.reminder = Reminder(self._tick)
@@ -87,6 +90,7 @@
             loop.time,
             loop.call_soon,
             self._received_at,
+            self.counts,
         )
         self.stores = Stores(
             self.core,
@@ -102,6 +106,7 @@
             log,
             self._list_caught_up,
             self.violations,
+            self.counts,
         )
         self._discovery = Discovery(
             self.core,
@@ -211,6 +216,7 @@
                 raise Malformed("the id of a request that is still open", 409)
         except Malformed as error:
             return client.turn_away(error.status)
+        self.counts.trace("taken", id=wanted.id, target=request.target, left_ms=wanted.patience / 10)
         client.open = wanted.id
         self.open[wanted.id] = client
         try:
@@ -251,6 +257,9 @@
         else:
             data = codec.answer(500, last=last)
         client.answer(data, last)
+        self.counts.trace("answered", id=held.id, result=final.result, last=last)
+        if final.result != DELIVERED:
+            self.counts.rejected(held.id, final.reason or held.last_outcome or "its time or turn did not come")
         if final.result != DELIVERED and not held.task.hand_offs:
             task, now = held.task, self.core.runner.now
             late = now - task.arrived > (task.deadline - task.arrived) // 2
--- a/tansykeel/platform/stores.py
+++ b/tansykeel/platform/stores.py
@@ -10,6 +10,7 @@
 from tansykeel.http1 import codec
 from tansykeel.interface import How, State, Store
 from tansykeel.platform.clients import Client, Clients
+from tansykeel.platform.event_counts import EventCounts, StoreConnectionEnd
 from tansykeel.platform.pool import COOL_DOWN, Pool
 from tansykeel.platform.request_rules import Verdict, Violations, attempt_may_begin, violation_of_attempt
 
@@ -42,9 +43,10 @@
         note: Callable[..., None],
         list_caught_up: Callable[[], bool],
         violations: Violations,
+        counts: EventCounts,
     ) -> None:
         """`list_caught_up`: whether all that discovery has said was read."""
-        self.list_caught_up, self.violations = list_caught_up, violations
+        self.list_caught_up, self.violations, self.counts = list_caught_up, violations, counts
         self.core, self.clients = core, clients
         self.most, self.most_bytes = most, most_bytes
         self.connect_within, self.idle_close, self.longest = connect_within, idle_close, longest
@@ -57,6 +59,8 @@
 
     def hand_off(self, attempt: Attempt) -> None:
         """Send the attempt to its store."""
+        held = attempt.held
+        self.counts.attempt_sent(held.id, attempt.number, attempt.store.handle, held.last_outcome)
         if attempt.store not in self.pools:
             self.pools[attempt.store] = Pool(self, attempt.store)
         self.pools[attempt.store].hand_off(attempt)
@@ -87,7 +91,7 @@
         """No descriptor is left: close what idles."""
         self.clients.make_place()
         for pool in self.pools.values():
-            pool.close_idle()
+            pool.close_idle(StoreConnectionEnd.ROOM)
 
     # What pools ask and report
 
@@ -124,7 +128,7 @@
             return True
         idle = [connection for pool in self.pools.values() for connection in pool.idle]
         if idle and make:
-            min(idle, key=lambda connection: connection.idle_since).close()
+            min(idle, key=lambda connection: connection.idle_since).close(StoreConnectionEnd.ROOM)
             return True
         return False
 
@@ -163,6 +167,7 @@
 
     def outcome(self, attempt: Attempt, how: How) -> None:
         """Tell the core what became of an attempt."""
+        self.counts.trace("outcome", id=attempt.held.id, number=attempt.number, how=how.value)
         self.core.outcome(self.clock(), attempt, how)
 
     def malformed(self, attempt: Attempt, why: str) -> None:
@@ -179,6 +184,7 @@
             how = How.FULL
         else:
             how = How.ERROR
+        self.counts.trace("outcome", id=attempt.held.id, number=attempt.number, how=how.value)
         used = parse_figure(fields.get(b"x-meter"), -1)
         elsewhere = parse_figure(fields.get(b"x-delta"), 0)
         self.core.outcome(self.clock(), attempt, how, body=[answer.body], used=used, elsewhere=elsewhere)
--- /dev/null
+++ b/tests/platform/test_event_counts.py
@@ -0,0 +1,50 @@
+"""What the log tells of why connections end, attempts are repeated and requests rejected."""
+
+from __future__ import annotations
+
+import asyncio
+
+from platform_stage import Store, ok, play, staged, until
+
+
+def test_ends_retries_and_rejections_are_counted_by_reason(tmp_path):
+    answers = iter([b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", ok(), None])
+
+    async def go():
+        async with staged(tmp_path, Store("s0", 0, lambda request: next(answers))) as stage:
+            await until(lambda: stage.gateway.core.list_version == 5)
+            client, silent = await stage.client(), await stage.client()
+            assert (await client.ask(1)).status == 200
+            assert (await client.ask(2, x_remaining="0.4")).status == 503
+            client.writer.transport.abort()
+            assert (await silent.answer()).status == 408
+            silent.writer.close()
+            await until(lambda: not stage.gateway.clients.conns)
+            counts = stage.gateway.counts
+            assert counts.retries == {"error": 1}
+            assert counts.rejections == {"timed out": 1}
+            assert counts.client_ends == {"the client ended it": 1, "it was told an error": 1}
+            assert counts.store_connection_ends == {"its attempt was cancelled or timed out": 1}
+
+    play(go())
+
+
+def test_a_trace_follows_a_request_by_its_id(tmp_path):
+    lines = []
+
+    async def go():
+        async with staged(tmp_path, Store("s0", 0)) as stage:
+            await until(lambda: stage.gateway.core.list_version == 5)
+            stage.gateway.counts.note = lambda event, **fields: lines.append((event, fields))
+            client = await stage.client()
+            assert (await client.ask(7)).status == 200
+            await asyncio.sleep(0)
+            id = b"%016x" % 7
+            assert [event for event, fields in lines if fields.get("id") == id] == [
+                "taken",
+                "attempt",
+                "outcome",
+                "answered",
+            ]
+
+    play(go())
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -13,6 +13,7 @@
 
 from tansykeel.http1 import codec
 from tansykeel.platform.config import read
+from tansykeel.platform.event_counts import ClientEnd, StoreConnectionEnd
 from tansykeel.platform.program import Gateway
 from tansykeel.transport.sockets import listening
 
@@ -241,11 +242,11 @@
         for asker in stage.askers:
             asker.writer.transport.abort()
         for client in list(gateway.clients.conns):
-            client.close()
+            client.close(ClientEnd.GATEWAY_ENDS)
         gateway.discovery.end()
         for pool in gateway.stores.pools.values():
             for connection in list(pool.connections):
-                connection.close()
+                connection.close(StoreConnectionEnd.GIVEN_UP)
         listener.close()
         for part in (list_, *stores):
             await part.stop()
