A soak test over real processes: overlapping faults drawn by seed, judged by invariants

The checker reads what all processes wrote down. Accept's failures and clock steps are not shown by it yet. Found by it: a request read in hundreds of short reads counts from its last read; the kernel is asked after 32 reads now.

--- a/tansykeel/platform/clients.py
+++ b/tansykeel/platform/clients.py
@@ -22,6 +22,7 @@
 MOST_DRAINED = 256 << 10  # bytes read and let go meanwhile
 MOST_AHEAD = 80 << 10  # bytes read ahead of a request that is not answered yet; who sends more is told an error
 LINGERING = 8  # places for those that were ended and may still send
+MANY_READS = 32  # reads of one request, after which its last byte may have come long before it is read
 STALL = 5.0  # seconds in which a client takes none of its answer
 SLOWEST = 30.0  # seconds in which it has to have taken all of it
 
@@ -50,6 +51,7 @@
         "drained",
         "end_reason",
         "_busy",
+        "_reads",
         "_left",
         "_took",
     )
@@ -63,6 +65,7 @@
         self.ending = self.closed_half = self._busy = False
         self.drained = 0
         self.end_reason: ClientEnd | None = None  # once it is settled that it ends
+        self._reads = 0  # since the request that is coming began
         self._left, self._took = 0, self.since  # of its answer not taken at the last look; when it last took some
         self.stream.read()
 
@@ -146,7 +149,8 @@
             return
         if self.open is None and not self.reader.partial:
             self.since = self.owner.now()
-        self.reader.feed(data, self.owner.received_at(self.stream))
+        self._reads = self._reads + 1 if self.reader.partial else 0
+        self.reader.feed(data, self.owner.received_at(self.stream, self._reads > MANY_READS))
         # Guards against many that send large bodies and never end them: the memory is not theirs alone.
         crammed = self.reader.size > codec.MOST_HEAD and self.owner.unread() > self.owner.most_bytes
         if self.open is not None:
@@ -220,10 +224,11 @@
         most_bytes: int,
         now: Callable[[], float],
         later: Callable[[Callable[[], None]], object],
-        received_at: Callable[[Stream], int],
+        received_at: Callable[[Stream, bool], int],
         counts: EventCounts,
     ) -> None:
-        """`received_at`: when the bytes came that were read from a stream just now, by the core's clock."""
+        """`received_at(stream, late)`: when the bytes came that were read from a stream just now, by the core's clock;
+        `late`: whether they may have waited although the loop runs as it should."""
         self.handler, self.most, self.most_bytes, self.now, self.later = handler, most, most_bytes, now, later
         self.received_at, self.counts = received_at, counts
         self.conns: dict[Client, None] = {}
--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -44,6 +44,7 @@
 BODY_PART, ANSWER_PART = 0.125, 0.25  # of the memory, for requests' bodies and for answers
 USAGE = 2
 TRACE_VARIABLE = "TANSYKEEL_TRACE"  # "1": a line of the log for each event of each request
+MOST_READ_FOR = 2.0  # seconds for which one request is read at most
 MOST_TRACE = 6  # lines of a failure's trace that are logged
 
 
@@ -308,11 +309,13 @@
             has_sent_more=self.closing and client.has_sent_more,
         )
 
-    def _received_at(self, stream: Stream) -> int:
-        """Return when the bytes came that were read from the stream just now, by the core's clock."""
+    def _received_at(self, stream: Stream, late: bool) -> int:
+        """Return when the bytes came that were read from the stream just now, by the core's clock. `late`: they may
+        have waited although the loop runs as it should, for reads were short."""
         now = self.loop.time()
         if not self.stalls.longest_unread(now):
-            return clock()
+            age = min(seconds_since_data(stream.sock) or 0.0, MOST_READ_FOR) if late else 0.0
+            return clock() - int(age * TENTHS_PER_SECOND)
         age = self.stalls.age_of_bytes(now, seconds_since_data(stream.sock))
         return clock() - int(age * TENTHS_PER_SECOND)
 
--- /dev/null
+++ b/tansykeel/soak/__main__.py
@@ -0,0 +1,79 @@
+"""`python -m tansykeel.soak --seeds 1 2 3`: plays soak tests and prints what broke; exit code 1 if anything did."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+
+from tansykeel.soak.faults import Kind
+from tansykeel.soak.records import Fault, read_records
+from tansykeel.soak.runner import Plan, SoakTest
+
+MOST_PRINTED = 12  # breaches of one invariant that are printed
+HERE = Path(__file__).parents[2]
+PORTS_PER_PLAY = 400
+
+
+def parse(arguments: list[str]) -> argparse.Namespace:
+    """Return what the command line asks for."""
+    parser = argparse.ArgumentParser(prog="python -m tansykeel.soak", description=__doc__)
+    parser.add_argument("--seeds", type=int, nargs="+", default=[1], help="one play each")
+    parser.add_argument("--seconds", type=float, default=30.0, help="of load in each play")
+    parser.add_argument("--gateways", type=int, default=10)
+    parser.add_argument("--stores", type=int, default=10)
+    parser.add_argument("--clients", type=int, default=6, help="processes of 20 connections")
+    parser.add_argument("--base-port", type=int, default=20_000)
+    parser.add_argument("--root", type=Path, default=HERE, help="the tree whose gateway is run")
+    parser.add_argument("--no-cancel", action="store_true", help="settings that do not allow cancels")
+    parser.add_argument("--only", nargs="+", choices=[kind.name for kind in Kind], default=[], help="faults to play")
+    parser.add_argument("--keep", type=Path, help="a folder for the records of each play")
+    return parser.parse_args(arguments)
+
+
+def play(options: argparse.Namespace, seed: int, folder: Path) -> bool:
+    """Play one seed and print what was found; return whether all invariants held."""
+    plan = Plan(
+        seed=seed,
+        seconds=options.seconds,
+        gateways=options.gateways,
+        stores=options.stores,
+        clients=options.clients,
+        base_port=options.base_port,
+        folder=folder,
+        root=options.root.resolve(),
+        cancel=not options.no_cancel,
+        only=tuple(Kind[name] for name in options.only),
+    )
+    report = asyncio.run(SoakTest(plan).play())
+    faults = [record for record in read_records([folder / "runner.jsonl"]) if isinstance(record, Fault)]
+    print(f"seed {seed}: {report.requests} requests, statuses {dict(sorted(report.statuses.items()))}")
+    print(f"  faults: {', '.join(f'{fault.name.lower()} {fault.target}' for fault in faults)}")
+    print(f"  ends without an answer (crossings too): {dict(report.ends)}")
+    for invariant, count in report.by_invariant().most_common():
+        print(f"  BROKEN {invariant}: {count}")
+        for breach in [one for one in report.breaches if one.invariant == invariant][:MOST_PRINTED]:
+            print(f"    {breach.at:.3f} {breach.subject}: {breach.detail}")
+    print("  all invariants held" if not report.breaches else f"  {len(report.breaches)} breaches", flush=True)
+    return not report.breaches
+
+
+def main(arguments: list[str]) -> int:
+    """Play all seeds; return the exit code."""
+    options = parse(arguments)
+    held = True
+    for seed in options.seeds:
+        if options.keep:
+            folder = options.keep / f"seed-{seed}"
+            folder.mkdir(parents=True)
+            held = play(options, seed, folder) and held
+        else:
+            with tempfile.TemporaryDirectory() as name:
+                held = play(options, seed, Path(name)) and held
+    return 0 if held else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tansykeel/soak/shim.py
@@ -0,0 +1,108 @@
+"""Runs a gateway with system calls that fail or fall short, and a wall clock that is stepped, as a file says.
+
+Standard library only, and started by its path, so that any version of the gateway can be run under it. The file holds
+the fields of `Steering`, which another process may change at any time.
+"""
+
+from __future__ import annotations
+
+import mmap
+import os
+import runpy
+import socket
+import struct
+import sys
+import time
+from dataclasses import astuple, dataclass
+from pathlib import Path
+from typing import Any
+
+LAYOUT = struct.Struct("<d6q")
+
+
+@dataclass
+class Steering:
+    """What is done to the calls of one process; 0 leaves them alone."""
+
+    wall_offset: float = 0.0  # seconds that the wall clock is ahead
+    accept_error: int = 0  # of every second accept
+    connect_error: int = 0  # of every third connect
+    socket_error: int = 0  # of every third socket for a connection
+    most_sent: int = 0  # bytes that one send takes
+    most_received: int = 0  # bytes that one recv gives
+    peer_error: int = 0  # in place of ECONNRESET on recv
+
+    def save(self, path: Path) -> None:
+        """Write the fields over the file, in one call."""
+        data = LAYOUT.pack(*astuple(self))
+        descriptor = os.open(path, os.O_RDWR | os.O_CREAT)
+        try:
+            os.pwrite(descriptor, data, 0)
+        finally:
+            os.close(descriptor)
+
+
+class Shim:
+    """The patched calls of this process."""
+
+    def __init__(self, path: str) -> None:
+        with open(path, "r+b") as file:
+            self._map = mmap.mmap(file.fileno(), LAYOUT.size)
+        self.calls = {"accept": 0, "connect": 0, "socket": 0}
+
+    def steering(self) -> Steering:
+        """Return what holds now."""
+        return Steering(*LAYOUT.unpack_from(self._map))
+
+    def fails(self, call: str, every: int, error: int) -> None:
+        """Raise the error at every so many calls."""
+        self.calls[call] += 1
+        if error and not self.calls[call] % every:
+            raise OSError(error, os.strerror(error))
+
+    def install(self) -> None:
+        """Patch this process."""
+        shim, real_time, real_socket = self, time.time, socket.socket
+
+        def stepped_time() -> float:
+            return real_time() + shim.steering().wall_offset
+
+        class ShimSocket(real_socket):  # type: ignore[valid-type,misc]
+            """A socket whose calls may fail or fall short."""
+
+            def __init__(self, *arguments: Any, **named: Any) -> None:
+                if not named.get("fileno"):
+                    shim.fails("socket", 3, shim.steering().socket_error)
+                super().__init__(*arguments, **named)
+
+            def accept(self) -> Any:
+                shim.fails("accept", 2, shim.steering().accept_error)
+                return super().accept()
+
+            def connect(self, address: Any) -> None:
+                shim.fails("connect", 3, shim.steering().connect_error)
+                super().connect(address)
+
+            def send(self, data: Any, *arguments: Any) -> int:
+                most = shim.steering().most_sent
+                return super().send(memoryview(data)[:most] if most else data, *arguments)
+
+            def recv(self, size: int, *arguments: Any) -> bytes:
+                steering = shim.steering()
+                most = min(size, steering.most_received) if steering.most_received else size
+                try:
+                    return super().recv(most, *arguments)
+                except ConnectionResetError:
+                    if steering.peer_error:
+                        raise OSError(steering.peer_error, os.strerror(steering.peer_error)) from None
+                    raise
+
+        time.time = stepped_time
+        socket.socket = ShimSocket  # type: ignore[misc]
+
+
+if __name__ == "__main__":
+    Shim(sys.argv[1]).install()
+    sys.argv = ["tansykeel.platform"]
+    del sys.path[0]  # this file's folder
+    runpy.run_module("tansykeel.platform", run_name="__main__", alter_sys=True)
