Soak: a store that shows no queue where clocks are stepped, so that a wrong age shows

Cause: stores that queue, and failed connections, hid a wrong age of a store from the checker: rates fell by themselves. Change: where clocks are stepped a store is replaced by one that does not slow down while it is cold; pipelined requests stay within the 80 KiB that are read ahead.

--- a/tansykeel/soak/client_process.py
+++ b/tansykeel/soak/client_process.py
@@ -124,7 +124,7 @@
     async def ahead(self, connection: Connection) -> None:
         """Send several requests before the first answer."""
         while not self.load.stop:
-            requests = [self._request(None) for _ in range(self.chance.randint(2, 4))]
+            requests = [self._request(None, 2000) for _ in range(self.chance.randint(2, 4))]
             connection.writer.write(b"".join(data for _, data, _, _ in requests))
             for id, _, one, deadline in requests:
                 self._sent(connection, id, one, deadline)
@@ -179,14 +179,14 @@
         self._sent(connection, id, one, until)
         await self._answers(connection, [(id, until)])
 
-    def _request(self, deadline: float | None) -> tuple[str, bytes, RequestClass, float]:
+    def _request(self, deadline: float | None, most_body: int = 30_000) -> tuple[str, bytes, RequestClass, float]:
         """Return a new request: id, bytes, class, and when its client's time is up if it is sent now."""
         one = self.chance.choices(CLASSES, [6, 2, 2])[0]
         seconds = deadline or one.deadline
         id = f"{self.next_id:016x}"
         self.next_id += 1
         volume, shard = self.chance.randrange(VOLUMES), self.chance.randrange(self.shards)
-        body = b"x" * self.chance.choice([10, 200, 2000, 30_000]) if one.write else b""
+        body = b"x" * min(self.chance.choice([10, 200, 2000, 30_000]), most_body) if one.write else b""
         lines = [
             f"{'PUT' if one.write else 'GET'} /api/{volume:016x}/{key_of(one, self.chance.getrandbits(56))} HTTP/1.1",
             "Host: origin.svc",
--- a/tansykeel/soak/runner.py
+++ b/tansykeel/soak/runner.py
@@ -216,7 +216,7 @@
         replaced shows more than one that restarts, which its failed connections tell of too."""
         for gateway in self.gateways:
             gateway.steer(wall_offset=fault.figure)
-        await self._replace_store(self.shards[fault.target % len(self.shards)])
+        await self._replace_store(self.shards[fault.target % len(self.shards)], eager=True)
         await asyncio.sleep(CLOCK_WRONG_FOR)
         for gateway in self.gateways:
             gateway.steer(wall_offset=0.0)
@@ -234,7 +234,7 @@
             await asyncio.sleep(DOWN_FOR)
             await self._start_store(shard, cold=True)
 
-    async def _replace_store(self, shard: SimulatedShard) -> None:
+    async def _replace_store(self, shard: SimulatedShard, eager: bool = False) -> None:
         if shard.busy.locked() or not shard.process:
             return
         async with shard.busy:
@@ -248,7 +248,7 @@
             shard.name = f"s{shard.number}-{shard.generation}"
             shard.port = self.next_port
             self.next_port += 1
-            await self._start_store(shard, cold=True)
+            await self._start_store(shard, cold=True, eager=eager)
 
     def _kill_store(self, shard: SimulatedShard) -> None:
         if shard.process:
@@ -263,11 +263,13 @@
             await asyncio.sleep(seconds)
             shard.process.tell("serve")
 
-    async def _start_store(self, shard: SimulatedShard, cold: bool) -> None:
+    async def _start_store(self, shard: SimulatedShard, cold: bool, eager: bool = False) -> None:
         path = self.plan.folder / f"{shard.name}.jsonl"
         temperature = "cold" if cold else "warm"
         shard.process = StandIn("store_process", shard.name, str(shard.port), str(path), temperature)
         await shard.process.ready()
+        if eager:
+            shard.process.tell("eager")
         shard.since = time.time() * 1000 if cold else 0.0  # wall clock: the runner's, never stepped
         self.discovery.tell({"member": shard.member()})
 
--- a/tansykeel/soak/store_process.py
+++ b/tansykeel/soak/store_process.py
@@ -23,6 +23,7 @@
         self.name, self.recorder = name, recorder
         self.started = now() if cold else -1e9
         self.mode = "serve"
+        self.eager = False  # takes more than it bears without showing it in its answers
         self.busy_until = 0.0
         self.ran: dict[str, float] = {}  # by id, when: what a repeat is recognised by
         self.connections = 0
@@ -78,7 +79,8 @@
         if begin - now() > MOST_QUEUE:
             writer.write(TURNED_AWAY)
             return False
-        self.busy_until = begin + 1 / (CAPACITY * power_of(now() - self.started))
+        power = 1.0 if self.eager else power_of(now() - self.started)
+        self.busy_until = begin + 1 / (CAPACITY * power)
         await asyncio.sleep(self.busy_until - now())
         # A repeat within its window is recognised here; whether it was allowed at all is for the checker to say.
         window = class_of(request.target.rpartition(b"/")[2]).window
@@ -102,6 +104,8 @@
             for writer in list(self.writers):
                 self._over(writer)
                 writer.transport.abort()
+        elif word == "eager":
+            self.eager = True
         else:
             self.mode = word
 
