--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Two commands do everything on a fresh machine: `make demo` and `make test`.
 PYTHON ?= python3
 
-.PHONY: setup demo test scale
+.PHONY: setup demo test scale soak
 
 setup: .venv/.ready
 
@@ -20,3 +20,7 @@
 # 612 gateways, 6 control nodes and their faults on loopback, for about five minutes: not a part of the tests.
 scale: setup
 	.venv/bin/tansykeel scale play full --plots docs/plots
+
+# Ten gateways on the platform's protocol, with overlapping faults, for three minutes: not a part of the tests.
+soak: setup
+	.venv/bin/python -m tansykeel.soak --seeds 3 4 5 35
