Failing tests: one lack of descriptors sheds several clients; local failures count against stores

Found by reading the mend of accept again and by laying connect's documented failures beside it: accept_all calls pressure at each failure of a turn; Pool._open_failed tries no second connection where connect or socket fails on this machine, so the store rests and counts as restarted. The soak's three flush loops are one method.

--- a/tansykeel/soak/client_process.py
+++ b/tansykeel/soak/client_process.py
@@ -242,12 +242,7 @@
         clients.half_asker,
     ]
 
-    async def flush() -> None:
-        while True:
-            await asyncio.sleep(0.1)
-            recorder.flush()
-
-    flushing = asyncio.create_task(flush())
+    flushing = asyncio.create_task(recorder.keep_flushing())
     print("ready", flush=True)
     sessions = [asyncio.create_task(clients.session(habit)) for habit in habits]
     reading = asyncio.create_task(read_lines(load.command))
--- a/tansykeel/soak/discovery_process.py
+++ b/tansykeel/soak/discovery_process.py
@@ -106,12 +106,7 @@
         for number in range(int(gateways)):
             await asyncio.start_server(serving(f"g{number}"), "127.0.0.1", int(first_port) + number)
 
-    async def flush() -> None:
-        while True:
-            await asyncio.sleep(0.1)
-            recorder.flush()
-
-    flushing = asyncio.create_task(flush())
+    flushing = asyncio.create_task(recorder.keep_flushing())
     print("ready", flush=True)
     await read_lines(discovery.command)
     flushing.cancel()
--- a/tansykeel/soak/records.py
+++ b/tansykeel/soak/records.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Iterable
 from pathlib import Path
 from time import monotonic
@@ -12,6 +13,8 @@
 import msgspec
 from msgspec import Struct
 
+FLUSH_EVERY = 0.1  # seconds
+
 
 class Sent(Struct, tag=True, frozen=True):
     """A client wrote the last byte of a request."""
@@ -129,6 +132,12 @@
         """Hand over what was written."""
         self._file.flush()
 
+    async def keep_flushing(self) -> None:
+        """Flush several times a second, until cancelled: what was done by a process that is killed is not lost."""
+        while True:
+            await asyncio.sleep(FLUSH_EVERY)
+            self.flush()
+
 
 def read_records(paths: Iterable[Path]) -> list[Record]:
     """Return all records of all files by time; a last line that a killed process did not finish is left out."""
--- a/tansykeel/soak/store_process.py
+++ b/tansykeel/soak/store_process.py
@@ -125,13 +125,8 @@
     recorder = Recorder(Path(path))
     store = SimulatedStore(name, recorder, temperature == "cold")
 
-    async def flush() -> None:
-        while True:
-            await asyncio.sleep(0.1)
-            recorder.flush()
-
     server = await asyncio.start_server(store.serve_connection, "127.0.0.1", int(port), backlog=512)
-    flushing = asyncio.create_task(flush())
+    flushing = asyncio.create_task(recorder.keep_flushing())
     print("ready", flush=True)
     await read_lines(store.command)
     flushing.cancel()
--- a/tests/platform/test_system_calls.py
+++ b/tests/platform/test_system_calls.py
@@ -101,3 +101,54 @@
             assert (await new.ask(2)).status == 200
 
     play(go())
+
+
+def test_a_lack_of_descriptors_sheds_one_client_a_turn(tmp_path, monkeypatch):
+    """Failures in one turn of the loop are one lack: what was closed for the first has not been of use yet."""
+    fail_every_second_accept(monkeypatch, errno.EMFILE)
+
+    async def go():
+        async with staged(tmp_path, Store("s0", 0)) as stage:
+            await until(lambda: stage.gateway.core.list_version == 5)
+            resting = [await stage.client() for _ in range(12)]
+            for id, client in enumerate(resting, 1):
+                assert (await client.ask(id)).status == 200
+            await asyncio.sleep(0.4)
+            ends = stage.gateway.counts.client_ends
+            before = ends["room was needed"]
+            burst = [await stage.client() for _ in range(8)]
+            answers = await asyncio.gather(*(client.ask(id) for id, client in enumerate(burst, 100)))
+            assert [answer and answer.status for answer in answers] == [200] * 8
+            assert ends["room was needed"] - before <= len(burst)
+            assert len(stage.gateway.clients.conns) >= len(burst)
+
+    play(go())
+
+
+def test_a_connect_that_fails_here_for_a_moment_says_nothing_of_the_store(tmp_path, monkeypatch):
+    """Every third connect finds no free port: no hand-off fails, and the store is not taken for one that restarted."""
+    connects = []
+    real = socket.socket.connect
+
+    class FailingSocket(socket.socket):
+        def connect(self, address):
+            connects.append(address)
+            if not len(connects) % 3:
+                raise OSError(errno.EADDRNOTAVAIL, "for a moment")
+            return real(self, address)
+
+    async def go():
+        async with staged(tmp_path, Store("s0", 0)) as stage:
+            await until(lambda: stage.gateway.core.list_version == 5)
+            monkeypatch.setattr(
+                "tansykeel.platform.connection.open_socket", lambda address: FailingSocket(socket.AF_INET)
+            )
+            for round in range(4):
+                clients = [await stage.client() for _ in range(6)]
+                answers = await asyncio.gather(*(c.ask(10 * round + n) for n, c in enumerate(clients, 1)))
+                assert [answer and answer.status for answer in answers] == [200] * 6
+                stage.gateway.stores.pressure()
+            assert len(connects) > 8
+            assert "no connection" not in stage.gateway.core.counts.outcomes
+
+    play(go())
