One lack of descriptors sheds one client a turn; a local failure of connect is tried once more

Cause: accept_all called pressure at each failure of a turn; Pool._open_failed took a connect that fails on this machine for the store's. Change: pressure once a turn; one more connection is tried before an attempt counts as not connected, as where the store refuses.

--- a/tansykeel/platform/pool.py
+++ b/tansykeel/platform/pool.py
@@ -179,7 +179,8 @@
                 self.gateway.pressure()
             self.gateway.after(PRESSURE_REST, self.open)
         else:
-            self.gateway.later(lambda: self.connect_failed(retry=False))
+            # What fails on this machine for a moment (no free port, no route) says little of the store.
+            self.gateway.later(lambda: self.connect_failed(retry=True))
 
     def serve_waiting(self) -> None:
         """Give connections that have cooled down to the attempts that wait; open one where that is too few."""
--- a/tansykeel/transport/sockets.py
+++ b/tansykeel/transport/sockets.py
@@ -107,6 +107,7 @@
 
     def ready() -> None:
         failures = 0
+        relieved = False  # once a turn: what was closed for one failure makes room for the next accept
         for _ in range(AT_ONCE):
             try:
                 sock, _ = listener.accept()
@@ -114,7 +115,8 @@
                 return
             except OSError as error:
                 failures += 1
-                if lacks_descriptor(error):
+                if lacks_descriptor(error) and not relieved:
+                    relieved = True
                     pressure()
                 if failures >= MOST_FAILURES:
                     return rest(PRESSURE_REST if lacks_descriptor(error) else FAILURE_REST)
