A test of connections to stores that break with ETIMEDOUT or EHOSTUNREACH

Measured: both cases held at once, nothing to mend: a part of an answer without a length is a reset, the request is tried again and answered whole.

--- a/tests/platform/test_system_calls.py
+++ b/tests/platform/test_system_calls.py
@@ -7,7 +7,7 @@
 import socket
 
 import pytest
-from platform_stage import Store, play, staged, until
+from platform_stage import Store, asking, play, staged, until
 
 from tansykeel.platform import periodic_checks
 from tansykeel.transport import sockets
@@ -152,3 +152,45 @@
             assert "no connection" not in stage.gateway.core.counts.outcomes
 
     play(go())
+
+
+@pytest.mark.parametrize("failure", [errno.ETIMEDOUT, errno.EHOSTUNREACH], ids=lambda failure: errno.errorcode[failure])
+def test_a_connection_to_a_store_that_breaks_in_other_ways_than_a_reset_is_no_end_of_an_answer(
+    tmp_path, monkeypatch, failure
+):
+    """The head says no length, so only an orderly end would make the part that came a whole answer."""
+    opened = []
+
+    class BreakingSocket(socket.socket):
+        """The first one opened breaks once a part of an answer was read."""
+
+        def recv(self, size, *flags):
+            if self is opened[0] and self.has_read and not flags:
+                raise OSError(failure, "broken")
+            data = super().recv(size, *flags)
+            self.has_read = self.has_read or not flags
+            return data
+
+    def open_breaking(address):
+        sock = BreakingSocket(socket.AF_INET)
+        sock.has_read = False
+        opened.append(sock)
+        return sock
+
+    answers = iter([b"HTTP/1.1 200 OK\r\n\r\npart", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"])
+
+    async def go():
+        store = Store("s0", 0, lambda request: next(answers))
+        async with staged(tmp_path, store) as stage:
+            await until(lambda: stage.gateway.core.list_version == 5)
+            monkeypatch.setattr("tansykeel.platform.connection.open_socket", open_breaking)
+            client = await stage.client()
+            client.writer.write(asking(1))
+            await until(lambda: opened and opened[0].has_read)
+            for writer in store.writers:
+                writer.write(b" more")  # what wakes the loop to find the break
+            answer = await client.answer()
+            assert (answer.status, answer.body) == (200, b"whole")
+            assert stage.gateway.core.counts.outcomes == {"reset": 1, "delivered": 1}
+
+    play(go())
