Slow start: what first tries earn at a cold store in any window is bounded

Seen by callers: a store that has just started and answers at once however much it gets was sent nearly all that was asked of it (350 requests in 3 s where 301 and 36 are allowed; 1,080 in a surge where 559 and 49 are), and such a store falls. Cause: Node.asked credits a request 2.5 times over while latencies are under their target, on the ground that all then send less than the store's power; a store that shows no queue when overloaded breaks that ground. In a surge a volume's own bound let a window's worth through when the surge began and another while it lasted. Change: SpanBudget bounds what first tries earn in any window of the rule's span by 0.8 of the part that the store bears of what the plans of this gateway's volumes ask for there, three largest tasks at least. It holds because it counts what was earned, whatever answers show: over all gateways 0.8 N beside the even fifth, where plans are within stores' power. The older test of the factor 2.5 stays as it is and passes: one request alone still earns that much.

--- a/tansykeel/brain/cold.py
+++ b/tansykeel/brain/cold.py
@@ -4,6 +4,31 @@
 
 SECOND, ROUND, LONG = 10_000, 100, 1_000  # a round every 10 ms (design), put off at cold nodes for so long
 EVEN, BY_ASKED, TOLD = 0.2, 0.8, 6 * SECOND  # parts dealt evenly, by what is asked; when a start is told by
+LEAST_IN_SPAN = 3  # largest tasks; below it one gateway's requests tell nothing of what the fleet asks for
+
+
+class SpanBudget:
+    """Bounds what one gateway's first tries earn at a cold store in any window of the rule's span.
+
+    It is this gateway's part of what the volumes' plans ask for at the store, times the part of that
+    which the store bears. Over all gateways that is within what it bears, if the plans are within its power.
+    """
+
+    def __init__(self, span: int, largest: float) -> None:
+        self.span, self.least = span, LEAST_IN_SPAN * largest
+        self.plans_rate = 0.0  # units a tenth that the plans of this gateway's volumes ask for here
+        self._earned, self._sum = list[tuple[int, float]](), 0.0  # when, units; their sum in the window
+
+    def left(self, now: int, part: float) -> float:
+        """Units that may still be earned in the window that ends now; `part` of what is asked is borne."""
+        while self._earned and self._earned[0][0] <= now - self.span:
+            self._sum -= self._earned.pop(0)[1]
+        return max(BY_ASKED * part * self.plans_rate * self.span, self.least) - self._sum
+
+    def spend(self, now: int, units: float) -> None:
+        """Count units that were earned now."""
+        self._earned.append((now, units))
+        self._sum += units
 
 
 class Young:
@@ -14,6 +39,7 @@
         self.even, self.phase = EVEN * rule.always_safe / max(gateways, 1), (me + 0.5) / max(gateways, 1)
         self.due = self.suspected = 0  # when the last task will find room; when it may have started
         self.since, self.at, self.credit = -rule.warm_after - rule.span, 0, 0.0
+        self.budget = SpanBudget(rule.span, largest)
 
     def bears(self, store: Store, now: int, proof: int) -> float:
         """What it bears by now, as a part of what it does when warm; 0 if it is."""
@@ -32,6 +58,13 @@
         self.credit = min(self.credit + evenly, self.largest)
         return max(self.rule.multiple * self.rule.share * grown, 1e-9)
 
+    def earn(self, units: float, now: int, part: float) -> None:
+        """Credit for a first try, within the window's budget however many come and however quick answers are."""
+        earned = min(units, self.budget.left(now, part), self.largest - self.credit)
+        if earned > 0:
+            self.budget.spend(now, earned)
+            self.credit += earned
+
     def room(self, store: Store, now: int, units: float, proof: int) -> bool:
         warm, short = not self.bears(store, now, proof), units * self.phase - self.credit
         self.due = now + int(min(short * self.rule.span / max(self.even, 1e-9), LONG)) if short > 0 else 0
--- a/tansykeel/brain/nodes.py
+++ b/tansykeel/brain/nodes.py
@@ -31,6 +31,7 @@
         self.at, self.paid = node.accrued, 0.0  # up to when balance and tokens are worked out
         self.full_at, self.clear_at = 0, 0.0  # when its balance is full; after which slices it owes nothing
         self.asked_at, self.sized = 0, 0.0  # when a first try last came; units that the volume is sized for
+        self.plans_rate = 0.0  # units a tenth that the volume is sized for here, as the last first try told
 
     def earn(self, earns: float) -> None:
         if self.node.lines.get(self.volume) is self:
@@ -83,10 +84,13 @@
             most = max(rate * self.young.rule.span, self.young.largest)
             sized = min(line.sized + rate * (self.desk.now - line.asked_at), most)
             line.asked_at, line.sized, counts = self.desk.now, max(sized - units, 0.0), min(units, sized)
-            # With no queue there all send it less than its power, which is that much under what it bears.
+            self.young.budget.plans_rate += rate - line.plans_rate
+            line.plans_rate = rate
+            # With no queue there all send it less than its power, which is that much under what it bears. One
+            # that answers at once whatever it gets shows no queue either: `earn` bounds this by its budget.
             clear = bool(self.lags) and self.lags[-1][0] >= self.desk.now - FRESH and self.gap() > 0
             earned = BY_ASKED * part * counts * (self.young.rule.multiple if clear else 1)
-            self.young.credit = min(self.young.credit + earned, self.young.largest)
+            self.young.earn(earned, self.desk.now, part)
 
     def hold(self, line: Line, task: Task) -> None:
         if not line.held:
@@ -142,6 +146,8 @@
         self.full_earn += line.earns
         while (oldest := next(iter(self.full))).at < self.desk.now - FORGET and oldest not in self.owing:
             del self.full[oldest], self.lines[oldest.volume]
+            if self.young:
+                self.young.budget.plans_rate -= oldest.plans_rate
             self.earn, self.full_earn = self.earn - oldest.earns, self.full_earn - oldest.earns
 
     def round(self) -> None:
--- a/tests/brain/test_cold_fleet.py
+++ b/tests/brain/test_cold_fleet.py
@@ -4,8 +4,10 @@
 requests in 3 s where 301 and 36 of slack are allowed, and 1,080 during a surge where 559 and 49 are. `Node.asked`
 credited each request 2.5 times over as long as latencies stayed under their target, on the ground that all gateways
 together then send less than the store's power. A store that answers quickly although it is overloaded breaks that
-ground, and nothing else bounded what a gateway sends in one window. The same counts came from the fleet below, from
-processes on loopback and from the soak test's seed 202.
+ground, and nothing else bounded what a gateway sends in one window: a volume's own bound let a window's worth through
+at its beginning and another while it lasted. The fleet below showed it: windows 6% to 18% over what is allowed at an
+even load and 75% to 80% in a surge, as much as was counted on loopback (1.78 times). Now what first tries earn in any
+window is bounded by `SpanBudget`, whatever the answers show.
 """
 
 from __future__ import annotations
@@ -109,3 +111,8 @@
 @pytest.mark.parametrize("gateways, capacity", [(2, 200), (6, 400), (20, 400)])
 def test_no_window_gets_more_than_its_budget(gateways, capacity, load_at, seed):
     assert worst_window(gateways, capacity, load_at, seed=seed) <= 0
+
+
+def test_no_window_gets_more_than_its_budget_from_a_fleet_whose_gateways_are_each_asked_little():
+    """A hundred gateways, each asked for two requests a second: what one sees is too little to tell a surge by."""
+    assert worst_window(100, 400, surge) <= 0
