--- a/tansykeel/brain/cold.py
+++ b/tansykeel/brain/cold.py
@@ -59,7 +59,7 @@
         return max(self.rule.multiple * self.rule.share * grown, 1e-9)
 
     def earn(self, units: float, now: int, part: float) -> None:
-        """Credit for a first try, within the window's budget however many come and however quick answers are."""
+        """Credit for a first try, within the window's budget however many come and how quick answers are."""
         earned = min(units, self.budget.left(now, part), self.largest - self.credit)
         if earned > 0:
             self.budget.spend(now, earned)
