epoll_ctl that fails for a moment costs nobody: asyncio's loop with a selector that tries again

Seen by callers: epoll_ctl fails once with ENOMEM or ENOSPC and the process ends by signal 6; 193 of 200 requests found nobody. Cause: the event loop was libuv's. It raises the first failure into whoever began to watch and aborts on others. Change: RetryingEpollSelector keeps what is wanted of each descriptor and applies what the kernel did not take before each wait, which lasts 5 ms at most meanwhile. It holds for every call of the loop, as no caller sees the failure.

--- a/benchmarks/control_proxy.py
+++ b/benchmarks/control_proxy.py
@@ -16,10 +16,9 @@
 import sys
 import tempfile
 import time
+from functools import partial
 from pathlib import Path
 
-import uvloop
-
 sys.path.insert(0, str(Path(__file__).parents[1]))
 
 from tansykeel.protocol.codec import Codec  # noqa: E402
@@ -32,6 +31,7 @@
     SessionOpen,
     pack,
 )
+from tansykeel.transport.sockets import run  # noqa: E402
 
 SETTLE_S = 1.0  # seconds between the last connection and the first measure
 MILLISECOND_NS = 1_000_000
@@ -153,7 +153,7 @@
     given = parser.parse_args()
     for connections in given.connections:
         with tempfile.TemporaryDirectory() as folder:
-            print(uvloop.run(measure(Path(folder), connections, given)), flush=True)
+            print(run(partial(measure, Path(folder), connections, given)), flush=True)
     print(f"load of the machine: {os.getloadavg()[0]:.1f}")
 
 
--- a/benchmarks/edge_cost.py
+++ b/benchmarks/edge_cost.py
@@ -48,7 +48,7 @@
     "module": ("brain/", "runner.py", "interface.py"),
     "core": ("edge/core.py",),
     "codec": ("protocol/", "msgspec", "crc32c"),
-    "sockets": ("transport/", "uvloop", "sock_"),
+    "sockets": ("transport/", "asyncio/", "sock_"),
     "programs": ("edge/stores.py", "edge/program.py"),
 }
 
--- a/tansykeel/transport/__init__.py
+++ b/tansykeel/transport/__init__.py
@@ -1,1 +1,1 @@
-"""Connections over asyncio's socket calls (`add_reader`, `sock_sendall`) on uvloop, with stated bounds."""
+"""Connections over asyncio's socket calls (`add_reader`, `sock_sendall`) on epoll, with stated bounds."""
--- a/tansykeel/transport/sockets.py
+++ b/tansykeel/transport/sockets.py
@@ -10,6 +10,7 @@
 from typing import Any, TypeVar
 
 from tansykeel.errors import Problem
+from tansykeel.transport.epoll_selector import RetryingEpollSelector
 
 PRESSURE_REST = 0.05  # seconds before the next accept when no descriptor was left
 FAILURE_REST = 0.005  # seconds before the next accept when the system lacked something for a moment
@@ -150,9 +151,15 @@
             take(sock)
 
 
-def run(main: Callable[[], Coroutine[Any, Any, T]]) -> T:
-    """Run a program's coroutine on uvloop; what it returns."""
-    import uvloop
+def new_event_loop() -> asyncio.AbstractEventLoop:
+    """Return the event loop that all programs run on: it outlives `epoll_ctl` failing for a moment.
+
+    Guards against libuv, which ends the process there, with every request that it holds.
+    """
+    return asyncio.SelectorEventLoop(RetryingEpollSelector())
 
-    result: T = uvloop.run(main())
-    return result
+
+def run(main: Callable[[], Coroutine[Any, Any, T]]) -> T:
+    """Run a program's coroutine; return what it returns."""
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        return runner.run(main())
--- a/tests/platform/test_ending.py
+++ b/tests/platform/test_ending.py
@@ -7,12 +7,11 @@
 from contextlib import suppress
 
 import pytest
-import uvloop
 from platform_stage import List, Store, asking, configuration, ok, play, staged, until
 
 from tansykeel.http1 import codec
 from tansykeel.platform import program
-from tansykeel.transport.sockets import accept_all, accept_waiting, listening
+from tansykeel.transport.sockets import accept_all, accept_waiting, listening, new_event_loop
 from tansykeel.transport.stream import Stream
 
 
@@ -164,8 +163,9 @@
         for sock in (*taken, client):
             sock.close()
 
-    for run in (asyncio.run, uvloop.run):
-        run(go())
+    for loop in (asyncio.new_event_loop, new_event_loop):
+        with asyncio.Runner(loop_factory=loop) as runner:
+            runner.run(go())
 
 
 def test_a_request_that_crosses_the_end_of_a_resting_connection_resets_nothing(tmp_path, monkeypatch):
