Failing tests: setsockopt that fails once resets a client just accepted

Seen from outside: 7 of 200 requests lost where every second setsockopt on an accepted connection fails with ENOBUFS.

--- a/tests/platform/test_system_calls.py
+++ b/tests/platform/test_system_calls.py
@@ -81,6 +81,91 @@
         sock.close()
 
 
+class OptionsFail(socket.socket):
+    """A socket of which the first calls of `setsockopt` fail."""
+
+    failures = 1
+    failure = errno.ENOBUFS
+
+    def setsockopt(self, *arguments):
+        if self.failures:
+            self.failures -= 1
+            raise OSError(self.failure, "for a moment")
+        super().setsockopt(*arguments)
+
+
+def with_options_that_fail(sock, failure, failures):
+    failing = OptionsFail(fileno=sock.detach())
+    failing.failure, failing.failures = failure, failures
+    return failing
+
+
+def sends_without_delay(sock):
+    return bool(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+
+
+OPTION_FAILURES = [errno.ENOBUFS, errno.ENOMEM]
+
+
+@pytest.mark.parametrize("failures", [1, 2, 1000])
+@pytest.mark.parametrize("failure", OPTION_FAILURES, ids=lambda failure: errno.errorcode[failure])
+def test_a_connection_whose_options_can_not_be_set_is_answered(tmp_path, monkeypatch, failure, failures):
+    """`setsockopt` fails with ENOBUFS or ENOMEM, as Linux documents it, on every second connection just accepted.
+
+    Its client was reset before its first answer (7 of 200 requests): `Stream` sets TCP_NODELAY as it begins, and the
+    error went up into `accept_all`, which let the socket go. What the option is for can wait: it is tried again with
+    each write.
+    """
+    accepted = []
+
+    class Listener:
+        def __init__(self, listener):
+            self.listener = listener
+
+        def accept(self):
+            sock, address = self.listener.accept()
+            if len(accepted) % 2:
+                sock = with_options_that_fail(sock, failure, failures)
+            accepted.append(sock)
+            return sock, address
+
+        def __getattr__(self, name):
+            return getattr(self.listener, name)
+
+    real = sockets.listening
+    monkeypatch.setattr("platform_stage.listening", lambda address: Listener(real(address)))
+
+    async def go():
+        async with staged(tmp_path, Store("s0", 0)) as stage:
+            await until(lambda: stage.gateway.core.list_version == 5)
+            clients = [await stage.client() for _ in range(20)]
+            for turn in range(3):
+                answers = await asyncio.gather(*(c.ask(100 * turn + n) for n, c in enumerate(clients, 1)))
+                assert [answer and answer.status for answer in answers] == [200] * 20
+            assert not stage.gateway.clients.unanswered
+            if failures < 1000:
+                assert all(map(sends_without_delay, accepted))
+
+    play(go())
+
+
+@pytest.mark.parametrize("failure", OPTION_FAILURES, ids=lambda failure: errno.errorcode[failure])
+def test_a_connection_to_a_store_whose_options_can_not_be_set_is_used(tmp_path, monkeypatch, failure):
+    def open_failing(address):
+        return with_options_that_fail(socket.socket(), failure, 1)
+
+    async def go():
+        async with staged(tmp_path, Store("s0", 0)) as stage:
+            await until(lambda: stage.gateway.core.list_version == 5)
+            monkeypatch.setattr("tansykeel.platform.connection.open_socket", open_failing)
+            clients = [await stage.client() for _ in range(6)]
+            answers = await asyncio.gather(*(client.ask(n) for n, client in enumerate(clients, 1)))
+            assert [answer and answer.status for answer in answers] == [200] * 6
+            assert stage.gateway.core.counts.outcomes == {"delivered": 6}
+
+    play(go())
+
+
 def test_no_descriptor_costs_no_client_that_has_begun_to_ask(tmp_path):
     """EMFILE is ours to mend by closing what idles, never whoever is new or in the middle of a request."""
 
