setsockopt that fails for a moment ends no connection and no start

Seen by callers: where setsockopt on an accepted connection fails (ENOBUFS), its client is reset before its first answer; 7 of 200 requests where every second call fails. Cause: Stream sets TCP_NODELAY in its constructor; the error went up through Clients.accept into accept_all, which let the socket go. The same towards stores (the attempt ended as not connected), in the edge's connections and in listening(), where it ended the process at its start; a reset asked for by SO_LINGER left the socket open. Change: send_without_delay tells whether the option holds, and Stream tries again with each write until it does.

--- a/tansykeel/transport/link.py
+++ b/tansykeel/transport/link.py
@@ -10,12 +10,14 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from mmap import mmap
 
 from tansykeel.protocol.codec import Codec, Event
 from tansykeel.protocol.frames import Error, Fields, Hello, ProtocolError
 from tansykeel.protocol.outgoing import Done, Outgoing
+from tansykeel.transport.sockets import send_without_delay
 
 RECEIVE_BYTES = 256 << 10  # most of one read: four chunks of a body, so that a large body costs few reads
 HELD_RECEIVE_BYTES = 2 << 10  # most of one read whose wait began before a hold: sees that the peer left, takes little
@@ -87,7 +89,7 @@
         self._may_read: asyncio.Future[None] | None = None
         self._work: asyncio.Future[None] | None = None
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        send_without_delay(sock)
         self.outgoing.frame(0, hello)
         hub.links.add(self)
         self._tasks = [loop.create_task(self._read()), loop.create_task(self._write())]
@@ -141,7 +143,8 @@
             if task is not current:
                 task.cancel()
         if reset:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+            with suppress(OSError):  # an orderly end, where the system lacks the memory for another
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
         self._loop.call_soon(self.sock.close)  # after the cancelled calls have let go of it
         self.outgoing.clear()
         self.on_lost(self, why)
--- a/tansykeel/transport/sockets.py
+++ b/tansykeel/transport/sockets.py
@@ -6,6 +6,7 @@
 import errno
 import socket
 import sys
+import time
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
@@ -13,6 +14,7 @@
 from tansykeel.transport.epoll_selector import RetryingEpollSelector
 
 PRESSURE_REST = 0.05  # seconds before the next accept when no descriptor was left
+LISTENS_WITHIN = 2.0  # seconds for which a listener is tried that the system lacks something for
 FAILURE_REST = 0.005  # seconds before the next accept when the system lacked something for a moment
 AT_ONCE = 16  # connections accepted in one turn of the loop
 MOST_FAILURES = 4  # accepts in a row that may fail in one turn of the loop
@@ -43,6 +45,18 @@
     return socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
 
 
+def send_without_delay(sock: socket.socket) -> bool:
+    """Let small writes leave at once; return False where the system could not set that for a moment.
+
+    Guards against an end of the connection over it: setsockopt(2) may lack memory, and the option only saves time.
+    """
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except OSError:
+        return False
+    return True
+
+
 def seconds_since_data(sock: socket.socket) -> float | None:
     """Return for how long nothing has come on the connection; None where the kernel does not say."""
     try:
@@ -69,12 +83,25 @@
 
 
 def listening(address: str, backlog: int = 1024) -> socket.socket:
-    """A listening socket; port 0 takes a free one. Raises OSError."""
-    host, port = address_of(address)
-    sock = open_socket((host, port))
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    """A listening socket; port 0 takes a free one. Raises OSError.
+
+    What the system lacks for a moment is waited for: guards against a program that ends at its start over it.
+    """
+    last_try = time.monotonic() + LISTENS_WITHIN
+    while True:
+        try:
+            return _listen(address_of(address), backlog)
+        except OSError as error:
+            if error.errno not in OUT_OF_FILES or time.monotonic() >= last_try:
+                raise
+            time.sleep(PRESSURE_REST)
+
+
+def _listen(address: tuple[str, int], backlog: int) -> socket.socket:
+    sock = open_socket(address)
     try:
-        sock.bind((host, port))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
         sock.listen(backlog)
     except BaseException:
         sock.close()
--- a/tansykeel/transport/stream.py
+++ b/tansykeel/transport/stream.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from tansykeel.transport.sockets import send_without_delay
+
 READ = 64 << 10  # bytes read at once
 MOST_SENDS = 256  # calls for one write in one turn of the loop, where the socket takes a little each time
 
@@ -28,7 +30,7 @@
         self._on_open: Callable[[], None] | None = None
         self._reading = False
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sends_without_delay = send_without_delay(sock)
 
     def connect(self, address: tuple[str, int], on_open: Callable[[], None]) -> None:
         """Begin to connect; `on_open` once it is up, `on_end` where it fails. Raises OSError where it can't begin."""
@@ -49,6 +51,8 @@
         """Send; what the socket does not take now follows as it can. A break shows in `on_end`, later."""
         if self.closed:
             return
+        if not self._sends_without_delay:
+            self._sends_without_delay = send_without_delay(self.sock)
         if self.unsent:
             self.unsent += data
             return
--- a/tests/platform/test_system_calls.py
+++ b/tests/platform/test_system_calls.py
@@ -166,6 +166,36 @@
     play(go())
 
 
+@pytest.mark.parametrize("call", ["setsockopt", "bind", "listen"])
+@pytest.mark.parametrize("failure", OPTION_FAILURES, ids=lambda failure: errno.errorcode[failure])
+def test_a_listener_is_there_though_a_call_fails_for_a_moment_at_the_start(monkeypatch, call, failure):
+    """The gateway ended with code 2 and served nobody."""
+    failures = []
+
+    class Failing(socket.socket):
+        pass
+
+    def fail_once(self, *arguments):
+        if len(failures) < 2:
+            failures.append(call)
+            raise OSError(failure, "for a moment")
+        return getattr(socket.socket, call)(self, *arguments)
+
+    setattr(Failing, call, fail_once)
+    monkeypatch.setattr(sockets, "open_socket", lambda address: Failing())
+    listener = sockets.listening("127.0.0.1:0")
+    assert listener.getsockname()[1] and len(failures) == 2
+    listener.close()
+
+
+def test_an_address_that_is_taken_is_told_at_once():
+    taken = sockets.listening("127.0.0.1:0")
+    with pytest.raises(OSError) as raised:
+        sockets.listening(f"127.0.0.1:{taken.getsockname()[1]}")
+    assert raised.value.errno == errno.EADDRINUSE
+    taken.close()
+
+
 def test_no_descriptor_costs_no_client_that_has_begun_to_ask(tmp_path):
     """EMFILE is ours to mend by closing what idles, never whoever is new or in the middle of a request."""
 
