A configuration that can't be read for a moment is read again, at the start and after SIGHUP

What callers see: at the start the process ends with code 2 and serves nobody; after SIGHUP the new discovery is not watched while the old one closes 1.5 s later, so that no drain is heard until the next SIGHUP. Cause: main and read_anew took one failure of reading the file (EIO, EMFILE, ENFILE, ENOMEM) for the file's own fault. Change: Unreadable is an error of its own; the start reads again for 3 s where the failure may pass, SIGHUP every 0.1 s for 3 s whatever it is, and the newest signal's file counts. It holds because what is read again is the file as it stands then.

--- a/tansykeel/platform/config.py
+++ b/tansykeel/platform/config.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import time
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any, Literal
@@ -15,6 +17,10 @@
 from tansykeel.settings.given import NotLegal, facts_of
 from tansykeel.transport.sockets import address_of
 
+# The system lacks something for a moment, or the medium does.
+MAY_PASS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EIO, errno.EINTR, errno.EAGAIN})
+READ_AGAIN_AFTER = 0.1  # seconds until a file that could not be read is read again
+READ_WITHIN = 3.0  # seconds for which that is tried
 PHASES = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
 
 
@@ -24,6 +30,16 @@
     advice = "correct the file that EDGE_CONFIG names; the gateway reads it at its start and on SIGHUP"
 
 
+class Unreadable(Illegal):
+    """The platform's configuration file can't be read."""
+
+    advice = "make the file that EDGE_CONFIG names readable; where the system lacks something, it is tried again"
+
+    def __init__(self, path: str, error: OSError) -> None:
+        super().__init__(f"{path}: {error.strerror}; legal: a file that can be read")
+        self.may_pass = error.errno in MAY_PASS
+
+
 class Member(Struct, frozen=True):
     id: Annotated[str, Meta(min_length=1, max_length=128)]
     host_port: str
@@ -73,12 +89,24 @@
         return max(category.deadline for category in self.facts.categories) * TENTH / 1e9
 
 
+def read_at_start(path: str) -> Config:
+    """As `read`, again for a while where the system lacks something. Raises Illegal."""
+    last_try = time.monotonic() + READ_WITHIN
+    while True:
+        try:
+            return read(path)
+        except Unreadable as error:
+            if not error.may_pass or time.monotonic() >= last_try:
+                raise
+            time.sleep(READ_AGAIN_AFTER)
+
+
 def read(path: str) -> Config:
     """Raises Illegal."""
     try:
         file = msgspec.json.decode(Path(path).read_bytes(), type=File)
     except OSError as error:
-        raise Illegal(f"{path}: {error.strerror}; legal: a file that can be read") from None
+        raise Unreadable(path, error) from None
     except (msgspec.MsgspecError, ValueError) as error:
         raise Illegal(f"{path}: {error}") from None
     for where, address in (("listen", file.listen), ("discovery", file.discovery)):
--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -21,7 +21,7 @@
 from tansykeel.http1.codec import Malformed, Request
 from tansykeel.interface import Word
 from tansykeel.platform.clients import Client, Clients
-from tansykeel.platform.config import Config, Illegal, read
+from tansykeel.platform.config import READ_AGAIN_AFTER, READ_WITHIN, Config, Illegal, Unreadable, read, read_at_start
 from tansykeel.platform.discovery import Discovery, RowReader
 from tansykeel.platform.event_counts import EventCounts
 from tansykeel.platform.event_log import standard_output
@@ -70,6 +70,7 @@
         self.answers = 0
         self.never_sent = Counter[str]()  # tasks answered otherwise than delivered with no hand-off, by cause
         self._discovery: Discovery | None = None
+        self._reading_again: asyncio.TimerHandle | None = None  # of a configuration that could not be read
         self.reader = Reader(config.facts)
         bounds = Bounds(config.open_tasks, int(limits.memory_mb * 2**20 * BODY_PART), codec.MOST_BODY)
         known = config.file.known
@@ -196,10 +197,33 @@
 
     def read_anew(self, received_at: float | None = None) -> None:
         """SIGHUP: discovery may have moved. All else is taken at the start only."""
+        if self._reading_again:
+            self._reading_again.cancel()
         try:
-            config = read(self.path)
+            self._take_configuration()
         except Illegal as error:
-            return log("configuration not taken", **error.fields)
+            log("configuration not taken", **error.fields)
+            if isinstance(error, Unreadable):
+                self._read_again_later(self.loop.time() + READ_WITHIN)
+
+    def _read_again_later(self, last_try: float) -> None:
+        """Guards against a file that can't be read for a moment: the old discovery goes, and no drain would be heard
+        until the next SIGHUP."""
+
+        def read_again() -> None:
+            try:
+                self._take_configuration()
+            except Unreadable:
+                if self.loop.time() < last_try:
+                    self._read_again_later(last_try)
+            except Illegal as error:
+                log("configuration not taken", **error.fields)
+
+        self._reading_again = self.loop.call_later(READ_AGAIN_AFTER, read_again)
+
+    def _take_configuration(self) -> None:
+        """Raises Illegal."""
+        config = read(self.path)
         if config.file.settings != self.config.file.settings:
             log("other settings are taken at the next start only")
         self.config = config
@@ -347,7 +371,7 @@
     """Run a gateway until it is told to stop; return the exit code. `signals`: those that came so far."""
     path = os.environ.get("EDGE_CONFIG", "")
     try:
-        config = read(path)
+        config = read_at_start(path)
         listener = listening(config.file.listen)
     except Illegal as error:
         print(f"tansykeel: {error}\n  {error.do}", file=sys.stderr)
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import errno
 import json
+import os
+from pathlib import Path
 
 import pytest
-from platform_stage import configuration
+from platform_stage import List, Store, configuration, play, staged, until
 
-from tansykeel.platform.config import Illegal, read
+from tansykeel.platform.config import Illegal, Unreadable, read, read_at_start
 
 
 @pytest.mark.parametrize(
@@ -27,3 +30,70 @@
     with pytest.raises(Illegal) as caught:
         read(str(path))
     assert says in str(caught.value) and str(path) in str(caught.value) and "\n" not in str(caught.value)
+
+
+UNREADABLE = [errno.EIO, errno.EMFILE, errno.ENFILE, errno.ENOMEM]
+
+
+def fail_to_read(monkeypatch, failure, times):
+    """The next `times` reads of a file fail; the list of those that did."""
+    failed, real = [], Path.read_bytes
+
+    def read_bytes(path):
+        if len(failed) < times:
+            failed.append(path)
+            raise OSError(failure, os.strerror(failure))
+        return real(path)
+
+    monkeypatch.setattr(Path, "read_bytes", read_bytes)
+    return failed
+
+
+@pytest.mark.parametrize("failure", UNREADABLE, ids=lambda failure: errno.errorcode[failure])
+def test_a_configuration_that_can_not_be_read_for_a_moment_is_taken_at_the_start(tmp_path, monkeypatch, failure):
+    """The gateway ended with code 2 before it served anybody."""
+    path = configuration(tmp_path, "127.0.0.1:9")
+    failed = fail_to_read(monkeypatch, failure, 3)
+    assert read_at_start(str(path)).file.name == "n0"
+    assert len(failed) == 3
+
+
+def test_a_configuration_that_is_not_there_is_told_at_once(tmp_path, monkeypatch):
+    with pytest.raises(Unreadable, match="No such file"):
+        read_at_start(str(tmp_path / "none.json"))
+
+
+@pytest.mark.parametrize("failure", [*UNREADABLE, errno.ENOENT], ids=lambda failure: errno.errorcode[failure])
+def test_a_configuration_that_can_not_be_read_for_a_moment_is_taken_after_a_sighup(tmp_path, monkeypatch, failure):
+    """Its discovery was not watched until the next SIGHUP, while the old one went: no drain was heard from then on."""
+
+    async def go():
+        other = await List().start()
+        async with staged(tmp_path, Store("s0", 0)) as stage:
+            await until(lambda: stage.gateway.core.list_version == 5)
+            configuration(tmp_path, other.address)
+            failed = fail_to_read(monkeypatch, failure, 2)
+            stage.gateway.read_anew()
+            await until(lambda: other.asked)
+            assert len(failed) == 2
+        await other.stop()
+
+    play(go())
+
+
+def test_of_signals_in_series_the_last_file_counts(tmp_path, monkeypatch):
+    async def go():
+        second, third = await List().start(), await List().start()
+        async with staged(tmp_path, Store("s0", 0)) as stage:
+            await until(lambda: stage.gateway.core.list_version == 5)
+            configuration(tmp_path, second.address)
+            fail_to_read(monkeypatch, errno.EIO, 1)
+            stage.gateway.read_anew()
+            configuration(tmp_path, third.address)
+            stage.gateway.read_anew()
+            await until(lambda: third.asked)
+            assert not second.asked
+        await second.stop()
+        await third.stop()
+
+    play(go())
