--- a/tansykeel/soak/__main__.py
+++ b/tansykeel/soak/__main__.py
@@ -1,4 +1,7 @@
-"""`python -m tansykeel.soak --seeds 1 2 3`: plays soak tests and prints what broke; exit code 1 if anything did."""
+"""`python -m tansykeel.soak --seeds 1 2 3`: plays soak tests and prints what broke; exit code 1 if anything did.
+
+Seeds that KNOWN-RED.txt names are played and printed like the others and do not count for the exit code.
+"""
 
 from __future__ import annotations
 
@@ -9,12 +12,13 @@
 from pathlib import Path
 
 from tansykeel.soak.faults import Kind
+from tansykeel.soak.known_red import FILE_NAME, BadKnownRedFile, KnownRed, read_known_red
 from tansykeel.soak.records import Fault, read_records
 from tansykeel.soak.runner import Plan, SoakTest
 
 MOST_PRINTED = 12  # breaches of one invariant that are printed
 HERE = Path(__file__).parents[2]
-PORTS_PER_PLAY = 400
+BAD_INPUT = 2  # exit code
 
 
 def parse(arguments: list[str]) -> argparse.Namespace:
@@ -63,17 +67,31 @@
 def main(arguments: list[str]) -> int:
     """Play all seeds; return the exit code."""
     options = parse(arguments)
+    try:
+        known = read_known_red(HERE / FILE_NAME)
+    except BadKnownRedFile as error:
+        print(error, file=sys.stderr)
+        return BAD_INPUT
     held = True
     for seed in options.seeds:
         if options.keep:
             folder = options.keep / f"seed-{seed}"
             folder.mkdir(parents=True)
-            held = play(options, seed, folder) and held
+            seed_held = play(options, seed, folder)
         else:
             with tempfile.TemporaryDirectory() as name:
-                held = play(options, seed, Path(name)) and held
+                seed_held = play(options, seed, Path(name))
+        held = (seed_held or is_known_red(known, seed)) and held
     return 0 if held else 1
 
 
+def is_known_red(known: list[KnownRed], seed: int) -> bool:
+    """Print the entry of a seed that broke, and return whether there is one."""
+    entries = [entry for entry in known if seed in entry.soak_seeds]
+    for entry in entries:
+        print(entry, flush=True)
+    return bool(entries)
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:]))
--- a/tansykeel/soak/checker.py
+++ b/tansykeel/soak/checker.py
@@ -16,6 +16,7 @@
     CLASSES,
     DRAIN_GRACE,
     FALL_MULTIPLE,
+    KILL_AFTER,
     OVERLOAD_FOR,
     WARM_AFTER,
     power_of,
@@ -24,6 +25,7 @@
     Answered,
     Arrived,
     EndedUnanswered,
+    Fault,
     Left,
     Misbehaved,
     Over,
@@ -42,7 +44,6 @@
 CROSSING = 0.1  # seconds between a request's last byte and the end of its connection that may cross
 OWED_TO_BAD = 3.0  # seconds in which who stops in the middle of a request gets an error or an end
 NOTICE = 0.25  # seconds by which this machine may be late itself, all its cores busy
-END_AFTER_TERM = 3.7  # seconds, when the platform kills
 READY_WITHIN = 10.0  # seconds
 
 
@@ -82,6 +83,7 @@
         self.stops: dict[str, list[tuple[float, float]]] = defaultdict(list)
         self.kills: dict[str, list[float]] = defaultdict(list)
         self.end = records[-1].at if records else 0.0
+        self.crowded = {record.target for record in records if isinstance(record, Fault) and record.name == "CROWD"}
         for record in records:
             if isinstance(record, Arrived):
                 self.arrived[record.id].append(record)
@@ -121,7 +123,7 @@
             answer, end = self.answered.get(id), ended.get(id)
             if answer and answer.at > limit:
                 yield Breach(answer.at, "answer in time", id, f"{answer.at - sent.deadline:.2f} s after its time")
-            elif end and not self._crossed(sent, end):
+            elif end and not self._crossed(sent, end) and not self._shut_unread(sent):
                 yield Breach(
                     end.at, "answer before close", id, f"{sent.gateway}: {end.how} after {end.at - sent.at:.2f} s"
                 )
@@ -237,7 +239,7 @@
                 took = record.at - at - self._stopped(record.gateway, at, record.at)
                 if not event:
                     yield Breach(record.at, "no crash", record.gateway, f"exit code {record.code}")
-                elif event == "terminate" and (record.code != 0 or took > END_AFTER_TERM):
+                elif event == "terminate" and (record.code != 0 or took > KILL_AFTER):
                     yield Breach(
                         record.at, "orderly end", record.gateway, f"exit code {record.code} after {took:.1f} s"
                     )
@@ -265,6 +267,10 @@
         took = end.at - sent.at - self._stopped(sent.gateway, sent.at, end.at)
         return not sent.fresh and took <= CROSSING
 
+    def _shut_unread(self, sent: Sent) -> bool:
+        """Whether a crowd fills the gateway's descriptors, where new connections may be shut unread."""
+        return sent.gateway in self.crowded and sent.fresh and sent.id not in self.arrived
+
     @staticmethod
     def _leaving_since(known: list[Told]) -> float | None:
         """Return since when a store was told to leave, None if it was not or came back."""
--- a/tansykeel/soak/client_process.py
+++ b/tansykeel/soak/client_process.py
@@ -18,6 +18,7 @@
 
 HEAD = re.compile(rb"(?s)HTTP/1\.1 (\d+) .*?\r\nContent-Length: (\d+)\r\n(?:[^\r\n]+\r\n)*\r\n")
 PATIENCE = 5.0  # seconds after a request's time for which its answer is still looked for
+SURGE_SESSIONS = 40  # beside the usual ones, while the load surges
 OWED_WITHIN = 6.0  # seconds for which a client that stopped in the middle of a request waits
 
 
@@ -31,12 +32,14 @@
 
     gateways: dict[str, int] = field(default_factory=dict)  # in use, with their ports
     stop: bool = False
+    surge_until: float = 0.0
 
     def command(self, line: str) -> None:
         """Take a line of the input."""
         words = json.loads(line)
         self.gateways = words.get("use", self.gateways)
         self.stop = words.get("stop", self.stop)
+        self.surge_until = now() + words["surge"] if "surge" in words else self.surge_until
 
 
 class Connection:
@@ -84,6 +87,18 @@
                 await habit(connection)
             connection.leave()
 
+    async def surging(self) -> None:
+        """Ask one request after the other while the load surges, until told to stop."""
+        while not self.load.stop:
+            connection = await self._connect() if now() < self.load.surge_until else None
+            if connection is None:
+                await asyncio.sleep(0.1)
+                continue
+            with contextlib.suppress(Ended, OSError):
+                while not self.load.stop and now() < self.load.surge_until:
+                    await self._ask(connection)
+            connection.leave()
+
     async def _connect(self) -> Connection | None:
         if not self.load.gateways:
             return None
@@ -245,6 +260,7 @@
     flushing = asyncio.create_task(recorder.keep_flushing())
     print("ready", flush=True)
     sessions = [asyncio.create_task(clients.session(habit)) for habit in habits]
+    sessions += [asyncio.create_task(clients.surging()) for _ in range(SURGE_SESSIONS)]
     reading = asyncio.create_task(read_lines(load.command))
     await asyncio.gather(*sessions)
     flushing.cancel()
--- a/tansykeel/soak/deployment.py
+++ b/tansykeel/soak/deployment.py
@@ -36,6 +36,10 @@
 )
 
 
+LONGEST_DEADLINE = max(one.deadline for one in CLASSES)  # seconds
+KILL_AFTER = min(LONGEST_DEADLINE, 3.0) + 0.7  # seconds after SIGTERM at which the platform kills at the earliest
+
+
 def key_of(one: RequestClass, number: int) -> str:
     """Return a piece of data's name, which tells its request's class: stores are told nothing else of it."""
     return f"{CLASSES.index(one):x}{number:015x}"
--- a/tansykeel/soak/faults.py
+++ b/tansykeel/soak/faults.py
@@ -35,6 +35,11 @@
     STORE_BREAKS = "store breaks all its connections"
     DISCOVERY_SILENT = "discovery silent"
     WATCHES_BREAK = "watches break"
+    RELOAD_SERIES = "discovery moved several times in a row"
+    SIGNAL_SERIES = "gateway restarted by signals in series"
+    OPTIONS_FAIL = "setsockopt fails"
+    EPOLL_FAILS = "epoll_ctl fails"
+    SURGE = "load surges"
 
 
 WEIGHTS = {
@@ -55,7 +60,14 @@
     Kind.STORE_BREAKS: 2,
     Kind.DISCOVERY_SILENT: 2,
     Kind.WATCHES_BREAK: 2,
+    Kind.RELOAD_SERIES: 3,
+    Kind.SIGNAL_SERIES: 3,
+    Kind.OPTIONS_FAIL: 2,
+    Kind.EPOLL_FAILS: 2,
+    Kind.SURGE: 3,
 }
+CROWD_PART = 1 / 3  # of all seeds whose play has a crowd
+CROWDED_GATEWAYS = 3
 
 
 @dataclass(frozen=True)
@@ -81,6 +93,14 @@
     return faults
 
 
+def draw_crowd(seed: int, gateways: int) -> list[int]:
+    """Draw the gateways whose descriptors idle clients fill through the whole play; none on most seeds."""
+    chance = random.Random(f"crowd {seed}")
+    if chance.random() >= CROWD_PART:
+        return []
+    return sorted(chance.sample(range(gateways), min(CROWDED_GATEWAYS, gateways)))
+
+
 def _draw(chance: random.Random, at: float, kind: Kind, gateways: int, stores: int) -> PlannedFault:
     of_store = kind.value.startswith("store")
     target = chance.randrange(stores if of_store else gateways)
@@ -91,6 +111,10 @@
         Kind.SHORT_CALLS: (2, 3, 50),
         Kind.EARLY_RELOAD: (0.1, 0.15, 0.2, 0.3, 0.4),
         Kind.RESTART_UNREAD_LOG: (0, 1),
+        Kind.OPTIONS_FAIL: (errno.ENOBUFS, errno.ENOMEM),
+        Kind.EPOLL_FAILS: (errno.ENOMEM, errno.ENOSPC),
+        Kind.STORE_REPLACED: (0, 1),  # 1: by one that shows no queue
+        Kind.RELOAD_SERIES: (2, 3, 4),
     }
     figure = chance.choice(figures.get(kind, (0.0,)))
     seconds = chance.uniform(0.3, 2.5) if kind is not Kind.STOP else chance.choice([0.2, 0.5, 1.0, 1.8])
--- a/tansykeel/soak/processes.py
+++ b/tansykeel/soak/processes.py
@@ -21,7 +21,6 @@
 PR_SET_PDEATHSIG = 1  # prctl(2): the signal that a process gets when its parent dies
 ONE_PAGE = 4096  # bytes
 NOT_READY_AFTER = 12.0  # seconds after which a gateway that does not answer is ended
-KILL_AFTER = 3.7  # seconds after SIGTERM, as the platform kills
 SHIM = Path(__file__).with_name("shim.py")
 
 
--- a/tansykeel/soak/records.py
+++ b/tansykeel/soak/records.py
@@ -106,7 +106,7 @@
 
 
 class Fault(Struct, tag=True, frozen=True):
-    """A fault began."""
+    """A fault began, or (`CROWD`) clients that fill a gateway's descriptors."""
 
     at: float
     name: str
--- a/tansykeel/soak/runner.py
+++ b/tansykeel/soak/runner.py
@@ -9,16 +9,19 @@
 from pathlib import Path
 from typing import Any
 
-from tansykeel.soak.checker import Breach, Checker, Report
-from tansykeel.soak.deployment import Deployment
-from tansykeel.soak.faults import Kind, PlannedFault, draw_faults
-from tansykeel.soak.processes import KILL_AFTER, GatewayProcess, StandIn
+from tansykeel.soak.checker import ANSWER_GRACE, Breach, Checker, Report
+from tansykeel.soak.deployment import KILL_AFTER, LONGEST_DEADLINE, Deployment
+from tansykeel.soak.faults import Kind, PlannedFault, draw_crowd, draw_faults
+from tansykeel.soak.processes import GatewayProcess, StandIn
 from tansykeel.soak.records import Fault, Process, Recorder, now, read_records
 
 STILL_IN_USE = 0.3  # seconds after its end was announced for which new connections still come to a gateway
 DRAINS_FOR = 3.0  # seconds for which a store that is replaced still runs
 DOWN_FOR = 0.5  # seconds for which a store that restarts is away
+BETWEEN_SIGNALS = (0.0, 0.02, 0.1, 0.25)  # seconds between those of a series, in turn
+LATE_ANSWERS = 1.0  # seconds beside the longest deadline and its grace for which the last answers are waited for
 CLOCK_WRONG_FOR = 8.0  # seconds until a stepped clock is set right again
+CROWD = "CROWD"  # how a record names a gateway whose descriptors idle clients fill
 SUSPECT_LINES = (b'"failed"', b'"invariant violated"')
 
 
@@ -76,6 +79,7 @@
         self.shards = [SimulatedShard(number, self.deployment.store_port(number)) for number in range(plan.stores)]
         self.next_port = self.deployment.store_port(plan.stores)
         self.clients: list[StandIn] = []
+        self.crowds: list[StandIn] = []
         self.which_discovery = [0] * plan.gateways
         self.in_use: dict[str, int] = {}
 
@@ -102,6 +106,7 @@
             path = folder / f"c{number}.jsonl"
             seed = plan.seed * 1000 + number
             self.clients.append(StandIn("client_process", str(number), str(seed), str(path), str(plan.stores)))
+        self._start_crowd()
         await asyncio.gather(*(client.ready() for client in self.clients))
         self._tell_use()
 
@@ -118,14 +123,28 @@
         await asyncio.sleep(max(begun + plan.seconds - now(), 0))
         await asyncio.gather(*running)
 
+    def _start_crowd(self) -> None:
+        for number in draw_crowd(self.plan.seed, self.plan.gateways):
+            port = self.deployment.gateway_port(number)
+            self.crowds.append(StandIn("crowd_process", str(port), str(self.plan.seed)))
+            self.recorder.write(Fault(now(), CROWD, f"g{number}"))
+
     async def _end(self) -> None:
+        """End all gateways under load: clients go on with the connections that they hold, until the kill."""
+        for gateway in self.gateways:
+            gateway.signal(signal.SIGTERM, "terminate")
+        await asyncio.sleep(STILL_IN_USE)
+        self.in_use.clear()
+        self._tell_use()
+        await asyncio.gather(*(gateway.until_ended(KILL_AFTER - STILL_IN_USE) for gateway in self.gateways))
+        await asyncio.sleep(LONGEST_DEADLINE + ANSWER_GRACE + LATE_ANSWERS)
         for client in self.clients:
             client.tell({"stop": True})
         while any(client.child.poll() is None for client in self.clients):
             await asyncio.sleep(0.05)
-        for gateway in self.gateways:
-            gateway.signal(signal.SIGTERM, "terminate")
-        await asyncio.gather(*(gateway.until_ended(KILL_AFTER + 0.5) for gateway in self.gateways))
+        self.recorder.write(Process(now(), "", "end of the play"))
+        for crowd in self.crowds:
+            await crowd.end()
         for client in self.clients:
             await client.end()
         await asyncio.gather(*(shard.process.end() for shard in self.shards if shard.process))
@@ -149,19 +168,30 @@
                 await self._kill(gateway, fault.figure)
             case Kind.RELOAD:
                 self._move_discovery(gateway)
+            case Kind.RELOAD_SERIES:
+                await self._move_discovery_often(gateway, int(fault.figure))
+            case Kind.SIGNAL_SERIES:
+                await self._restart_by_series(gateway)
             case Kind.CLOCK_STEP:
                 await self._step_clocks(fault)
             case Kind.ACCEPT_FAILS:
                 await self._steer_for(gateway, fault.seconds, accept_error=int(fault.figure))
             case Kind.CONNECT_FAILS:
                 await self._steer_for(gateway, fault.seconds, connect_error=int(fault.figure))
+            case Kind.OPTIONS_FAIL:
+                await self._steer_for(gateway, fault.seconds, option_error=int(fault.figure))
+            case Kind.EPOLL_FAILS:
+                await self._steer_for(gateway, fault.seconds, epoll_error=int(fault.figure))
+            case Kind.SURGE:
+                for client in self.clients:
+                    client.tell({"surge": fault.seconds})
             case Kind.SHORT_CALLS:
                 most = int(fault.figure)
                 await self._steer_for(gateway, fault.seconds, most_sent=most, most_received=max(most, 20))
             case Kind.STORE_RESTART:
                 await self._restart_store(shard)
             case Kind.STORE_REPLACED:
-                await self._replace_store(shard)
+                await self._replace_store(shard, eager=bool(fault.figure))
             case Kind.STORE_HANGS:
                 await self._store_mode(shard, "hang", fault.seconds)
             case Kind.STORE_RESETS:
@@ -187,10 +217,34 @@
             return
         async with gateway.busy:
             gateway.signal(signal.SIGTERM, "terminate")
-            asyncio.get_running_loop().call_later(STILL_IN_USE, self._out_of_use, gateway)
-            await gateway.until_ended(KILL_AFTER + 0.1)
-            gateway.start(unread_log)
-            await self._use_once_ready(gateway)
+            await self._start_after_end(gateway, now() + KILL_AFTER, unread_log)
+
+    async def _start_after_end(self, gateway: GatewayProcess, killed_at: float, unread_log: str = "") -> None:
+        """Wait for a gateway that was told to end, kill it when the platform does, and start it anew."""
+        asyncio.get_running_loop().call_later(STILL_IN_USE, self._out_of_use, gateway)
+        await gateway.until_ended(killed_at - now())
+        gateway.start(unread_log)
+        await self._use_once_ready(gateway)
+
+    async def _restart_by_series(self, gateway: GatewayProcess) -> None:
+        """Discovery moves, the gateway is told to end twice, and signals come until it has."""
+        if gateway.busy.locked():
+            return
+        async with gateway.busy:
+            self._move_discovery(gateway)
+            await asyncio.sleep(BETWEEN_SIGNALS[1])
+            gateway.signal(signal.SIGTERM, "terminate")
+            killed_at = now() + KILL_AFTER
+            for pause in BETWEEN_SIGNALS:
+                await asyncio.sleep(pause)
+                self._move_discovery(gateway)
+                gateway.signal(signal.SIGTERM, "")
+            await self._start_after_end(gateway, killed_at)
+
+    async def _move_discovery_often(self, gateway: GatewayProcess, times: int) -> None:
+        for pause in BETWEEN_SIGNALS[:times]:
+            self._move_discovery(gateway)
+            await asyncio.sleep(pause)
 
     async def _kill(self, gateway: GatewayProcess, reload_after: float | None) -> None:
         if gateway.busy.locked():
--- a/tansykeel/soak/shim.py
+++ b/tansykeel/soak/shim.py
@@ -9,6 +9,7 @@
 import mmap
 import os
 import runpy
+import select
 import socket
 import struct
 import sys
@@ -17,7 +18,7 @@
 from pathlib import Path
 from typing import Any
 
-LAYOUT = struct.Struct("<d5q")
+LAYOUT = struct.Struct("<d7q")
 
 
 @dataclass
@@ -30,6 +31,8 @@
     socket_error: int = 0  # of every third socket for a connection
     most_sent: int = 0  # bytes that one send takes
     most_received: int = 0  # bytes that one recv gives
+    option_error: int = 0  # of every second setsockopt
+    epoll_error: int = 0  # of every seventh change of what epoll watches
 
     def save(self, path: Path) -> None:
         """Write the fields over the file, in one call."""
@@ -52,7 +55,7 @@
     def __init__(self, path: str) -> None:
         with open(path, "r+b") as file:
             self._map = mmap.mmap(file.fileno(), LAYOUT.size)
-        self.calls = {"accept": 0, "connect": 0, "socket": 0}
+        self.calls = {"accept": 0, "connect": 0, "socket": 0, "setsockopt": 0, "epoll_ctl": 0}
 
     def steering(self) -> Steering:
         """Return what holds now."""
@@ -66,7 +69,7 @@
 
     def install(self) -> None:
         """Patch this process."""
-        shim, real_time, real_socket = self, time.time, socket.socket
+        shim, real_time, real_socket, real_epoll = self, time.time, socket.socket, select.epoll
 
         def stepped_time() -> float:
             return real_time() + shim.steering().wall_offset
@@ -87,6 +90,10 @@
                 shim.fails("connect", 3, shim.steering().connect_error)
                 super().connect(address)
 
+            def setsockopt(self, *arguments: Any) -> None:
+                shim.fails("setsockopt", 2, shim.steering().option_error)
+                super().setsockopt(*arguments)
+
             def send(self, data: Any, *arguments: Any) -> int:
                 most = shim.steering().most_sent
                 return super().send(memoryview(data)[:most] if most else data, *arguments)
@@ -95,7 +102,23 @@
                 most = shim.steering().most_received
                 return super().recv(min(size, most) if most else size, *arguments)
 
+        class ShimEpoll:
+            """Epoll whose changes may fail."""
+
+            def __init__(self) -> None:
+                self._epoll = real_epoll()
+                self.poll, self.close, self.unregister = self._epoll.poll, self._epoll.close, self._epoll.unregister
+
+            def register(self, descriptor: int, mask: int) -> None:
+                shim.fails("epoll_ctl", 7, shim.steering().epoll_error)
+                self._epoll.register(descriptor, mask)
+
+            def modify(self, descriptor: int, mask: int) -> None:
+                shim.fails("epoll_ctl", 7, shim.steering().epoll_error)
+                self._epoll.modify(descriptor, mask)
+
         time.time = stepped_time
+        select.epoll = ShimEpoll  # type: ignore[misc,assignment]
         socket.socket = ShimSocket  # type: ignore[misc]
 
 
