edge and control nodes take who waits in the listener's queue before it closes

What callers see: at a planned end, of 60 who connect at that moment those beyond the 16 that one turn of the loop accepts are reset and not told that the gateway goes. Cause: serve cancels accepting, gives the loop one turn and closes the listener. Change: accept_waiting before it closes, as the platform's gateway has it; it holds because it accepts until the queue is empty, failures of accept included.

--- a/tansykeel/control_plane/program.py
+++ b/tansykeel/control_plane/program.py
@@ -42,7 +42,7 @@
 from tansykeel.settings.control import control_node_of, control_node_record, control_of, gateways_of
 from tansykeel.settings.records import Settings
 from tansykeel.transport.link import Hub, Limits, Link
-from tansykeel.transport.sockets import accept_all, listening
+from tansykeel.transport.sockets import accept_all, accept_waiting, listening
 
 ROLES = ("gateway", "control", "client")  # of whoever opens a connection to a control node
 MOST_INCARNATION = 2**62 - 1
@@ -115,6 +115,7 @@
         self.log.info("stopping", gateways=len(self.gateways))
         accepting.cancel()
         await asyncio.sleep(0)
+        accept_waiting(listener, self._accept)
         listener.close()
         await self._say_goodbye()
         sweeping.cancel()
--- a/tansykeel/edge/program.py
+++ b/tansykeel/edge/program.py
@@ -45,7 +45,7 @@
 )
 from tansykeel.settings.records import Settings
 from tansykeel.transport.link import Hub, Limits, Link
-from tansykeel.transport.sockets import accept_all, listening
+from tansykeel.transport.sockets import accept_all, accept_waiting, listening
 
 LINGERS = 0.25  # seconds in which a gateway that ends still answers what its clients had sent
 CLOSES = 0.5  # seconds in which a gateway that ends still tells its control node so
@@ -171,6 +171,7 @@
         if self.control_session:
             self.control_session.close()
         await asyncio.sleep(0)
+        accept_waiting(listener, self._accept)
         listener.close()
         for link in list(self.clients):
             link.send(0, Goodbye())
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import socket
 
 import pytest
 from stage import FakeStore, deliver, hang, play, reset, staged, tell, until
@@ -374,3 +375,25 @@
             assert (await client.answer(client.ask())).result == DELIVERED
 
     play(go())
+
+
+def test_who_waits_in_the_listeners_queue_at_the_end_is_told_so():
+    """More connections than one turn of the loop accepts: those left were reset as the listener closed."""
+
+    def told(sock):
+        sock.settimeout(5)
+        try:
+            return sock.recv(1 << 16)
+        except OSError:
+            return b""
+
+    async def go():
+        async with staged(FakeStore("s0", 0, deliver)) as stage:
+            stage.edge.stopping.set()
+            waiting = [socket.create_connection(("127.0.0.1", stage.port)) for _ in range(60)]
+            heard = await asyncio.gather(*(asyncio.to_thread(told, sock) for sock in waiting))
+            assert all(heard)
+            for sock in waiting:
+                sock.close()
+
+    play(go())
