--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Two commands do everything on a fresh machine: `make demo` and `make test`.
 PYTHON ?= python3
 
-.PHONY: setup demo test scale soak
+.PHONY: setup demo test scale soak soak-short
 
 setup: .venv/.ready
 
@@ -24,3 +24,7 @@
 # Ten gateways on the platform's protocol, with overlapping faults, for three minutes: not a part of the tests.
 soak: setup
 	.venv/bin/python -m tansykeel.soak --seeds 3 4 5 35
+
+# Two small plays for CI, a minute together: one with a crowd, a surge and signals in series, one with system calls that fail.
+soak-short: setup
+	.venv/bin/python -m tansykeel.soak --seeds 2 4 --seconds 15 --gateways 4 --stores 4 --clients 2
--- a/tansykeel/soak/__main__.py
+++ b/tansykeel/soak/__main__.py
@@ -11,14 +11,15 @@
 import tempfile
 from pathlib import Path
 
+from tansykeel.errors import Problem
+from tansykeel.soak.deployment import free_base_port
 from tansykeel.soak.faults import Kind
-from tansykeel.soak.known_red import FILE_NAME, BadKnownRedFile, KnownRed, read_known_red
+from tansykeel.soak.known_red import FILE_NAME, KnownRed, read_known_red
 from tansykeel.soak.records import Fault, read_records
 from tansykeel.soak.runner import Plan, SoakTest
 
 MOST_PRINTED = 12  # breaches of one invariant that are printed
 HERE = Path(__file__).parents[2]
-BAD_INPUT = 2  # exit code
 
 
 def parse(arguments: list[str]) -> argparse.Namespace:
@@ -29,7 +30,7 @@
     parser.add_argument("--gateways", type=int, default=10)
     parser.add_argument("--stores", type=int, default=10)
     parser.add_argument("--clients", type=int, default=6, help="processes of 20 connections")
-    parser.add_argument("--base-port", type=int, default=20_000)
+    parser.add_argument("--base-port", type=int, help="first of 400 ports; without it a free range is looked for")
     parser.add_argument("--root", type=Path, default=HERE, help="the tree whose gateway is run")
     parser.add_argument("--no-cancel", action="store_true", help="settings that do not allow cancels")
     parser.add_argument("--only", nargs="+", choices=[kind.name for kind in Kind], default=[], help="faults to play")
@@ -45,7 +46,7 @@
         gateways=options.gateways,
         stores=options.stores,
         clients=options.clients,
-        base_port=options.base_port,
+        base_port=options.base_port or free_base_port(),
         folder=folder,
         root=options.root.resolve(),
         cancel=not options.no_cancel,
@@ -65,13 +66,18 @@
 
 
 def main(arguments: list[str]) -> int:
-    """Play all seeds; return the exit code."""
+    """Play all seeds; return the exit code. Says what kept a play from being played."""
     options = parse(arguments)
     try:
-        known = read_known_red(HERE / FILE_NAME)
-    except BadKnownRedFile as error:
-        print(error, file=sys.stderr)
-        return BAD_INPUT
+        return play_all(options)
+    except Problem as problem:
+        print(f"{problem}\n  {problem.do}", file=sys.stderr)
+        return problem.code
+
+
+def play_all(options: argparse.Namespace) -> int:
+    """Play all seeds; return 1 if an invariant broke on one that KNOWN-RED.txt does not name. Raises Problem."""
+    known = read_known_red(HERE / FILE_NAME)
     held = True
     for seed in options.seeds:
         if options.keep:
--- a/tansykeel/soak/deployment.py
+++ b/tansykeel/soak/deployment.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import os
+import socket
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
+from tansykeel.errors import NOT_PLAYED, Problem
+
 SECOND = 1e9  # nanoseconds, the operators' unit
 CAPACITY = 120.0  # requests of mean work a second that a warm store does
 UNITS = 2.0  # of a request of mean work
@@ -16,6 +20,22 @@
 IDLE_CLOSE = 4.0  # seconds after which stores close an idle connection
 SOCKETS, MEMORY_MB = 320, 96
 VOLUMES = 20
+PORTS_OF_A_PLAY = 400
+FIRST_PORT, LAST_PORT = 20_000, 32_000  # under those that the system gives to connections
+
+
+class NoFreePorts(Problem):
+    """No range of ports is free for a soak test."""
+
+    advice = "end what listens there, or give another one with --base-port"
+    code = NOT_PLAYED
+
+
+class NotStarted(Problem):
+    """A process of a soak test did not start."""
+
+    advice = "look at what it wrote; where a port is taken, give another one with --base-port"
+    code = NOT_PLAYED
 
 
 @dataclass(frozen=True)
@@ -50,6 +70,28 @@
     return CLASSES[int(key[:1], 16)]
 
 
+def free_base_port() -> int:
+    """Return the first port of a range that nobody listens in. Raises NoFreePorts.
+
+    Plays that run side by side begin to look at different places.
+    """
+    bases = range(FIRST_PORT, LAST_PORT - PORTS_OF_A_PLAY, PORTS_OF_A_PLAY)
+    for turn in range(len(bases)):
+        base = bases[(os.getpid() + turn) % len(bases)]
+        if all(_is_free(port) for port in range(base, base + PORTS_OF_A_PLAY)):
+            return base
+    raise NoFreePorts(f"{FIRST_PORT} to {LAST_PORT}: no {PORTS_OF_A_PLAY} free ports in a row")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 @dataclass(frozen=True)
 class Deployment:
     """Names and ports of one play. `base_port`: the first of a range that it uses alone."""
--- a/tansykeel/soak/known_red.py
+++ b/tansykeel/soak/known_red.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from tansykeel.errors import Problem
+
 FILE_NAME = "KNOWN-RED.txt"
 MOST_ENTRIES = 3
 SOAK = "soak"
@@ -18,8 +20,10 @@
 _SEEDS = re.compile(r"--seeds((?: \d+)+)")
 
 
-class BadKnownRedFile(Exception):
-    """A line that is no entry, or too many of them. The message says where, what, and what would be legal."""
+class BadKnownRedFile(Problem):
+    """KNOWN-RED.txt has a line that is no entry, or too many of them."""
+
+    advice = "correct the line that is named, or mend what it stands for and take it out"
 
 
 @dataclass(frozen=True)
--- a/tansykeel/soak/processes.py
+++ b/tansykeel/soak/processes.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from typing import Any
 
-from tansykeel.soak.deployment import SOCKETS, Deployment
+from tansykeel.soak.deployment import SOCKETS, Deployment, NotStarted
 from tansykeel.soak.records import Process, Recorder, now
 from tansykeel.soak.shim import Steering
 
@@ -33,6 +33,7 @@
     """A process of this package that says `ready` and then takes lines of JSON."""
 
     def __init__(self, module: str, *arguments: str) -> None:
+        self.module, self.arguments = module, arguments
         self.child = subprocess.Popen(
             [sys.executable, "-m", f"tansykeel.soak.{module}", *arguments],
             stdin=subprocess.PIPE,
@@ -41,9 +42,10 @@
         )
 
     async def ready(self) -> None:
-        """Wait until it serves."""
+        """Wait until it serves. Raises NotStarted."""
         assert self.child.stdout is not None
-        await asyncio.get_running_loop().run_in_executor(None, self.child.stdout.readline)
+        if not await asyncio.get_running_loop().run_in_executor(None, self.child.stdout.readline):
+            raise NotStarted(f"{self.module} {' '.join(self.arguments)}: it ended before it was ready")
 
     def tell(self, words: Any) -> None:
         """Send a line."""
