A loop that can't be made for a moment, and a close that fails, end no program and no look

What callers see: epoll_create or the loop's own pair of sockets fails once (EMFILE, ENFILE, ENOMEM) and the program ends at its start; close(2) fails (EINTR, EIO) and the error goes up through whoever closed the connection, so that at the end the connections behind it were not closed in order. Cause: run made its loop in one try; Stream.close let the error of close go up, though the descriptor is gone. Change: what is made at the start waits up to 2 s for what the system lacks (listening's repeat, now for both); Stream.close passes over the error. It holds because Linux frees the descriptor first, whatever close returns.

--- a/tansykeel/transport/sockets.py
+++ b/tansykeel/transport/sockets.py
@@ -14,7 +14,7 @@
 from tansykeel.transport.epoll_selector import RetryingEpollSelector
 
 PRESSURE_REST = 0.05  # seconds before the next accept when no descriptor was left
-LISTENS_WITHIN = 2.0  # seconds for which a listener is tried that the system lacks something for
+MADE_WITHIN = 2.0  # seconds for which a program that starts waits for what the system lacks
 FAILURE_REST = 0.005  # seconds before the next accept when the system lacked something for a moment
 AT_ONCE = 16  # connections accepted in one turn of the loop
 MOST_FAILURES = 4  # accepts in a row that may fail in one turn of the loop
@@ -85,12 +85,18 @@
 def listening(address: str, backlog: int = 1024) -> socket.socket:
     """A listening socket; port 0 takes a free one. Raises OSError.
 
-    What the system lacks for a moment is waited for: guards against a program that ends at its start over it.
+    What the system lacks for a moment is waited for.
     """
-    last_try = time.monotonic() + LISTENS_WITHIN
+    host_and_port = address_of(address)
+    return _made_at_start(lambda: _listen(host_and_port, backlog))
+
+
+def _made_at_start(make: Callable[[], T]) -> T:
+    """Guards against a program that ends at its start because the system lacks something for a moment."""
+    last_try = time.monotonic() + MADE_WITHIN
     while True:
         try:
-            return _listen(address_of(address), backlog)
+            return make()
         except OSError as error:
             if error.errno not in OUT_OF_FILES or time.monotonic() >= last_try:
                 raise
@@ -183,7 +189,7 @@
 
     Guards against libuv, which ends the process there, with every request that it holds.
     """
-    return asyncio.SelectorEventLoop(RetryingEpollSelector())
+    return _made_at_start(lambda: asyncio.SelectorEventLoop(RetryingEpollSelector()))
 
 
 def run(main: Callable[[], Coroutine[Any, Any, T]]) -> T:
--- a/tansykeel/transport/stream.py
+++ b/tansykeel/transport/stream.py
@@ -114,7 +114,8 @@
         self.closed = True
         self._loop.remove_reader(self.sock)
         self._loop.remove_writer(self.sock)
-        self.sock.close()
+        with contextlib.suppress(OSError):  # close(2) frees the descriptor also where it fails
+            self.sock.close()
 
     def _guarded(self, step: Callable[[], None]) -> None:
         """Guards the program against a handler that fails: this connection ends, all others go on."""
--- a/tests/platform/test_system_calls.py
+++ b/tests/platform/test_system_calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import select
 import socket
 
 import pytest
@@ -188,6 +189,65 @@
     listener.close()
 
 
+@pytest.mark.parametrize(
+    "failure", [errno.EMFILE, errno.ENFILE, errno.ENOMEM], ids=lambda failure: errno.errorcode[failure]
+)
+@pytest.mark.parametrize("made", ["epoll", "socketpair"])
+def test_the_loop_is_made_though_the_system_lacks_something_for_a_moment(monkeypatch, failure, made):
+    """`epoll_create` or the loop's own pair of sockets failed once, and the program ended at its start."""
+    module = select if made == "epoll" else socket
+    real, failures = getattr(module, made), []
+
+    def fail_twice(*arguments):
+        if len(failures) < 2:
+            failures.append(arguments)
+            raise OSError(failure, "for a moment")
+        return real(*arguments)
+
+    monkeypatch.setattr(module, made, fail_twice)
+    assert sockets.run(lambda: asyncio.sleep(0, "done")) == "done"
+    assert len(failures) == 2
+
+
+@pytest.mark.parametrize("failure", [errno.EINTR, errno.EIO], ids=lambda failure: errno.errorcode[failure])
+def test_a_close_that_fails_ends_only_its_connection(tmp_path, monkeypatch, failure):
+    """close(2) documents EINTR and EIO; the descriptor is gone all the same. The failure went up through whoever closed
+    the connection: the requests of the clients behind it in one look of the gateway were not looked at."""
+    failures = []
+
+    class CloseFails(socket.socket):
+        def close(self):
+            super().close()
+            failures.append(failure)
+            raise OSError(failure, "for a moment")
+
+    class Listener:
+        def __init__(self, listener):
+            self.listener = listener
+
+        def accept(self):
+            sock, address = self.listener.accept()
+            return CloseFails(fileno=sock.detach()), address
+
+        def __getattr__(self, name):
+            return getattr(self.listener, name)
+
+    real = sockets.listening
+    monkeypatch.setattr("platform_stage.listening", lambda address: Listener(real(address)))
+
+    async def go():
+        async with staged(tmp_path, Store("s0", 0)) as stage:
+            await until(lambda: stage.gateway.core.list_version == 5)
+            clients = [await stage.client() for _ in range(6)]
+            answers = await asyncio.gather(*(client.ask(n) for n, client in enumerate(clients, 1)))
+            assert [answer and answer.status for answer in answers] == [200] * 6
+            stage.gateway.stop()
+            assert await stage.serving == 0
+            assert len(failures) == 6 and not stage.gateway.clients.conns
+
+    play(go())
+
+
 def test_an_address_that_is_taken_is_told_at_once():
     taken = sockets.listening("127.0.0.1:0")
     with pytest.raises(OSError) as raised:
