--- a/tansykeel/brain/nodes.py
+++ b/tansykeel/brain/nodes.py
@@ -52,8 +52,18 @@
 class Node(Measured):
     """One store and the lines of its volumes here."""
 
-    def __init__(self, store: Store, desk: Desk, rate: float, least: float, usual: float, tightest: int,
-                 young: Young | None, waits: Waits, gateways: int) -> None:
+    def __init__(
+        self,
+        store: Store,
+        desk: Desk,
+        rate: float,
+        least: float,
+        usual: float,
+        tightest: int,
+        young: Young | None,
+        waits: Waits,
+        gateways: int,
+    ) -> None:
         super().__init__(store, desk, rate, least, usual, tightest, waits, gateways)
         self.young, self.round_set, self.starved = young, False, False  # starved: tokens or bound held back
         self.lines, self.holding = dict[Volume, Line](), list[Line]()  # holding: with held tasks, in order
--- a/tansykeel/brain/rates.py
+++ b/tansykeel/brain/rates.py
@@ -17,8 +17,11 @@
 
 def left(seen: Iterable[tuple[int, float]], now: int, limit: int) -> list[float]:
     """What is left of queues seen some time ago: a short one drains, one past the tightest limit stays."""
-    return [wait if wait > limit else max(wait - DRAIN * (now - at), 0.0)
-            for at, wait in seen if now - at <= (STALE if wait > limit else FRESH)]
+    return [
+        wait if wait > limit else max(wait - DRAIN * (now - at), 0.0)
+        for at, wait in seen
+        if now - at <= (STALE if wait > limit else FRESH)
+    ]
 
 
 class Waits:
@@ -44,8 +47,17 @@
 class Measured:
     """A store as its answers show it."""
 
-    def __init__(self, store: Store, desk: Desk, rate: float, least: float, usual: float, tightest: int,
-                 waits: Waits, gateways: int) -> None:
+    def __init__(
+        self,
+        store: Store,
+        desk: Desk,
+        rate: float,
+        least: float,
+        usual: float,
+        tightest: int,
+        waits: Waits,
+        gateways: int,
+    ) -> None:
         self.store, self.desk, self.waits = store, desk, waits
         self.rate, self.least, self.usual, self.tightest = rate, least, usual, tightest
         self.floor, self.heard = LEAST_RATE * usual / tightest / max(gateways, 1), desk.now
--- a/tansykeel/brain/scheduler.py
+++ b/tansykeel/brain/scheduler.py
@@ -4,8 +4,27 @@
 from collections import deque
 from collections.abc import Generator
 
-from tansykeel.interface import BreakOff, Category, Desk, EvenParts, Facts, HandOff, How, Nack, Outcome
-from tansykeel.interface import Repeat, Scope, Signal, State, Store, Task, Volume, Wait, Want, Word
+from tansykeel.interface import (
+    BreakOff,
+    Category,
+    Desk,
+    EvenParts,
+    Facts,
+    HandOff,
+    How,
+    Nack,
+    Outcome,
+    Repeat,
+    Scope,
+    Signal,
+    State,
+    Store,
+    Task,
+    Volume,
+    Wait,
+    Want,
+    Word,
+)
 
 from .cold import SECOND, TOLD, Young
 from .nodes import PATIENCE, Line, Node, cost_of
@@ -40,8 +59,17 @@
         for store in stores:
             if store not in self.nodes and store.state is not State.GONE:
                 young = Young(cold, gateways, self.facts.me, self.least) if cold else None
-                self.nodes[store] = Node(store, self.desk, self.average_rate(), self.least, self.usual,
-                                         self.tightest, young, self.waits, gateways)
+                self.nodes[store] = Node(
+                    store,
+                    self.desk,
+                    self.average_rate(),
+                    self.least,
+                    self.usual,
+                    self.tightest,
+                    young,
+                    self.waits,
+                    gateways,
+                )
         for node in [n for n in self.nodes.values() if n.store.state is State.GONE]:
             if not node.out and not node.held and self.desk.now - node.heard >= LEFT:
                 del self.nodes[node.store]
@@ -77,6 +105,7 @@
         def dwell(node: Node) -> float:
             failing = node.ends.count(False) / max(len(node.ends), 1)
             return node.lag(self.usual) + node.held_tokens / node.rate + failing * self.tightest
+
         ready = [node for node in self.by_shard.values() if node.usable()]
         self.ranked = sorted(ready, key=lambda node: (dwell(node), self.chance.uniform(0, 1)))
 
