--- a/tests/platform/test_system_calls.py
+++ b/tests/platform/test_system_calls.py
@@ -42,6 +42,27 @@
         return getattr(self.listener, name)
 
 
+class ChangingListener:
+    """A listening socket each of whose accepted sockets is what `change(sock, number)` makes of it."""
+
+    def __init__(self, listener, change):
+        self.listener, self.change = listener, change
+        self.accepted = 0
+
+    def accept(self):
+        sock, address = self.listener.accept()
+        self.accepted += 1
+        return self.change(sock, self.accepted), address
+
+    def __getattr__(self, name):
+        return getattr(self.listener, name)
+
+
+def change_accepted(monkeypatch, change):
+    real = sockets.listening
+    monkeypatch.setattr("platform_stage.listening", lambda address: ChangingListener(real(address), change))
+
+
 def fail_every_second_accept(monkeypatch, failure):
     real = sockets.listening
     monkeypatch.setattr("platform_stage.listening", lambda address: FailingListener(real(address), failure))
@@ -119,22 +140,13 @@
     """
     accepted = []
 
-    class Listener:
-        def __init__(self, listener):
-            self.listener = listener
-
-        def accept(self):
-            sock, address = self.listener.accept()
-            if len(accepted) % 2:
-                sock = with_options_that_fail(sock, failure, failures)
-            accepted.append(sock)
-            return sock, address
-
-        def __getattr__(self, name):
-            return getattr(self.listener, name)
+    def change(sock, number):
+        if number % 2 == 0:
+            sock = with_options_that_fail(sock, failure, failures)
+        accepted.append(sock)
+        return sock
 
-    real = sockets.listening
-    monkeypatch.setattr("platform_stage.listening", lambda address: Listener(real(address)))
+    change_accepted(monkeypatch, change)
 
     async def go():
         async with staged(tmp_path, Store("s0", 0)) as stage:
@@ -221,19 +233,7 @@
             failures.append(failure)
             raise OSError(failure, "for a moment")
 
-    class Listener:
-        def __init__(self, listener):
-            self.listener = listener
-
-        def accept(self):
-            sock, address = self.listener.accept()
-            return CloseFails(fileno=sock.detach()), address
-
-        def __getattr__(self, name):
-            return getattr(self.listener, name)
-
-    real = sockets.listening
-    monkeypatch.setattr("platform_stage.listening", lambda address: Listener(real(address)))
+    change_accepted(monkeypatch, lambda sock, number: CloseFails(fileno=sock.detach()))
 
     async def go():
         async with staged(tmp_path, Store("s0", 0)) as stage:
