Slow start: what was asked before bounds what first tries earn, where plans are sized for more

Cause: SpanBudget took the plans' rates alone for what may be asked, and a plan may promise more than the stores do. Change: the lower of the plans' rates and of what was asked before counts: the middle one of the last four spans in which first tries came, the one that runs only while there is no other. It holds because a surge does not raise it before it has lasted. Still open: a surge that is the first that a gateway sees, under such plans.

--- a/tansykeel/brain/cold.py
+++ b/tansykeel/brain/cold.py
@@ -1,29 +1,60 @@
 """Cold stores: what all gateways together may send to one that has just started."""
 
+from collections import deque
+
 from tansykeel.interface import ColdRule, Store
 
 SECOND, ROUND, LONG = 10_000, 100, 1_000  # a round every 10 ms (design), put off at cold nodes for so long
 EVEN, BY_ASKED, TOLD = 0.2, 0.8, 6 * SECOND  # parts dealt evenly, by what is asked; when a start is told by
+SPANS_KEPT = 4  # of the rule's span, that tell what is asked of a store
 LEAST_IN_SPAN = 3  # largest tasks; below it one gateway's requests tell nothing of what the fleet asks for
 
 
+class AskedRate:
+    """What first tries ask for at a store, over the last whole spans in which any came.
+
+    The middle one counts, and the span that has not ended only while there is no other: so a surge does
+    not raise it before it has lasted.
+    """
+
+    def __init__(self, span: int) -> None:
+        self.span = span
+        self._ended = deque[float](maxlen=SPANS_KEPT)  # units of each span that has ended
+        self._units, self._ends_at = 0.0, 0  # of the span that has not
+
+    def add(self, now: int, units: float) -> None:
+        """Count units that are asked for now."""
+        if now >= self._ends_at:
+            if self._units:
+                self._ended.append(self._units)
+            self._units, self._ends_at = 0.0, now + self.span
+        self._units += units
+
+    def rate(self) -> float:
+        """Units a tenth, the lower middle; at first those since the first one, over a whole span."""
+        spans = sorted(self._ended) or [self._units]
+        return spans[(len(spans) - 1) // 2] / self.span
+
+
 class SpanBudget:
     """Bounds what one gateway's first tries earn at a cold store in any window of the rule's span.
 
-    It is this gateway's part of what the volumes' plans ask for at the store, times the part of that
-    which the store bears. Over all gateways that is within what it bears, if the plans are within its power.
+    It is the part that the store bears of what is asked of it here: by the plans of the gateway's volumes,
+    and by what was asked before. Over all gateways that is within what it bears, if one is within its power.
     """
 
     def __init__(self, span: int, largest: float) -> None:
         self.span, self.least = span, LEAST_IN_SPAN * largest
         self.plans_rate = 0.0  # units a tenth that the plans of this gateway's volumes ask for here
+        self.asked = AskedRate(span)
         self._earned, self._sum = list[tuple[int, float]](), 0.0  # when, units; their sum in the window
 
     def left(self, now: int, part: float) -> float:
         """Units that may still be earned in the window that ends now; `part` of what is asked is borne."""
         while self._earned and self._earned[0][0] <= now - self.span:
             self._sum -= self._earned.pop(0)[1]
-        return max(BY_ASKED * part * self.plans_rate * self.span, self.least) - self._sum
+        rate = min(self.plans_rate, self.asked.rate())
+        return max(BY_ASKED * part * rate * self.span, self.least) - self._sum
 
     def spend(self, now: int, units: float) -> None:
         """Count units that were earned now."""
--- a/tansykeel/brain/nodes.py
+++ b/tansykeel/brain/nodes.py
@@ -90,6 +90,8 @@
 
     def asked(self, line: Line, units: float, rate: float) -> None:
         """A first try has come. For a young store it counts within what its volume was sized for, `rate`."""
+        if self.young:
+            self.young.budget.asked.add(self.desk.now, units)
         if self.young and (part := self.young.bears(self.store, self.desk.now, self.proof)):
             most = max(rate * self.young.rule.span, self.young.largest)
             sized = min(line.sized + rate * (self.desk.now - line.asked_at), most)
--- a/tests/brain/test_cold_fleet.py
+++ b/tests/brain/test_cold_fleet.py
@@ -76,10 +76,10 @@
     return RULE.multiple * power * capacity * RULE.span / SECOND
 
 
-def worst_window(gateways, capacity, load_at, seconds=12, seed=1):
+def worst_window(gateways, capacity, load_at, seconds=12, seed=1, plans_part=PLANS_PART, asked_part=ASKED_PART):
     """Return by how much the fullest window is over what is allowed with its slack, as a part of that."""
     made, chance = fleet(gateways, capacity), random.Random(seed)
-    rate = PLANS_PART * capacity * UNITS / SECOND / gateways
+    rate = plans_part * capacity * UNITS / SECOND / gateways
     sent, worst = deque(), -1.0
     due = float(START)
     for now in range(START, START + seconds * SECOND, ROUND):
@@ -87,7 +87,7 @@
             gateway.desk.now = now
         while due <= now:
             chance.choice(made).ask(now, rate)
-            due += chance.expovariate(load_at((now - START) / SECOND) * ASKED_PART * capacity / SECOND)
+            due += chance.expovariate(load_at((now - START) / SECOND) * asked_part * capacity / SECOND)
         for gateway in made:
             sent.extend([now] * gateway.send(now))
         while sent and sent[0] <= now - RULE.span:
@@ -113,6 +113,16 @@
     assert worst_window(gateways, capacity, load_at, seed=seed) <= 0
 
 
+@pytest.mark.parametrize("plans_part", [1.0, 4.0])
+@pytest.mark.parametrize("load_at", [even, surge])
+@pytest.mark.parametrize("gateways, capacity", [(2, 120), (6, 240)])
+def test_no_window_gets_more_than_its_budget_where_all_that_a_store_can_do_is_asked(
+    gateways, capacity, load_at, plans_part
+):
+    """Plans that are sized for more than the stores do bound nothing: what was asked before has to."""
+    assert worst_window(gateways, capacity, load_at, plans_part=plans_part, asked_part=1.0) <= 0
+
+
 def test_no_window_gets_more_than_its_budget_from_a_fleet_whose_gateways_are_each_asked_little():
     """A hundred gateways, each asked for two requests a second: what one sees is too little to tell a surge by."""
     assert worst_window(100, 400, surge) <= 0
