Review case 3: half as many answers without end, on writes, so that slow machines see it

The case took one read in ten, each for 2.9 s; now one write in twenty, each for 5.8 s, which needs less processor time for the same number at once.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,10 @@
 """Case 3: spoilt answers that never end take a gateway over its memory limit, and the platform kills it.
 
-Twelve stores answer reads after 20 ms. With trouble one answer in ten never ends: it comes in chunks of two bytes, at
-full speed for its first 900,000 bytes and then one chunk every 50 ms. Usual clients ask 40 times a second. The platform
-looks at the gateway's memory every 10 ms and kills it over the limit of its configuration; counted is only what no file
-backs, which is less than the whole. The rule is broken if the gateway was killed for memory or ended by itself.
+Twelve stores answer writes after 20 ms. With trouble one answer in twenty never ends: it comes in chunks of two bytes,
+at full speed for its first 900,000 bytes and then one chunk every 50 ms. Usual clients ask 40 times a second. The
+platform looks at the gateway's memory every 10 ms and kills it over the limit of its configuration; counted is only
+what no file backs, which is less than the whole. The rule is broken if the gateway was killed for memory or ended by
+itself.
 """
 
 from __future__ import annotations
@@ -20,12 +21,13 @@
 
 STORES, CLIENTS, SECONDS = 12, 40, 30.0
 MEMORY_MB = 192  # the most that the pages give to a gateway on a scored day
-ENDLESS = 0.1  # share of the answers that never end
+ENDLESS = 0.05  # share of the answers that never end
 AT_ONCE = 900_000  # bytes of such an answer's body that come at full speed
 CHUNK = b"2\r\nzz\r\n"
 SERVICE, PAUSE, THINK = 0.02, 0.05, 1.0  # seconds: a store's work; between later chunks; until a client asks again
-READ_TIME = 2.9  # seconds that clients wait for an answer
+WRITE_TIME = 5.8  # seconds that clients wait for an answer
 LOOK_EVERY = 0.01
+BODY = b"x" * 200
 
 
 class Store:
@@ -98,8 +100,8 @@
             if writer is None:
                 reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
             record(f"client {number} sends {txn} for store {shard}")
-            writer.write(stage.request(txn, "read", f"{number + 1:016x}", txn, READ_TIME, shard))
-            async with asyncio.timeout(READ_TIME + 0.5):
+            writer.write(stage.request(txn, "write", f"{number + 1:016x}", txn, WRITE_TIME, shard, BODY))
+            async with asyncio.timeout(WRITE_TIME + 0.5):
                 answer = await stage.read_message(reader)
         except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
             unanswered += 1
