--- a/review/3/case.py
+++ b/review/3/case.py
@@ -42,6 +42,7 @@
             while True:
                 message = await stage.read_message(reader)
                 txn = message.fields["x-txn"]
+                self.record(f"store {self.number} runs {txn}")
                 await asyncio.sleep(SERVICE)
                 if stage.TROUBLE and self.random.random() < ENDLESS:
                     self.endless += 1
@@ -96,9 +97,14 @@
     await asyncio.sleep(choose.uniform(0, THINK))
     while time.monotonic() < until and gateway.child.poll() is None:
         txn, shard = f"{choose.getrandbits(64):016x}", choose.randrange(STORES)
-        try:
-            if writer is None:
+        if writer is None:
+            try:
                 reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
+            except OSError as error:
+                record(f"client {number} can't connect: {type(error).__name__}")
+                await asyncio.sleep(0.05)
+                continue
+        try:
             record(f"client {number} sends {txn} for store {shard}")
             writer.write(stage.request(txn, "write", f"{number + 1:016x}", txn, WRITE_TIME, shard, BODY))
             async with asyncio.timeout(WRITE_TIME + 0.5):
@@ -106,8 +112,7 @@
         except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
             unanswered += 1
             record(f"client {number} got no answer to {txn}: {type(error).__name__}")
-            if writer:
-                writer.close()
+            writer.close()
             writer = None
             continue
         answered += 1
