A repeat that waited for a connection is not written after the stores' window

Cause: the window was checked when the repeat was granted, and the attempt then waited for a connection. Change: Attempt.ticks_to_send is checked as an attempt is written, on the platform and at the edge; one that is too late counts as not executed, and the module decides anew. At the edge, those that wait behind an attempt that is not sent are sent at once.

--- a/tansykeel/edge/stores.py
+++ b/tansykeel/edge/stores.py
@@ -140,7 +140,10 @@
             self._open()
 
     def _send(self, connection: Connection, attempt: Attempt) -> None:
+        """Send an attempt, unless it has waited for so long that its store may have forgotten an earlier one."""
         assert connection.link is not None
+        if attempt.ticks_to_send(self.stores.clock()) <= 0:
+            return self.stores.report_outcome_later(attempt, OutcomeKind.NOT_EXECUTED)
         connection.last_stream += 1
         connection.attempts[connection.last_stream] = attempt
         attempt.connection = connection, connection.last_stream
@@ -173,6 +176,10 @@
             unsent, self.waiting = list(self.waiting), deque()
             for attempt in unsent:
                 self.stores.report_outcome(attempt, OutcomeKind.NOT_EXECUTED)
+        self._send_waiting(connection)
+
+    def _send_waiting(self, connection: Connection) -> None:
+        """Send attempts that wait while the connection has room for them."""
         while self.waiting and len(connection.attempts) < self.stores.gateway.streams_per_connection:
             attempt = self.waiting.popleft()
             if not attempt.finished:
@@ -207,9 +214,7 @@
                 elsewhere=outcome.elsewhere,
             )
         if self.waiting and connection.ready and connection.link and not connection.link.lost:
-            waiting = self.waiting.popleft()
-            if not waiting.finished:
-                self._send(connection, waiting)
+            self._send_waiting(connection)
 
 
 class Stores:
--- a/tansykeel/platform/pool.py
+++ b/tansykeel/platform/pool.py
@@ -313,8 +313,15 @@
         """
         while self.waiting and self.waiting[0].attempt.finished:
             self.waiting.popleft()
-        attempts = (waiting.attempt for waiting in self.waiting)
-        chosen = next((attempt for attempt in attempts if self.gateway.may_begin(attempt) is Verdict.NOW), None)
+        chosen = None
+        for attempt in [waiting.attempt for waiting in self.waiting]:
+            verdict = self.gateway.may_begin(attempt)
+            if verdict is Verdict.NOW:
+                chosen = attempt
+                break
+            if verdict is Verdict.TOO_LATE:
+                self._remove_waiting(attempt)
+                self.gateway.record_outcome_later(attempt, OutcomeKind.NOT_EXECUTED)
         if self.waiting and chosen is not self.waiting[0].attempt:
             self._serve_after(CLIENT_READ_DELAY)
         return chosen
--- a/tansykeel/platform/stores.py
+++ b/tansykeel/platform/stores.py
@@ -119,11 +119,12 @@
         """
         client: Client = attempt.held.client
         caught_up = client.stream.quiet()
-        return attempt_may_begin(attempt, client_caught_up=caught_up, list_caught_up=self.list_caught_up())
+        list_caught_up = self.list_caught_up()
+        return attempt_may_begin(attempt, self.clock(), client_caught_up=caught_up, list_caught_up=list_caught_up)
 
     def violates_invariant(self, attempt: Attempt) -> bool:
         """Whether writing the attempt now would break an invariant; if so, the violation is counted."""
-        invariant = violation_of_attempt(attempt, self.core.facts.allowed)
+        invariant = violation_of_attempt(attempt, self.core.facts.allowed, self.clock())
         if invariant:
             self.violations.report(invariant, id=attempt.held.id, attempt=attempt.number, store=attempt.store.handle)
         return invariant is not None
