End the request in front in time for those sent ahead behind it

Cause: answers go in order, and nothing ended the request in front for one behind it. Core.give_up cancels only where that is allowed.

--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -355,7 +355,7 @@
         self._answer_unserved(held, want, reason)
         if held.started and not self.runner.client_left(held.task):
             for attempt in held.open_attempts:
-                self.io.cancel(attempt)
+                self._cancel_attempt(attempt)
         self._forget_if_done(held)
 
     def _answer_unserved(self, held: HeldTask, want: TaskAction, reason: str) -> None:
--- a/tansykeel/http1/codec.py
+++ b/tansykeel/http1/codec.py
@@ -9,6 +9,7 @@
 
 import re
 from collections import deque
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import httptools
@@ -47,6 +48,7 @@
     fields: Fields  # names in lower case
     body: bytes
     received_at: int = 0  # when its last byte came, as `feed` was told
+    due: int | None = None  # for whoever handles requests: when one that waits has to have its answer
 
     @property
     def lasts(self) -> bool:
@@ -203,6 +205,10 @@
             raise self.fault
         return None
 
+    def waiting(self) -> Iterator[Request]:
+        """The requests that are whole and were not fetched, in order."""
+        return (request for request, _ in self._ready)
+
     def clear(self) -> None:
         """Nothing more is wanted."""
         self._ready.clear()
--- a/tansykeel/platform/clients.py
+++ b/tansykeel/platform/clients.py
@@ -15,6 +15,7 @@
 from tansykeel.http1.codec import Malformed, Request, RequestReader
 from tansykeel.platform.event_counts import ClientEnd, EventCounts
 from tansykeel.platform.request_rules import connection_may_end
+from tansykeel.platform.turns import NEVER, Turns
 from tansykeel.transport.stream import Stream
 
 REQUEST_TIMEOUT = 2.0  # seconds for a whole request, from the connection's start or the request's first byte
@@ -59,6 +60,7 @@
         "half_closed",
         "drained",
         "end_reason",
+        "turn_check_at",
         "_processing",
         "_reads",
         "_unsent_before",
@@ -72,6 +74,7 @@
         self.requests = 0  # received whole on this connection
         self.open_request: bytes | None = None
         self.ending = self.half_closed = self._processing = False
+        self.turn_check_at = NEVER
         self.drained = 0  # bytes read and discarded since it began to end
         self.end_reason: ClientEnd | None = None  # set once the gateway has begun to end it
         self._reads = 0  # reads since the first byte of the request that is being received
@@ -171,6 +174,8 @@
             # for a client that has disconnected.
             if out_of_memory or self.reader.size > MAX_PIPELINED_BYTES:
                 self.reject(413)
+            elif self.reader.waits:
+                self.owner.turns.watch(self)
         elif out_of_memory:
             self.reject(503)
         else:
@@ -193,6 +198,8 @@
                 self.owner.handler.request(self, request)
         finally:
             self._processing = False
+        if self.open_request is not None and self.reader.waits:
+            self.owner.turns.watch(self)
 
     def _stream_ended(self, why: str) -> None:
         self.close(ClientEnd.BY_CLIENT if self.stream.finished else ClientEnd.BROKEN)
@@ -239,6 +246,7 @@
         later: Callable[[Callable[[], None]], object],
         received_at: Callable[[Stream, bool], int],
         counts: EventCounts,
+        turns: Turns,
     ) -> None:
         """`received_at(stream, late)` returns, by the core's clock, when the bytes arrived that were just read from a
         stream; `late`: they may have waited to be read although the event loop was not stalled."""
@@ -249,7 +257,7 @@
             now,
             later,
         )
-        self.received_at, self.counts = received_at, counts
+        self.received_at, self.counts, self.turns = received_at, counts, turns
         self.conns: dict[Client, None] = {}
         self.awaiting_request: dict[Client, None] = {}  # no whole request received yet, oldest connection first
         self.keep_alive: dict[Client, None] = {}  # answered and waiting for a further request, longest ago first
