--- a/tansykeel/platform/pool.py
+++ b/tansykeel/platform/pool.py
@@ -15,8 +15,9 @@
 from tansykeel.transport.sockets import OUT_OF_FILES, PRESSURE_REST, lacks_descriptor
 
 # Seconds after an answer in which its connection is not reused, so that a second answer to the same request is not read
-# as the answer to the next one. This value is for a store that is not known to send second answers.
-COOL_DOWN = 0.005
+# as the answer to the next one. This value is for a store that is not known to send second answers: the platform says
+# that they come some milliseconds late, and the line and both ends may add a few.
+COOL_DOWN = 0.015
 MAX_COOL_DOWN = 0.25  # seconds; limit for a store that has sent second answers
 LATENESS_FACTOR = 2.0  # the cool-down is the delay of a second answer times this
 COOL_DOWN_DECAY = 0.9  # factor per periodic check: from MAX_COOL_DOWN back to COOL_DOWN within ten seconds
--- a/tansykeel/platform/stores.py
+++ b/tansykeel/platform/stores.py
@@ -176,7 +176,7 @@
 
         Idle connections can be dropped without notice, and each of them costs its task an attempt.
         """
-        self.idle_limit = min(self.idle_limit, max(idle_time * STALE_FACTOR, COOL_DOWN))
+        self.idle_limit = min(self.idle_limit, max(idle_time * STALE_FACTOR, 2 * COOL_DOWN))
 
     def call_soon(self, call: Callable[[], None]) -> None:
         """Call in the next iteration of the event loop."""
