Turns: a client that left with requests sent ahead is not looked at for ever

Cause: its open request is no longer held, and one behind it stays due. Change: the check ends where the open request is not held or has its answer.

Measured: the new test fails without the change and passes with it; tests of platform and edge pass.

--- a/tansykeel/platform/turns.py
+++ b/tansykeel/platform/turns.py
@@ -46,10 +46,10 @@
     def _check(self, client: TurnClient) -> None:
         """End the open request if one behind it is due; else check again later."""
         client.turn_check_at = NEVER
-        if client.open_request is None:
-            return  # answered: what is behind it has its turn, or the connection is closed
         held = self.core.held.get((client, client.open_request))
-        if self._first_due(client) > clock() or held is None:
+        if held is None or held.answered:
+            return  # what is behind it has its turn, or the client has left
+        if self._first_due(client) > clock():
             return self.watch(client)
         self.core.give_up(clock(), held, "a request behind it is due")
 
--- a/tests/platform/test_turns.py
+++ b/tests/platform/test_turns.py
@@ -111,3 +111,22 @@
             assert [(await client.answer()).status for _ in range(2)] == [200, 400]
 
     run_test(go())
+
+
+@pytest.mark.parametrize("leaves_after", [0.3, 0.9])
+def test_a_client_that_leaves_with_requests_sent_ahead_is_not_looked_at_for_ever(tmp_path, leaves_after):
+    """Its open request is no longer held, and one behind it stays due. Found by reading: the check asked for itself."""
+
+    async def go():
+        store = FakeStore("s0", 0, lambda request: None)
+        async with staged(tmp_path, store) as stage:
+            turns, calls = stage.gateway.turns, []
+            later, turns.call_later = turns.call_later, lambda *given: (calls.append(given), later(*given))
+            client = await stage.client()
+            client.writer.write(ahead(2.5, 0.5, 1.0))
+            await asyncio.sleep(leaves_after)
+            client.writer.transport.abort()
+            await asyncio.sleep(1.0)
+            assert len(calls) <= 5 and not stage.gateway.open_requests
+
+    run_test(go())
