--- a/tests/platform/test_late_copies.py
+++ b/tests/platform/test_late_copies.py
@@ -21,6 +21,7 @@
 from platform_stage import FakeStore, ok, request_bytes, run_test, staged
 
 from tansykeel.http1 import codec
+from tansykeel.platform.pool import COOL_DOWN
 
 LINK = 0.0013  # seconds each way between gateway and store, the most that the pages give
 SERVICE = 0.02  # seconds for which a store works on a request
@@ -78,3 +79,18 @@
             assert not foreign
 
     run_test(go())
+
+
+def test_a_connection_that_has_nearly_cooled_down_is_waited_for(tmp_path):
+    """A new one costs the store more than a few milliseconds cost the client."""
+
+    async def go():
+        store = FakeStore("s0", 0)
+        async with staged(tmp_path, store) as stage:
+            client = await stage.client()
+            for id in range(1, 6):
+                assert (await client.ask(id)).status == 200
+                await asyncio.sleep(COOL_DOWN - 0.003)
+            assert len(store.writers) == 1
+
+    run_test(go())
