--- a/tansykeel/brain/cold.py
+++ b/tansykeel/brain/cold.py
@@ -11,8 +11,8 @@
 EVEN_PART, DEMAND_PART, START_REPORTED_WITHIN = 0.2, 0.8, 6 * SECOND
 SPANS_REMEMBERED = 4  # spans of the rule from which the demand for a store is estimated
 MIN_TASKS_IN_SPAN = 3  # largest tasks; with fewer, one gateway's requests say nothing of the fleet's demand
-# Part of a largest task that a gateway's even share in a span must hold to bound it. Where fleets are so large
-# that it holds less, a bound of each gateway would only keep single tasks out.
+# Part of a largest task that a gateway's even share in a span must hold to bound it. Where fleets are so
+# large that it holds less, a bound of each gateway would only keep single tasks out.
 LEAST_SHARE = 0.25
 
 
