Move a core's known stores to a module of their own

What it knows of stores (rows of the list, addresses, starts) is a job of its own. Change: edge/store_directory.py has StoreDirectory; the core calls it. Behaviour is meant to be the same; two tests name the constant and the dict in their new place.

--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -14,10 +14,10 @@
 from typing import Any
 
 from tansykeel.brain import Scheduler
+from tansykeel.edge.store_directory import StoreDirectory
 from tansykeel.edge.tasks import (
     BROKEN_OFF,
     DELIVERED,
-    MICROSECONDS_PER_TICK,
     NACKED,
     Attempt,
     Bounds,
@@ -41,16 +41,11 @@
     SchedulerConfig,
     ShareProvider,
     Store,
-    StoreState,
     Task,
     TaskAction,
 )
 from tansykeel.runner import Runner
 
-# The states of a store that is being removed.
-REMOVAL_STAGES = {StoreState.READY: 0, StoreState.DRAINING: 1, StoreState.GONE: 2}
-MAX_GONE_STORES = 1_000  # stores that are gone and still known by name; beyond it the oldest are forgotten
-
 
 class Core:
     """Holds a gateway's tasks and implements the `EffectHandler` through which the runner carries out actions.
@@ -73,9 +68,8 @@
     ) -> None:
         self.facts, self.io, self.bounds, self.request_parser = facts, io, bounds, request_parser
         self.runner = Runner(self, now, parts)
-        self.stores: dict[str, Store] = {}
-        self.addresses: dict[Store, str] = {}
-        self.boot_ids: dict[Store, int] = {}
+        self.directory = StoreDirectory()
+        self.stores, self.addresses = self.directory.stores, self.directory.addresses
         self.held: dict[tuple[Any, Any], HeldTask] = {}  # by client and task id
         self.unstarted: dict[int, deque[HeldTask]] = {}  # tasks of ordered categories, by key, in the order received
         self.memory = MemoryBudget(bounds.body_memory, bounds.client_memory)
@@ -83,7 +77,7 @@
         self.stopping = False
         self.list_version = -1
         self.decision_module = make_module(facts, seed, self.runner)
-        self._apply_rows(known_stores)
+        self.directory.apply_rows(known_stores, self.runner.now)
         self.decision_module.list_changed(list(self.stores.values()), confirmed=False)
         self.runner.run_pending()
 
@@ -189,7 +183,7 @@
         without this knowledge.
         """
         self.runner.advance_clock(now)
-        if not self._record_boot(store, boot, age):
+        if not self.directory.record_boot(store, boot, age, self.runner.now):
             return False
         self.decision_module.list_changed(list(self.stores.values()), confirmed=False)
         self.runner.run_pending()
@@ -204,18 +198,11 @@
         if update.version < self.list_version and not versions_restarted:
             return
         self.list_version = update.version
-        rows = {row.name: row for row in update.rows}
-        self._apply_rows(update.rows, versions_restarted)
+        self.directory.apply_rows(update.rows, self.runner.now, versions_restarted)
         if update.full:
-            for name, store in self.stores.items():
-                if name not in rows:
-                    store.state = StoreState.GONE
+            self.directory.remove_unlisted({row.name for row in update.rows})
         self.decision_module.list_changed(list(self.stores.values()), confirmed=True)
-        gone = [name for name, store in self.stores.items() if store.state is StoreState.GONE]
-        for name in gone[:-MAX_GONE_STORES]:
-            store = self.stores.pop(name)
-            del self.addresses[store]
-            self.boot_ids.pop(store, None)
+        self.directory.forget_oldest_gone()
         self.runner.run_pending()
 
     def list_unavailable(self, now: int) -> None:
@@ -294,23 +281,6 @@
 
     # Internal
 
-    def _apply_rows(self, rows: Iterable[StoreRow], versions_restarted: bool = False) -> None:
-        for row in rows:
-            known, state = self.stores.get(row.name), StoreState(row.state)
-            if (
-                versions_restarted
-                and known
-                and row.boot == self.boot_ids.get(known, 0)
-                and REMOVAL_STAGES[known.state] > REMOVAL_STAGES[state]
-            ):
-                # A service whose versions restarted may be behind: without this, tasks would be sent to a store that
-                # is already known to drain.
-                state = known.state
-            store = self.stores.setdefault(row.name, Store(row.name))
-            store.zone, store.shard, store.state = row.zone, row.shard, state
-            self.addresses[store] = row.address
-            self._record_boot(store, row.boot, row.age)
-
     def _body_complete(self, held: HeldTask) -> None:
         """Start a task whose body is complete. One of an ordered category waits for earlier tasks of its key.
 
@@ -387,14 +357,3 @@
             if held.memory:
                 self.memory.release(held.client, held.memory)
                 held.memory = 0
-
-    def _record_boot(self, store: Store, boot: int, age: int) -> bool:
-        """Record when a store started; return whether that was news. Of two starts the later one counts, so that a
-        late list does not undo what a hello told."""
-        if not boot or self.boot_ids.get(store) == boot:
-            return False
-        started = max(self.runner.now - age // MICROSECONDS_PER_TICK, 1) if age else 0
-        if store in self.boot_ids and started <= store.started:
-            return False
-        self.boot_ids[store], store.started = boot, started
-        return True
--- a/tests/emulator/test_emulator.py
+++ b/tests/emulator/test_emulator.py
@@ -182,11 +182,11 @@
 
 def test_names_of_stores_long_gone_are_let_go(world, monkeypatch):
     """Guards against memory that grows with every store that was ever listed."""
-    monkeypatch.setattr("tansykeel.edge.core.MAX_GONE_STORES", 2)
+    monkeypatch.setattr("tansykeel.edge.store_directory.MAX_GONE_STORES", 2)
     gateway = world().gateways[0]
     for version in range(1, 8):
         row = Row(f"new-{version}", f"new-{version}:1", 0, 0, "ready", version, 0)
         gateway.core.apply_list_update(gateway.clock() + version, ListOf(True, version, (row,)))
     assert list(gateway.core.stores) == ["new-5", "new-6", "new-7"]
     assert {store.handle for store in gateway.core.addresses} == set(gateway.core.stores)
-    assert set(gateway.core.boot_ids) <= set(gateway.core.addresses)
+    assert set(gateway.core.directory.boot_ids) <= set(gateway.core.addresses)
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -356,7 +356,7 @@
 
 def test_state_of_gone_stores_clients_and_volumes_is_freed(tmp_path, monkeypatch):
     monkeypatch.setattr("tansykeel.platform.intake.MAX_VOLUMES", 10)
-    monkeypatch.setattr("tansykeel.edge.core.MAX_GONE_STORES", 3)
+    monkeypatch.setattr("tansykeel.edge.store_directory.MAX_GONE_STORES", 3)
 
     async def go():
         async with staged(tmp_path, known=False) as stage:
