Withdraw a repeat that is not sent while stores remember its first attempt

Cause: the scheduler checks the window as it grants a repeat; the attempt then waits for a connection, or is written in parts, up to its deadline, and nothing looks at the window again. Change: brain/repeats.py states the window once, for the scheduler and for the core. An attempt carries `send_by`; at that time the core withdraws what is not wholly written, as not executed, and the scheduler decides again. Past it no attempt is begun. In the core, so the platform, the edge program and the emulator have it; a timer, so that a client of a task that can't be served any more is answered then, and not when a connection is free.

--- a/tansykeel/brain/scheduler.py
+++ b/tansykeel/brain/scheduler.py
@@ -29,6 +29,7 @@
 from .cold import SECOND, START_REPORTED_WITHIN, SlowStart
 from .nodes import LOST_AFTER_LATENCIES, Node, VolumeQueue, cost_of
 from .rates import OVERLOAD_LIFETIME, SAMPLE_COUNT, TARGET_SHARE, QueueDelays
+from .repeats import repeat_until
 from .volumes import KeyQueue, RetryBudget, VolumeState
 
 # A held task must have so many expected latencies left to its soft deadline, at most this part of its time.
@@ -363,9 +364,9 @@
         """Whether a task may go to a store: if it may have run, only one that would drop the repeat."""
         if not task.may_have_run or task.category.repeat is RepeatSafety.IDEMPOTENT:
             return True
-        (first, sent), scope = task.may_have_run[0], task.category.scope
+        (first, _), scope = task.may_have_run[0], task.category.scope
         near = store.zone == first.zone if scope is DeduplicationScope.ZONE else store.shard == first.shard
-        return (scope is DeduplicationScope.ALL or near) and self.runtime.now < sent + task.category.window
+        return (scope is DeduplicationScope.ALL or near) and self.runtime.now < repeat_until(task)
 
     def final_answer(self, task: Task) -> TaskAction:
         """The answer of a task that is given up: a nack where the client may safely send it again."""
--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from tansykeel.brain import Scheduler
+from tansykeel.brain.repeats import repeat_until
 from tansykeel.edge.store_directory import StoreDirectory
 from tansykeel.edge.tasks import (
     BROKEN_OFF,
@@ -245,14 +246,17 @@
 
     def hand_off(self, task: Task, store: Store, timeout: int) -> None:
         """Send a task to a store. The attempt times out after `timeout` ticks, at the task's deadline at the latest;
-        0: only at the deadline."""
+        0: only at the deadline. A repeat that is not sent while stores remember the first attempt is withdrawn."""
         held: HeldTask = task.handle
         now = self.runner.now
         deadline = min(now + timeout, task.deadline) if timeout > 0 else task.deadline
-        attempt = Attempt(held, store, task.hand_offs - 1, now, deadline)
+        send_by = min(deadline, repeat_until(task))
+        attempt = Attempt(held, store, task.hand_offs - 1, now, deadline, send_by)
         held.open_attempts.append(attempt)
         self.counts.hand_offs += 1
         self.runner.call_at(deadline, partial(self._attempt_timed_out, attempt))
+        if send_by < deadline:
+            self.runner.call_at(int(send_by), partial(self._withdraw_unsent, attempt))
         self.io.hand_off(attempt)
 
     def nack(self, task: Task, retry_after: int) -> None:
@@ -310,6 +314,11 @@
         self._cancel_attempt(attempt)
         self.record_outcome(self.runner.now, attempt, OutcomeKind.TIMED_OUT)
 
+    def _withdraw_unsent(self, attempt: Attempt) -> None:
+        """Withdraw an attempt that was not sent in time, so that the decision module decides about its task again."""
+        if not attempt.finished and self.io.withdraw(attempt):
+            self.record_outcome(self.runner.now, attempt, OutcomeKind.NOT_EXECUTED)
+
     def _cancel_attempt(self, attempt: Attempt) -> None:
         """Cancel an attempt that nobody waits for any more. Where stores allow no cancelling, an attempt that still
         waits for its connection is withdrawn all the same, as it has not begun."""
--- a/tansykeel/edge/program.py
+++ b/tansykeel/edge/program.py
@@ -243,9 +243,9 @@
         """Take back an attempt, or tell its store to cancel it if it was sent."""
         self.stores.cancel(attempt)
 
-    def withdraw(self, attempt: Attempt) -> None:
-        """Take back an attempt if it was not sent yet."""
-        self.stores.withdraw(attempt)
+    def withdraw(self, attempt: Attempt) -> bool:
+        """Take back an attempt if it was not sent yet; return whether it was taken back."""
+        return self.stores.withdraw(attempt)
 
     def set_wakeup(self, at: int) -> None:
         """Have the core run its timers at that time."""
--- a/tansykeel/edge/stores.py
+++ b/tansykeel/edge/stores.py
@@ -138,8 +138,18 @@
         if self.waiting and not self.connections:
             self._open()
 
+    def _send_waiting(self, connection: Connection) -> None:
+        """Send waiting attempts while the connection has room for them."""
+        while self.waiting and len(connection.attempts) < self.stores.gateway.streams_per_connection:
+            attempt = self.waiting.popleft()
+            if not attempt.finished:
+                self._send(connection, attempt)
+
     def _send(self, connection: Connection, attempt: Attempt) -> None:
+        """Send an attempt, unless the time in which it may be sent is over: then the module decides again."""
         assert connection.link is not None
+        if self.stores.clock() >= attempt.send_by:
+            return self.stores.report_outcome_later(attempt, OutcomeKind.NOT_EXECUTED)
         connection.last_stream += 1
         connection.attempts[connection.last_stream] = attempt
         attempt.connection = connection, connection.last_stream
@@ -172,10 +182,7 @@
             unsent, self.waiting = list(self.waiting), deque()
             for attempt in unsent:
                 self.stores.report_outcome(attempt, OutcomeKind.NOT_EXECUTED)
-        while self.waiting and len(connection.attempts) < self.stores.gateway.streams_per_connection:
-            attempt = self.waiting.popleft()
-            if not attempt.finished:
-                self._send(connection, attempt)
+        self._send_waiting(connection)
 
     def _on_frame(self, connection: Connection, link: Link, event: Frame) -> None:
         outcome = event.record
@@ -190,7 +197,7 @@
             self._finish(connection, event.stream, outcome, [])
 
     def _finish(self, connection: Connection, stream: int, outcome: OutcomeOf, parts: list[bytes]) -> None:
-        """Report a complete outcome to the core and send the next waiting attempt."""
+        """Report a complete outcome to the core and send waiting attempts."""
         attempt = connection.attempts.pop(stream, None)
         if not connection.attempts:
             connection.idle_since = asyncio.get_running_loop().time()
@@ -206,9 +213,7 @@
                 elsewhere=outcome.elsewhere,
             )
         if self.waiting and connection.ready and connection.link and not connection.link.lost:
-            waiting = self.waiting.popleft()
-            if not waiting.finished:
-                self._send(connection, waiting)
+            self._send_waiting(connection)
 
 
 class Stores:
@@ -230,9 +235,9 @@
         """Take back an attempt, or tell its store to cancel it if it was sent."""
         self.pools[attempt.store].cancel(attempt)
 
-    def withdraw(self, attempt: Attempt) -> None:
-        """Take back an attempt if it was not sent yet."""
-        self.pools[attempt.store].withdraw(attempt)
+    def withdraw(self, attempt: Attempt) -> bool:
+        """Take back an attempt if it was not sent yet; return whether it was taken back."""
+        return self.pools[attempt.store].withdraw(attempt)
 
     def close_idle(self, now: float) -> None:
         """Close the connections that have been idle for longer than the settings allow."""
--- a/tansykeel/edge/tasks.py
+++ b/tansykeel/edge/tasks.py
@@ -113,13 +113,14 @@
 
 @dataclass(eq=False, slots=True)
 class Attempt:
-    """One hand-off of a task to a store. `connection` belongs to the GatewayIO."""
+    """One hand-off of a task to a store. `connection` belongs to the GatewayIO, which may have to wait for one."""
 
     held: HeldTask
     store: Store
     number: int  # 0 for the task's first attempt
     sent_at: int
     deadline: int
+    send_by: float  # its last byte has to be sent before this time
     connection: Any = None
     finished: bool = False
 
@@ -139,8 +140,8 @@
         """Withdraw an attempt, or tell its store to cancel it if it was sent."""
         ...
 
-    def withdraw(self, attempt: Attempt) -> None:
-        """Cancel an attempt only if nothing of it was sent."""
+    def withdraw(self, attempt: Attempt) -> bool:
+        """Cancel an attempt only if its store can't have begun it; return whether it was cancelled."""
         ...
 
     def set_wakeup(self, at: int) -> None:
--- a/tansykeel/emulator/gateway.py
+++ b/tansykeel/emulator/gateway.py
@@ -194,11 +194,13 @@
         else:
             self._send(conn, attempt)
 
-    def withdraw(self, attempt: Attempt) -> None:
-        for conn in self.conns.values():
-            if attempt in conn.waiting:
-                conn.waiting.remove(attempt)
-                self.engine.after(0, self.tell, self.life, self._outcome, attempt, OutcomeKind.CANCELLED)
+    def withdraw(self, attempt: Attempt) -> bool:
+        conn = next((conn for conn in self.conns.values() if attempt in conn.waiting), None)
+        if conn is None:
+            return False
+        conn.waiting.remove(attempt)
+        self.engine.after(0, self.tell, self.life, self._outcome, attempt, OutcomeKind.CANCELLED)
+        return True
 
     def cancel(self, attempt: Attempt) -> None:
         conn = attempt.connection
--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -316,9 +316,9 @@
         """Cancel an attempt, sent or not."""
         self.stores.cancel(attempt)
 
-    def withdraw(self, attempt: Attempt) -> None:
-        """Take back an attempt if it was not sent yet."""
-        self.stores.withdraw(attempt)
+    def withdraw(self, attempt: Attempt) -> bool:
+        """Cancel an attempt if its store can't have begun it; return whether it was cancelled."""
+        return self.stores.withdraw(attempt)
 
     def set_wakeup(self, at: int) -> None:
         """Run the core's timers at that time of its clock."""
--- a/tansykeel/platform/request_rules.py
+++ b/tansykeel/platform/request_rules.py
@@ -16,6 +16,8 @@
 # Ticks (tenths of a millisecond) after a task's deadline at which it must have its answer. The deadline is up to 0.1 s
 # before its client's (`intake.DEADLINE_MARGIN`).
 OVERDUE_MARGIN = 1_000
+# Ticks after `Attempt.send_by` at which writing a repeat is a violation: time passes after the check before it.
+SEND_MARGIN = 500
 MAX_LOGGED = 20  # violations of one invariant that are logged; all are counted
 
 
@@ -24,7 +26,7 @@
 
     NOW = "now"
     LATER = "later"  # unread data from its client or from discovery could forbid it
-    NEVER = "never"  # the attempt is finished, or its request is answered
+    NEVER = "never"  # the attempt is finished, its request is answered, or the time in which it may be sent is over
 
 
 class Invariant(Enum):
@@ -39,17 +41,17 @@
     NO_REPEAT = "nothing that may have run is sent again where that is not allowed"
 
 
-def attempt_may_begin(attempt: Attempt, *, client_caught_up: bool, list_caught_up: bool) -> Verdict:
+def attempt_may_begin(attempt: Attempt, now: int, *, client_caught_up: bool, list_caught_up: bool) -> Verdict:
     """Whether an attempt may be written now. `client_caught_up`, `list_caught_up`: everything that has arrived from its
     client and from discovery was read."""
-    if attempt.finished or attempt.held.answered:
+    if attempt.finished or attempt.held.answered or now >= attempt.send_by:
         return Verdict.NEVER
     if not (client_caught_up and list_caught_up):
         return Verdict.LATER
     return Verdict.NOW
 
 
-def violation_of_attempt(attempt: Attempt, allowed: AllowedActions) -> Invariant | None:
+def violation_of_attempt(attempt: Attempt, allowed: AllowedActions, now: int) -> Invariant | None:
     """Return the invariant that writing the attempt now would break, None if there is none."""
     held, task = attempt.held, attempt.held.task
     if held.answered:
@@ -61,6 +63,8 @@
         return Invariant.ONE_ATTEMPT
     if task.may_have_run and task.category.repeat is RepeatSafety.AT_MOST_ONCE:
         return Invariant.NO_REPEAT
+    if task.may_have_run and now >= attempt.send_by + SEND_MARGIN:
+        return Invariant.NO_REPEAT
     return None
 
 
--- a/tansykeel/platform/stores.py
+++ b/tansykeel/platform/stores.py
@@ -80,9 +80,9 @@
         """Cancel the attempt, whether it was sent or not."""
         self.pools[attempt.store].cancel(attempt)
 
-    def withdraw(self, attempt: Attempt) -> None:
-        """Cancel the attempt if its last byte was not written yet."""
-        self.pools[attempt.store].withdraw(attempt)
+    def withdraw(self, attempt: Attempt) -> bool:
+        """Cancel the attempt if its last byte was not written yet; return whether it was cancelled."""
+        return self.pools[attempt.store].withdraw(attempt)
 
     def list_changed(self) -> None:
         """Apply a change to the list of stores."""
@@ -118,12 +118,13 @@
         process, everything that discovery has sent.
         """
         client: Client = attempt.held.client
-        caught_up = client.stream.quiet()
-        return attempt_may_begin(attempt, client_caught_up=caught_up, list_caught_up=self.list_caught_up())
+        return attempt_may_begin(
+            attempt, self.clock(), client_caught_up=client.stream.quiet(), list_caught_up=self.list_caught_up()
+        )
 
     def violates_invariant(self, attempt: Attempt) -> bool:
         """Whether writing the attempt now would break an invariant; if so, the violation is counted."""
-        invariant = violation_of_attempt(attempt, self.core.facts.allowed)
+        invariant = violation_of_attempt(attempt, self.core.facts.allowed, self.clock())
         if invariant:
             self.violations.report(invariant, id=attempt.held.id, attempt=attempt.number, store=attempt.store.handle)
         return invariant is not None
