Let go of a request when its task is over, not at its deadline

What callers saw: good traffic alone takes a gateway over its memory. 36 clients that write 60 KB at a time, 600 a second, all answered in 20 ms: killed at 192 MB within 5 s. At 160 a second it holds 103 MB. Cause: the core's timers for attempts' deadlines refer to attempt, task and request until they are due, up to 6 s; the bound on bodies counts nothing of it, as a task's bytes are released with its answer. Evidence: with the collector off and all requests answered, every HeldTask and its request were still there. Change: as the core forgets a task, it drops its request and body, and an attempt's connection as that ends. The edge program no longer collects an answer to a task that is over.

--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -159,7 +159,7 @@
         if attempt.finished:
             return
         self.runner.advance_clock(now)
-        attempt.finished = True
+        attempt.finished, attempt.connection = True, None
         held, lag = attempt.held, self.runner.now - attempt.sent_at
         held.open_attempts.remove(attempt)
         held.last_outcome = how.value
@@ -362,7 +362,7 @@
             del self.held[held.client, held.id]
             if not held.started and held.task.key in self.unstarted:
                 self._body_complete(held)  # start the tasks of its key that waited for its body
-            held.body.clear()
+            held.drop_contents()
             if held.memory:
                 self.memory.release(held.client, held.memory)
                 held.memory = 0
--- a/tansykeel/edge/stores.py
+++ b/tansykeel/edge/stores.py
@@ -41,7 +41,8 @@
         self.link: Link | None = None
         self.ready = False
         self.attempts: dict[int, Attempt] = {}  # open ones, by stream
-        self.partial_answers: dict[int, tuple[OutcomeOf, list[bytes]]] = {}  # delivered, the body is still coming
+        # Delivered, the body is still coming; None in its place where the task has its answer already.
+        self.partial_answers: dict[int, tuple[OutcomeOf, list[bytes] | None]] = {}
         self.last_stream = 0
         self.idle_since = 0.0
 
@@ -163,10 +164,11 @@
             if isinstance(event, Piece):
                 if event.stream in connection.partial_answers:
                     outcome, parts = connection.partial_answers[event.stream]
-                    parts.append(event.data)
+                    if parts is not None:
+                        parts.append(event.data)
                     if event.last:
                         del connection.partial_answers[event.stream]
-                        self._finish(connection, event.stream, outcome, parts)
+                        self._finish(connection, event.stream, outcome, parts or [])
                 return
             if isinstance(event.record, Hello):
                 return self._on_hello(connection, event.record)
@@ -189,12 +191,15 @@
         attempt = connection.attempts.get(event.stream)
         if not isinstance(outcome, OutcomeOf) or attempt is None:
             return  # an outcome after its attempt ended, or an error frame before the connection's end
-        if outcome.body > attempt.held.request.size:
-            link.abort(f"{outcome.body} bytes in the answer to a task of size {attempt.held.request.size}")
-        elif outcome.body:
-            connection.partial_answers[event.stream] = outcome, []
-        else:
+        request = attempt.held.request
+        if not outcome.body:
             self._finish(connection, event.stream, outcome, [])
+        elif request is None:
+            connection.partial_answers[event.stream] = outcome, None
+        elif outcome.body > request.size:
+            link.abort(f"{outcome.body} bytes in the answer to a task of size {request.size}")
+        else:
+            connection.partial_answers[event.stream] = outcome, []
 
     def _finish(self, connection: Connection, stream: int, outcome: OutcomeOf, parts: list[bytes]) -> None:
         """Report a complete outcome to the core and send waiting attempts."""
--- a/tansykeel/edge/tasks.py
+++ b/tansykeel/edge/tasks.py
@@ -100,7 +100,7 @@
 
     client: Any
     id: Any
-    request: Any
+    request: Any  # None once the task is over
     task: Task
     memory: int  # bytes reserved for it
     body_missing: int  # bytes of its body still to come
@@ -110,6 +110,11 @@
     answered: bool = False  # or cancelled by its client, which gets no answer
     last_outcome: str = ""  # of the attempt that finished last
 
+    def drop_contents(self) -> None:
+        """Let go of the request and its body, once the task is over: timers refer to it until its deadline."""
+        self.request = None
+        self.body.clear()
+
 
 @dataclass(eq=False, slots=True)
 class Attempt:
