Count what requests and fields take in memory, not their text alone

What callers saw: nothing yet. Six clients that send 60,000 tiny requests each behind one whose store hangs take a gateway to 150 MB of 192, 40 with 2,000 each to 50 of 64. Cause: of a request that waits only its body and its values were counted (1 byte of 433), of a head that is coming its bytes on the wire (1,200 short fields take 80 KB); a held request kept all of its fields (77 KB for 1,000). Evidence: tracemalloc on a reader alone, and the plays above on. Change: a reader's `memory` counts each request and field with what it takes; the bounds on memory use it. A head ends at the field that exceeds its bound; a held request keeps two fields.

--- a/tansykeel/http1/codec.py
+++ b/tansykeel/http1/codec.py
@@ -20,6 +20,7 @@
 MOST_BODY = 64 << 10  # bytes of a request's body
 MOST_ANSWER = 1 << 20  # bytes of an answer's: stores send more than they are said to
 MOST_INTERIM = 8  # 1xx answers ahead of one
+REQUEST_OVERHEAD, FIELD_OVERHEAD = 400, 100  # bytes of memory that a request, and a field, takes beside its text
 WIRE = 8  # times a body's bound that its chunks, their lines and trailers may take on the wire
 
 _TARGET = re.compile(rb"/[!-~]*")
@@ -98,12 +99,18 @@
         self._body = bytearray()  # one buffer: an object for each chunk would take many times the chunk's bytes
         self._head = True  # whether the head is still coming
         self._wire = 0  # bytes that came of the message that is coming
+        self._fields_size = 0  # bytes of all names and values of its fields
 
     @property
     def size(self) -> int:
         """Bytes held of what is not whole."""
         return len(self._body) + (self._wire if self._head else 0)
 
+    @property
+    def memory(self) -> int:
+        """Bytes of memory that is taken: of many short fields or requests far more than their size."""
+        return self.size + FIELD_OVERHEAD * len(self._fields)
+
     def feed(self, data: bytes) -> None:
         """Take bytes in. What is wrong with them is raised once all that was whole before has been fetched."""
         if self._parser is None:
@@ -139,11 +146,14 @@
 
     def on_message_begin(self) -> None:
         self.partial, self._head = True, True
-        self._fields, self._body = {}, bytearray()
+        self._fields, self._body, self._fields_size = {}, bytearray(), 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self._head:  # a trailer
             return
+        self._fields_size += len(name) + len(value)
+        if self._fields_size > MOST_HEAD:
+            raise self._refused(f"a head of more than {MOST_HEAD} bytes", 431)
         name = name.lower()
         if name not in self._fields:
             self._fields[name] = value.rstrip(b" \t")
@@ -155,8 +165,6 @@
     def on_headers_complete(self) -> None:
         self._head = False
         fields = self._fields
-        if sum(map(len, fields)) + sum(map(len, fields.values())) > MOST_HEAD:
-            raise self._refused(f"a head of more than {MOST_HEAD} bytes", 431)
         if fields.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
             raise self._refused("a transfer-encoding other than chunked", 501)
         if int(fields.get(b"content-length", b"0")) > self.most:
@@ -193,7 +201,7 @@
         super().__init__(httptools.HttpRequestParser)
         self._target = b""
         self._ready: deque[tuple[Request, int]] = deque()
-        self._waiting = 0
+        self._waiting = self._overhead = 0  # bytes of requests that are whole, and what they take beside these
         self._received_at = 0
 
     @property
@@ -201,6 +209,11 @@
         """Bytes held of what is not whole, or was not fetched."""
         return super().size + self._waiting
 
+    @property
+    def memory(self) -> int:
+        """Bytes of memory that is taken, by requests that were not fetched too."""
+        return super().memory + self._overhead
+
     @property
     def waits(self) -> bool:
         """Whether `next` has something to tell."""
@@ -216,6 +229,7 @@
         if self._ready:
             request, size = self._ready.popleft()
             self._waiting -= size
+            self._overhead -= _overhead(request)
             return request
         if self.fault is not None:
             raise self.fault.error()
@@ -225,7 +239,7 @@
         """Read nothing more and let go of what is held, requests that are whole included."""
         super().close()
         self._ready.clear()
-        self._waiting = 0
+        self._waiting = self._overhead = 0
 
     def on_message_begin(self) -> None:
         super().on_message_begin()
@@ -250,6 +264,12 @@
         request = Request(method, self._target, self._fields, body, self._received_at)
         self._ready.append((request, size))
         self._waiting += size
+        self._overhead += _overhead(request)
+
+
+def _overhead(request: Request) -> int:
+    """Return the bytes of memory that a request takes beside its body and the values of its fields."""
+    return REQUEST_OVERHEAD + FIELD_OVERHEAD * len(request.fields) + len(request.target)
 
 
 class AnswerReader(_Reader):
--- a/tansykeel/platform/clients.py
+++ b/tansykeel/platform/clients.py
@@ -167,7 +167,7 @@
         self._reads = self._reads + 1 if self.reader.partial else 0
         self.reader.feed(data, self.owner.received_at(self.stream, self._reads > MANY_READS))
         # Bounds the memory of all clients together: many may send large bodies and never complete them.
-        out_of_memory = self.reader.size > codec.MOST_HEAD and self.owner.unread_bytes() > self.owner.max_unread_bytes
+        out_of_memory = self.reader.memory > codec.MOST_HEAD and self.owner.unread_bytes() > self.owner.max_unread_bytes
         if self.open_request is not None:
             # Pipelined bytes are read, within a bound, to find an end of file behind them, so that no attempt begins
             # for a client that has disconnected.
@@ -318,8 +318,8 @@
         return len(self.conns) - len(self.lingering) > self.max_connections * CROWDED_FRACTION
 
     def unread_bytes(self) -> int:
-        """Return the bytes of requests that are incomplete or pipelined behind an open one."""
-        return sum(client.reader.size for client in self.conns)
+        """Return the memory that requests take that are incomplete or pipelined behind an open one, in bytes."""
+        return sum(client.reader.memory for client in self.conns)
 
     def unsent_bytes(self) -> int:
         """Return the bytes of answers that clients have not taken yet."""
--- a/tansykeel/platform/connection.py
+++ b/tansykeel/platform/connection.py
@@ -160,7 +160,7 @@
                 self.pool.answered_twice(self.gateway.now() - self.idle_since)
             return self._reject_answer("data that answers no request")
         self.reader.feed(data)
-        if self.reader.size > codec.MOST_BODY and self.gateway.answers_exceed_memory():
+        if self.reader.memory > codec.MOST_BODY and self.gateway.answers_exceed_memory():
             return self._reject_answer("not enough memory for the answer")
         try:
             answer = self.reader.next()
--- a/tansykeel/platform/intake.py
+++ b/tansykeel/platform/intake.py
@@ -18,6 +18,8 @@
 DEADLINE_MARGIN = 1_000
 TICKS_PER_SECOND = 10**9 / TENTH
 
+_FIELDS_KEPT = (b"x-txn", b"connection")  # read again while a task is held
+
 _PATH = re.compile(rb"/(?:[^?#]*/)?([0-9A-Fa-f]{16})/([0-9A-Fa-f]{16})(?:\?[^#]*)?")
 _ID = re.compile(rb"[0-9A-Fa-f]{16}")
 _SECONDS = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,12})?")
@@ -54,7 +56,7 @@
 
     def parse_task(self, request: Request) -> TaskRequest:
         """Return the task that a request describes. Raises Malformed for bad syntax, and for classes and plans that the
-        settings don't have."""
+        settings don't have. Drops the request's other fields: many short ones would take memory while it is held."""
         fields = request.fields
         path = _PATH.fullmatch(request.target)
         if path is None:
@@ -76,6 +78,7 @@
         if extent is None or not 0 < float(extent[1]) <= max(self.largest, 1.0) or float(extent[3]) < 1:
             raise Malformed("x-extent is not units=,shard=,hosts= with values that the settings allow")
         time_left = int(min(float(left) * TICKS_PER_SECOND, category.deadline))
+        request.fields = {name: fields[name] for name in _FIELDS_KEPT if name in fields}
         return TaskRequest(
             request,
             id.lower(),
--- a/tansykeel/platform/stores.py
+++ b/tansykeel/platform/stores.py
@@ -130,10 +130,10 @@
         return invariant is not None
 
     def held_bytes(self) -> int:
-        """Return the size of all answers that are incomplete or that clients have not read yet."""
+        """Return the memory that answers take that are incomplete or that clients have not read yet, in bytes."""
         connections = (connection for pool in self.pools.values() for connection in pool.connections)
         return self.clients.unsent_bytes() + sum(
-            connection.reader.size for connection in connections if connection.reader
+            connection.reader.memory for connection in connections if connection.reader
         )
 
     def answers_exceed_memory(self) -> bool:
--- a/tests/http1/test_memory.py
+++ b/tests/http1/test_memory.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from tansykeel.http1.codec import AnswerReader, RequestReader
+from tansykeel.http1.codec import FIELD_OVERHEAD, MOST_HEAD, AnswerReader, RequestReader
 
 SLACK = 16 << 10  # bytes that a reader may take beyond what it holds
 
@@ -58,6 +58,36 @@
     assert held <= 2 * reader.size + SLACK
 
 
+@pytest.mark.parametrize("fields", [0, 5, 30, 300])
+def test_requests_sent_ahead_take_about_the_memory_that_they_count(fields):
+    reader = RequestReader()
+    request = b"GET / HTTP/1.1\r\nHost:a\r\n%s\r\n" % b"".join(b"n%d:%d\r\n" % (each, each) for each in range(fields))
+    held = memory_of(reader, [request * 200 for _ in range(10)])
+    assert reader.fault is None
+    assert held / 2 - SLACK <= reader.memory
+
+
+@pytest.mark.parametrize("reader, start", [(RequestReader, b"GET / HTTP/1.1"), (AnswerReader, b"HTTP/1.1 200 OK")])
+def test_a_head_of_many_fields_takes_about_the_memory_that_it_counts(reader, start):
+    heads = [reader() for _ in range(20)]
+    pieces = [start + b"\r\n" + b"".join(b"%x:\r\n" % each for each in range(1_200))] * len(heads)
+    held = sum(memory_of(one, [piece]) for one, piece in zip(heads, pieces, strict=True))
+    assert not any(one.fault for one in heads)
+    assert held / 2 - SLACK <= sum(one.memory for one in heads)
+
+
+def test_fields_over_the_bound_of_a_head_are_refused_before_all_are_read():
+    field = b"f%04d: v\r\n"
+    text_of_field = len(b"f0000v")
+    reader, piece = AnswerReader(), b"HTTP/1.1 200 OK\r\n" + b"".join(field % number for number in range(6_000))
+    tracemalloc.start()
+    reader.feed(piece)
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert "head of more than" in reader.fault.text
+    assert peak <= 2 * (MOST_HEAD + FIELD_OVERHEAD * MOST_HEAD // text_of_field)
+
+
 def test_chunks_of_all_sizes_make_up_one_body():
     data = bytes(range(256)) * 40
     sizes = [1, 2, 3, 500, 4096, 1, 5000]
