Join short pieces of bodies in the edge program too

Cause: each chunk of a client's body and of a store's answer was kept as an object of its own. Evidence: a body of 20,000 bytes in chunks of two took 350,000 bytes of objects where 20,000 were reserved.

--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -46,6 +46,7 @@
     TaskAction,
 )
 from tansykeel.runner import Runner
+from tansykeel.transport.pieces import add_piece
 
 
 class Core:
@@ -113,7 +114,7 @@
         held = self.held.get((client, id))
         if held is None or held.answered or held.started:
             return
-        held.body.append(data)
+        add_piece(held.body, data)
         held.body_missing -= len(data)
         if not held.body_missing:
             self.runner.advance_clock(now)
--- a/tansykeel/edge/stores.py
+++ b/tansykeel/edge/stores.py
@@ -19,6 +19,7 @@
 from tansykeel.protocol.frames import Cancel, Hello, OutcomeOf
 from tansykeel.settings.records import Gateway
 from tansykeel.transport.link import Hub, Link
+from tansykeel.transport.pieces import add_piece
 from tansykeel.transport.sockets import connect
 
 OUTCOMES = {
@@ -165,7 +166,7 @@
                 if event.stream in connection.partial_answers:
                     outcome, parts = connection.partial_answers[event.stream]
                     if parts is not None:
-                        parts.append(event.data)
+                        add_piece(parts, event.data)
                     if event.last:
                         del connection.partial_answers[event.stream]
                         self._finish(connection, event.stream, outcome, parts or [])
