Keep bodies in blocks of 16 KiB: one growing buffer leaves holes in the heap

What was seen: with a gateway of 32 MB, whose answers are bounded by 8 MB, held 31 MB while answers came in chunks of two bytes. Cause: each body's buffer grows to 900 KB, and moves as it does; what it leaves is too small for the next one.

--- a/tansykeel/http1/codec.py
+++ b/tansykeel/http1/codec.py
@@ -19,6 +19,7 @@
 MOST_HEAD = 8 << 10  # bytes of a start line and its fields
 MOST_BODY = 64 << 10  # bytes of a request's body
 MOST_ANSWER = 1 << 20  # bytes of an answer's: stores send more than they are said to
+BLOCK = 16 << 10  # bytes of a body from which the next ones go to another block
 MOST_INTERIM = 8  # 1xx answers ahead of one
 REQUEST_OVERHEAD, FIELD_OVERHEAD = 400, 100  # bytes of memory that a request, and a field, takes beside its text
 WIRE = 8  # times a body's bound that its chunks, their lines and trailers may take on the wire
@@ -96,7 +97,10 @@
         self.partial = False  # whether a message has begun and is not whole
         self._parser: Any = parser(self)  # None once nothing more is read
         self._fields: Fields = {}
-        self._body = bytearray()  # one buffer: an object for each chunk would take many times the chunk's bytes
+        # The body that is coming, in blocks: an object for each chunk takes many times its bytes, one buffer moves.
+        self._blocks: list[bytearray] = []
+        self._blocks_size = 0
+        self._block = bytearray()  # the last one, which grows
         self._head = True  # whether the head is still coming
         self._wire = 0  # bytes that came of the message that is coming
         self._fields_size = 0  # bytes of all names and values of its fields
@@ -104,7 +108,7 @@
     @property
     def size(self) -> int:
         """Bytes held of what is not whole."""
-        return len(self._body) + (self._wire if self._head else 0)
+        return self._blocks_size + len(self._block) + (self._wire if self._head else 0)
 
     @property
     def memory(self) -> int:
@@ -140,13 +144,14 @@
     def _release(self) -> None:
         """Let go of the parser and of the message that is coming."""
         self._parser = None
-        self._fields, self._body, self._wire = {}, bytearray(), 0
+        self._fields, self._wire = {}, 0
+        self._take_body()
 
     # What the library calls
 
     def on_message_begin(self) -> None:
         self.partial, self._head = True, True
-        self._fields, self._body, self._fields_size = {}, bytearray(), 0
+        self._fields, self._fields_size = {}, 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self._head:  # a trailer
@@ -172,14 +177,25 @@
         self._check()
 
     def on_body(self, data: bytes) -> None:
-        self._body += data
-        if len(self._body) > self.most:
+        self._block += data
+        size = len(self._block)
+        if self._blocks_size + size > self.most:
             raise self._refused(f"a body of more than {self.most} bytes", 413)
+        if size >= BLOCK:
+            self._blocks.append(self._block)
+            self._blocks_size += size
+            self._block = bytearray()
 
     def on_message_complete(self) -> None:
         self.partial = False
-        self._whole(bytes(self._body))
-        self._fields, self._body, self._wire = {}, bytearray(), 0
+        self._whole(self._take_body())
+        self._fields, self._wire = {}, 0
+
+    def _take_body(self) -> bytes:
+        """Return the bytes of the body that came so far, and let go of them."""
+        body = b"".join((*self._blocks, self._block))
+        self._blocks, self._blocks_size, self._block = [], 0, bytearray()
+        return body
 
     # What the kinds differ in
 
@@ -335,11 +351,11 @@
             raise self.fault.error()
         if self._head:
             return None
-        data, self._body, self._wire = bytes(self._body), bytearray(), 0
-        return self._parser.get_status_code(), data
+        self._wire = 0
+        return self._parser.get_status_code(), self._take_body()
 
     def on_body(self, data: bytes) -> None:
-        self._body += data
+        self._block += data
 
     def _check(self) -> None:
         if b"transfer-encoding" not in self._fields:
