Move the messages of http1 to a module of their own, with the usual names

Change: http1/messages.py has Request, Answer, Fault and Malformed. `lasts` is keep_alive, `behind` has_extra_bytes, `WIRE` MAX_WIRE_RATIO. What a request takes in memory is its own property. Behaviour is the same; tests follow in names only.

--- a/tansykeel/http1/codec.py
+++ b/tansykeel/http1/codec.py
@@ -9,79 +9,22 @@
 
 import re
 from collections import deque
-from dataclasses import dataclass
 from typing import Any
 
 import httptools
 
-from tansykeel.errors import Problem
+from tansykeel.http1.messages import FIELD_OVERHEAD, Answer, Fault, Fields, Malformed, Request
 
 MOST_HEAD = 8 << 10  # bytes of a start line and its fields
 MOST_BODY = 64 << 10  # bytes of a request's body
 MOST_ANSWER = 1 << 20  # bytes of an answer's: stores send more than they are said to
 BLOCK = 16 << 10  # bytes of a body from which the next ones go to another block
 MOST_INTERIM = 8  # 1xx answers ahead of one
-REQUEST_OVERHEAD, FIELD_OVERHEAD = 400, 100  # bytes of memory that a request, and a field, takes beside its text
-WIRE = 8  # times a body's bound that its chunks, their lines and trailers may take on the wire
+MAX_WIRE_RATIO = 8  # times a body's bound that its chunks, their lines and trailers may take on the wire
 
 _TARGET = re.compile(rb"/[!-~]*")
 _ONCE = frozenset((b"content-length", b"transfer-encoding", b"host"))
 
-Fields = dict[bytes, bytes]
-
-
-class Malformed(Problem, ValueError):
-    """A message of HTTP that can't be read, or could be read in two ways; `status` is what its client is told."""
-
-    advice = "look at the client or the store that sent it; its connection has ended"
-
-    def __init__(self, text: str, status: int = 400) -> None:
-        super().__init__(text)
-        self.status = status
-
-
-@dataclass(frozen=True, slots=True)
-class Fault:
-    """What is wrong with a message. A reader keeps this and not the exception, whose traceback keeps what was read."""
-
-    text: str
-    status: int
-
-    def error(self) -> Malformed:
-        """Return a new exception that tells it."""
-        return Malformed(self.text, self.status)
-
-
-@dataclass(eq=False, slots=True)  # not frozen: that costs a call for each field
-class Request:
-    method: bytes
-    target: bytes
-    fields: Fields  # names in lower case
-    body: bytes
-    received_at: int = 0  # when its last byte came, as `feed` was told
-
-    @property
-    def lasts(self) -> bool:
-        """Whether the client wants the connection to stay open after its answer."""
-        return not _says(self.fields, b"connection", b"close")
-
-
-@dataclass(eq=False, slots=True)
-class Answer:
-    status: int
-    fields: Fields
-    body: bytes
-
-    @property
-    def lasts(self) -> bool:
-        """Whether the connection stays open after it."""
-        return not _says(self.fields, b"connection", b"close")
-
-
-def _says(fields: Fields, name: bytes, word: bytes) -> bool:
-    value = fields.get(name)
-    return value is not None and word in [part.strip(b" \t") for part in value.lower().split(b",")]
-
 
 class _Reader:
     """What all readers share: the library's callbacks, the bounds, and messages that are whole and not fetched yet.
@@ -127,7 +70,7 @@
         except httptools.HttpParserError as error:
             # Raised by the library, or by a callback that has set the fault.
             self.fault = self.fault or Fault(str(error), 400)
-        if self.fault is None and self._wire > (MOST_HEAD if self._head else WIRE * self.most + MOST_HEAD):
+        if self.fault is None and self._wire > (MOST_HEAD if self._head else MAX_WIRE_RATIO * self.most + MOST_HEAD):
             # Guards against a head without end, and chunks that are all lines: the library has no bound.
             self.fault = (
                 Fault(f"a head of more than {MOST_HEAD} bytes", 431)
@@ -245,7 +188,7 @@
         if self._ready:
             request, size = self._ready.popleft()
             self._waiting -= size
-            self._overhead -= _overhead(request)
+            self._overhead -= request.overhead
             return request
         if self.fault is not None:
             raise self.fault.error()
@@ -280,16 +223,11 @@
         request = Request(method, self._target, self._fields, body, self._received_at)
         self._ready.append((request, size))
         self._waiting += size
-        self._overhead += _overhead(request)
-
-
-def _overhead(request: Request) -> int:
-    """Return the bytes of memory that a request takes beside its body and the values of its fields."""
-    return REQUEST_OVERHEAD + FIELD_OVERHEAD * len(request.fields) + len(request.target)
+        self._overhead += request.overhead
 
 
 class AnswerReader(_Reader):
-    """The answer to one request; `behind`: whether bytes came after it, which do not belong to it."""
+    """The answer to one request."""
 
     most = MOST_ANSWER
 
@@ -300,7 +238,8 @@
         self._until_end = False  # without a length: its body runs to the end of the connection (RFC 9112, 6.3)
 
     @property
-    def behind(self) -> bool:
+    def has_extra_bytes(self) -> bool:
+        """Whether bytes came behind the answer, which do not belong to it."""
         return self._answer is not None and (self.partial or self.fault is not None)
 
     def next(self) -> Answer | None:
--- a/tansykeel/platform/clients.py
+++ b/tansykeel/platform/clients.py
@@ -12,7 +12,8 @@
 from typing import Protocol
 
 from tansykeel.http1 import codec
-from tansykeel.http1.codec import Malformed, Request, RequestReader
+from tansykeel.http1.codec import RequestReader
+from tansykeel.http1.messages import Malformed, Request
 from tansykeel.platform.event_counts import ClientEnd, EventCounts
 from tansykeel.platform.request_rules import connection_may_end
 from tansykeel.transport.stream import Stream
--- a/tansykeel/platform/connection.py
+++ b/tansykeel/platform/connection.py
@@ -8,7 +8,8 @@
 from tansykeel.edge.clock import TICKS_PER_SECOND
 from tansykeel.edge.tasks import Attempt
 from tansykeel.http1 import codec
-from tansykeel.http1.codec import AnswerReader, Malformed
+from tansykeel.http1.codec import AnswerReader
+from tansykeel.http1.messages import Answer, Malformed
 from tansykeel.interface import OutcomeKind
 from tansykeel.platform.event_counts import StoreConnectionEnd
 from tansykeel.platform.intake import TaskRequest
@@ -55,7 +56,7 @@
     def stale_connection_found(self, idle_time: float) -> None:
         """Handle that a connection turned out to be dead when it was reused after `idle_time` seconds idle."""
 
-    def answer_received(self, attempt: Attempt, answer: codec.Answer) -> None:
+    def answer_received(self, attempt: Attempt, answer: Answer) -> None:
         """Handle a complete answer."""
 
     def malformed_answer_received(self, attempt: Attempt, why: str) -> None:
@@ -169,15 +170,15 @@
         if answer is not None:
             self._answer_complete(answer, reusable=self._reusable_after(answer))
 
-    def _reusable_after(self, answer: codec.Answer) -> bool:
+    def _reusable_after(self, answer: Answer) -> bool:
         """Whether the connection may be reused: nothing may follow that could be read as the next request's answer."""
         assert self.attempt is not None and self.reader is not None
         # Where attempts may not be cancelled, the connection outlives an attempt that was given up. A store that
         # answers so late may also answer twice, so the connection is not reused.
         given_up = self.attempt.finished or self.attempt.held.answered
-        return answer.lasts and not self.reader.behind and not given_up
+        return answer.keep_alive and not self.reader.has_extra_bytes and not given_up
 
-    def _answer_complete(self, answer: codec.Answer, reusable: bool) -> None:
+    def _answer_complete(self, answer: Answer, reusable: bool) -> None:
         """Release or close the connection, then pass the answer on."""
         attempt, self.attempt = self.attempt, None
         self._close_reader()
--- a/tansykeel/platform/discovery.py
+++ b/tansykeel/platform/discovery.py
@@ -21,6 +21,7 @@
 from tansykeel.edge.tasks import MICROSECONDS_PER_TICK
 from tansykeel.errors import Problem
 from tansykeel.http1 import codec
+from tansykeel.http1.messages import Malformed
 from tansykeel.platform.config import PHASES, Member, Members
 from tansykeel.platform.objects import ObjectSplitter
 from tansykeel.platform.start_age import StartAge
@@ -124,7 +125,7 @@
             if part is None:
                 return
             if part[0] != 200:
-                raise codec.Malformed(f"status {part[0]}")
+                raise Malformed(f"status {part[0]}")
             for text in self.splitter.feed(part[1]):
                 if not self.stream.closed:
                     self.discovery.update_received(self, _decode(text))
--- a/tansykeel/platform/intake.py
+++ b/tansykeel/platform/intake.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from tansykeel.edge.tasks import ParsedRequest
-from tansykeel.http1.codec import Malformed, Request
+from tansykeel.http1.messages import Malformed, Request
 from tansykeel.interface import Category, Plan, SchedulerConfig, Task, Volume
 from tansykeel.settings.facts import TENTH
 
--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -18,7 +18,7 @@
 from tansykeel.edge.core import Core
 from tansykeel.edge.tasks import DELIVERED, NACKED, Attempt, Bounds, FinalAnswer, HeldTask
 from tansykeel.http1 import codec
-from tansykeel.http1.codec import Malformed, Request
+from tansykeel.http1.messages import Malformed, Request
 from tansykeel.interface import PeerMessage
 from tansykeel.platform.clients import Client, Clients
 from tansykeel.platform.config import RETRY_DELAY, RETRY_PERIOD, Config, Illegal, Unreadable, read, read_at_start
@@ -341,7 +341,7 @@
     def _ends_with_answer(self, client: Client, request: Request) -> bool:
         """Whether the connection ends with the answer to this request."""
         return answer_ends_connection(
-            client_wants_end=not request.lasts,
+            client_wants_end=not request.keep_alive,
             gateway_ends=self.closing,
             has_sent_more=self.closing and client.has_sent_more,
         )
--- a/tansykeel/platform/stores.py
+++ b/tansykeel/platform/stores.py
@@ -7,7 +7,7 @@
 
 from tansykeel.edge.core import Core
 from tansykeel.edge.tasks import Attempt
-from tansykeel.http1 import codec
+from tansykeel.http1.messages import Answer
 from tansykeel.interface import OutcomeKind, Store, StoreState
 from tansykeel.platform.clients import Client, Clients
 from tansykeel.platform.event_counts import EventCounts, StoreConnectionEnd
@@ -196,7 +196,7 @@
         self.log("spoilt answer", store=attempt.store.handle, why=why)
         self.record_outcome(attempt, OutcomeKind.ERROR)
 
-    def answer_received(self, attempt: Attempt, answer: codec.Answer) -> None:
+    def answer_received(self, attempt: Attempt, answer: Answer) -> None:
         """Report a complete answer to the core."""
         fields = answer.fields
         if answer.status == 200:
--- a/tansykeel/soak/store_process.py
+++ b/tansykeel/soak/store_process.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from tansykeel.http1 import codec
+from tansykeel.http1.messages import Malformed, Request
 from tansykeel.soak.deployment import CAPACITY, IDLE_CLOSE, class_of, power_of
 from tansykeel.soak.records import Arrived, Over, Ran, Recorder, now
 
@@ -43,7 +44,7 @@
                 requests.feed(data)
                 while (request := requests.next()) is not None:
                     await self._serve(request, number, reader, writer)
-        except (OSError, codec.Malformed, asyncio.CancelledError):
+        except (OSError, Malformed, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
@@ -57,7 +58,7 @@
             return b""
 
     async def _serve(
-        self, request: codec.Request, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, request: Request, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         id = request.fields[b"x-txn"].decode()
         told = float(request.fields.get(b"x-remaining", b"0"))
@@ -78,7 +79,7 @@
             await asyncio.wait([given_up])
             self._over(writer)
 
-    async def _work(self, request: codec.Request, id: str, writer: asyncio.StreamWriter) -> bool:
+    async def _work(self, request: Request, id: str, writer: asyncio.StreamWriter) -> bool:
         """Do the work in turn; return whether it is to be answered."""
         begin = max(now(), self.busy_until)
         if begin - now() > MOST_QUEUE:
--- a/tests/http1/test_codec.py
+++ b/tests/http1/test_codec.py
@@ -5,7 +5,8 @@
 import pytest
 
 from tansykeel.http1 import codec
-from tansykeel.http1.codec import AnswerReader, Malformed, RequestReader, StreamReader
+from tansykeel.http1.codec import AnswerReader, RequestReader, StreamReader
+from tansykeel.http1.messages import Malformed
 
 PUT = b"PUT /api/1/2?x=1 HTTP/1.1\r\nHost: a\r\nX-Txn:  7 \r\nContent-Length: 5\r\n\r\nhello"
 CHUNKED = (
@@ -114,13 +115,13 @@
 def test_answers_are_read_whole_wherever_they_are_split(data):
     for cut in range(len(data) + 1):
         answer, reader = answers_of([data[:cut], data[cut:]])
-        assert answer is not None and (answer.status, answer.body) == (200, b"body") and not reader.behind
+        assert answer is not None and (answer.status, answer.body) == (200, b"body") and not reader.has_extra_bytes
 
 
 @pytest.mark.parametrize("behind", [OK, b"\r\nnoise", b"\0"])
 def test_what_comes_behind_an_answer_is_left_and_shows(behind):
     answer, reader = answers_of([OK + behind])
-    assert answer is not None and answer.body == b"body" and reader.behind
+    assert answer is not None and answer.body == b"body" and reader.has_extra_bytes
 
 
 @pytest.mark.parametrize(
@@ -186,7 +187,7 @@
 )
 def test_whether_the_connection_lasts(field, lasts):
     answer, _ = answers_of([OK[:17] + field + OK[17:]])
-    assert answer is not None and answer.lasts is lasts
+    assert answer is not None and answer.keep_alive is lasts
 
 
 def test_a_stream_gives_its_parts_as_they_come():
@@ -209,4 +210,4 @@
     request = reader.next()
     assert request is not None and (request.body, request.fields[b"x-txn"]) == (b"data", b"7")
     answer, _ = answers_of([codec.answer(503, b"", last=True, retry_after=b"0.200")])
-    assert answer is not None and answer.fields[b"retry-after"] == b"0.200" and not answer.lasts
+    assert answer is not None and answer.fields[b"retry-after"] == b"0.200" and not answer.keep_alive
--- a/tests/http1/test_memory.py
+++ b/tests/http1/test_memory.py
@@ -14,7 +14,8 @@
 
 import pytest
 
-from tansykeel.http1.codec import FIELD_OVERHEAD, MOST_HEAD, AnswerReader, RequestReader
+from tansykeel.http1.codec import MOST_HEAD, AnswerReader, RequestReader
+from tansykeel.http1.messages import FIELD_OVERHEAD
 
 SLACK = 16 << 10  # bytes that a reader may take beyond what it holds
 
--- a/tests/platform/test_ending.py
+++ b/tests/platform/test_ending.py
@@ -34,16 +34,16 @@
         store = FakeStore("s0", 0, lambda request: None if request.fields[b"x-txn"] == b"%016x" % 1 else ok())
         async with staged(tmp_path, store) as stage:
             held, kept = await stage.client(), await stage.client()
-            assert (await kept.ask(2)).lasts
+            assert (await kept.ask(2)).keep_alive
             held.writer.write(request_bytes(1))
             await until(lambda: len(store.requests) == 2)
             stage.gateway.stop()
             late = await stage.client()  # still accepted
             answer = await late.ask(3)
-            assert answer.status == 200 and answer.lasts and not stage.gateway.closing
+            assert answer.status == 200 and answer.keep_alive and not stage.gateway.closing
             assert await kept.ended() and stage.gateway.closing
             answer = await held.answer()
-            assert answer.status == 503 and not answer.lasts
+            assert answer.status == 503 and not answer.keep_alive
             held.writer.close()
             assert await stage.serving == 0
 
@@ -61,7 +61,7 @@
                     sent[0] += 1
                     answer = await client.ask(sent[0])
                     answers.append(answer)
-                    if answer is None or not answer.lasts:
+                    if answer is None or not answer.keep_alive:
                         return client.writer.close()
 
             askers = [asyncio.create_task(keep_asking(client)) for client in clients]
@@ -87,7 +87,7 @@
             if completes:
                 client.writer.write(request_bytes(1)[1:])
             answer = await client.answer()
-            assert (answer.status, answer.lasts, len(store.requests)) == (
+            assert (answer.status, answer.keep_alive, len(store.requests)) == (
                 (200, False, 1) if completes else (503, False, 0)
             )
             client.writer.close()
@@ -139,7 +139,7 @@
                 answers.feed(data := await asyncio.get_running_loop().sock_recv(late, 65536))
                 assert data
             late.close()
-            assert (answer.status, answer.lasts, len(store.requests)) == (status, False, int(status == 200))
+            assert (answer.status, answer.keep_alive, len(store.requests)) == (status, False, int(status == 200))
             assert await stage.serving == 0
 
     run_test(go())
@@ -196,7 +196,7 @@
             client.setblocking(False)
             loop, answers = asyncio.get_running_loop(), codec.AnswerReader()
             answers.feed(await loop.sock_recv(client, 65536))
-            assert answers.next().status == 200 and not answers.behind
+            assert answers.next().status == 200 and not answers.has_extra_bytes
             assert (
                 await loop.sock_recv(client, 1) == b""
             )  # an orderly end: the client may send the request again elsewhere
@@ -293,7 +293,7 @@
             await until(lambda: stage.gateway.closing)
             await asyncio.sleep(0.1)
             answer = await (await stage.client()).ask(1)
-            assert (answer.status, answer.lasts) == (200, False)
+            assert (answer.status, answer.keep_alive) == (200, False)
             assert await stage.serving == 0
 
     run_test(go())
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -306,7 +306,7 @@
         async with staged(tmp_path, FakeStore("s0", 0)) as stage:
             client = await stage.client()
             answer = await client.ask(1, connection="close")
-            assert answer.status == 200 and not answer.lasts and await client.ended()
+            assert answer.status == 200 and not answer.keep_alive and await client.ended()
 
     run_test(go())
 
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -191,7 +191,7 @@
             await until(lambda: store.requests)
             flood.writer.write(request_bytes(2, body=b"x" * 60_000) * 40)
             answer = await flood.answer()
-            assert (answer.status, answer.lasts) == (413, False)
+            assert (answer.status, answer.keep_alive) == (413, False)
             store.reply = lambda request: ok()
             assert (await other.ask(3)).status == 200 and len(store.requests) == 2
             assert not stage.gateway.open_requests and stage.gateway.clients.unread_bytes() == 0
--- a/tests/platform/test_memory_left_behind.py
+++ b/tests/platform/test_memory_left_behind.py
@@ -19,7 +19,8 @@
 import pytest
 from platform_stage import SETTINGS, FakeStore, ok, request_bytes, run_test, staged, until
 
-from tansykeel.http1.codec import AnswerReader, Malformed, RequestReader
+from tansykeel.http1.codec import AnswerReader, RequestReader
+from tansykeel.http1.messages import Malformed
 from tansykeel.transport.stream import READ
 
 ONE_TRY = SETTINGS | {"Limits": SETTINGS["Limits"] | {"MostTries": 1}}
--- a/tests/platform/test_sent_ahead.py
+++ b/tests/platform/test_sent_ahead.py
@@ -79,7 +79,7 @@
             statuses = [answer and answer.status for answer in answers]
             assert statuses[0] == (200 if moment == "serving" else 503)
             assert set(statuses[1:]) <= {200, 503}  # the scheduler decides which
-            assert not answers[-1].lasts
+            assert not answers[-1].keep_alive
             assert await client.ended()
 
     run_test(go())
