--- a/tests/platform/test_partly_written.py
+++ b/tests/platform/test_partly_written.py
@@ -3,18 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import time
 
 import pytest
-from platform_stage import SETTINGS, FakeStore, request_bytes, run_test, staged, until
+from platform_stage import SETTINGS, SmallBufferStore, request_bytes, run_test, staged, until, use_small_send_buffers
 
 SLACK = 0.15  # seconds by which the time left that a store is told may exceed what the client has left
 NO_CANCEL = SETTINGS | {"Limits": SETTINGS["Limits"] | {"Cancel": False}}
 BODY = b"x" * 60_000
 
 
-class SlowReadingStore(FakeStore):
+class SlowReadingStore(SmallBufferStore):
     """Reads nothing for some seconds; records when each request was complete and the time left that it stated."""
 
     def __init__(self, name, shard, seconds):
@@ -26,12 +25,6 @@
         self.completed[request.fields[b"x-txn"]] = (time.monotonic(), float(request.fields[b"x-remaining"]))
         return b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
-    async def start(self):
-        await super().start()
-        for sock in self.server.sockets:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        return self
-
     async def talk(self, reader, writer):
         writer.transport.pause_reading()
         await asyncio.sleep(self.seconds)
@@ -42,14 +35,7 @@
 @pytest.fixture(autouse=True)
 def small_send_buffers(monkeypatch):
     """Make the kernel's send buffers smaller than a body."""
-    from tansykeel.platform import connection
-
-    def open_small(address):
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        return sock
-
-    monkeypatch.setattr(connection, "open_socket", open_small)
+    use_small_send_buffers(monkeypatch)
 
 
 def test_the_time_left_that_a_store_is_told_is_right_when_the_last_byte_arrives(tmp_path):
--- a/tests/platform/test_repeat_window.py
+++ b/tests/platform/test_repeat_window.py
@@ -11,13 +11,20 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import time
 
 import pytest
-from platform_stage import SETTINGS, FakeStore, ok, request_bytes, run_test, staged, until
-
-from tansykeel.platform import connection
+from platform_stage import (
+    SETTINGS,
+    FakeStore,
+    SmallBufferStore,
+    ok,
+    request_bytes,
+    run_test,
+    staged,
+    until,
+    use_small_send_buffers,
+)
 
 LONG_WINDOW, SHORT_WINDOW = 4.0, 0.4  # seconds
 CLIENT_TIME = "5.0"  # seconds that clients wait
@@ -111,19 +118,13 @@
     run_test(go())
 
 
-class SlowReader(WriteStore):
+class SlowReader(SmallBufferStore, WriteStore):
     """Runs the first attempt; of later connections it reads nothing until `window` seconds after that."""
 
     def __init__(self, name, shard, window):
         super().__init__(name, shard)
         self.window = window
 
-    async def start(self):
-        await super().start()
-        for sock in self.server.sockets:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        return self
-
     async def talk(self, reader, writer):
         if self.runs:
             writer.transport.pause_reading()
@@ -133,12 +134,7 @@
 
 
 def test_a_repeat_that_is_partly_written_is_not_completed_after_the_window(tmp_path, monkeypatch):
-    def open_small(address):
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        return sock
-
-    monkeypatch.setattr(connection, "open_socket", open_small)
+    use_small_send_buffers(monkeypatch)
 
     async def go():
         store = SlowReader("s0", 0, SHORT_WINDOW)
--- a/tests/platform_stage.py
+++ b/tests/platform_stage.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 from tansykeel.http1 import codec
+from tansykeel.platform import connection
 from tansykeel.platform.config import read
 from tansykeel.platform.event_counts import ClientEnd, StoreConnectionEnd
 from tansykeel.platform.program import Gateway
@@ -32,6 +33,7 @@
     "Plans": [{"Name": "basic", "Rate": 1000.0}],
     "Specifics": {"Largest": 8, "UsualUnits": 2.0, "ChangesData": [False, True], "TellsElsewhere": True},
 }
+SMALL_BUFFER = 4_096  # bytes of a socket's buffer
 VOLUME, DATA = b"00000003b4d60021", b"7f3a9c21e0b4d655"
 
 
@@ -281,6 +283,27 @@
     return failed
 
 
+def use_small_send_buffers(monkeypatch):
+    """Make the kernel's send buffers of connections to stores smaller than a body."""
+
+    def open_small(address):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER)
+        return sock
+
+    monkeypatch.setattr(connection, "open_socket", open_small)
+
+
+class SmallBufferStore(FakeStore):
+    """A store whose receive buffers are smaller than a body."""
+
+    async def start(self):
+        await super().start()
+        for sock in self.server.sockets:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+        return self
+
+
 async def until(condition, seconds=5.0):
     """Wait until `condition()` holds; fail after `seconds`."""
     end = time.monotonic() + seconds
