--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,8 @@
 """KNOWN-RED.txt at the root names tests that fail for a real fault, not mended yet.
 
 `tansykeel/soak/known_red.py` has its form. Each test is run as a strict expected failure: one that passes fails the
-run, for its entry has to go. They are printed at the end with what was seen. A test that is named twice, a missing field
-or an unknown test fail the run. No file, no effect. Entries of soak seeds are the soak test's; here they are only
+run, for its entry has to go. They are printed at the end with what was seen. A test that is named twice, a missing
+field or an unknown test fail the run. No file, no effect. Entries of soak seeds are the soak test's; here they are only
 printed.
 """
 
