A change of the store list costs what it names, and clients are served between changes

Cause: for each object of the watch, Scheduler.list_changed built the index of shards anew, ranked all nodes and ran a round of each; StoreDirectory.forget_oldest_gone and Stores.list_changed went through all stores and pools; Watch._on_data applied all objects of a read (64 KiB) before any client was served. Change: the core passes on only stores that differ. brain/shard_index.py keeps the serving node of each shard in a heap by start, brain/node_table.py makes and forgets nodes, brain/ranking.py ranks when a new object comes, and a random sample of 200 where there are more; up to 200 nodes the ranking is as before. platform/update_queue.py applies at most 128 entries in a turn of the event loop, whole lists and what they leave out too, and reading stops until they are applied. Pools that hold nothing are dropped.

--- a/tansykeel/baselines.py
+++ b/tansykeel/baselines.py
@@ -36,6 +36,7 @@
 
     def __init__(self, config: SchedulerConfig, seed: int, runtime: Runtime) -> None:
         self.config, self.runtime = config, runtime
+        self.stores: dict[Store, None] = {}
         self.by_shard: dict[int, Store] = {}
         self.new_objects = seed  # a counter
         self.asks = 0
@@ -43,8 +44,10 @@
             runtime.request_store_list()
 
     def list_changed(self, stores: list[Store], confirmed: bool) -> None:
-        """Take in all known stores; of two for one shard, the one that started last counts."""
-        ready = [store for store in stores if store.state is StoreState.READY]
+        """Take in stores that are new or changed; of two for one shard, the one that started last counts."""
+        known = self.stores | dict.fromkeys(stores)
+        self.stores = {store: None for store in known if store.state is not StoreState.GONE}
+        ready = [store for store in self.stores if store.state is StoreState.READY]
         self.by_shard = {store.shard: store for store in sorted(ready, key=lambda s: s.started)}
 
     def on_peer_message(self, peer: int, message: PeerMessage) -> None:
--- a/tansykeel/benchlink/host.py
+++ b/tansykeel/benchlink/host.py
@@ -87,12 +87,13 @@
         if event.scope == 0:
             self.scheduler.list_failed()
         else:
-            listed = [self._update_store(entry) for entry in entries]
+            listed = {self._update_store(entry): None for entry in entries}
             if event.scope != 1:
                 for store in self.stores.values():
-                    if store not in listed:
+                    if store not in listed and store.state is not StoreState.GONE:
                         store.state = StoreState.GONE
-            self.scheduler.list_changed(list(self.stores.values()), confirmed=event.scope != 2)
+                        listed[store] = None
+            self.scheduler.list_changed(list(listed), confirmed=event.scope != 2)
         self.runner.run_pending()
 
     def _update_store(self, entry: wire.StoreEntry) -> Store:
--- a/tansykeel/brain/rates.py
+++ b/tansykeel/brain/rates.py
@@ -1,7 +1,7 @@
 """Measurements of a store: latencies of its last answers, its queueing delay, the rate that it bears."""
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from itertools import takewhile
 
 from tansykeel.interface import Runtime, Store, Task
@@ -16,6 +16,7 @@
 SAMPLE_LIFETIME, OVERLOAD_LIFETIME = SECOND, 2 * SECOND
 # Outcomes that a node's figures are computed from; those that give its present queueing delay.
 SAMPLE_COUNT, LATEST_SAMPLES = 24, 4
+MAX_SAMPLED_NODES = 200  # of more nodes than that, a sample of this size stands for all
 
 
 def remaining_delays(seen: Iterable[tuple[int, float]], now: int, limit: int) -> list[float]:
@@ -44,6 +45,13 @@
         self.by_store.pop(store, None)
         self.by_store[store], self.newest, self.version = (now, delay), now, self.version + 1
 
+    def recently_seen(self, now: int) -> Iterator[Store]:
+        """The stores that answered within OVERLOAD_LIFETIME, the newest answer first."""
+        for store, (seen_at, _) in reversed(self.by_store.items()):
+            if now - seen_at >= OVERLOAD_LIFETIME:
+                return
+            yield store
+
     def median(self, now: int, limit: int) -> float:
         """The lower median of the recent delays, so that one slow node does not speak for the others."""
         if self._median[:2] != (now, self.version):
--- a/tansykeel/brain/scheduler.py
+++ b/tansykeel/brain/scheduler.py
@@ -18,7 +18,6 @@
     Runtime,
     SchedulerConfig,
     Store,
-    StoreState,
     Task,
     TaskAction,
     Volume,
@@ -27,16 +26,16 @@
 )
 
 from .cold import SECOND, START_REPORTED_WITHIN, SlowStart
-from .nodes import LOST_AFTER_LATENCIES, Node, VolumeQueue, cost_of
-from .rates import OVERLOAD_LIFETIME, SAMPLE_COUNT, TARGET_SHARE, QueueDelays
+from .node_table import NodeTable
+from .nodes import LOST_AFTER_LATENCIES, Node, VolumeQueue
+from .ranking import Ranking
+from .rates import SAMPLE_COUNT, TARGET_SHARE, QueueDelays
 from .repeats import repeat_until
 from .volumes import KeyQueue, RetryBudget, VolumeState
 
 # A held task must have so many expected latencies left to its soft deadline, at most this part of its time.
 LATENCY_MARGIN, MAX_MARGIN_SHARE = 1.5, 0.75
-RANKING_INTERVAL = 500  # how often nodes are ranked for new objects: every 50 ms
-# How long a node is kept once its store is gone; gateways that all started within this time are a new fleet.
-GONE_LIFETIME, NEW_FLEET_WINDOW = 30 * SECOND, 2 * SECOND
+NEW_FLEET_WINDOW = 2 * SECOND  # gateways that all started within this time are a new fleet
 # When peers that were asked for units have replied or will not; the pause until a pushed list is tried again.
 PEER_REPLY_TIME, PUSH_RETRY_DELAY = 800, 500
 PEERS_PER_ASK, BROADCAST_INTERVAL = 6, 6 * SECOND  # asked at once; least time between asks of all gateways
@@ -58,61 +57,46 @@
             runtime.call_at(runtime.now, lambda: runtime.send_to_peer(None, PeerMessage(None, 0.0, False)))
         self.soft_limit = min(category.soft_limit for category in config.categories)  # the tightest
         self.largest_task, self.usual = max(config.sizes.largest, 1.0), max(config.sizes.usual, 1.0)
-        self.nodes, self.by_shard, self.ranked = dict[Store, Node](), dict[int, Node](), list[Node]()
-        self.delays, self.keys, self.list_failures, self.next_rank_at = (
-            QueueDelays(),
-            dict[int, KeyQueue](),
-            0,
-            0,
-        )
+        self.delays, self.keys, self.list_failures = QueueDelays(), dict[int, KeyQueue](), 0
+        # Until any rate was measured, a node's rate allows one largest task.
+        first_rate = self.largest_task / (self.soft_limit * TARGET_SHARE)
+        self.node_table = NodeTable(runtime, self.delays, first_rate, self.make_node)
+        self.nodes, self.by_shard = self.node_table.by_store, self.node_table.index.by_shard
+        self.ranking = Ranking(self.node_table.index, self.rng, self.usual, self.soft_limit)
         self.retry_budget = RetryBudget(config.retry_budget, runtime.now) if config.retry_budget else None
         self.time_left: dict[Category, deque[int]] = {}  # the last tasks' times to their deadlines
         if config.listing.must_poll:
             runtime.request_store_list()
 
     def list_changed(self, stores: list[Store], confirmed: bool) -> None:
-        """Take in all known stores. `confirmed`: by the list itself, not only by a store or from memory."""
+        """Take in the stores that are new or have changed.
+
+        `confirmed`: by the list itself, not only by a store or from memory.
+        """
         self.list_failures = 0 if confirmed else self.list_failures
-        rule, gateways = self.config.slow_start, self.config.gateways
-        for store in stores:
-            if store not in self.nodes and store.state is not StoreState.GONE:
-                slow_start = (
-                    SlowStart(rule, gateways, self.config.gateway_index, self.largest_task) if rule else None
-                )
-                self.nodes[store] = Node(
-                    store,
-                    self.runtime,
-                    self.average_rate(),
-                    self.largest_task,
-                    self.usual,
-                    self.soft_limit,
-                    slow_start,
-                    self.delays,
-                    gateways,
-                )
-        for node in [n for n in self.nodes.values() if n.store.state is StoreState.GONE]:
-            if (
-                not node.in_flight
-                and not node.held_count
-                and self.runtime.now - node.last_heard >= GONE_LIFETIME
-            ):
-                del self.nodes[node.store]
-                self.delays.by_store.pop(node.store, None)
-        self.by_shard = {}
-        for node in self.nodes.values():
-            best = self.by_shard.get(node.store.shard)
-            if node.store.state is StoreState.READY and (
-                best is None or node.store.started >= best.store.started
-            ):
-                self.by_shard[node.store.shard] = node
-        self.rank()
-        for node in list(self.nodes.values()):
-            if self.by_shard.get(node.store.shard) is node:
+        for node in self.node_table.update(stores):
+            if self.node_table.index.serves(node):
                 node.run_round()
                 continue
-            for task in [task for queue in node.queues.values() for task in queue.held]:
+            for task in [task for queue in node.backlogged for task in queue.held]:
                 self.runtime.wake(task, WakeReason.RECHECK)
 
+    def make_node(self, store: Store, rate: float) -> Node:
+        """The node of a store that is new on the list."""
+        rule, gateways = self.config.slow_start, self.config.gateways
+        slow_start = SlowStart(rule, gateways, self.config.gateway_index, self.largest_task) if rule else None
+        return Node(
+            store,
+            self.runtime,
+            rate,
+            self.largest_task,
+            self.usual,
+            self.soft_limit,
+            slow_start,
+            self.delays,
+            gateways,
+        )
+
     def list_failed(self) -> None:
         """The list could not be had: ask again later."""
         # What the sender of a pushed list holds counts as known here, and calls there cost nothing: ask soon.
@@ -126,42 +110,11 @@
             self.runtime.now + int(self.rng.uniform(0.5, 1.5) * wait), self.runtime.request_store_list
         )
 
-    def average_rate(self) -> float:
-        """The rate that a new node starts with; before any was measured, one that allows one largest task."""
-        rates = [
-            n.rate
-            for n in self.nodes.values()
-            if n.samples and self.runtime.now - n.samples[-1][0] < OVERLOAD_LIFETIME
-        ]
-        return sum(rates) / len(rates) if rates else self.largest_task / (self.soft_limit * TARGET_SHARE)
-
-    def rank(self) -> None:
-        """Order the nodes for new objects by the time that a task would spend there, failures included."""
-        self.next_rank_at = self.runtime.now + RANKING_INTERVAL
-
-        def expected_time(node: Node) -> float:
-            failing = node.successes.count(False) / max(len(node.successes), 1)
-            return (
-                node.expected_latency(self.usual) + node.held_tokens / node.rate + failing * self.soft_limit
-            )
-
-        ready = [node for node in self.by_shard.values() if node.usable()]
-        self.ranked = sorted(ready, key=lambda node: (expected_time(node), self.rng.uniform(0, 1)))
-
     def node_for(self, task: Task) -> Node | None:
-        """The node of the task's shard, or one for a new object.
-
-        That is the best one by rank which the task fills to half its bound at most, else the one with the
-        least work for its rate.
-        """
+        """The node of the task's shard, or one for a new object by rank."""
         if task.shard is not None:
             return self.by_shard.get(task.shard)
-        if self.runtime.now >= self.next_rank_at:
-            self.rank()
-        for node in self.ranked:
-            if node.usable() and node.held_tokens + node.tokens_out + cost_of(task) <= node.token_bound() / 2:
-                return node
-        return min(self.ranked, key=lambda n: (n.held_tokens + n.tokens_out) / n.rate, default=None)
+        return self.ranking.node_for(task, self.runtime.now)
 
     def serve(self, task: Task) -> Generator[TaskAction, WakeReason | Outcome | None, None]:
         """The path of a task: find its node, wait until it is granted, hand it off, look at the outcome."""
--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -79,8 +79,7 @@
         self.stopping = False
         self.list_version = -1
         self.decision_module = make_module(facts, seed, self.runner)
-        self.directory.apply_rows(known_stores, self.runner.now)
-        self.decision_module.list_changed(list(self.stores.values()), confirmed=False)
+        self.decision_module.list_changed(self.directory.apply_rows(known_stores, self.runner.now), confirmed=False)
         self.runner.run_pending()
 
     # Events from clients
@@ -187,25 +186,36 @@
         self.runner.advance_clock(now)
         if not self.directory.record_boot(store, boot, age, self.runner.now):
             return False
-        self.decision_module.list_changed(list(self.stores.values()), confirmed=False)
+        self.decision_module.list_changed([store], confirmed=False)
         self.runner.run_pending()
         return store.started > 0
 
-    def apply_list_update(self, now: int, update: ListUpdate, versions_restarted: bool = False) -> None:
-        """Apply the list of stores, or a change to it. An update older than the known list is ignored, unless
-        `versions_restarted` says that its versions are counted from a new start."""
+    def apply_list_update(self, now: int, update: ListUpdate, versions_restarted: bool = False) -> list[Store]:
+        """Apply the list of stores, or a change to it; return the stores that it has changed.
+
+        An update older than the known list is ignored, unless `versions_restarted` says that its versions are counted
+        from a new start.
+        """
         self.runner.advance_clock(now)
         if update.failed:
-            return self.list_unavailable(now)
+            self.list_unavailable(now)
+            return []
         if update.version < self.list_version and not versions_restarted:
-            return
+            return []
         self.list_version = update.version
-        self.directory.apply_rows(update.rows, self.runner.now, versions_restarted)
+        changed = self.directory.apply_rows(update.rows, self.runner.now, versions_restarted)
         if update.full:
-            self.directory.remove_unlisted({row.name for row in update.rows})
-        self.decision_module.list_changed(list(self.stores.values()), confirmed=True)
-        self.directory.forget_oldest_gone()
-        self.runner.run_pending()
+            unlisted = self.directory.unlisted({row.name for row in update.rows})
+            self.directory.mark_gone(unlisted)
+            changed += unlisted
+        self._stores_changed(changed)
+        return changed
+
+    def remove_stores(self, now: int, stores: list[Store]) -> None:
+        """Mark stores as gone that a full list does not name, as the list service says."""
+        self.runner.advance_clock(now)
+        self.directory.mark_gone(stores)
+        self._stores_changed(stores)
 
     def list_unavailable(self, now: int) -> None:
         """Record that the list service failed or can't be reached; the decision module says when to ask again."""
@@ -286,6 +296,11 @@
 
     # Internal
 
+    def _stores_changed(self, changed: list[Store]) -> None:
+        self.decision_module.list_changed(changed, confirmed=True)
+        self.directory.forget_oldest_gone()
+        self.runner.run_pending()
+
     def _body_complete(self, held: HeldTask) -> None:
         """Start a task whose body is complete. One of an ordered category waits for earlier tasks of its key.
 
--- a/tansykeel/edge/tasks.py
+++ b/tansykeel/edge/tasks.py
@@ -212,7 +212,7 @@
     """What the core calls in the decision module, or in a baseline in its place."""
 
     def list_changed(self, stores: list[Store], confirmed: bool) -> None:
-        """The stores changed; `confirmed`: a list said so, not only a store's hello or the settings."""
+        """These stores are new or changed; `confirmed`: a list said so, not only a store's hello or the settings."""
         ...
 
     def list_failed(self) -> None:
--- a/tansykeel/platform/discovery.py
+++ b/tansykeel/platform/discovery.py
@@ -11,9 +11,9 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -22,9 +22,11 @@
 from tansykeel.errors import Problem
 from tansykeel.http1 import codec
 from tansykeel.http1.messages import Malformed
+from tansykeel.interface import Store
 from tansykeel.platform.config import PHASES, Member, Members
 from tansykeel.platform.objects import ObjectSplitter
 from tansykeel.platform.start_age import StartAge
+from tansykeel.platform.update_queue import MAX_ENTRIES_PER_TURN, UpdateQueue
 from tansykeel.transport.sockets import address_of, lacks_descriptor, open_socket
 from tansykeel.transport.stream import Stream
 
@@ -38,6 +40,8 @@
 FIRST_MESSAGE_TIMEOUT = 12.0  # seconds for which the oldest watch without a message is kept while others are opened
 MAX_OBJECT_BYTES = 4 << 20
 MICROSECONDS_PER_SECOND = 1_000_000
+MAX_LOGGED_MEMBERS = 20  # of one update
+T = TypeVar("T")
 _decode = msgspec.json.Decoder(Members).decode
 
 
@@ -67,6 +71,24 @@
     failed: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class ReceivedUpdate:
+    """An update as a watch has received it.
+
+    `known_without` is the monotonic time when the list was last known not to have it, None if it never was.
+    """
+
+    watch: Watch
+    members: Members
+    known_without: float | None
+
+
+def _parts(entries: Sequence[T]) -> Iterator[list[T]]:
+    """Divide entries into parts that one turn of the event loop may take; at least one, which may be empty."""
+    for start in range(0, max(len(entries), 1), MAX_ENTRIES_PER_TURN):
+        yield list(entries[start : start + MAX_ENTRIES_PER_TURN])
+
+
 class RowReader:
     """Converts members of discovery's list to rows. It reads the wall clock, which may be stepped: see `start_age`."""
 
@@ -127,16 +149,24 @@
             if part[0] != 200:
                 raise Malformed(f"status {part[0]}")
             for text in self.splitter.feed(part[1]):
-                if not self.stream.closed:
-                    self.discovery.update_received(self, _decode(text))
+                self.discovery.update_received(self, _decode(text))
+            self.discovery.apply_received()
             if part[1] and not self.splitter.open and not self.stream.closed:
                 self.discovery.message_received(self)
         except (msgspec.MsgspecError, ValueError) as error:
             self.close()
+            self.discovery.apply_received()
             return self._on_end(str(error), error.do if isinstance(error, Problem) else "")
         if self.reader.ended:
             self.close()
             self._on_end("the watch ended")
+        elif self.discovery.updates.pending:
+            self.stream.read(False)  # until what was read is applied: `Discovery` continues it then
+
+    def continue_reading(self) -> None:
+        """Read on after what was read before has been applied."""
+        if self.got_data:
+            self.stream.read()
 
     def _on_end(self, why: str, do: str = "") -> None:
         self.discovery.watch_ended(self, why, do)
@@ -153,7 +183,7 @@
         revision: int,
         clock: Callable[[], int],
         now: Callable[[], float],
-        changed: Callable[[], None],
+        changed: Callable[[list[Store]], None],
         free_descriptors: Callable[[], None],
         log: Callable[..., Any],
     ) -> None:
@@ -173,6 +203,7 @@
         self.address_changed = False  # whether it changed and no update was received from the new one yet
         self.first_list = asyncio.Event()  # set once an update was received
         self.stopped = False
+        self.updates = UpdateQueue(self._apply, self._continue_reading, self._apply_failed)
 
     def ensure_watch(self) -> None:
         """Open a watch unless one is open at the current address."""
@@ -199,6 +230,7 @@
         now, current = self.now(), self._current_watches()
         if (
             current
+            and not self.updates.pending
             and now - current[-1].opened_at > FIRST_BYTE_TIMEOUT
             and (not current[-1].got_data or now - self.silent_since > SILENCE_TIMEOUT)
         ):
@@ -206,8 +238,8 @@
             self._open()
 
     def caught_up(self) -> bool:
-        """Whether everything that discovery has sent was read."""
-        return all(watch.stream.quiet() for watch in self.watches)
+        """Whether everything that discovery has sent was read and applied."""
+        return not self.updates.pending and all(watch.stream.quiet() for watch in self.watches)
 
     def message_received(self, watch: Watch) -> None:
         """Record a message of a watch. If it is of the current address, close all watches opened before it."""
@@ -219,12 +251,22 @@
                 self._close(older)
 
     def update_received(self, watch: Watch, members: Members) -> None:
-        """Apply an update that a watch has received.
+        """Take an update that a watch has received. It is applied by `apply_received`, in its order."""
+        self.updates.add(ReceivedUpdate(watch, members, self.last_message_at))
+        self.message_received(watch)
+
+    def apply_received(self) -> None:
+        """Apply what was received: at once as far as one turn of the event loop may take, the rest after it."""
+        self.updates.run()
+
+    def _apply(self, update: ReceivedUpdate) -> Iterator[int]:
+        """Apply an update in parts; yields the number of entries of each.
 
         One older than the known version is ignored, unless it is the first from a new address.
         """
-        known_without = self.last_message_at
-        self.message_received(watch)
+        watch, members = update.watch, update.members
+        if self.stopped:
+            return
         first_update = self.address_changed and watch.address == self.address
         versions_restarted = members.revision < self.revision
         if versions_restarted and not first_update:
@@ -232,21 +274,46 @@
         if versions_restarted and watch.index and not members.complete:
             # Discovery at the new address counts versions from another start, so a change since our version is not
             # complete: watch from the beginning.
-            self._close(watch)
+            if watch in self.watches:
+                self._close(watch)
             return self._open(index=0)
-        self.address_changed = self.address_changed and not first_update
+        for part in _parts(members.members):
+            rows = [self.rows.row(member, update.known_without) for member in part]
+            change = Update(False, members.revision, rows)
+            self.changed(self.core.apply_list_update(self.clock(), change, versions_restarted))
+            yield max(len(rows), 1)
+        if members.complete:
+            for unlisted in _parts(self.core.directory.unlisted({member.id for member in members.members})):
+                self.core.remove_stores(self.clock(), unlisted)
+                self.changed(unlisted)
+                yield max(len(unlisted), 1)
+        if first_update and watch.address == self.address:
+            self.address_changed = False
         self.revision = members.revision
-        rows = [self.rows.row(member, known_without) for member in members.members]
-        self.core.apply_list_update(self.clock(), Update(members.complete, members.revision, rows), versions_restarted)
-        if rows or members.complete:
+        self._log_update(members)
+        self.first_list.set()
+
+    def _log_update(self, members: Members) -> None:
+        """Log an update with the first of its entries, if it has any."""
+        if members.members or members.complete:
             self.log(
                 "list",
                 revision=members.revision,
                 complete=members.complete,
-                members=[(row.name, row.state) for row in rows[:20]],
+                members=[(member.id, PHASES[member.phase]) for member in members.members[:MAX_LOGGED_MEMBERS]],
             )
-        self.first_list.set()
-        self.changed()
+
+    def _apply_failed(self) -> None:
+        """End all watches after an update could not be applied: a new one gets what the list lacks once more."""
+        for watch in list(self.watches):
+            self._close(watch)
+        self.log("watch ended", why="an update could not be applied")
+        self._report_if_unavailable()
+
+    def _continue_reading(self) -> None:
+        """Read on from watches whose updates had to wait."""
+        for watch in self.watches:
+            watch.continue_reading()
 
     def watch_ended(self, watch: Watch, why: str, do: str = "") -> None:
         """Drop a watch that ended; if it was the last one, report to the core that the list is unavailable."""
--- a/tansykeel/platform/pool.py
+++ b/tansykeel/platform/pool.py
@@ -154,6 +154,12 @@
         for connection in abandoned:
             connection.close(StoreConnectionEnd.ABANDONED)
 
+    def is_unused(self) -> bool:
+        """Whether it holds nothing that a new pool would lack. One of a store that sends second answers is kept until
+        its cool-down has decayed, unless the store is gone."""
+        has_default_cool_down = self.cool_down <= COOL_DOWN or self.store.state is StoreState.GONE
+        return has_default_cool_down and not (self.connections or self.waiting)
+
     def close_idle(self, reason: StoreConnectionEnd) -> None:
         """Close all idle connections."""
         for connection in list(self.idle):
--- a/tansykeel/platform/stores.py
+++ b/tansykeel/platform/stores.py
@@ -8,7 +8,7 @@
 from tansykeel.edge.core import Core
 from tansykeel.edge.tasks import Attempt
 from tansykeel.http1.messages import Answer
-from tansykeel.interface import OutcomeKind, Store, StoreState
+from tansykeel.interface import OutcomeKind, Store
 from tansykeel.platform.clients import Client, Clients
 from tansykeel.platform.event_counts import EventCounts, StoreConnectionEnd
 from tansykeel.platform.pool import COOL_DOWN, Pool
@@ -78,25 +78,28 @@
 
     def cancel(self, attempt: Attempt) -> None:
         """Cancel the attempt, whether it was sent or not."""
-        self.pools[attempt.store].cancel(attempt)
+        if pool := self.pools.get(attempt.store):
+            pool.cancel(attempt)
 
     def withdraw(self, attempt: Attempt) -> bool:
         """Cancel the attempt if its last byte was not written yet; return whether it was cancelled."""
-        return self.pools[attempt.store].withdraw(attempt)
+        pool = self.pools.get(attempt.store)
+        return pool is not None and pool.withdraw(attempt)
 
-    def list_changed(self) -> None:
-        """Apply a change to the list of stores."""
-        for pool in list(self.pools.values()):
-            pool.list_changed()
+    def list_changed(self, changed: list[Store]) -> None:
+        """Apply a change of these stores in the list."""
+        for store in changed:
+            if pool := self.pools.get(store):
+                pool.list_changed()
 
     def check_timeouts(self) -> None:
-        """Close connections that exceed a time limit, and drop pools of stores that are gone; called several times a
-        second."""
+        """Close connections that exceed a time limit, and drop pools that hold nothing, so that their number does not
+        grow with that of the stores; called several times a second."""
         now = self.now()
         self.idle_limit = min(self.idle_limit * IDLE_LIMIT_GROWTH, self.store_idle_timeout * IDLE_FRACTION)
         for store, pool in list(self.pools.items()):
             pool.check_timeouts(now)
-            if store.state is StoreState.GONE and not pool.connections and not pool.waiting:
+            if pool.is_unused():
                 del self.pools[store]
 
     def free_descriptors(self) -> None:
--- a/tests/brain/test_tasks.py
+++ b/tests/brain/test_tasks.py
@@ -253,7 +253,11 @@
     brain, runtime = scheduler([store(shard) for shard in range(5)])
     other = Scheduler(config(), 1, runtime)
     other.list_changed([store(shard) for shard in range(5)], confirmed=True)
-    assert [n.store.shard for n in brain.ranked] == [n.store.shard for n in other.ranked]
+    assert (
+        brain.node_for(task(runtime, shard=None)).store.shard == other.node_for(task(runtime, shard=None)).store.shard
+    )
+    ranked = [[node.store.shard for node in made.ranking.ranked] for made in (brain, other)]
+    assert ranked[0] == ranked[1] and len(ranked[0]) == 5
 
 
 def test_no_key_is_used_until_it_has_rested_since_an_earlier_process():
