Many stores: changes that follow each other are joined, a node takes a quarter of the memory

Cause: a sampling profile shows no single place: each change paid for a wake-up, a line of the log with an encoder of its own and a pass through queue, core and scheduler; a node had four deques and 45 attributes in a dict (5,751 bytes); the search for the ends of objects went through them character by character. Change: after an update the watch is read again 10 ms later, and changes of one read are joined; entries that are known pass no further (platform/known_members.py); one line of the log for what was applied at once, with the number of entries that changed; updates of a line each are decoded together; nodes have slots and short lists (1,551 bytes). VolumeQueue and cost_of stand in brain/queues.py.

--- a/tansykeel/brain/cold.py
+++ b/tansykeel/brain/cold.py
@@ -1,7 +1,5 @@
 """Slow start: what all gateways together may send to a store that has just started and is still cold."""
 
-from collections import deque
-
 from tansykeel.interface import SlowStartRule, Store
 
 # Rounds run every 10 ms (design). At a cold node they wait until the next task has room, at most so long.
@@ -19,16 +17,18 @@
     the rate before it has lasted.
     """
 
+    __slots__ = ("_current", "_current_ends", "_finished", "span")
+
     def __init__(self, span: int) -> None:
         self.span = span
-        self._finished = deque[float](maxlen=SPANS_REMEMBERED)  # units of each span that has ended
+        self._finished = list[float]()  # units of each span that has ended
         self._current, self._current_ends = 0.0, 0  # units of the current span
 
     def add(self, now: int, units: float) -> None:
         """Count the units of a first try that comes now."""
         if now >= self._current_ends:
             if self._current:
-                self._finished.append(self._current)
+                self._finished = [*self._finished, self._current][-SPANS_REMEMBERED:]
             self._current, self._current_ends = 0.0, now + self.span
         self._current += units
 
@@ -46,6 +46,8 @@
     gateways that is within the store's capacity, if one of the two is within its warm capacity.
     """
 
+    __slots__ = ("_credited", "_total", "demand", "minimum", "planned_rate", "span")
+
     def __init__(self, span: int, largest: float) -> None:
         self.span, self.minimum = span, MIN_TASKS_IN_SPAN * largest
         self.planned_rate = 0.0  # units a tenth that the plans of this gateway's volumes ask for here
@@ -72,6 +74,19 @@
     rest goes by demand: first tries bring credit with them.
     """
 
+    __slots__ = (
+        "budget",
+        "credit",
+        "credited_at",
+        "even_units",
+        "largest",
+        "last_start",
+        "next_room_at",
+        "phase",
+        "rule",
+        "suspected_start",
+    )
+
     def __init__(self, rule: SlowStartRule, gateways: int, gateway_index: int, largest: float) -> None:
         self.rule, self.largest = rule, largest
         # Units that this gateway gets evenly in a span at first. A task goes at this fraction of its units in
--- a/tansykeel/brain/node_table.py
+++ b/tansykeel/brain/node_table.py
@@ -15,7 +15,7 @@
 from .shard_index import ShardIndex
 
 GONE_LIFETIME = 30 * SECOND  # how long a node that was heard of is kept once its store is gone
-MIN_GONE_CHECKED = 4  # nodes of gone stores that each change of the list checks, beside as many as it names
+MIN_GONE_CHECKED = 1  # nodes of gone stores that each change of the list checks, beside as many as it names
 
 
 class NodeTable:
--- a/tansykeel/brain/nodes.py
+++ b/tansykeel/brain/nodes.py
@@ -8,18 +8,18 @@
 from __future__ import annotations
 
 from bisect import bisect_left, insort
-from collections import deque
 from heapq import heappop, heappush
 
 from tansykeel.interface import Outcome, OutcomeKind, Runtime, Store, StoreState, Task, Volume, WakeReason
 
 from .cold import DEMAND_PART, ROUND, SECOND, SlowStart
+from .queues import VolumeQueue, cost_of
 from .rates import SAMPLE_LIFETIME, TARGET_SHARE, QueueDelays, StoreMeasurements
 
 # How often the bucket is emptied; least fraction of the rate that slices share (design).
 BUCKET_LIFETIME, MIN_SLICE_SHARE = SECOND, 0.1
 DEFICIT_LIMIT, DONATED_SHARE = 50.0, 0.9  # tokens; fraction of a reserve's surplus that is donated (paper)
-READ_COST, WRITE_COST, MAX_IN_FLIGHT = 1.0, 1.5, 24  # tokens for a unit; hand-offs at a node (design: 32)
+MAX_IN_FLIGHT = 24  # hand-offs at a node (design: 32)
 RATE_DOUBLING_TIME = 2_000  # of a rate that holds tasks back while the latency is far under its target
 RATE_DECREASE, MAX_RATE_DECREASE = 0.2, 0.9  # fraction lost at twice the target latency; the most at once
 # How long an idle queue is kept; a store is not cold that answers within so many times a unit's usual time.
@@ -28,44 +28,36 @@
 LOST_AFTER_LATENCIES, LOSSES_EXPECTED_FOR, RECONNECT_DELAY = 4, 10 * SECOND, 2_000
 
 
-class VolumeQueue:
-    """One volume's tasks at one node. What it earns or owes while it is empty is computed when needed."""
-
-    def __init__(self, node: Node, number: int, volume: Volume) -> None:
-        self.node, self.number, self.volume = node, number, volume  # number: its place in the round
-        self.held: deque[Task] = deque()
-        self.total_reserve = volume.plan.reserve / SECOND  # read tokens a tenth, over all gateways and nodes
-        # This gateway's and node's part of that rate; what it has earned; tokens of slices.
-        self.reserve = self.balance = self.tokens = 0.0
-        # Up to when `balance`, and up to which sum of slices `tokens`, are computed.
-        self.accrued_at, self.slice_at = node.accrued_at, 0.0
-        # When its balance is full, if that is scheduled; the sum of slices at which its debt is paid.
-        self.full_at, self.debt_free_at = 0, 0.0
-        # When a first try last came; units that further ones may ask for within what the volume is sized for.
-        self.demand_at, self.demand_allowance = 0, 0.0
-        self.planned_rate = 0.0  # units a tenth that the volume is sized for here, as of the last first try
-
-    def set_reserve(self, reserve: float) -> None:
-        """Change the rate at which its balance grows from now on."""
-        if self.node.queues.get(self.volume) is self:
-            self.node.reserve += reserve - self.reserve
-            if self in self.node.full:
-                self.node.full_rate += reserve - self.reserve
-            elif not self.held:
-                self.balance += self.reserve * (self.node.accrued_at - self.accrued_at)
-                self.accrued_at, self.reserve = self.node.accrued_at, reserve
-                self.node.schedule_full(self)
-        self.reserve = reserve
-
-
-def cost_of(task: Task) -> float:
-    """A task's cost in tokens."""
-    return task.units * (WRITE_COST if task.category.writes else READ_COST)
-
-
 class Node(StoreMeasurements):
     """One store, and the queues of its volumes at this gateway."""
 
+    __slots__ = (
+        "accrued_at",
+        "backlogged",
+        "bucket",
+        "bucket_ends",
+        "debt_heap",
+        "full",
+        "full_heap",
+        "full_rate",
+        "full_span",
+        "heap_count",
+        "held_count",
+        "held_tokens",
+        "in_debt",
+        "in_flight",
+        "queue_count",
+        "queues",
+        "recent",
+        "reserve",
+        "round_scheduled",
+        "round_start",
+        "slice_sum",
+        "slow_start",
+        "starved",
+        "tokens_out",
+    )
+
     def __init__(
         self,
         store: Store,
@@ -95,6 +87,18 @@
         self.bucket, self.in_flight, self.tokens_out, self.held_count, self.held_tokens = 0.0, 0, 0.0, 0, 0.0
         self.accrued_at = self.bucket_ends = runtime.now
 
+    def set_reserve(self, queue: VolumeQueue, reserve: float) -> None:
+        """Change the rate at which a queue's balance grows from now on."""
+        if self.queues.get(queue.volume) is queue:
+            self.reserve += reserve - queue.reserve
+            if queue in self.full:
+                self.full_rate += reserve - queue.reserve
+            elif not queue.held:
+                queue.balance += queue.reserve * (self.accrued_at - queue.accrued_at)
+                queue.accrued_at, queue.reserve = self.accrued_at, reserve
+                self.schedule_full(queue)
+        queue.reserve = reserve
+
     def usable(self) -> bool:
         """Whether tasks may be sent to the store now."""
         return self.store.state is StoreState.READY and self.runtime.now >= self.resting_until
@@ -119,11 +123,9 @@
         ):
             most = max(rate * self.slow_start.rule.span, self.slow_start.largest)
             allowance = min(queue.demand_allowance + rate * (self.runtime.now - queue.demand_at), most)
-            queue.demand_at, queue.demand_allowance, counted = (
-                self.runtime.now,
-                max(allowance - units, 0.0),
-                min(units, allowance),
-            )
+            counted = min(units, allowance)
+            queue.demand_at = self.runtime.now
+            queue.demand_allowance = max(allowance - units, 0.0)
             self.slow_start.budget.planned_rate += rate - queue.planned_rate
             queue.planned_rate = rate
             # While nothing queues at the store, all gateways send it less than its power, of which it bears a
@@ -169,11 +171,8 @@
     def deactivate(self, queue: VolumeQueue) -> None:
         """A queue is empty now: it gives its tokens to the bucket, or keeps its debt."""
         self.backlogged.remove(queue)
-        queue.accrued_at, queue.slice_at, self.recent[queue] = (
-            self.accrued_at,
-            self.slice_sum,
-            self.runtime.now,
-        )
+        queue.accrued_at, queue.slice_at = self.accrued_at, self.slice_sum
+        self.recent[queue] = self.runtime.now
         if queue.tokens < 0:
             self.in_debt[queue], queue.debt_free_at = None, self.slice_sum - queue.tokens
             self.heap_count += 1
@@ -306,16 +305,12 @@
     def grant(self, queue: VolumeQueue, cost: float) -> None:
         """Let the first task of a queue be handed off."""
         task = queue.held.popleft()
-        self.held_count, self.held_tokens, self.version = (
-            self.held_count - 1,
-            self.held_tokens - cost,
-            self.version + 1,
-        )
-        self.in_flight, self.tokens_out, self.sent_at[task] = (
-            self.in_flight + 1,
-            self.tokens_out + cost,
-            self.runtime.now,
-        )
+        self.held_count -= 1
+        self.held_tokens -= cost
+        self.in_flight += 1
+        self.tokens_out += cost
+        self.sent_at[task] = self.runtime.now
+        self.version += 1
         self.grants.append((self.runtime.now, cost))
         if self.slow_start:
             self.slow_start.credit -= task.units
--- a/tansykeel/brain/ranking.py
+++ b/tansykeel/brain/ranking.py
@@ -4,7 +4,8 @@
 
 from tansykeel.interface import Task
 
-from .nodes import Node, cost_of
+from .nodes import Node
+from .queues import cost_of
 from .rates import MAX_SAMPLED_NODES
 from .shard_index import ShardIndex
 
--- a/tansykeel/brain/rates.py
+++ b/tansykeel/brain/rates.py
@@ -1,8 +1,8 @@
 """Measurements of a store: latencies of its last answers, its queueing delay, the rate that it bears."""
 
-from collections import deque
 from collections.abc import Iterable, Iterator
 from itertools import takewhile
+from typing import TypeVar
 
 from tansykeel.interface import Runtime, Store, Task
 
@@ -17,6 +17,7 @@
 # Outcomes that a node's figures are computed from; those that give its present queueing delay.
 SAMPLE_COUNT, LATEST_SAMPLES = 24, 4
 MAX_SAMPLED_NODES = 200  # of more nodes than that, a sample of this size stands for all
+T = TypeVar("T")
 
 
 def remaining_delays(seen: Iterable[tuple[int, float]], now: int, limit: int) -> list[float]:
@@ -63,9 +64,45 @@
         return self._median[2]
 
 
+class LatestItems(list[T]):
+    """The last SAMPLE_COUNT items that were appended. An empty one takes a tenth of a deque's memory."""
+
+    __slots__ = ()
+
+    def append(self, item: T) -> None:
+        """Add an item; the oldest one goes if there are too many."""
+        super().append(item)
+        if len(self) > SAMPLE_COUNT:
+            del self[0]
+
+
 class StoreMeasurements:
     """A store as its answers show it."""
 
+    __slots__ = (
+        "_delay",
+        "_delay_inputs",
+        "answered_sent",
+        "delays",
+        "failures_in_row",
+        "grants",
+        "largest_task",
+        "last_heard",
+        "min_rate",
+        "next_decrease_at",
+        "rate",
+        "resting_until",
+        "runtime",
+        "samples",
+        "sent_at",
+        "soft_limit",
+        "store",
+        "successes",
+        "unit_time",
+        "usual",
+        "version",
+    )
+
     def __init__(
         self,
         store: Store,
@@ -82,9 +119,9 @@
         self.rate, self.largest_task, self.usual, self.soft_limit = rate, largest_task, usual, soft_limit
         self.min_rate, self.last_heard = MIN_FLEET_RATE * usual / soft_limit / max(gateways, 1), runtime.now
         self.sent_at: dict[Task, int] = {}  # when each task in flight was handed off, in that order
-        self.grants: deque[tuple[int, float]] = deque(maxlen=SAMPLE_COUNT)  # the last hand-offs: when, tokens
-        self.samples: deque[tuple[int, int, float]] = deque(maxlen=SAMPLE_COUNT)  # when, latency, units
-        self.successes: deque[bool] = deque(maxlen=SAMPLE_COUNT)  # whether each outcome was a delivery
+        self.grants = LatestItems[tuple[int, float]]()  # the last hand-offs: when, tokens
+        self.samples = LatestItems[tuple[int, int, float]]()  # when, latency, units
+        self.successes = LatestItems[bool]()  # whether each outcome was a delivery
         # `version` counts changes; `_delay` is cached for the inputs beside it.
         self.version, self._delay_inputs, self._delay, self.unit_time = 0, (-1, -1, -1), 0.0, 0.0
         # `answered_sent`: when the newest hand-off was sent of those that were answered.
@@ -108,7 +145,7 @@
             silence = now - max(self.last_heard, first)
             samples = [
                 (at, latency - units * self.unit_time)
-                for at, latency, units in list(self.samples)[-LATEST_SAMPLES:]
+                for at, latency, units in self.samples[-LATEST_SAMPLES:]
             ]
             delays = remaining_delays(samples, now, self.soft_limit)
             delay = sum(delays) / len(delays) if delays else self.delays.median(now, self.soft_limit)
--- a/tansykeel/brain/scheduler.py
+++ b/tansykeel/brain/scheduler.py
@@ -27,7 +27,8 @@
 
 from .cold import SECOND, START_REPORTED_WITHIN, SlowStart
 from .node_table import NodeTable
-from .nodes import LOST_AFTER_LATENCIES, Node, VolumeQueue
+from .nodes import LOST_AFTER_LATENCIES, Node
+from .queues import VolumeQueue
 from .ranking import Ranking
 from .rates import SAMPLE_COUNT, TARGET_SHARE, QueueDelays
 from .repeats import repeat_until
--- a/tansykeel/brain/shard_index.py
+++ b/tansykeel/brain/shard_index.py
@@ -16,6 +16,8 @@
 class _ShardNodes:
     """The ready nodes of one shard. A heap entry that is not its node's present one is out of date."""
 
+    __slots__ = ("entries", "heap")
+
     def __init__(self) -> None:
         self.entries: dict[Node, _Entry] = {}
         self.heap: list[_Entry] = []
--- a/tansykeel/brain/volumes.py
+++ b/tansykeel/brain/volumes.py
@@ -5,7 +5,7 @@
 from tansykeel.interface import Outcome, Plan, RetryBudgetRule, ShareProvider, Task
 
 from .cold import SECOND
-from .nodes import VolumeQueue
+from .queues import VolumeQueue
 from .rates import OVERLOAD_LIFETIME
 
 HISTORY_LENGTH = 32  # hand-offs and answers of a volume that tell where it is used
--- a/tansykeel/platform/discovery.py
+++ b/tansykeel/platform/discovery.py
@@ -12,6 +12,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterator, Sequence
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
@@ -24,6 +25,7 @@
 from tansykeel.http1.messages import Malformed
 from tansykeel.interface import Store
 from tansykeel.platform.config import PHASES, Member, Members
+from tansykeel.platform.known_members import AppliedUpdates, KnownMembers, joined
 from tansykeel.platform.objects import ObjectSplitter
 from tansykeel.platform.start_age import StartAge
 from tansykeel.platform.update_queue import MAX_ENTRIES_PER_TURN, UpdateQueue
@@ -36,16 +38,19 @@
 # Seconds that a new watch has for its first byte, and for its first message while discovery counts as silent, before
 # another one is opened.
 FIRST_BYTE_TIMEOUT = 1.0
+# Seconds after an update in which further ones gather. Each read costs several times as much as an update, and within
+# some seconds thousands of stores may change.
+GATHER_TIME = 0.01
 MAX_WATCHES = 4  # open at once
 FIRST_MESSAGE_TIMEOUT = 12.0  # seconds for which the oldest watch without a message is kept while others are opened
 MAX_OBJECT_BYTES = 4 << 20
 MICROSECONDS_PER_SECOND = 1_000_000
-MAX_LOGGED_MEMBERS = 20  # of one update
 T = TypeVar("T")
-_decode = msgspec.json.Decoder(Members).decode
+_LINE_END = b"}\n"  # of an object that is a line
+_decoder = msgspec.json.Decoder(Members)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Row:
     """A store in the form that the core takes (`StoreRow`).
 
@@ -61,7 +66,7 @@
     age: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Update:
     """The list of stores if `full`, else a change to it, in the form that the core takes (`ListUpdate`)."""
 
@@ -71,7 +76,7 @@
     failed: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ReceivedUpdate:
     """An update as a watch has received it.
 
@@ -127,6 +132,7 @@
             self.stream.close()
             raise
         self.host = address.encode()
+        self._loop = asyncio.get_running_loop()
 
     def close(self) -> None:
         """Close the connection."""
@@ -148,24 +154,37 @@
                 return
             if part[0] != 200:
                 raise Malformed(f"status {part[0]}")
-            for text in self.splitter.feed(part[1]):
-                self.discovery.update_received(self, _decode(text))
-            self.discovery.apply_received()
+            received: list[Members] = []
+            try:
+                received.extend(self._decoded(part[1]))
+            finally:
+                self.discovery.updates_received(self, received)
             if part[1] and not self.splitter.open and not self.stream.closed:
                 self.discovery.message_received(self)
         except (msgspec.MsgspecError, ValueError) as error:
             self.close()
-            self.discovery.apply_received()
             return self._on_end(str(error), error.do if isinstance(error, Problem) else "")
         if self.reader.ended:
             self.close()
             self._on_end("the watch ended")
-        elif self.discovery.updates.pending:
-            self.stream.read(False)  # until what was read is applied: `Discovery` continues it then
+        elif received:
+            self.stream.read(False)
+            self._loop.call_later(GATHER_TIME, self.continue_reading)
+
+    def _decoded(self, data: bytes) -> Iterator[Members]:
+        """Return the updates that the data completes, one after the other. Raises Unfit or MsgspecError."""
+        end = data.rfind(_LINE_END) + len(_LINE_END)
+        if end >= len(_LINE_END) and not self.splitter.open:
+            # Most updates are a line each: the ends of these need not be searched.
+            with suppress(msgspec.MsgspecError):
+                updates = _decoder.decode_lines(data[:end])
+                data = data[end:]
+                yield from updates
+        yield from map(_decoder.decode, self.splitter.feed(data))
 
     def continue_reading(self) -> None:
-        """Read on after what was read before has been applied."""
-        if self.got_data:
+        """Read on, if what was read before has been applied."""
+        if self.got_data and not self.discovery.updates.pending:
             self.stream.read()
 
     def _on_end(self, why: str, do: str = "") -> None:
@@ -203,6 +222,8 @@
         self.address_changed = False  # whether it changed and no update was received from the new one yet
         self.first_list = asyncio.Event()  # set once an update was received
         self.stopped = False
+        self.known = KnownMembers()
+        self.applied = AppliedUpdates()  # since the last line of the log about the list
         self.updates = UpdateQueue(self._apply, self._continue_reading, self._apply_failed)
 
     def ensure_watch(self) -> None:
@@ -250,14 +271,18 @@
             for older in self.watches[: self.watches.index(watch)]:
                 self._close(older)
 
-    def update_received(self, watch: Watch, members: Members) -> None:
-        """Take an update that a watch has received. It is applied by `apply_received`, in its order."""
-        self.updates.add(ReceivedUpdate(watch, members, self.last_message_at))
-        self.message_received(watch)
+    def updates_received(self, watch: Watch, updates: list[Members]) -> None:
+        """Take the updates that a watch has received at once.
 
-    def apply_received(self) -> None:
-        """Apply what was received: at once as far as one turn of the event loop may take, the rest after it."""
+        They are applied in their order: now as far as one turn of the event loop may take, the rest after it.
+        """
+        if not updates:
+            return
+        for update in joined(updates, self.revision):
+            self.updates.add(ReceivedUpdate(watch, update, self.last_message_at))
+        self.message_received(watch)
         self.updates.run()
+        self._log_applied()
 
     def _apply(self, update: ReceivedUpdate) -> Iterator[int]:
         """Apply an update in parts; yields the number of entries of each.
@@ -277,31 +302,33 @@
             if watch in self.watches:
                 self._close(watch)
             return self._open(index=0)
-        for part in _parts(members.members):
+        if versions_restarted:
+            self.known.forget()
+        news = self.known.news(members.members)
+        for part in _parts(news):
             rows = [self.rows.row(member, update.known_without) for member in part]
             change = Update(False, members.revision, rows)
             self.changed(self.core.apply_list_update(self.clock(), change, versions_restarted))
+            if not versions_restarted:  # such a list may be behind: the core does not take all that it says
+                self.known.applied(part)
             yield max(len(rows), 1)
         if members.complete:
             for unlisted in _parts(self.core.directory.unlisted({member.id for member in members.members})):
                 self.core.remove_stores(self.clock(), unlisted)
+                self.known.removed(store.handle for store in unlisted)
                 self.changed(unlisted)
                 yield max(len(unlisted), 1)
         if first_update and watch.address == self.address:
             self.address_changed = False
         self.revision = members.revision
-        self._log_update(members)
+        self.applied.add(members, news)
         self.first_list.set()
 
-    def _log_update(self, members: Members) -> None:
-        """Log an update with the first of its entries, if it has any."""
-        if members.members or members.complete:
-            self.log(
-                "list",
-                revision=members.revision,
-                complete=members.complete,
-                members=[(member.id, PHASES[member.phase]) for member in members.members[:MAX_LOGGED_MEMBERS]],
-            )
+    def _log_applied(self) -> None:
+        """Log the updates that were applied since the last such line, once no further ones wait."""
+        if self.applied.members and not self.updates.pending:
+            self.log("list", **self.applied.fields(self.revision))
+            self.applied = AppliedUpdates()
 
     def _apply_failed(self) -> None:
         """End all watches after an update could not be applied: a new one gets what the list lacks once more."""
@@ -312,6 +339,7 @@
 
     def _continue_reading(self) -> None:
         """Read on from watches whose updates had to wait."""
+        self._log_applied()
         for watch in self.watches:
             watch.continue_reading()
 
--- a/tansykeel/platform/event_log.py
+++ b/tansykeel/platform/event_log.py
@@ -28,7 +28,7 @@
         if self.writer.lost:
             line["lines_lost"] = self.writer.lost
             self.writer.lost = 0
-        self.writer.write(json.dumps(line, default=_plain).encode() + b"\n")
+        self.writer.write(_encode(line).encode() + b"\n")
 
 
 def standard_output() -> EventLog:
@@ -43,3 +43,6 @@
 def _plain(value: Any) -> str:
     """Return the text for a value that JSON has no type for."""
     return value.decode("latin-1") if isinstance(value, bytes) else str(value)
+
+
+_encode = json.JSONEncoder(default=_plain).encode
--- a/tansykeel/platform/objects.py
+++ b/tansykeel/platform/objects.py
@@ -11,8 +11,9 @@
 
 from tansykeel.errors import Problem
 
-# A string, complete or as far as it was received (then without its closing quote), or a brace outside strings.
-_PART = re.compile(rb'"(?:[^"\\]|\\.)*+("?)|[{}]', re.DOTALL)
+_STRING = rb'"[^"\\]*+(?:\\.[^"\\]*+)*+'  # without its closing quote, as far as it was received
+# A string, whole or without its closing quote; a whole object with no other one in it; a brace of another object.
+_PART = re.compile(rb'%s("?)|\{(?:[^"{}]++|%s")*+\}|[{}]' % (_STRING, _STRING), re.DOTALL)
 
 
 class Unfit(Problem, ValueError):
@@ -44,15 +45,18 @@
                 if not part[1]:
                     scanned = part.start()  # scanned again once more of it was received
                     break
-            elif part[0] == b"{":
+                continue
+            brace = part[0]
+            if brace == b"{":
                 self._depth += 1
-            else:
+                continue
+            if brace == b"}":
                 self._depth -= 1
-                if self._depth < 0:
-                    raise Unfit("closing brace of an object that did not begin")
-                if not self._depth:
-                    found.append(bytes(self._buffer[first : part.end()]))
-                    first = part.end()
+            if self._depth < 0:
+                raise Unfit("closing brace of an object that did not begin")
+            if not self._depth:
+                found.append(bytes(self._buffer[first : part.end()]))
+                first = part.end()
         del self._buffer[:first]
         self._scanned = scanned - first
         if not self._depth:
--- a/tests/edge/test_cost_of_changes.py
+++ b/tests/edge/test_cost_of_changes.py
@@ -11,24 +11,14 @@
 import sys
 
 import pytest
-from helpers import IDEMPOTENT, config
+from helpers import IDEMPOTENT
 from helpers import task as task_of
+from many_stores import NOW, core_of, row, rows
 
-from tansykeel.edge.core import Core
-from tansykeel.edge.tasks import Bounds
-from tansykeel.interface import SlowStartRule
-from tansykeel.platform.discovery import Row, Update
+from tansykeel.platform.discovery import Update
 
 FEW, MANY = 200, 3_200  # stores
 SLACK = 1.3  # times the steps with few stores that a change may take with many
-NOW = 10**9
-
-
-class NoIO:
-    """An I/O that does nothing."""
-
-    def __getattr__(self, name):
-        return lambda *arguments, **named: None
 
 
 def steps(call):
@@ -50,21 +40,6 @@
     return count
 
 
-def row(number, state="ready", boot=0, address=None, shard=None):
-    age = 1_000_000 if boot else 0
-    return Row(f"s{number}", address or f"h{number}:1", 0, number if shard is None else shard, state, boot, age)
-
-
-def rows(stores):
-    return [row(number) for number in range(stores)]
-
-
-def core_of(stores, **changes):
-    slow_start = SlowStartRule(0.19, 170_000, 2.5, 30_000, 62.0)
-    bounds = Bounds(1_000, 1 << 20, 1 << 20)
-    return Core(config(slow_start=slow_start, **changes), 1, NoIO(), NOW, bounds, NoIO(), rows(stores))
-
-
 def apply(core, version, *changed, full=False):
     core.apply_list_update(NOW + version * 10, Update(full, version, list(changed)))
 
