--- a/tests/edge/test_cost_of_changes.py
+++ b/tests/edge/test_cost_of_changes.py
@@ -69,6 +69,18 @@
     assert steps_of_change(shape, MANY) <= SLACK * steps_of_change(shape, FEW)
 
 
+def test_a_change_costs_the_same_where_all_stores_hold_one_shard():
+    def steps_of_flaps(stores):
+        core = core_of(0)
+        apply(core, 1, *[row(number, shard=3) for number in range(stores)])
+        states = ["draining", "ready"] * 50
+        return steps(
+            lambda: [apply(core, 2, row(stores - 1 - n % 7, state, shard=3)) for n, state in enumerate(states)]
+        )
+
+    assert steps_of_flaps(MANY) <= SLACK * steps_of_flaps(FEW)
+
+
 def test_the_whole_list_costs_as_much_for_each_store_however_many_there_are():
     for first in (True, False):
 
