Reads of long requests take turns, and clients are served beside hundreds of such

Cause: each turn of the event loop read every readable connection, up to 64 KiB, and parsed all of it; a head was checked against its bound behind the whole read; each piece of a body added up the memory of all clients. HTTP readers check their bounds behind each 8 KiB and count the separators of fields. At most 16 requests that are answered at once are handled in a turn. The memory of unread requests is a running sum; one test reads it as an attribute now.

--- a/tansykeel/http1/codec.py
+++ b/tansykeel/http1/codec.py
@@ -19,6 +19,8 @@
 MOST_BODY = 64 << 10  # bytes of a request's body
 MOST_ANSWER = 1 << 20  # bytes of an answer's: stores send more than they are said to
 BLOCK = 16 << 10  # bytes of a body from which the next ones go to another block
+FIELD_SEPARATORS = 4  # bytes of a field's line beside its name and value
+FEED_SIZE = MOST_HEAD  # bytes parsed before the bounds are checked again: parsing short fields costs much
 MOST_INTERIM = 8  # 1xx answers ahead of one
 MAX_WIRE_RATIO = 8  # times a body's bound that its chunks, their lines and trailers may take on the wire
 
@@ -60,8 +62,13 @@
 
     def feed(self, data: bytes) -> None:
         """Take bytes in. What is wrong with them is raised once all that was whole before has been fetched."""
-        if self._parser is None:
-            return
+        for start in range(0, len(data), FEED_SIZE):
+            if self._parser is None:
+                return
+            self._feed_part(data[start : start + FEED_SIZE])
+
+    def _feed_part(self, data: bytes) -> None:
+        """Take a part of what has come, after which the bounds are checked."""
         self._wire += len(data)
         try:
             self._parser.feed_data(data)
@@ -99,7 +106,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self._head:  # a trailer
             return
-        self._fields_size += len(name) + len(value)
+        self._fields_size += len(name) + len(value) + FIELD_SEPARATORS
         if self._fields_size > MOST_HEAD:
             raise self._refused(f"a head of more than {MOST_HEAD} bytes", 431)
         name = name.lower()
--- a/tansykeel/platform/clients.py
+++ b/tansykeel/platform/clients.py
@@ -15,6 +15,7 @@
 from tansykeel.http1.codec import RequestReader
 from tansykeel.http1.messages import Malformed, Request
 from tansykeel.platform.event_counts import ClientEnd, EventCounts
+from tansykeel.platform.read_queue import ReadQueue
 from tansykeel.platform.request_rules import connection_may_end
 from tansykeel.transport.stream import Stream
 
@@ -27,6 +28,8 @@
 MAX_DRAINED_BYTES = 256 << 10  # read and discarded while a connection is ended
 MAX_PIPELINED_BYTES = 80 << 10  # read behind a request that is not answered yet; a client that sends more gets a 413
 LINGERING_RESERVE = 8  # connections of the maximum that are kept free for ones in a lingering close
+SHORT_READ, LONG_READ = 2 << 10, 16 << 10  # bytes read at once of a request, and of one that is longer
+MAX_REQUESTS_PER_TURN = 16  # of one client, of those that are answered at once
 MANY_READS = 32  # reads of one request, after which its last byte may have arrived long before it is read
 WRITE_STALL_TIMEOUT = 5.0  # seconds in which a client takes no byte of its answer
 WRITE_TIMEOUT = 30.0  # seconds in which a client has to take its whole answer
@@ -62,6 +65,8 @@
         "end_reason",
         "_processing",
         "_reads",
+        "_reads_in_turn",
+        "_counted_memory",
         "_unsent_before",
         "_last_progress",
     )
@@ -69,6 +74,7 @@
     def __init__(self, owner: Clients, sock: socket.socket) -> None:
         self.owner, self.reader = owner, RequestReader()
         self.stream = Stream(sock, self._data_received, self._stream_ended)
+        self.stream.read_size, self.stream.defers_read = SHORT_READ, self._defers_read
         self.since = owner.now()  # when it became idle, began to send a request, was answered or began to end
         self.requests = 0  # received whole on this connection
         self.open_request: bytes | None = None
@@ -76,6 +82,8 @@
         self.drained = 0  # bytes read and discarded since it began to end
         self.end_reason: ClientEnd | None = None  # set once the gateway has begun to end it
         self._reads = 0  # reads since the first byte of the request that is being received
+        self._reads_in_turn = False  # whether more is coming than a short request: it is read in turn with others
+        self._counted_memory = 0  # of its reader, as counted in the sum over all clients
         # Unsent bytes of the answer at the last check, and when their number last changed.
         self._unsent_before, self._last_progress = 0, self.since
         self.stream.read()
@@ -134,7 +142,7 @@
             held.pop(self, None)
         self.stream.close()
         self.stream.forget_unsent()
-        self.reader.close()
+        self._close_reader()
         if self.open_request is not None:
             self.owner.handler.client_disconnected(self)
 
@@ -149,7 +157,7 @@
         self.owner.keep_alive.pop(self, None)
         self.owner.awaiting_request.pop(self, None)
         self.owner.lingering[self] = None
-        self.reader.close()
+        self._close_reader()
         if not self.stream.unsent:
             self._half_close()
 
@@ -157,18 +165,47 @@
         self.half_closed = True
         self.stream.half_close()
 
+    def _close_reader(self) -> None:
+        """Read nothing more and let go of what was read."""
+        self.reader.close()
+        self._count_memory()
+
+    def _count_memory(self) -> None:
+        """Count the reader's memory in the sum over all clients: adding it up at each read would take too long."""
+        memory = self.reader.memory
+        self.owner.unread_bytes += memory - self._counted_memory
+        self._counted_memory = memory
+
+    def _defers_read(self) -> bool:
+        """Have more of a long request read in turn with those of other clients."""
+        if self._reads_in_turn:
+            self.owner.read_queue.add(self.stream.read_now)
+        return self._reads_in_turn
+
     def _data_received(self, data: bytes) -> None:
+        """Take bytes that were read, and choose how the next ones are read."""
+        filled = len(data) >= self.stream.read_size
         if self.ending:
-            self.drained += len(data)
-            if self.drained > MAX_DRAINED_BYTES:
-                self.stream.read(False)
-            return
+            self._drain(data)
+        else:
+            self._take_request_bytes(data)
+        self._reads_in_turn = filled or self.ending or self.reader.partial or self.reader.waits
+        self.stream.read_size = LONG_READ if self._reads_in_turn else SHORT_READ
+
+    def _drain(self, data: bytes) -> None:
+        self.drained += len(data)
+        if self.drained > MAX_DRAINED_BYTES:
+            self.stream.read(False)
+
+    def _take_request_bytes(self, data: bytes) -> None:
         if self.open_request is None and not self.reader.partial:
             self.since = self.owner.now()
         self._reads = self._reads + 1 if self.reader.partial else 0
-        self.reader.feed(data, self.owner.received_at(self.stream, self._reads > MANY_READS))
+        may_be_late = self._reads_in_turn or self._reads > MANY_READS
+        self.reader.feed(data, self.owner.received_at(self.stream, may_be_late))
+        self._count_memory()
         # Bounds the memory of all clients together: many may send large bodies and never complete them.
-        out_of_memory = self.reader.memory > codec.MOST_HEAD and self.owner.unread_bytes() > self.owner.max_unread_bytes
+        out_of_memory = self.reader.memory > codec.MOST_HEAD and self.owner.unread_bytes > self.owner.max_unread_bytes
         if self.open_request is not None:
             # Pipelined bytes are read, within a bound, to find an end of file behind them, so that no attempt begins
             # for a client that has disconnected.
@@ -180,10 +217,15 @@
             self._process_requests()
 
     def _process_requests(self) -> None:
-        """Handle the requests that were read whole, up to the first that is not answered at once."""
+        """Handle the requests that were read whole, up to the first that is not answered at once; of many that are, a
+        part in each turn of the event loop."""
         self._processing = True
+        last = self.requests + MAX_REQUESTS_PER_TURN
         try:
             while self.open_request is None and not self.ending and not self.stream.closed:
+                if self.requests >= last:
+                    self.owner.later(self._process_requests)
+                    break
                 try:
                     request = self.reader.next()
                 except Malformed as error:
@@ -196,6 +238,7 @@
                 self.owner.handler.request(self, request)
         finally:
             self._processing = False
+            self._count_memory()
 
     def _stream_ended(self, why: str) -> None:
         self.close(ClientEnd.BY_CLIENT if self.stream.finished else ClientEnd.BROKEN)
@@ -253,6 +296,8 @@
             later,
         )
         self.received_at, self.counts = received_at, counts
+        self.read_queue = ReadQueue(later, now)
+        self.unread_bytes = 0  # memory of requests that are incomplete or pipelined behind an open one
         self.conns: dict[Client, None] = {}
         self.awaiting_request: dict[Client, None] = {}  # no whole request received yet, oldest connection first
         self.keep_alive: dict[Client, None] = {}  # answered and waiting for a further request, longest ago first
@@ -318,10 +363,6 @@
         their connection would otherwise take the ones that others need."""
         return len(self.conns) - len(self.lingering) > self.max_connections * CROWDED_FRACTION
 
-    def unread_bytes(self) -> int:
-        """Return the memory that requests take that are incomplete or pipelined behind an open one, in bytes."""
-        return sum(client.reader.memory for client in self.conns)
-
     def unsent_bytes(self) -> int:
         """Return the bytes of answers that clients have not taken yet."""
         return sum(len(client.stream.unsent) for client in self.conns)
--- a/tansykeel/transport/stream.py
+++ b/tansykeel/transport/stream.py
@@ -14,7 +14,7 @@
 
 from tansykeel.transport.sockets import send_without_delay
 
-READ = 64 << 10  # bytes read at once
+READ = 64 << 10  # bytes read at once, unless `Stream.read_size` says otherwise
 MOST_SENDS = 256  # calls for one write in one turn of the loop, where the socket takes a little each time
 
 
@@ -22,6 +22,11 @@
     """Stands for the callbacks of a stream that is closed."""
 
 
+def _never() -> bool:
+    """Stands for `Stream.defers_read` where no read is deferred."""
+    return False
+
+
 class Stream:
     """`on_data(bytes)` for what comes; `on_end(why)` once, when the peer ends it or it breaks, not after `close`."""
 
@@ -30,6 +35,9 @@
         self.closed = False
         self.finished = False  # the peer ended its direction in order, which a reset does not
         self.unsent = bytearray()
+        self.read_size = READ  # bytes read at once
+        # Called when bytes have come; if it returns True, they are left for a call of `read_now`.
+        self.defers_read: Callable[[], bool] = _never
         self._loop = asyncio.get_running_loop()
         self._on_open: Callable[[], None] | None = None
         self._reading = False
@@ -122,6 +130,7 @@
             self.sock.close()
         # They refer to the owner, which refers to this stream: without the circle both go at once.
         self.on_data, self.on_end, self._on_open = _ignored, _ignored, None
+        self.defers_read = _never
 
     def forget_unsent(self) -> None:
         """Let go of what was not sent, once nobody asks for it any more."""
@@ -150,9 +159,18 @@
         self.read()
         self._on_open()
 
+    def read_now(self) -> None:
+        """Read what has come, after `defers_read` has left it."""
+        if self._reading and not self.closed:
+            self._guarded(self._receive)
+
     def _readable(self) -> None:
+        if not self.defers_read():
+            self._receive()
+
+    def _receive(self) -> None:
         try:
-            data = self.sock.recv(READ)
+            data = self.sock.recv(self.read_size)
         except (BlockingIOError, InterruptedError):
             return
         except OSError as error:
--- a/tests/edge/test_cost_of_changes.py
+++ b/tests/edge/test_cost_of_changes.py
@@ -8,11 +8,10 @@
 
 from __future__ import annotations
 
-import sys
-
 import pytest
 from helpers import IDEMPOTENT
 from helpers import task as task_of
+from interpreter_steps import steps
 from many_stores import NOW, core_of, row, rows
 
 from tansykeel.platform.discovery import Update
@@ -21,25 +20,6 @@
 SLACK = 1.3  # times the steps with few stores that a change may take with many
 
 
-def steps(call):
-    """Return how many steps of the interpreter a call takes."""
-    count = 0
-
-    def trace(frame, event, argument):
-        nonlocal count
-        frame.f_trace_opcodes = True
-        count += event == "opcode"
-        return trace
-
-    before = sys.gettrace()
-    sys.settrace(trace)
-    try:
-        call()
-    finally:
-        sys.settrace(before)
-    return count
-
-
 def apply(core, version, *changed, full=False):
     core.apply_list_update(NOW + version * 10, Update(full, version, list(changed)))
 
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -194,6 +194,6 @@
             assert (answer.status, answer.keep_alive) == (413, False)
             store.reply = lambda request: ok()
             assert (await other.ask(3)).status == 200 and len(store.requests) == 2
-            assert not stage.gateway.open_requests and stage.gateway.clients.unread_bytes() == 0
+            assert not stage.gateway.open_requests and stage.gateway.clients.unread_bytes == 0
 
     run_test(go())
--- /dev/null
+++ b/tests/platform/test_many_slow_clients.py
@@ -0,0 +1,175 @@
+"""Guards against clients that are not served while hundreds of others send long or unsound requests.
+
+What happened: with 800 clients that sent bodies in chunks of one byte, or heads of thousands of short fields, all that
+had come was parsed, up to 64 KiB of each connection, before the next client was looked at: 8 of 60, 3 of 83 and 18 of
+26 requests of others got no answer. For each piece of a large body the memory of all clients was added up.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from interpreter_steps import steps
+from platform_stage import FakeStore, request_bytes, run_test, staged, until
+
+from tansykeel.http1 import codec
+from tansykeel.platform import read_queue
+from tansykeel.platform.clients import Client
+from tansykeel.platform.read_queue import ReadQueue
+
+BAD_CLIENTS = 60
+HEAD = request_bytes(1, body=b"x").split(b"Content-Length")[0]  # of a write
+LONG_REQUESTS = {
+    "a body in chunks of one byte": HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 40_000,
+    "chunks with extensions": HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1;a=b\r\nx\r\n" * 20_000,
+}
+
+
+@pytest.mark.parametrize("form", LONG_REQUESTS)
+def test_a_request_is_answered_before_the_long_ones_of_others_are_read(tmp_path, monkeypatch, form):
+    async def go():
+        read, data_received = 0, Client._data_received
+        store = FakeStore("s0", 0)
+        limits = {"cores": 1.0, "memory_mb": 256, "sockets": 512}
+        async with staged(tmp_path, store, limits=limits) as stage:
+
+            def count_read(client, data):
+                nonlocal read
+                read += len(data)
+                data_received(client, data)
+
+            monkeypatch.setattr(Client, "_data_received", count_read)
+            bad = [await stage.client() for _ in range(BAD_CLIENTS)]
+            good = await stage.client()
+            assert (await good.ask(1)).status == 200
+            for client in bad:
+                client.writer.write(LONG_REQUESTS[form])
+            read = 0
+            assert (await good.ask(2)).status == 200
+            assert read < BAD_CLIENTS * len(LONG_REQUESTS[form]) / 4
+
+    run_test(go())
+
+
+@pytest.mark.parametrize("field", [b"a:b\r\n", b"a:\r\n", b"abcd: efgh\r\n"])
+def test_no_more_fields_are_parsed_than_a_head_may_have(monkeypatch, field):
+    parsed, on_header = [], codec.RequestReader.on_header
+
+    def count_field(reader, name, value):
+        parsed.append(name)
+        on_header(reader, name, value)
+
+    monkeypatch.setattr(codec.RequestReader, "on_header", count_field)
+    reader = codec.RequestReader()
+    reader.feed(b"GET / HTTP/1.1\r\nHost: a\r\n" + field * 12_000 + b"\r\n")
+    assert reader.fault.status == 431
+    assert len(parsed) <= codec.MOST_HEAD // len(field) + 2
+
+
+def test_a_piece_of_a_body_costs_the_same_however_many_clients_there_are(tmp_path):
+    async def go():
+        limits = {"cores": 1.0, "memory_mb": 256, "sockets": 512}
+        async with staged(tmp_path, FakeStore("s0", 0), limits=limits) as stage:
+            clients = stage.gateway.clients
+
+            async def steps_of_piece(others):
+                while len(stage.connections) < others:
+                    client = await stage.client()
+                    client.writer.write(HEAD + b"Content-Length: 60000\r\n\r\n" + b"x" * 10_000)
+                await until(lambda: clients.unread_bytes >= others * 10_000)
+                one = next(iter(clients.conns))
+                return steps(lambda: one._data_received(b"x" * 10))
+
+            few = await steps_of_piece(5)
+            assert await steps_of_piece(100) <= 1.2 * few
+
+    run_test(go())
+
+
+def test_the_memory_of_unread_requests_is_counted_until_they_are_gone(tmp_path):
+    async def go():
+        async with staged(tmp_path, FakeStore("s0", 0, lambda request: None)) as stage:
+            clients = stage.gateway.clients
+            served, ended, refused = [await stage.client() for _ in range(3)]
+            for client in (served, ended):
+                client.writer.write(HEAD + b"Content-Length: 20000\r\n\r\n" + b"x" * 10_000)
+            refused.writer.write(b"GET / HTTP/1.1\r\n" + b"".join(b"a%d:b\r\n" % number for number in range(100)))
+            await until(lambda: clients.unread_bytes > 20_000 + 100 * 100)
+            served.writer.write(b"x" * 10_000)
+            refused.writer.write(b"nonsense\r\n")
+            ended.writer.transport.abort()
+            await until(lambda: clients.unread_bytes == 0)
+            assert stage.gateway.open_requests
+
+    run_test(go())
+
+
+class FakeLoop:
+    """A loop whose turns a test takes; each read takes a millisecond."""
+
+    def __init__(self):
+        self.time, self.calls, self.read = 0.0, [], []
+
+    def queue(self):
+        return ReadQueue(self.calls.append, lambda: self.time)
+
+    def reader(self, name):
+        def read():
+            self.time += 0.001
+            self.read.append(name)
+
+        return read
+
+    def turn(self):
+        calls, self.calls[:] = list(self.calls), []
+        for call in calls:
+            call()
+
+
+def test_reads_take_turns_within_the_time_of_a_turn(monkeypatch):
+    monkeypatch.setattr(read_queue, "TURN_TIME", 0.0035)
+    loop = FakeLoop()
+    queue, readers = loop.queue(), [loop.reader(name) for name in "abcdefgh"]
+    for read in [*readers, *readers]:
+        queue.add(read)
+    assert loop.read == []
+    loop.turn()
+    assert "".join(loop.read) == "abcd"
+    queue.add(readers[0])
+    queue.add(readers[7])
+    loop.turn()
+    loop.turn()
+    assert "".join(loop.read) == "abcdefgha"
+    loop.turn()
+    assert loop.calls == [] and len(loop.read) == 9
+
+
+def test_a_read_that_fails_leaves_the_others_their_turn():
+    loop = FakeLoop()
+    queue = loop.queue()
+
+    def fail():
+        raise RuntimeError("planted")
+
+    queue.add(fail)
+    queue.add(loop.reader("a"))
+    with pytest.raises(RuntimeError):
+        loop.turn()
+    loop.turn()
+    assert loop.read == ["a"]
+
+
+def test_many_requests_that_are_answered_at_once_are_answered_in_parts(tmp_path):
+    """Health checks, for example: one connection may not hold up the others with all that it has sent."""
+
+    async def go():
+        async with staged(tmp_path, FakeStore("s0", 0)) as stage:
+            client, other = await stage.client(), await stage.client()
+            count = 60
+            client.writer.write(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n" * count)
+            assert (await other.ask(1)).status == 200
+            for _ in range(count):
+                assert (await asyncio.wait_for(client.answer(), 2)).status == 200
+
+    run_test(go())
