Long answers of stores are read in turn with each other

Cause: each turn of the event loop read up to 64 KiB of each store's answer and parsed it, two to three milliseconds where it came in chunks of one byte. Change: answers are read by 16 KiB, and after the first read in turn, for 4 ms of a turn of the event loop. Tests: test_long_answers_of_stores_are_read_in_turn_with_each_other; with the deferral switched off it fails, 8 reads in a turn in place of 1.

--- a/tansykeel/platform/connection.py
+++ b/tansykeel/platform/connection.py
@@ -13,12 +13,14 @@
 from tansykeel.interface import OutcomeKind
 from tansykeel.platform.event_counts import StoreConnectionEnd
 from tansykeel.platform.intake import TaskRequest
+from tansykeel.platform.read_queue import ReadQueue
 from tansykeel.transport.sockets import address_of, open_socket
 from tansykeel.transport.stream import Stream
 
 # Seconds after its head within which a request's last byte has to be written. The head states the time left, which may
 # be up to 0.15 s too long when the last byte arrives; a task's deadline is up to 0.1 s before its client's.
 WRITE_WITHIN = 0.15
+ANSWER_READ = 16 << 10  # bytes of an answer that are read at once
 STALE_WINDOW = 0.02  # seconds after a request within which the failure of a reused connection means that it was stale
 
 
@@ -44,6 +46,8 @@
 class ConnectionGateway(Protocol):
     """What a connection needs from `Stores`, and the events that it reports to it."""
 
+    read_queue: ReadQueue  # for long answers
+
     def now(self) -> float:
         """Return the time of the event loop's clock, in seconds."""
 
@@ -86,6 +90,7 @@
         "idle_before_request",
         "sent_at",
         "connect_deadline",
+        "_reads_in_turn",
     )
 
     def __init__(self, pool: ConnectionPool, gateway: ConnectionGateway, address: str, connect_timeout: float) -> None:
@@ -99,7 +104,9 @@
         self.idle_before_request = 0.0  # how many seconds it was idle before the last request
         self.sent_at = 0.0  # when the last request was passed to the stream
         host = address_of(address)
+        self._reads_in_turn = False  # whether more of a pending answer is coming: it is read in turn with others
         self.stream = Stream(open_socket(host), self._on_data, self._on_end)
+        self.stream.read_size, self.stream.defers_read = ANSWER_READ, self._defers_read
         try:
             self.stream.connect(host, self._on_connected)
         except OSError:
@@ -114,6 +121,7 @@
         self.attempt = attempt
         attempt.connection = self
         self.reader = AnswerReader()
+        self._reads_in_turn = False
         self.sent_at = self.gateway.now()
         self.idle_before_request = self.sent_at - self.idle_since
         fields = b"X-Txn: %s\r\nX-Remaining: %.4f\r\n" % (request.fields[b"x-txn"], seconds_left)
@@ -153,6 +161,12 @@
         self.is_up = True
         self.pool.connected(self)
 
+    def _defers_read(self) -> bool:
+        """Have more of a long answer read in turn with those of other connections."""
+        if self._reads_in_turn:
+            self.gateway.read_queue.add(self.stream.read_now)
+        return self._reads_in_turn
+
     def _on_data(self, data: bytes) -> None:
         """Parse received data as part of the pending answer; anything else closes the connection."""
         if self.reader is None or self.attempt is None or self.stream.unsent:
@@ -167,6 +181,7 @@
             answer = self.reader.next()
         except Malformed as error:
             return self._reject_answer(str(error))
+        self._reads_in_turn = answer is None
         if answer is not None:
             self._answer_complete(answer, reusable=self._reusable_after(answer))
 
--- a/tansykeel/platform/stores.py
+++ b/tansykeel/platform/stores.py
@@ -12,6 +12,7 @@
 from tansykeel.platform.clients import Client, Clients
 from tansykeel.platform.event_counts import EventCounts, StoreConnectionEnd
 from tansykeel.platform.pool import COOL_DOWN, Pool
+from tansykeel.platform.read_queue import ReadQueue
 from tansykeel.platform.request_rules import Verdict, Violations, attempt_may_begin, violation_of_attempt
 
 IDLE_FRACTION = (
@@ -62,6 +63,7 @@
         )
         self.clock, self.now, self.call_later, self.log = clock, now, call_later, log
         self.pools: dict[Store, Pool] = {}
+        self.read_queue = ReadQueue(self.call_soon, now)
         self._waiting_for_room: dict[Pool, None] = {}
         # Seconds for which a connection may be idle and still be reused.
         self.idle_limit = store_idle_timeout * IDLE_FRACTION
--- a/tests/platform/test_many_slow_clients.py
+++ b/tests/platform/test_many_slow_clients.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 
 import pytest
 from interpreter_steps import steps
@@ -16,6 +17,7 @@
 from tansykeel.http1 import codec
 from tansykeel.platform import read_queue
 from tansykeel.platform.clients import Client
+from tansykeel.platform.connection import ANSWER_READ, StoreConnection
 from tansykeel.platform.read_queue import ReadQueue
 
 BAD_CLIENTS = 60
@@ -52,6 +54,36 @@
     run_test(go())
 
 
+def test_long_answers_of_stores_are_read_in_turn_with_each_other(tmp_path, monkeypatch):
+    async def go():
+        reads, on_data = [], StoreConnection._on_data
+        long = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 50_000 + b"0\r\n\r\n"
+        stores = [FakeStore(f"s{shard}", shard, lambda request: long) for shard in range(8)]
+        limits = {"cores": 1.0, "memory_mb": 256, "sockets": 512}
+        async with staged(tmp_path, *stores, limits=limits) as stage:
+
+            def record_read(connection, data):
+                reads.append((turn, connection))
+                assert len(data) <= ANSWER_READ
+                on_data(connection, data)
+
+            monkeypatch.setattr(StoreConnection, "_on_data", record_read)
+            monkeypatch.setattr(read_queue, "TURN_TIME", 0.0)  # one read in a turn
+            clients = [await stage.client() for _ in stores]
+            for shard, client in enumerate(clients):
+                client.writer.write(request_bytes(10 + shard, x_extent=f"units=2,shard={shard},hosts=1"))
+            turn, answers = 0, asyncio.gather(*(client.answer() for client in clients))
+            while not answers.done():
+                turn += 1
+                await asyncio.sleep(0)
+            assert all(answer.body == b"x" * 50_000 for answer in answers.result())
+            first = dict(reversed([(connection, read) for read, (_, connection) in enumerate(reads)]))
+            later = Counter(turn for read, (turn, connection) in enumerate(reads) if first[connection] != read)
+            assert max(later.values()) == 1 and len(later) > 8
+
+    run_test(go())
+
+
 @pytest.mark.parametrize("field", [b"a:b\r\n", b"a:\r\n", b"abcd: efgh\r\n"])
 def test_no_more_fields_are_parsed_than_a_head_may_have(monkeypatch, field):
     parsed, on_header = [], codec.RequestReader.on_header
