Bound the queues of volumes over all nodes, for clients that name ever new volumes

Cause: a node kept each volume's queue, and with it the volume's state, for 600 s after its last task. Evidence: memory follows the number of new volumes; the parser's bound of 4,096 volumes changes nothing as the queues of nodes refer to them. Change: brain/queue_table.py knows all queues in the order of their use, and lets the oldest go beyond 4,096 that neither holds a task nor earns nor owes anything. Queues have slots.

--- a/tansykeel/brain/node_table.py
+++ b/tansykeel/brain/node_table.py
@@ -22,7 +22,7 @@
     """All nodes by store, and those that serve a shard.
 
     `make_node` creates the node of a store with the rate that it starts from. `first_rate` is that rate as
-    long as no other node's rate was measured.
+    long as no other node's rate was measured. `node_forgotten` is called with each node that is let go.
     """
 
     def __init__(
@@ -31,8 +31,10 @@
         delays: QueueDelays,
         first_rate: float,
         make_node: Callable[[Store, float], Node],
+        node_forgotten: Callable[[Node], None],
     ) -> None:
-        self.runtime, self.delays, self.first_rate, self.make_node = runtime, delays, first_rate, make_node
+        self.runtime, self.delays, self.first_rate = runtime, delays, first_rate
+        self.make_node, self.node_forgotten = make_node, node_forgotten
         self.by_store: dict[Store, Node] = {}
         self.index = ShardIndex()
         self._gone = OrderedDict[Node, None]()  # nodes of gone stores, the one checked longest ago first
@@ -80,3 +82,4 @@
                 del self.by_store[node.store]
                 self.index.forget(node)
                 self.delays.by_store.pop(node.store, None)
+                self.node_forgotten(node)
--- a/tansykeel/brain/nodes.py
+++ b/tansykeel/brain/nodes.py
@@ -196,13 +196,22 @@
         self.bucket += queue.balance - self.full_span * queue.reserve
         self.full[queue], queue.accrued_at, queue.full_at = None, self.accrued_at, 0
         self.full_rate += queue.reserve
-        while (
-            oldest := next(iter(self.full))
-        ).accrued_at < self.runtime.now - IDLE_QUEUE_LIFETIME and oldest not in self.in_debt:
-            del self.full[oldest], self.queues[oldest.volume]
-            if self.slow_start:
-                self.slow_start.budget.planned_rate -= oldest.planned_rate
-            self.reserve, self.full_rate = (self.reserve - oldest.reserve, self.full_rate - oldest.reserve)
+        while (oldest := next(iter(self.full))).accrued_at < self.runtime.now - IDLE_QUEUE_LIFETIME:
+            if not self.let_go(oldest):
+                break
+
+    def let_go(self, queue: VolumeQueue) -> bool:
+        """Remove a queue that neither earns nor owes anything; returns whether it is removed."""
+        is_recent = self.recent.get(queue, -BUCKET_LIFETIME) > self.runtime.now - BUCKET_LIFETIME
+        if queue not in self.full or queue in self.in_debt or is_recent:
+            return False
+        del self.full[queue], self.queues[queue.volume]
+        self.recent.pop(queue, None)
+        if self.slow_start:
+            self.slow_start.budget.planned_rate -= queue.planned_rate
+        self.reserve -= queue.reserve
+        self.full_rate -= queue.reserve
+        return True
 
     def run_round(self) -> None:
         """Serve reserves, then slices; while tasks are held, schedule the next round."""
@@ -346,11 +355,9 @@
             # The store may go on with the work after its client has left: it counts as in flight for a while.
             self.runtime.call_at(now + self.soft_limit, lambda: self.release(cost))
         else:
-            self.last_heard, self.in_flight, self.tokens_out = (
-                now,
-                self.in_flight - 1,
-                self.tokens_out - cost,
-            )
+            self.last_heard = now
+            self.in_flight -= 1
+            self.tokens_out -= cost
         if outcome.kind not in (OutcomeKind.NOT_EXECUTED, OutcomeKind.CANCELLED):
             self.successes.append(outcome.kind is OutcomeKind.DELIVERED)
         if (
@@ -358,10 +365,9 @@
             or outcome.kind is OutcomeKind.TIMED_OUT
             and now >= self.delays.losses_until
         ):
-            self.answered_sent, self.failures_in_row = (
-                max(self.answered_sent, sent if outcome.kind is OutcomeKind.DELIVERED else 0),
-                0,
-            )
+            self.failures_in_row = 0
+            if outcome.kind is OutcomeKind.DELIVERED:
+                self.answered_sent = max(self.answered_sent, sent)
             # A cold store takes several times as long. One as fast as before was cut off and did not restart.
             if (
                 self.slow_start
@@ -385,10 +391,7 @@
             # counts as cold, and it is tried less and less often.
             self.failures_in_row += 1
             if self.slow_start and self.failures_in_row > 1:
-                self.slow_start.suspected_start, self.slow_start.credited_at, self.slow_start.credit = (
-                    now,
-                    now,
-                    min(self.slow_start.credit, 0.0),
-                )
+                self.slow_start.suspected_start = self.slow_start.credited_at = now
+                self.slow_start.credit = min(self.slow_start.credit, 0.0)
             self.resting_until = now + RECONNECT_DELAY * min(self.failures_in_row, 5)
             self.runtime.call_at(self.resting_until, self.run_round)
--- a/tansykeel/brain/queues.py
+++ b/tansykeel/brain/queues.py
@@ -30,6 +30,24 @@
 class VolumeQueue:
     """One volume's tasks at one node. What it earns or owes while it is empty is computed when needed."""
 
+    __slots__ = (
+        "accrued_at",
+        "balance",
+        "debt_free_at",
+        "demand_allowance",
+        "demand_at",
+        "full_at",
+        "held",
+        "node",
+        "number",
+        "planned_rate",
+        "reserve",
+        "slice_at",
+        "tokens",
+        "total_reserve",
+        "volume",
+    )
+
     def __init__(self, node: QueueOwner, number: int, volume: Volume) -> None:
         self.node, self.number, self.volume = node, number, volume  # number: its place in the round
         self.held: deque[Task] = deque()
--- a/tansykeel/brain/scheduler.py
+++ b/tansykeel/brain/scheduler.py
@@ -28,6 +28,7 @@
 from .cold import SECOND, START_REPORTED_WITHIN, SlowStart
 from .node_table import NodeTable
 from .nodes import LOST_AFTER_LATENCIES, Node
+from .queue_table import QueueTable
 from .queues import VolumeQueue
 from .ranking import Ranking
 from .rates import SAMPLE_COUNT, TARGET_SHARE, QueueDelays
@@ -61,7 +62,8 @@
         self.delays, self.keys, self.list_failures = QueueDelays(), dict[int, KeyQueue](), 0
         # Until any rate was measured, a node's rate allows one largest task.
         first_rate = self.largest_task / (self.soft_limit * TARGET_SHARE)
-        self.node_table = NodeTable(runtime, self.delays, first_rate, self.make_node)
+        self.queues = QueueTable()
+        self.node_table = NodeTable(runtime, self.delays, first_rate, self.make_node, self.queues.forget)
         self.nodes, self.by_shard = self.node_table.by_store, self.node_table.index.by_shard
         self.ranking = Ranking(self.node_table.index, self.rng, self.usual, self.soft_limit)
         self.retry_budget = RetryBudget(config.retry_budget, runtime.now) if config.retry_budget else None
@@ -215,13 +217,14 @@
 
     def queue_of(self, node: Node, volume: Volume) -> VolumeQueue:
         """The volume's queue at a node; made when it is first needed, with an even part of the reserve."""
-        if volume not in node.queues:
+        queue = node.queues.get(volume)
+        if queue is None:
             queue = node.queues[volume] = VolumeQueue(node, node.queue_count, volume)
             node.queue_count += 1
-            queue.set_reserve(
-                queue.total_reserve / self.volume_state(volume).gateways / max(len(self.by_shard), 1)
-            )
-        return node.queues[volume]
+            gateways = self.volume_state(volume).gateways
+            queue.set_reserve(queue.total_reserve / gateways / max(len(self.by_shard), 1))
+        self.queues.use(node, queue)
+        return queue
 
     def volume_state(self, volume: Volume) -> VolumeState:
         """The volume's state over all nodes; made when it is first needed."""
