An id that was sent to a store does not run again, after its answer or its client's end

Cause: only the ids of open requests were known. The other half of the picture, requests sent on after their client has closed, did not show; test_leaving.py has a test of it, which passes before too.

--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -31,6 +31,7 @@
 from tansykeel.platform.stall_detector import StallDetector
 from tansykeel.platform.start_signals import StartSignals
 from tansykeel.platform.stores import Stores
+from tansykeel.platform.used_ids import UsedIds
 from tansykeel.transport.sockets import accept_all, accept_waiting, listening, run, seconds_since_data
 from tansykeel.transport.stream import Stream
 
@@ -49,7 +50,6 @@
 MAX_READ_TIME = 2.0  # seconds for which one request is read at most
 MAX_TRACE_ENTRIES = 6  # last entries of a failure's traceback that are logged
 
-
 log = standard_output()
 
 
@@ -69,6 +69,7 @@
         self.stop_received_at = 0.0  # when SIGTERM came, 0 before it
         self.closing = False  # set once each answer ends its connection, as the gateway stops
         self.open_requests: dict[bytes, Client] = {}  # clients of requests that are not answered yet, by request id
+        self.used_ids = UsedIds()
         self.answer_count = 0
         self.never_sent = Counter[str]()  # tasks that were not delivered and had no hand-off, by cause
         self._discovery: Discovery | None = None
@@ -242,8 +243,8 @@
             return client.answer(codec.answer(200, b"ok\n", last=last), last)
         try:
             task_request = self.request_parser.parse_task(request)
-            if task_request.id in self.open_requests:
-                raise Malformed("the id of a request that is still open", 409)
+            if task_request.id in self.open_requests or self.used_ids.may_have_run(task_request.id, self.loop.time()):
+                raise Malformed("the id of a request that is still open or may have run", 409)
         except Malformed as error:
             return client.reject(error.status)
         self.counts.trace("taken", id=task_request.id, target=request.target, left_ms=task_request.time_left / 10)
@@ -310,6 +311,7 @@
 
     def hand_off(self, attempt: Attempt) -> None:
         """Send the attempt to its store."""
+        self.used_ids.attempt_begins(attempt, self.loop.time())
         self.stores.hand_off(attempt)
 
     def cancel(self, attempt: Attempt) -> None:
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -15,6 +15,7 @@
 NO_CANCEL = SETTINGS | {"Limits": SETTINGS["Limits"] | {"Cancel": False}}
 both = pytest.mark.parametrize("settings", [SETTINGS, NO_CANCEL], ids=["cancel", "no cancel"])
 ways = pytest.mark.parametrize("way", ["closes", "resets"])
+MAX_BEGIN_DELAY = 0.1  # seconds after its client has closed in which an attempt may still begin
 
 
 def disconnect(sock, way):
@@ -197,3 +198,37 @@
             assert not stage.gateway.open_requests and stage.gateway.clients.unread_bytes == 0
 
     run_test(go())
+
+
+@both
+@ways
+@pytest.mark.parametrize("after", [0.0, 0.005, 0.02])  # seconds
+def test_requests_sent_at_once_are_not_sent_on_once_their_client_has_closed(tmp_path, settings, way, after):
+    """The operators' picture: a client closed with much still unread, and its requests were sent on afterwards."""
+
+    async def go():
+        arrivals, loop = [], asyncio.get_running_loop()
+
+        class SlowStore(FakeStore):
+            async def talk(self, reader, writer):
+                while await reader.read(65536):
+                    arrivals.append(loop.time())
+                    await asyncio.sleep(0.01)
+                    writer.write(ok())
+
+        store = SlowStore("s0", 0)
+        async with staged(tmp_path, store, settings=settings) as stage:
+            await until(lambda: stage.gateway.core.list_version == 5)
+            closed = 0.0
+            for first in (100, 200, 300):
+                client = connect(stage)
+                client.sendall(b"".join(request_bytes(first + number, body=b"x" * 200) for number in range(60)))
+                await asyncio.sleep(after)
+                disconnect(client, way)
+                closed = loop.time()
+                await asyncio.sleep(0.3)
+                assert not [arrival for arrival in arrivals if arrival > closed + MAX_BEGIN_DELAY]
+                arrivals.clear()
+            assert not stage.gateway.open_requests and stage.gateway.clients.unread_bytes == 0
+
+    run_test(go())
