Split discovery, clients and program of the platform into smaller modules

Change: a watch (watch.py), rows of the list (member_rows.py), one client's connection (client_connection.py) and the reload of the configuration (config_reload.py) have modules of their own. Tests import from and patch these; their assertions are the same.

--- a/tansykeel/platform/discovery.py
+++ b/tansykeel/platform/discovery.py
@@ -12,25 +12,17 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterator, Sequence
-from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-import msgspec
-
 from tansykeel.edge.core import Core
-from tansykeel.edge.tasks import MICROSECONDS_PER_TICK
-from tansykeel.errors import Problem
-from tansykeel.http1 import codec
-from tansykeel.http1.messages import Malformed
 from tansykeel.interface import Store
-from tansykeel.platform.config import PHASES, Member, Members
+from tansykeel.platform.config import Members
 from tansykeel.platform.known_members import AppliedUpdates, KnownMembers, joined
-from tansykeel.platform.objects import ObjectSplitter
-from tansykeel.platform.start_age import StartAge
+from tansykeel.platform.member_rows import RowReader, Update
 from tansykeel.platform.update_queue import MAX_ENTRIES_PER_TURN, UpdateQueue
-from tansykeel.transport.sockets import address_of, lacks_descriptor, open_socket
-from tansykeel.transport.stream import Stream
+from tansykeel.platform.watch import Watch
+from tansykeel.transport.sockets import lacks_descriptor
 
 # Seconds without a message after which another watch is opened beside the current one. Discovery sends a line every
 # 2 s.
@@ -38,42 +30,9 @@
 # Seconds that a new watch has for its first byte, and for its first message while discovery counts as silent, before
 # another one is opened.
 FIRST_BYTE_TIMEOUT = 1.0
-# Seconds after an update in which further ones gather. Each read costs several times as much as an update, and within
-# some seconds thousands of stores may change.
-GATHER_TIME = 0.01
 MAX_WATCHES = 4  # open at once
 FIRST_MESSAGE_TIMEOUT = 12.0  # seconds for which the oldest watch without a message is kept while others are opened
-MAX_OBJECT_BYTES = 4 << 20
-MICROSECONDS_PER_SECOND = 1_000_000
 T = TypeVar("T")
-_LINE_END = b"}\n"  # of an object that is a line
-_decoder = msgspec.json.Decoder(Members)
-
-
-@dataclass(slots=True)
-class Row:
-    """A store in the form that the core takes (`StoreRow`).
-
-    `boot` identifies the store's start, `age` is the time since then in microseconds; 0 is long ago.
-    """
-
-    name: str
-    address: str
-    zone: int
-    shard: int
-    state: str
-    boot: int
-    age: int
-
-
-@dataclass(slots=True)
-class Update:
-    """The list of stores if `full`, else a change to it, in the form that the core takes (`ListUpdate`)."""
-
-    full: bool
-    version: int
-    rows: list[Row]
-    failed: bool = False
 
 
 @dataclass(slots=True)
@@ -94,103 +53,6 @@
         yield list(entries[start : start + MAX_ENTRIES_PER_TURN])
 
 
-class RowReader:
-    """Converts members of discovery's list to rows. It reads the wall clock, which may be stepped: see `start_age`."""
-
-    def __init__(self, zones: dict[str, int]) -> None:
-        self.zones = zones
-        # The first reading of both clocks, which shows later steps of the wall clock.
-        self.start_age = StartAge(time.time(), time.monotonic())
-
-    def row(self, member: Member, known_without: float | None) -> Row:
-        """Return the member's row; `known_without` is the monotonic time when the list was last known not to have this
-        change, None if it never was."""
-        since = max(int(member.up_since_ms), 0)
-        age = 0
-        if since:
-            # Starts are reported in wall-clock time; of the ages by this reading and the first one, the younger counts.
-            seconds = self.start_age.age(since, time.time(), time.monotonic(), known_without)
-            age = max(int(seconds * MICROSECONDS_PER_SECOND), MICROSECONDS_PER_TICK)
-        zone = self.zones.get(member.locality, 0)
-        return Row(member.id, member.host_port, zone, member.cell, PHASES[member.phase], since, age)
-
-
-class Watch:
-    """One connection on which discovery sends changes to the list, from version `index` on."""
-
-    def __init__(self, discovery: Discovery, address: str, index: int) -> None:
-        self.discovery, self.index = discovery, index
-        self.reader = codec.StreamReader()
-        self.splitter = ObjectSplitter(MAX_OBJECT_BYTES)
-        self.address, self.opened_at = address, discovery.now()
-        self.got_data = self.got_message = False  # whether a byte, and a message, has arrived
-        host = address_of(address)
-        self.stream = Stream(open_socket(host), self._on_data, self._on_end)
-        try:
-            self.stream.connect(host, self._on_connected)
-        except OSError:
-            self.stream.close()
-            raise
-        self.host = address.encode()
-        self._loop = asyncio.get_running_loop()
-
-    def close(self) -> None:
-        """Close the connection."""
-        self.stream.close()
-        self.reader.close()
-
-    def _on_connected(self) -> None:
-        """Send the request for the stream of changes."""
-        target = b"/catalog/members?stream=1&index=%d" % self.index
-        self.stream.write(codec.request(b"GET", target, self.host))
-
-    def _on_data(self, data: bytes) -> None:
-        """Pass complete objects and other messages on; anything that can't be parsed ends the watch."""
-        self.got_data = True
-        self.reader.feed(data)
-        try:
-            part = self.reader.take()
-            if part is None:
-                return
-            if part[0] != 200:
-                raise Malformed(f"status {part[0]}")
-            received: list[Members] = []
-            try:
-                received.extend(self._decoded(part[1]))
-            finally:
-                self.discovery.updates_received(self, received)
-            if part[1] and not self.splitter.open and not self.stream.closed:
-                self.discovery.message_received(self)
-        except (msgspec.MsgspecError, ValueError) as error:
-            self.close()
-            return self._on_end(str(error), error.do if isinstance(error, Problem) else "")
-        if self.reader.ended:
-            self.close()
-            self._on_end("the watch ended")
-        elif received:
-            self.stream.read(False)
-            self._loop.call_later(GATHER_TIME, self.continue_reading)
-
-    def _decoded(self, data: bytes) -> Iterator[Members]:
-        """Return the updates that the data completes, one after the other. Raises Unfit or MsgspecError."""
-        end = data.rfind(_LINE_END) + len(_LINE_END)
-        if end >= len(_LINE_END) and not self.splitter.open:
-            # Most updates are a line each: the ends of these need not be searched.
-            with suppress(msgspec.MsgspecError):
-                updates = _decoder.decode_lines(data[:end])
-                data = data[end:]
-                yield from updates
-        yield from map(_decoder.decode, self.splitter.feed(data))
-
-    def continue_reading(self) -> None:
-        """Read on, if what was read before has been applied."""
-        if self.got_data and not self.discovery.updates.pending:
-            self.stream.read()
-
-    def _on_end(self, why: str, do: str = "") -> None:
-        self.discovery.watch_ended(self, why, do)
-
-
 class Discovery:
     """Keeps the core informed of the list of stores; calls `changed` after each change to it."""
 
@@ -284,6 +146,10 @@
         self.updates.run()
         self._log_applied()
 
+    def updates_pending(self) -> bool:
+        """Whether updates that were received are not applied yet."""
+        return self.updates.pending
+
     def _apply(self, update: ReceivedUpdate) -> Iterator[int]:
         """Apply an update in parts; yields the number of entries of each.
 
--- a/tansykeel/platform/program.py
+++ b/tansykeel/platform/program.py
@@ -20,12 +20,15 @@
 from tansykeel.http1 import codec
 from tansykeel.http1.messages import Malformed, Request
 from tansykeel.interface import PeerMessage
-from tansykeel.platform.clients import Client, Clients
-from tansykeel.platform.config import RETRY_DELAY, RETRY_PERIOD, Config, Illegal, Unreadable, read, read_at_start
-from tansykeel.platform.discovery import Discovery, RowReader
+from tansykeel.platform.client_connection import Client
+from tansykeel.platform.clients import Clients
+from tansykeel.platform.config import Config, Illegal, read, read_at_start
+from tansykeel.platform.config_reload import ConfigReload
+from tansykeel.platform.discovery import Discovery
 from tansykeel.platform.event_counts import EventCounts
 from tansykeel.platform.event_log import standard_output
 from tansykeel.platform.intake import RequestParser, TaskRequest
+from tansykeel.platform.member_rows import RowReader
 from tansykeel.platform.periodic_checks import CHECK_INTERVAL, PeriodicChecks
 from tansykeel.platform.request_rules import Invariant, Violations, answer_ends_connection
 from tansykeel.platform.stall_detector import StallDetector
@@ -50,6 +53,7 @@
 MAX_READ_TIME = 2.0  # seconds for which one request is read at most
 MAX_TRACE_ENTRIES = 6  # last entries of a failure's traceback that are logged
 
+
 log = standard_output()
 
 
@@ -73,7 +77,7 @@
         self.answer_count = 0
         self.never_sent = Counter[str]()  # tasks that were not delivered and had no hand-off, by cause
         self._discovery: Discovery | None = None
-        self._config_retry: asyncio.TimerHandle | None = None  # next try to read the configuration file
+        self._config_reload = ConfigReload(self._load_config, loop, log)
         self.request_parser = RequestParser(config.facts)
         bounds = Bounds(config.open_tasks, int(limits.memory_mb * 2**20 * BODY_MEMORY_FRACTION), codec.MOST_BODY)
         known = config.file.known
@@ -202,29 +206,7 @@
 
     def reload_config(self, received_at: float | None = None) -> None:
         """Handle SIGHUP: take the address of discovery from the configuration file. Its other settings stay."""
-        if self._config_retry:
-            self._config_retry.cancel()
-        try:
-            self._load_config()
-        except Illegal as error:
-            log("configuration not taken", **error.fields)
-            if isinstance(error, Unreadable):
-                self._retry_config_later(self.loop.time() + RETRY_PERIOD)
-
-    def _retry_config_later(self, last_try: float) -> None:
-        """Read the file again after RETRY_DELAY, until it can be read or `last_try` has passed: otherwise, with the old
-        discovery ended, the gateway would learn of no drain until the next SIGHUP."""
-
-        def retry() -> None:
-            try:
-                self._load_config()
-            except Unreadable:
-                if self.loop.time() < last_try:
-                    self._retry_config_later(last_try)
-            except Illegal as error:
-                log("configuration not taken", **error.fields)
-
-        self._config_retry = self.loop.call_later(RETRY_DELAY, retry)
+        self._config_reload.run()
 
     def _load_config(self) -> None:
         """Read the configuration file and use its address of discovery. Raises Illegal."""
--- a/tansykeel/platform/stores.py
+++ b/tansykeel/platform/stores.py
@@ -9,7 +9,8 @@
 from tansykeel.edge.tasks import Attempt
 from tansykeel.http1.messages import Answer
 from tansykeel.interface import OutcomeKind, Store
-from tansykeel.platform.clients import Client, Clients
+from tansykeel.platform.client_connection import Client
+from tansykeel.platform.clients import Clients
 from tansykeel.platform.event_counts import EventCounts, StoreConnectionEnd
 from tansykeel.platform.pool import COOL_DOWN, Pool
 from tansykeel.platform.read_queue import ReadQueue
--- a/tests/edge/test_cost_of_changes.py
+++ b/tests/edge/test_cost_of_changes.py
@@ -14,7 +14,7 @@
 from interpreter_steps import steps
 from many_stores import NOW, core_of, row, rows
 
-from tansykeel.platform.discovery import Update
+from tansykeel.platform.member_rows import Update
 
 FEW, MANY = 200, 3_200  # stores
 SLACK = 1.3  # times the steps with few stores that a change may take with many
--- a/tests/many_stores.py
+++ b/tests/many_stores.py
@@ -7,7 +7,7 @@
 from tansykeel.edge.core import Core
 from tansykeel.edge.tasks import Bounds
 from tansykeel.interface import SlowStartRule
-from tansykeel.platform.discovery import Row
+from tansykeel.platform.member_rows import Row
 
 NOW = 10**9  # ticks of the core's clock at its start
 
--- a/tests/platform/test_discovery.py
+++ b/tests/platform/test_discovery.py
@@ -8,9 +8,9 @@
 import pytest
 from platform_stage import FakeDiscovery, FakeStore, configuration, no_descriptors, run_test, staged, until
 
-from tansykeel.platform import discovery as discovery_module
-from tansykeel.platform.discovery import Watch
+from tansykeel.platform import watch as watch_module
 from tansykeel.platform.objects import ObjectSplitter, Unfit
+from tansykeel.platform.watch import Watch
 
 
 def test_partial_updates_are_applied_and_older_versions_are_ignored(tmp_path):
@@ -309,7 +309,7 @@
             await until(lambda: stage.gateway.core.list_version == 5)
             idle = await stage.client()
             assert (await idle.ask(1)).status == 200
-            refused = no_descriptors(monkeypatch, discovery_module, 3)
+            refused = no_descriptors(monkeypatch, watch_module, 3)
             monkeypatch.setattr("tansykeel.platform.clients.EVICTION_GRACE", 0.0)
             stage.list.revision += 1
             stage.list.writers[0].transport.abort()
--- a/tests/platform/test_ending.py
+++ b/tests/platform/test_ending.py
@@ -26,7 +26,7 @@
         ("CLOSE_BEFORE_KILL", 0.1),
     ):
         monkeypatch.setattr(program, name, seconds)
-    monkeypatch.setattr("tansykeel.platform.clients.REQUEST_TIMEOUT", 10.0)
+    monkeypatch.setattr("tansykeel.platform.client_connection.REQUEST_TIMEOUT", 10.0)
 
 
 def test_after_sigterm_it_serves_for_a_while_then_closes_idle_connections_and_answers_held_tasks(tmp_path):
@@ -209,7 +209,7 @@
 def test_unread_bytes_at_the_last_close_do_not_destroy_an_answer(tmp_path, monkeypatch):
     """The kernel still holds most of the answer for a client that reads slowly, and bytes of the client arrive at the
     moment of the close. A reset would discard that part of the answer."""
-    monkeypatch.setattr("tansykeel.platform.clients.LINGER", 5.0)
+    monkeypatch.setattr("tansykeel.platform.client_connection.LINGER", 5.0)
 
     async def go():
         async with staged(tmp_path, FakeStore("s0", 0, lambda request: ok(b"x" * 300_000))) as stage:
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -268,7 +268,7 @@
 
 
 def test_an_idle_connection_is_closed_early_while_the_gateway_is_crowded(tmp_path, monkeypatch):
-    monkeypatch.setattr("tansykeel.platform.clients.CROWDED_IDLE_TIMEOUT", 0.05)
+    monkeypatch.setattr("tansykeel.platform.client_connection.CROWDED_IDLE_TIMEOUT", 0.05)
 
     async def go():
         async with staged(tmp_path, FakeStore("s0", 0)) as stage:
@@ -289,7 +289,7 @@
 
 
 def test_connections_without_a_whole_request_get_a_408_in_time(tmp_path, monkeypatch):
-    monkeypatch.setattr("tansykeel.platform.clients.REQUEST_TIMEOUT", 0.1)
+    monkeypatch.setattr("tansykeel.platform.client_connection.REQUEST_TIMEOUT", 0.1)
 
     async def go():
         async with staged(tmp_path, FakeStore("s0", 0)) as stage:
--- a/tests/platform/test_many_slow_clients.py
+++ b/tests/platform/test_many_slow_clients.py
@@ -16,7 +16,7 @@
 
 from tansykeel.http1 import codec
 from tansykeel.platform import read_queue
-from tansykeel.platform.clients import Client
+from tansykeel.platform.client_connection import Client
 from tansykeel.platform.connection import ANSWER_READ, StoreConnection
 from tansykeel.platform.read_queue import ReadQueue
 
--- a/tests/platform/test_slow.py
+++ b/tests/platform/test_slow.py
@@ -16,7 +16,7 @@
 def test_a_client_that_reads_slowly_is_not_closed_before_its_answer_is_complete(tmp_path, monkeypatch, connection):
     """A connection whose answer is not fully written must not be closed to make room: its task would be lost."""
     monkeypatch.setattr("tansykeel.platform.clients.EVICTION_GRACE", 0.0)
-    monkeypatch.setattr("tansykeel.platform.clients.LINGER", 0.0)
+    monkeypatch.setattr("tansykeel.platform.client_connection.LINGER", 0.0)
 
     async def go():
         async with staged(tmp_path, FakeStore("s0", 0, lambda request: ok(b"x" * 1_000_000))) as stage:
