Let go of keys of ordered categories once they have rested

Cause: Scheduler.leave_key kept a key whose last task left while the key still rested, until its next task; clients that name ever new keys would fill the memory where the settings order tasks by key. Evidence: the new test in tests/brain/test_tasks.py keeps 19 of 19 keys before. Change: such a key is let go by a call at the end of its rest.

--- a/tansykeel/brain/scheduler.py
+++ b/tansykeel/brain/scheduler.py
@@ -3,6 +3,7 @@
 import random
 from collections import deque
 from collections.abc import Generator
+from functools import partial
 
 from tansykeel.interface import (
     BreakOff,
@@ -351,5 +352,15 @@
             queue.tasks.remove(task)
             if queue.tasks:
                 self.runtime.wake(queue.tasks[0], WakeReason.RECHECK)
-            elif self.runtime.now >= queue.rests_until:
-                del self.keys[task.key]
+            else:
+                self.forget_key(task.key)
+
+    def forget_key(self, key: int) -> None:
+        """Let go of a key without tasks: now, or once it has rested."""
+        queue = self.keys.get(key)
+        if queue is None or queue.tasks:
+            return
+        if self.runtime.now >= queue.rests_until:
+            del self.keys[key]
+        else:
+            self.runtime.call_at(queue.rests_until, partial(self.forget_key, key))
--- a/tests/brain/test_tasks.py
+++ b/tests/brain/test_tasks.py
@@ -269,3 +269,19 @@
     assert (
         isinstance(run.send(WakeReason.TIMER), Wait) and runtime.woken[-1][1] is WakeReason.GRANTED
     )  # its node has granted it
+
+
+def test_keys_that_still_rest_when_their_last_task_leaves_are_let_go_after_it():
+    """Memory would grow with every key: clients can name ever new ones while keys rest."""
+    ordered = replace(IDEMPOTENT, ordered=True)
+    brain, runtime = scheduler([store()], key_rest=700)
+    for key in range(1, 20):
+        run = brain.serve(task(runtime, category=ordered, key=key))
+        next(run)
+        run.close()
+    assert len(brain.keys) == 19
+    runtime.now += 700
+    for at, call in runtime.calls:
+        if at <= runtime.now:
+            call()
+    assert not brain.keys
