--- a/tests/platform/test_many_slow_clients.py
+++ b/tests/platform/test_many_slow_clients.py
@@ -16,7 +16,7 @@
 
 from tansykeel.http1 import codec
 from tansykeel.platform import read_queue
-from tansykeel.platform.client_connection import Client
+from tansykeel.platform.client_connection import LONG_READ, Client
 from tansykeel.platform.connection import ANSWER_READ, StoreConnection
 from tansykeel.platform.read_queue import ReadQueue
 
@@ -119,6 +119,36 @@
     run_test(go())
 
 
+STOPPED_REQUESTS = {
+    "half way through a body": HEAD + b"Content-Length: 65536\r\n\r\n" + b"x" * 40_000,
+    "in chunks of one byte": HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 40_000,
+    "in a head of short fields": HEAD + b"".join(b"%x:\r\n" % number for number in range(900)),
+}
+
+
+@pytest.mark.parametrize("form", STOPPED_REQUESTS)
+def test_hundreds_of_requests_that_stop_take_no_more_memory_than_is_set(tmp_path, form):
+    """The operators' picture, of a process that passed its memory limit. `tests/http1/test_memory.py` compares what is
+    counted with what is taken."""
+
+    async def go():
+        limits = {"cores": 1.0, "memory_mb": 16, "sockets": 512}
+        async with staged(tmp_path, FakeStore("s0", 0), limits=limits) as stage:
+            clients = stage.gateway.clients
+            stopped = [await stage.client() for _ in range(150)]
+            most = 0
+            for client in stopped:
+                client.writer.write(STOPPED_REQUESTS[form])
+            while clients.errors[503] + clients.errors[408] < 50:
+                await asyncio.sleep(0)
+                most = max(most, clients.unread_bytes)
+            assert clients.max_unread_bytes == 2 << 20
+            assert most <= clients.max_unread_bytes + LONG_READ * 2
+            assert (await (await stage.client()).ask(1)).status == 200
+
+    run_test(go())
+
+
 def test_the_memory_of_unread_requests_is_counted_until_they_are_gone(tmp_path):
     async def go():
         async with staged(tmp_path, FakeStore("s0", 0, lambda request: None)) as stage:
