--- a/tansykeel/platform/watch.py
+++ b/tansykeel/platform/watch.py
@@ -17,8 +17,8 @@
 from tansykeel.transport.sockets import address_of, open_socket
 from tansykeel.transport.stream import Stream
 
-# Seconds after an update in which further ones gather. Each read costs several times as much as an update, and within
-# some seconds thousands of stores may change.
+# Seconds after an update in which further ones gather, unless more has come already. Each read costs several times as
+# much as an update, and within some seconds thousands of stores may change.
 GATHER_TIME = 0.01
 MAX_OBJECT_BYTES = 4 << 20
 _LINE_END = b"}\n"  # of an object that is a line
@@ -96,7 +96,9 @@
         if self.reader.ended:
             self.close()
             self._on_end("the watch ended")
-        elif received:
+        elif self.discovery.updates_pending():
+            self.stream.read(False)  # until they are applied; `Discovery` continues it then
+        elif received and len(data) < self.stream.read_size:
             self.stream.read(False)
             self._loop.call_later(GATHER_TIME, self.continue_reading)
 
