A report of changed stores that failed is made again with the next one

Seen: by a new test only. Since the core passes on differences, an update that failed inside the decision module and was received again differed from nothing, and the module never learned of it. Cause: StoreDirectory had taken the rows before the module failed. Change: the core keeps changed stores until the module has taken them. Tests: test_an_update_that_fails_is_received_again_with_those_behind_it[decision module] fails before.

--- a/tansykeel/edge/core.py
+++ b/tansykeel/edge/core.py
@@ -78,6 +78,7 @@
         self.counts = Counts()
         self.stopping = False
         self.list_version = -1
+        self._unreported: dict[Store, None] = {}  # changed stores that the decision module does not know yet
         self.decision_module = make_module(facts, seed, self.runner)
         self.decision_module.list_changed(self.directory.apply_rows(known_stores, self.runner.now), confirmed=False)
         self.runner.run_pending()
@@ -208,14 +209,13 @@
             unlisted = self.directory.unlisted({row.name for row in update.rows})
             self.directory.mark_gone(unlisted)
             changed += unlisted
-        self._stores_changed(changed)
-        return changed
+        return self._report_changed(changed)
 
     def remove_stores(self, now: int, stores: list[Store]) -> None:
         """Mark stores as gone that a full list does not name, as the list service says."""
         self.runner.advance_clock(now)
         self.directory.mark_gone(stores)
-        self._stores_changed(stores)
+        self._report_changed(stores)
 
     def list_unavailable(self, now: int) -> None:
         """Record that the list service failed or can't be reached; the decision module says when to ask again."""
@@ -296,10 +296,15 @@
 
     # Internal
 
-    def _stores_changed(self, changed: list[Store]) -> None:
-        self.decision_module.list_changed(changed, confirmed=True)
+    def _report_changed(self, changed: list[Store]) -> list[Store]:
+        """Report stores that a list has changed to the decision module, with those of a report that failed."""
+        self._unreported.update(dict.fromkeys(changed))
+        reported = list(self._unreported)
+        self.decision_module.list_changed(reported, confirmed=True)
+        self._unreported.clear()
         self.directory.forget_oldest_gone()
         self.runner.run_pending()
+        return reported
 
     def _body_complete(self, held: HeldTask) -> None:
         """Start a task whose body is complete. One of an ordered category waits for earlier tasks of its key.
--- a/tests/platform/test_many_changes.py
+++ b/tests/platform/test_many_changes.py
@@ -129,29 +129,32 @@
     run_test(go())
 
 
-def test_an_update_that_fails_is_received_again_with_those_behind_it(tmp_path, monkeypatch):
+@pytest.mark.parametrize("where", ["core", "decision module"])
+def test_an_update_that_fails_is_received_again_with_those_behind_it(tmp_path, monkeypatch, where):
     """A fault of the program in one update may not leave the list wrong for good."""
 
     async def go():
         async with staged(tmp_path, FakeStore("serving", 0)) as stage:
             gateway, discovery = stage.gateway, stage.list
             await until(lambda: gateway.core.list_version == 5)
-            apply, calls = gateway.core.apply_list_update, []
+            core, module, calls = gateway.core, gateway.core.decision_module, []
+            place, name = (core, "apply_list_update") if where == "core" else (module, "list_changed")
+            call = getattr(place, name)
 
-            def fail_once(*arguments):
+            def fail_once(*arguments, **named):
                 calls.append(arguments)
                 if len(calls) == 2:
                     raise RuntimeError("planted")
-                return apply(*arguments)
+                return call(*arguments, **named)
 
-            monkeypatch.setattr(gateway.core, "apply_list_update", fail_once)
+            monkeypatch.setattr(place, name, fail_once)
             discovery.rows += entries()[1:]
             discovery.send_update(entries())
             discovery.send_update([entry(0, phase="Gone")])
             await until(lambda: gateway.discovery.revision == discovery.revision)
             assert len(discovery.watch_requests) == 2
-            assert {name for name, state in states(gateway) if state.value == "ready"} == {
-                row["id"] for row in discovery.rows
-            }
+            ready = {row["id"] for row in discovery.rows}
+            assert {name for name, state in states(gateway) if state.value == "ready"} == ready
+            assert {node.store.handle for node in module.by_shard.values()} == ready
 
     run_test(go())
