--- a/tansykeel/platform/discovery.py
+++ b/tansykeel/platform/discovery.py
@@ -192,7 +192,7 @@
 
     def _log_applied(self) -> None:
         """Log the updates that were applied since the last such line, once no further ones wait."""
-        if self.applied.members and not self.updates.pending:
+        if self.applied.is_news and not self.updates.pending:
             self.log("list", **self.applied.fields(self.revision))
             self.applied = AppliedUpdates()
 
--- a/tansykeel/platform/known_members.py
+++ b/tansykeel/platform/known_members.py
@@ -80,6 +80,11 @@
     changed: int = 0  # entries that differed from what was known
     members: list[Member] = field(default_factory=list)  # the first of these; of a whole list, its first entries
 
+    @property
+    def is_news(self) -> bool:
+        """Whether a whole list, even an empty one, or an entry that was not known was among them."""
+        return self.complete or bool(self.changed)
+
     def add(self, update: Members, news: Sequence[Member]) -> None:
         """Add an update and those of its entries that were not known."""
         self.complete = self.complete or update.complete
--- a/tests/platform/test_known_members.py
+++ b/tests/platform/test_known_members.py
@@ -15,7 +15,7 @@
 from platform_stage import FakeStore, run_test, staged, until
 
 from tansykeel.platform.config import Member, Members
-from tansykeel.platform.known_members import KnownMembers, joined
+from tansykeel.platform.known_members import AppliedUpdates, KnownMembers, joined
 
 LIMIT_SLACK = 0.05  # seconds by which the platform extends every time limit
 MAX_BYTES = 4 << 20  # for a thousand stores: the memory that a large fleet may take more than a small one
@@ -72,6 +72,21 @@
     assert joined(updates, 5) == result
 
 
+@pytest.mark.parametrize(
+    "update, news, is_news",
+    [
+        (change(6, READY), [READY], True),
+        (change(6, READY), [], False),
+        (change(6, complete=True), [], True),
+        (change(6), [], False),
+    ],
+)
+def test_whole_lists_and_news_are_logged(update, news, is_news):
+    applied = AppliedUpdates()
+    applied.add(update, news)
+    assert applied.is_news is is_news and applied.fields(6)["changed"] == len(news)
+
+
 def test_a_list_that_is_told_again_changes_nothing_and_one_without_a_store_ends_it(tmp_path, monkeypatch):
     async def go():
         store = FakeStore("s0", 0)
