Read over: one place lets queues go, running sums for answers, no older change undoes a newer

It is a running sum now, and only clients with unsent bytes are looked at; - changes of a new watch that were joined while an older update was still applied could undo what that had told. They are compared with the last version received, applied or not; - a queue that idled for 600 s was let go by its node and stayed in the table of all queues, and with it the node. The table lets queues go by age too, and the node no longer does; - with all ranked nodes out of service each new object ranked anew; now only where the index has changed. Tests: the first two have tests that fail before; idle queues and answers that clients do not take have tests that pass before too.

--- a/tansykeel/brain/nodes.py
+++ b/tansykeel/brain/nodes.py
@@ -22,8 +22,7 @@
 MAX_IN_FLIGHT = 24  # hand-offs at a node (design: 32)
 RATE_DOUBLING_TIME = 2_000  # of a rate that holds tasks back while the latency is far under its target
 RATE_DECREASE, MAX_RATE_DECREASE = 0.2, 0.9  # fraction lost at twice the target latency; the most at once
-# How long an idle queue is kept; a store is not cold that answers within so many times a unit's usual time.
-IDLE_QUEUE_LIFETIME, WARM_LATENCY_FACTOR = 600 * SECOND, 2
+WARM_LATENCY_FACTOR = 2  # a store is not cold that answers within so many times a unit's usual time
 # Expected latencies until an answer can be lost; how long one loss makes others likely; step of reconnects.
 LOST_AFTER_LATENCIES, LOSSES_EXPECTED_FOR, RECONNECT_DELAY = 4, 10 * SECOND, 2_000
 
@@ -192,13 +191,10 @@
             self.mark_full(queue)
 
     def mark_full(self, queue: VolumeQueue) -> None:
-        """A queue's balance is full: it donates as all such queues do. Those longest idle are removed."""
+        """A queue's balance is full: it donates as all such queues do."""
         self.bucket += queue.balance - self.full_span * queue.reserve
         self.full[queue], queue.accrued_at, queue.full_at = None, self.accrued_at, 0
         self.full_rate += queue.reserve
-        while (oldest := next(iter(self.full))).accrued_at < self.runtime.now - IDLE_QUEUE_LIFETIME:
-            if not self.let_go(oldest):
-                break
 
     def let_go(self, queue: VolumeQueue) -> bool:
         """Remove a queue that neither earns nor owes anything; returns whether it is removed."""
--- a/tansykeel/brain/ranking.py
+++ b/tansykeel/brain/ranking.py
@@ -21,11 +21,11 @@
     def __init__(self, index: ShardIndex, rng: random.Random, usual: float, soft_limit: int) -> None:
         self.index, self.rng, self.usual, self.soft_limit = index, rng, usual, soft_limit
         self.ranked: list[Node] = []
-        self._next_at = 0
+        self._next_at = self._version = 0  # when to rank again; the index's version that was ranked
 
     def rank(self, now: int) -> None:
         """Rank the nodes that are usable now."""
-        self._next_at = now + RANKING_INTERVAL
+        self._next_at, self._version = now + RANKING_INTERVAL, self.index.version
         candidates = self.index.serving
         if len(candidates) > MAX_SAMPLED_NODES:
             candidates = self.rng.sample(candidates, MAX_SAMPLED_NODES)
@@ -39,21 +39,17 @@
 
         If there is none, the one with the least work for its rate.
         """
-        if now >= self._next_at:
+        if now >= self._next_at or self._is_outdated():
             self.rank(now)
-        serving = self._serving()
-        if not serving:
-            # Nodes that were ranked no longer serve; others may have come since.
-            self.rank(now)
-            serving = self._serving()
+        serving = [node for node in self.ranked if self.index.serves(node)]
         for node in serving:
             if node.usable() and node.held_tokens + node.tokens_out + cost_of(task) <= node.token_bound() / 2:
                 return node
         return min(serving, key=lambda node: (node.held_tokens + node.tokens_out) / node.rate, default=None)
 
-    def _serving(self) -> list[Node]:
-        """The ranked nodes that still serve their shards: the list may have changed since."""
-        return [node for node in self.ranked if self.index.serves(node)]
+    def _is_outdated(self) -> bool:
+        """Whether none of the ranked nodes serves its shard any more, and others may have come since."""
+        return self.index.version != self._version and not any(map(self.index.serves, self.ranked))
 
     def _expected_time(self, node: Node) -> float:
         failing = node.successes.count(False) / max(len(node.successes), 1)
--- a/tansykeel/brain/rates.py
+++ b/tansykeel/brain/rates.py
@@ -65,7 +65,7 @@
 
 
 class LatestItems(list[T]):
-    """The last SAMPLE_COUNT items that were appended. An empty one takes a tenth of a deque's memory."""
+    """The last SAMPLE_COUNT items that were appended; an empty list takes less memory than a deque."""
 
     __slots__ = ()
 
--- a/tansykeel/brain/scheduler.py
+++ b/tansykeel/brain/scheduler.py
@@ -224,7 +224,7 @@
             node.queue_count += 1
             gateways = self.volume_state(volume).gateways
             queue.set_reserve(queue.total_reserve / gateways / max(len(self.by_shard), 1))
-        self.queues.use(node, queue)
+        self.queues.use(node, queue, self.runtime.now)
         return queue
 
     def volume_state(self, volume: Volume) -> VolumeState:
--- a/tansykeel/brain/shard_index.py
+++ b/tansykeel/brain/shard_index.py
@@ -52,6 +52,7 @@
     def __init__(self) -> None:
         self.by_shard: dict[int, Node] = {}
         self.serving: list[Node] = []
+        self.version = 0  # counts changes of `serving`
         self._positions: dict[Node, int] = {}  # of each node in `serving`
         self._shards: dict[int, _ShardNodes] = {}
         self._shard_of: dict[Node, int] = {}  # the shard under which a ready node is indexed
@@ -89,6 +90,7 @@
             del self._shards[shard]
         if before is best:
             return []
+        self.version += 1
         if before is not None:
             del self.by_shard[shard]
             self._remove_serving(before)
--- a/tansykeel/http1/codec.py
+++ b/tansykeel/http1/codec.py
@@ -20,7 +20,7 @@
 MOST_ANSWER = 1 << 20  # bytes of an answer's: stores send more than they are said to
 BLOCK = 16 << 10  # bytes of a body from which the next ones go to another block
 FIELD_SEPARATORS = 4  # bytes of a field's line beside its name and value
-FEED_SIZE = MOST_HEAD  # bytes parsed before the bounds are checked again: parsing short fields costs much
+FEED_SIZE = MOST_HEAD  # bytes parsed before the bounds are checked again
 MOST_INTERIM = 8  # 1xx answers ahead of one
 MAX_WIRE_RATIO = 8  # times a body's bound that its chunks, their lines and trailers may take on the wire
 
--- a/tansykeel/platform/client_connection.py
+++ b/tansykeel/platform/client_connection.py
@@ -59,6 +59,7 @@
     awaiting_request: dict[Client, None]
     keep_alive: dict[Client, None]
     lingering: dict[Client, None]
+    with_unsent: dict[Client, None]
     now: Callable[[], float]  # the event loop's time in seconds
     later: Callable[[Callable[[], None]], object]  # calls in the next turn of the event loop
     received_at: Callable[[Stream, bool], int]
@@ -126,7 +127,7 @@
         self.open_request = None
         self.since = self.owner.now()
         self.owner.keep_alive[self] = None
-        self.stream.write(data)
+        self._write(data)
         if last:
             self._linger(ClientEnd.LAST_ANSWER)
         elif self.reader.waits and not self._processing:
@@ -139,9 +140,14 @@
         self.open_request = None
         self.since = self.owner.now()
         self.owner.errors[status] += 1
-        self.stream.write(ERROR_RESPONSES[status])
+        self._write(ERROR_RESPONSES[status])
         self._linger(ClientEnd.REJECTED)
 
+    def _write(self, data: bytes) -> None:
+        self.stream.write(data)
+        if self.stream.unsent:
+            self.owner.with_unsent[self] = None
+
     def end(self, reason: ClientEnd) -> None:
         """End the connection between requests, with a lingering close: a request may arrive at this moment, and
         closing over its unread bytes would reset the connection and lose an answer that the client has not read."""
@@ -157,7 +163,8 @@
         """Close the connection at once; an open request is cancelled."""
         if self in self.owner.conns:
             self.owner.counts.client_ended(self.end_reason or reason, self.requests)
-        for held in (self.owner.conns, self.owner.awaiting_request, self.owner.keep_alive, self.owner.lingering):
+        owner = self.owner
+        for held in (owner.conns, owner.awaiting_request, owner.keep_alive, owner.lingering, owner.with_unsent):
             held.pop(self, None)
         self.stream.close()
         self.stream.forget_unsent()
@@ -190,7 +197,7 @@
         self._count_memory()
 
     def _count_memory(self) -> None:
-        """Count the reader's memory in the sum over all clients: adding it up at each read would take too long."""
+        """Count the reader's memory in the sum over all clients."""
         memory = self.reader.memory
         self.owner.unread_bytes += memory - self._counted_memory
         self._counted_memory = memory
--- a/tansykeel/platform/clients.py
+++ b/tansykeel/platform/clients.py
@@ -48,6 +48,7 @@
         self.awaiting_request: dict[Client, None] = {}  # no whole request received yet, oldest connection first
         self.keep_alive: dict[Client, None] = {}  # answered and waiting for a further request, longest ago first
         self.lingering: dict[Client, None] = {}  # in a lingering close, the one begun longest ago first
+        self.with_unsent: dict[Client, None] = {}  # whose answers may not have left whole
         self.errors = Counter[int]()  # error answers sent, by status
         self.unanswered = Counter[str]()  # connections that the gateway ended before their first request, by cause
 
@@ -111,7 +112,8 @@
 
     def unsent_bytes(self) -> int:
         """Return the bytes of answers that clients have not taken yet."""
-        return sum(len(client.stream.unsent) for client in self.conns)
+        self.with_unsent = {client: None for client in self.with_unsent if client.stream.unsent}
+        return sum(len(client.stream.unsent) for client in self.with_unsent)
 
     def check_timeouts(self) -> None:
         """End every connection that has stalled, sent no whole request or idled for too long."""
--- a/tansykeel/platform/connection.py
+++ b/tansykeel/platform/connection.py
@@ -47,6 +47,7 @@
     """What a connection needs from `Stores`, and the events that it reports to it."""
 
     read_queue: ReadQueue  # for long answers
+    incomplete_bytes: int  # memory of all answers that are incomplete
 
     def now(self) -> float:
         """Return the time of the event loop's clock, in seconds."""
@@ -91,6 +92,7 @@
         "sent_at",
         "connect_deadline",
         "_reads_in_turn",
+        "_counted_memory",
     )
 
     def __init__(self, pool: ConnectionPool, gateway: ConnectionGateway, address: str, connect_timeout: float) -> None:
@@ -105,6 +107,7 @@
         self.sent_at = 0.0  # when the last request was passed to the stream
         host = address_of(address)
         self._reads_in_turn = False  # whether more of a pending answer is coming: it is read in turn with others
+        self._counted_memory = 0  # of its reader, as counted in the sum over all connections
         self.stream = Stream(open_socket(host), self._on_data, self._on_end)
         self.stream.read_size, self.stream.defers_read = ANSWER_READ, self._defers_read
         try:
@@ -156,6 +159,12 @@
         if self.reader:
             self.reader.close()
         self.reader = None
+        self._count_memory(0)
+
+    def _count_memory(self, memory: int) -> None:
+        """Count the reader's memory in the sum over all connections."""
+        self.gateway.incomplete_bytes += memory - self._counted_memory
+        self._counted_memory = memory
 
     def _on_connected(self) -> None:
         self.is_up = True
@@ -175,6 +184,7 @@
                 self.pool.answered_twice(self.gateway.now() - self.idle_since)
             return self._reject_answer("data that answers no request")
         self.reader.feed(data)
+        self._count_memory(self.reader.memory)
         if self.reader.memory > codec.MOST_BODY and self.gateway.answers_exceed_memory():
             return self._reject_answer("not enough memory for the answer")
         try:
--- a/tansykeel/platform/discovery.py
+++ b/tansykeel/platform/discovery.py
@@ -84,6 +84,7 @@
         self.address_changed = False  # whether it changed and no update was received from the new one yet
         self.first_list = asyncio.Event()  # set once an update was received
         self.stopped = False
+        self.received_revision = revision  # of the last update that was received, applied or not
         self.known = KnownMembers()
         self.applied = AppliedUpdates()  # since the last line of the log about the list
         self.updates = UpdateQueue(self._apply, self._continue_reading, self._apply_failed)
@@ -140,7 +141,9 @@
         """
         if not updates:
             return
-        for update in joined(updates, self.revision):
+        known_revision = self.received_revision if self.updates.pending else self.revision
+        self.received_revision = updates[-1].revision
+        for update in joined(updates, known_revision):
             self.updates.add(ReceivedUpdate(watch, update, self.last_message_at))
         self.message_received(watch)
         self.updates.run()
--- a/tansykeel/platform/read_queue.py
+++ b/tansykeel/platform/read_queue.py
@@ -1,14 +1,14 @@
-"""Shares the event loop's time among connections on which long requests arrive. No I/O.
+"""Shares the event loop's time among connections on which long messages arrive. No I/O.
 
-Parsing what hundreds of clients send at full speed takes seconds. Reads of long requests take turns within a bounded
-time of each turn of the event loop, so that short requests, stores and discovery are served between them.
+Reads of long requests and answers take turns within a bounded time of each turn of the event loop, so that short
+requests, stores and discovery are served between them, whatever hundreds of clients send.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
-TURN_TIME = 0.004  # seconds of one turn of the event loop that reads of long requests may take together
+TURN_TIME = 0.004  # seconds of one turn of the event loop that the reads of one queue may take together
 
 
 class ReadQueue:
--- a/tansykeel/platform/stores.py
+++ b/tansykeel/platform/stores.py
@@ -65,6 +65,7 @@
         self.clock, self.now, self.call_later, self.log = clock, now, call_later, log
         self.pools: dict[Store, Pool] = {}
         self.read_queue = ReadQueue(self.call_soon, now)
+        self.incomplete_bytes = 0  # memory of answers that are incomplete
         self._waiting_for_room: dict[Pool, None] = {}
         # Seconds for which a connection may be idle and still be reused.
         self.idle_limit = store_idle_timeout * IDLE_FRACTION
@@ -137,10 +138,7 @@
 
     def held_bytes(self) -> int:
         """Return the memory that answers take that are incomplete or that clients have not read yet, in bytes."""
-        connections = (connection for pool in self.pools.values() for connection in pool.connections)
-        return self.clients.unsent_bytes() + sum(
-            connection.reader.memory for connection in connections if connection.reader
-        )
+        return self.clients.unsent_bytes() + self.incomplete_bytes
 
     def answers_exceed_memory(self) -> bool:
         """Whether the answers in memory exceed `max_answer_bytes`."""
--- a/tansykeel/platform/used_ids.py
+++ b/tansykeel/platform/used_ids.py
@@ -10,7 +10,7 @@
 from tansykeel.interface import RepeatSafety
 
 LIFETIME = 30.0  # seconds for which an id is kept at least
-MAX_IDS = 16_384  # after which those are let go that are older than as many others
+MAX_IDS = 16_384  # of one generation; two are kept
 
 
 class UsedIds:
--- a/tansykeel/platform/watch.py
+++ b/tansykeel/platform/watch.py
@@ -17,9 +17,7 @@
 from tansykeel.transport.sockets import address_of, open_socket
 from tansykeel.transport.stream import Stream
 
-# Seconds after an update in which further ones gather, unless more has come already. Each read costs several times as
-# much as an update, and within some seconds thousands of stores may change.
-GATHER_TIME = 0.01
+GATHER_TIME = 0.01  # seconds after an update in which further ones gather, unless more has come already
 MAX_OBJECT_BYTES = 4 << 20
 _LINE_END = b"}\n"  # of an object that is a line
 _decoder = msgspec.json.Decoder(Members)
--- a/tests/brain/test_queue_table.py
+++ b/tests/brain/test_queue_table.py
@@ -72,6 +72,18 @@
     assert len(node.queues) <= MAX_QUEUES + 2
 
 
+def test_a_queue_that_idles_for_its_lifetime_is_let_go():
+    brain, runtime = scheduler([store()])
+    (node,) = brain.nodes.values()
+    serve(brain, runtime, Volume("idle", PLAN), 0)
+    runtime.now += queue_table.IDLE_QUEUE_LIFETIME // 2
+    serve(brain, runtime, Volume("first", PLAN), 0)
+    assert len(node.queues) == 2
+    runtime.now += queue_table.IDLE_QUEUE_LIFETIME // 2 + 1
+    serve(brain, runtime, Volume("second", PLAN), 0)
+    assert [volume.handle for volume in node.queues] == ["first", "second"]
+
+
 def test_queues_of_a_node_that_is_forgotten_are_not_counted():
     stores = [store(shard) for shard in range(2)]
     brain, runtime = scheduler(stores)
--- a/tests/platform/test_many_changes.py
+++ b/tests/platform/test_many_changes.py
@@ -9,9 +9,11 @@
 import asyncio
 import time
 
+import msgspec
 import pytest
 from platform_stage import FakeStore, run_test, staged, until
 
+from tansykeel.platform.config import Members
 from tansykeel.platform.update_queue import MAX_ENTRIES_PER_TURN
 
 STORES = 3_000
@@ -129,6 +131,28 @@
     run_test(go())
 
 
+def test_an_older_change_that_comes_while_a_newer_one_is_applied_undoes_nothing(tmp_path):
+    """As from a new watch, which begins at the version that was applied last."""
+
+    async def go():
+        async with staged(tmp_path, FakeStore("serving", 0)) as stage:
+            discovery = stage.gateway.discovery
+            await until(lambda: discovery.revision == 5)
+            (watch,) = discovery.watches
+
+            def update(revision, *members):
+                return msgspec.convert({"revision": revision, "complete": False, "members": members}, Members)
+
+            discovery.updates_received(watch, [update(60, *entries(phase="Terminating"))])
+            assert discovery.updates.pending
+            discovery.updates_received(watch, [update(50, entry(0)), update(61, entry(1, phase="Gone"))])
+            await until(lambda: discovery.revision == 61)
+            states_by_name = {name: state.value for name, state in states(stage.gateway)}
+            assert states_by_name["s-0"] == "draining" and states_by_name["s-1"] == "gone"
+
+    run_test(go())
+
+
 @pytest.mark.parametrize("where", ["core", "decision module"])
 def test_an_update_that_fails_is_received_again_with_those_behind_it(tmp_path, monkeypatch, where):
     """A fault of the program in one update may not leave the list wrong for good."""
--- a/tests/platform/test_many_slow_clients.py
+++ b/tests/platform/test_many_slow_clients.py
@@ -8,11 +8,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import Counter
 
 import pytest
 from interpreter_steps import steps
-from platform_stage import FakeStore, request_bytes, run_test, staged, until
+from platform_stage import FakeStore, ok, request_bytes, run_test, staged, until
 
 from tansykeel.http1 import codec
 from tansykeel.platform import read_queue
@@ -119,6 +120,48 @@
     run_test(go())
 
 
+def test_a_part_of_a_long_answer_costs_the_same_however_many_clients_there_are(tmp_path):
+    async def go():
+        part = b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + b"x" * 100_000
+        limits = {"cores": 1.0, "memory_mb": 256, "sockets": 512}
+        async with staged(tmp_path, FakeStore("s0", 0, lambda request: part), limits=limits) as stage:
+            stores, asking = stage.gateway.stores, await stage.client()
+            asking.writer.write(request_bytes(1))
+            await until(lambda: stores.incomplete_bytes >= 100_000)
+            (pool,) = stores.pools.values()
+            (connection,) = pool.connections
+
+            async def steps_of_part(others):
+                while len(stage.connections) < others:
+                    await stage.client()
+                await until(lambda: len(stage.gateway.clients.conns) == others)
+                return steps(lambda: connection._on_data(b"x" * 10))
+
+            few = await steps_of_part(5)
+            assert await steps_of_part(100) <= 1.2 * few
+            asking.writer.transport.abort()
+            await until(lambda: stores.incomplete_bytes == 0)
+
+    run_test(go())
+
+
+def test_answers_that_clients_do_not_take_are_counted_until_they_leave(tmp_path, monkeypatch):
+    async def go():
+        async with staged(tmp_path, FakeStore("s0", 0, lambda request: ok(b"x" * 500_000))) as stage:
+            clients, slow = stage.gateway.clients, await stage.client(receive=4_096)
+            await until(lambda: clients.conns)
+            next(iter(clients.conns)).stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+            slow.writer.transport.pause_reading()
+            slow.writer.write(request_bytes(1))
+            await until(lambda: clients.unsent_bytes() > 100_000)
+            assert stage.gateway.stores.held_bytes() == clients.unsent_bytes()
+            slow.writer.transport.abort()
+            await until(lambda: not clients.conns)
+            assert clients.unsent_bytes() == 0
+
+    run_test(go())
+
+
 STOPPED_REQUESTS = {
     "half way through a body": HEAD + b"Content-Length: 65536\r\n\r\n" + b"x" * 40_000,
     "in chunks of one byte": HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 40_000,
