Scale tests: a signal to a process that has just ended is no error

Cause: Running.send_signal asks whether the process runs by its return code, which the event loop is told by another thread. A process that ended after SIGTERM was reaped and not yet known as ended as SIGCONT was sent. Evidence: the traceback ends in os.kill for SIGCONT, with the process's return code still unset; a process with such a code that has ended gives the same error each time. Change: the error is taken as what it says, that the process has ended. Tests: test_a_signal_to_a_process_whose_end_is_not_known_yet_is_no_error fails before. Result: the tests of tests/scale/test_processes.py pass.

--- a/tansykeel/scale/processes.py
+++ b/tansykeel/scale/processes.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -38,7 +39,8 @@
     def send_signal(self, number: signal.Signals) -> None:
         """Send it a signal, unless it has ended."""
         if self.runs:
-            os.kill(self.pid, number)
+            with suppress(ProcessLookupError):  # it has ended, and the event loop has not been told yet
+                os.kill(self.pid, number)
 
 
 class ProcessGroup:
--- a/tests/scale/test_processes.py
+++ b/tests/scale/test_processes.py
@@ -5,10 +5,12 @@
 import asyncio
 import os
 import signal
+import subprocess
+from types import SimpleNamespace
 
 import pytest
 
-from tansykeel.scale.processes import ProcessGroup, ScaleError
+from tansykeel.scale.processes import ProcessGroup, Running, ScaleError
 
 
 def gone(pid):
@@ -33,6 +35,16 @@
     assert all(gone(pid) for pid in asyncio.run(play()))
 
 
+def test_a_signal_to_a_process_whose_end_is_not_known_yet_is_no_error():
+    """What happened: a process ended between two signals, and the end of all others was given up."""
+    process = subprocess.Popen(["true"])
+    process.wait()
+    assert gone(process.pid)
+    unknown_end = Running("first", SimpleNamespace(pid=process.pid, returncode=None))
+    assert unknown_end.runs
+    unknown_end.send_signal(signal.SIGCONT)
+
+
 def test_a_process_that_ends_before_it_is_ready_is_named_with_its_log(tmp_path):
     async def play():
         group = ProcessGroup(tmp_path)
